--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Scaffolding, demo and benchmarks; nothing of the product imports it."""
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,452 @@
+"""Starts a deployment's processes on one machine, and harms them on demand.
+
+This is the script that plays the platform's part of starting processes; no
+process of the product starts another.
+"""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import urllib3
+import yaml
+
+from hyssoptack.core import catalog
+from hyssoptack.settings import catalog as catalog_settings
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PLATFORM_OFFSET = 400
+WAN_OFFSET = 450
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 20.0
+
+
+class FleetError(Exception):
+    """The fleet could not be brought to where a run needs it."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Options:
+    """What differs between runs.
+
+    Attributes:
+        deployment: A folder under deploy/.
+        services: Services to run; empty for all.
+        service_ms: Mean time of a leaf's search.
+        instance_overrides: Laid over each instance's settings.
+        port_shift: Added to every port, so that runs do not meet.
+        list_lag_ms: How late the instance list is.
+        hedging: Policy for the bench: quantile, none, or fixed:MS.
+        admission: Whether admission refuses; off only as a baseline.
+    """
+
+    deployment: str = "dakar"
+    services: tuple[str, ...] = ()
+    service_ms: float = 2.0
+    instance_overrides: dict = dataclasses.field(default_factory=dict)
+    port_shift: int = 0
+    list_lag_ms: float = 1_000.0
+    hedging: str = "quantile"
+    admission: bool = True
+
+
+class Fleet:
+    """The processes of one run."""
+
+    def __init__(self, options: Options, run_folder: pathlib.Path):
+        self.options = options
+        self.folder = run_folder
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.http = urllib3.PoolManager(
+            num_pools=200, retries=False, timeout=5.0
+        )
+        self.processes: dict[str, subprocess.Popen] = {}
+        source = ROOT / "deploy" / options.deployment
+        self._plan = yaml.safe_load((source / "fleet.yaml").read_text("utf-8"))
+        self.catalog_path = self.folder / "catalog.yaml"
+        self.catalog = self._write_catalog(source / "catalog.yaml")
+        self.instances = [
+            self._shifted(each) for each in self._plan["instances"]
+        ]
+        self.domains = sorted(
+            {each["failure_domain"] for each in self.instances}
+        )
+        self.balancer = self._address(self._plan["balancer_address"])
+        self._base = int(self._plan["balancer_address"].rpartition(":")[2])
+
+    # Addresses and files.
+
+    def _address(self, address: str) -> str:
+        host, _, port = address.rpartition(":")
+        return f"{host}:{int(port) + self.options.port_shift}"
+
+    def _shifted(self, each: dict) -> dict:
+        return {
+            name: self._address(value) if name.endswith("_address") else value
+            for name, value in each.items()
+        }
+
+    def _write_catalog(self, source: pathlib.Path) -> catalog.Catalog:
+        document = yaml.safe_load(source.read_text("utf-8"))
+        wanted = self.options.services or tuple(document["services"])
+        document["services"] = {
+            name: document["services"][name] for name in wanted
+        }
+        for service in document["services"].values():
+            for shard in service["shards"]:
+                for leaf in shard["leaves"]:
+                    leaf["address"] = self._address(leaf["address"])
+        text = yaml.safe_dump(document, allow_unicode=True)
+        self.catalog_path.write_text(text, "utf-8")
+        parts, errors = catalog_settings.split(text, str(source))
+        if errors:
+            raise FleetError(str(errors[0]))
+        return catalog_settings.assemble(0, parts, str(source))[0]
+
+    def _port(self, offset: int) -> str:
+        return f"127.0.0.1:{self._base + offset + self.options.port_shift}"
+
+    def store_address(self, domain: str) -> str:
+        """Returns where a domain reaches the store."""
+        return self._port(PLATFORM_OFFSET + self.domains.index(domain))
+
+    def members_address(self, domain: str) -> str:
+        """Returns where a domain reaches the instance list."""
+        return self._port(PLATFORM_OFFSET + 10 + self.domains.index(domain))
+
+    def wan_address(self) -> str:
+        """Returns the control address of the wide-area stand-in."""
+        return self._port(PLATFORM_OFFSET + 20)
+
+    def _routes(self) -> list[dict]:
+        routes = []
+        for viewer in self.domains:
+            for each in self.instances:
+                if each["failure_domain"] != viewer:
+                    routes.append(
+                        {
+                            "viewer": viewer,
+                            "domain": each["failure_domain"],
+                            "instance_id": each["instance_id"],
+                            "address": self._port(WAN_OFFSET + len(routes)),
+                            "target": each["peer_address"],
+                        }
+                    )
+        return routes
+
+    def views(self) -> dict[str, dict[str, str]]:
+        """Returns peer addresses of other domains as each domain sees them."""
+        result: dict[str, dict[str, str]] = {each: {} for each in self.domains}
+        for route in self._routes():
+            result[route["viewer"]][route["instance_id"]] = route["address"]
+        return result
+
+    def log_path(self, instance_id: str) -> pathlib.Path:
+        """Returns an instance's event log."""
+        return self.folder / f"{instance_id}.log"
+
+    def _settings_path(self, each: dict) -> pathlib.Path:
+        domain = each["failure_domain"]
+        document = {
+            **each,
+            "log_path": str(self.log_path(each["instance_id"])),
+            "platform": {
+                "store_address": self.store_address(domain),
+                "instance_list_address": self.members_address(domain),
+            },
+        }
+        for name, value in self.options.instance_overrides.items():
+            if isinstance(value, dict):
+                document[name] = {**document.get(name, {}), **value}
+            else:
+                document[name] = value
+        path = self.folder / f"{each['instance_id']}.yaml"
+        path.write_text(yaml.safe_dump(document), "utf-8")
+        return path
+
+    # Processes.
+
+    def start(self) -> None:
+        """Starts everything, applies the configuration, waits until ready."""
+        self._start_platform()
+        self._start_leaves()
+        for each in self.instances:
+            self.start_instance(each["instance_id"])
+        self._wait_for_store()
+        self.cli("config", "apply", str(self.catalog_path))
+        self._run(
+            "balancer", "hyssoptack.standins.balancer", *self._balancer_words()
+        )
+        self.wait_ready([each["instance_id"] for each in self.instances])
+
+    def _balancer_words(self) -> list[str]:
+        words = ["--listen", self.balancer]
+        for each in self.instances:
+            words += [
+                "--backend",
+                f"{each['front_address']}={each['operator_address']}",
+            ]
+        return words
+
+    def _start_platform(self) -> None:
+        listens = []
+        lists = []
+        for domain in self.domains:
+            listens += ["--listen", f"{domain}={self.store_address(domain)}"]
+            lists += ["--listen", f"{domain}={self.members_address(domain)}"]
+        self._run("store", "hyssoptack.standins.store", *listens)
+        for each in self.instances:
+            lists += ["--operator", each["operator_address"]]
+        self._run(
+            "members",
+            "hyssoptack.standins.members",
+            *lists,
+            "--views",
+            json.dumps(self.views()),
+            "--lag-ms",
+            str(self.options.list_lag_ms),
+        )
+        self._run(
+            "wan",
+            "hyssoptack.standins.wan",
+            "--control",
+            self.wan_address(),
+            "--routes",
+            json.dumps(self._routes()),
+            "--one-way-ms",
+            str(self._plan["one_way_between_domains_ms"]),
+        )
+
+    def _start_leaves(self) -> None:
+        for service in self.catalog.services.values():
+            for shard in service.shards:
+                for leaf_id in shard.leaf_ids:
+                    self.start_leaf(leaf_id)
+
+    def _shard_of(self, leaf_id: str) -> tuple[catalog.Service, catalog.Shard]:
+        for service in self.catalog.services.values():
+            for shard in service.shards:
+                if leaf_id in shard.leaf_ids:
+                    return service, shard
+        raise FleetError(f"no leaf {leaf_id}")
+
+    def start_leaf(self, leaf_id: str) -> None:
+        """Starts one leaf."""
+        service, shard = self._shard_of(leaf_id)
+        leaf = service.leaves[leaf_id]
+        self._run(
+            leaf_id,
+            "hyssoptack.standins.leaf",
+            "--leaf-id",
+            leaf_id,
+            "--service",
+            service.name,
+            "--address",
+            leaf.address,
+            "--low",
+            str(shard.key_range.low),
+            "--high",
+            str(shard.key_range.high),
+            "--slot-count",
+            str(leaf.slot_count),
+            "--connection-limit-count",
+            str(leaf.connection_limit_count),
+            "--connect-cost-ms",
+            str(leaf.connect_cost_ms),
+            "--service-ms",
+            str(self.options.service_ms),
+        )
+
+    def start_instance(self, instance_id: str) -> None:
+        """Starts one entry instance."""
+        path = self._settings_path(self.instance(instance_id))
+        module = "hyssoptack.scripts.main"
+        words = ["entry", str(path)]
+        if self.options.hedging != "quantile" or not self.options.admission:
+            module = "bench.baseline_entry"
+            words = [
+                str(path),
+                "--hedging",
+                self.options.hedging,
+                "--admission" if self.options.admission else "--no-admission",
+            ]
+        self._run(instance_id, module, *words)
+
+    def _run(self, name: str, module: str, *words: str) -> None:
+        output = open(self.folder / f"{name}.out", "a")  # noqa: SIM115
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", module, *words],
+            stdout=output,
+            stderr=subprocess.STDOUT,
+            cwd=ROOT,
+            env=environment,
+        )
+        output.close()
+
+    def cli(
+        self, *words: str, check: bool = True
+    ) -> subprocess.CompletedProcess:
+        """Runs the command line against this fleet."""
+        domain = self.domains[0]
+        environment = {
+            **os.environ,
+            "PYTHONPATH": str(ROOT),
+            "HYSSOPTACK_STORE": self.store_address(domain),
+            "HYSSOPTACK_MEMBERS": self.members_address(domain),
+            "HYSSOPTACK_FRONT": self.balancer,
+        }
+        done = subprocess.run(
+            [sys.executable, "-m", "hyssoptack.scripts.main", *words],
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+            env=environment,
+            check=False,
+        )
+        if check and done.returncode:
+            raise FleetError(f"{words}: {done.stdout}{done.stderr}")
+        return done
+
+    # Harm.
+
+    def instance(self, instance_id: str) -> dict:
+        """Returns an instance's addresses."""
+        for each in self.instances:
+            if each["instance_id"] == instance_id:
+                return each
+        raise FleetError(f"no instance {instance_id}")
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def freeze(self, name: str) -> None:
+        """Stops a process where it is."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Lets a stopped process go on."""
+        self.processes[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> int:
+        """Asks a process to stop and waits; returns its exit status."""
+        self.processes[name].send_signal(signal.SIGTERM)
+        return self.processes[name].wait(STOP_LIMIT_S)
+
+    def post(self, address: str, path: str, body: dict) -> dict:
+        """Posts JSON to a stand-in."""
+        response = self.http.request(
+            "POST", f"http://{address}{path}", json=body
+        )
+        if response.status != 200:
+            raise FleetError(f"{address}{path}: {response.data!r}")
+        return response.json()
+
+    def get(self, address: str, path: str) -> dict:
+        """Gets JSON from a stand-in or an operator port."""
+        return self.http.request("GET", f"http://{address}{path}").json()
+
+    def behave(self, leaf_id: str, **fields: object) -> None:
+        """Changes a leaf's behaviour."""
+        self.post(self.leaf(leaf_id).address, "/behaviour", fields)
+
+    def account(self, leaf_id: str, brief: bool = True) -> dict:
+        """Returns what a leaf counted."""
+        path = "/account?brief=1" if brief else "/account"
+        return self.get(self.leaf(leaf_id).address, path)
+
+    def leaf(self, leaf_id: str) -> catalog.Leaf:
+        """Returns a leaf's record."""
+        return self._shard_of(leaf_id)[0].leaves[leaf_id]
+
+    def leaf_ids(self, service: str) -> list[str]:
+        """Returns a service's leaves."""
+        return list(self.catalog.services[service].leaves)
+
+    def store_faults(self, **fields: object) -> None:
+        """Changes what goes wrong with the store."""
+        self.post(self.store_address(self.domains[0]), "/faults", fields)
+
+    def members_faults(self, **fields: object) -> None:
+        """Changes what goes wrong with the instance list."""
+        self.post(self.members_address(self.domains[0]), "/faults", fields)
+
+    def cut(self, pairs: list[tuple[str, str]]) -> None:
+        """Cuts pairs of domains off from each other; no others."""
+        self.post(
+            self.wan_address(),
+            "/faults",
+            {"cut": [list(each) for each in pairs]},
+        )
+
+    def status(self, instance_id: str) -> dict:
+        """Returns an instance's status page."""
+        address = self.instance(instance_id)["operator_address"]
+        return self.get(address, "/status")
+
+    # Waiting and the end.
+
+    def _wait_for_store(self) -> None:
+        self.wait_for(
+            lambda: self._answers(
+                self.store_address(self.domains[0]), "/account"
+            ),
+            "the store",
+        )
+
+    def _answers(self, address: str, path: str) -> bool:
+        try:
+            response = self.http.request("GET", f"http://{address}{path}")
+        except urllib3.exceptions.HTTPError:
+            return False
+        return response.status == 200
+
+    def is_ready(self, instance_id: str) -> bool:
+        """Tells whether an instance says that it serves."""
+        address = self.instance(instance_id)["operator_address"]
+        return self._answers(address, "/readyz")
+
+    def wait_ready(self, instance_ids: list[str]) -> None:
+        """Waits until instances serve."""
+        for each in instance_ids:
+            self.wait_for(lambda name=each: self.is_ready(name), each)
+        if "balancer" in self.processes:
+            # The balancer probes five times a second.
+            time.sleep(0.6)
+
+    def wait_for(
+        self, condition, what: str, limit_s: float = START_LIMIT_S
+    ) -> float:
+        """Waits for a condition; returns the seconds it took."""
+        started_s = time.monotonic()
+        while not condition():
+            if time.monotonic() - started_s > limit_s:
+                raise FleetError(f"{what}: not within {limit_s} s")
+            time.sleep(0.05)
+        return time.monotonic() - started_s
+
+    def stop(self) -> None:
+        """Ends every process that this fleet started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def __enter__(self) -> "Fleet":
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_details: object) -> None:
+        self.stop()
--- /dev/null
+++ b/hyssoptack/charts/__init__.py
@@ -0,0 +1,3 @@
+"""State charts as YAML files, and the interpreter that the tasks run them
+with.
+"""
--- /dev/null
+++ b/hyssoptack/core/__init__.py
@@ -0,0 +1,3 @@
+"""Immutable records that every other package imports; imports nothing of
+ours.
+"""
--- /dev/null
+++ b/hyssoptack/core/message.py
@@ -0,0 +1,164 @@
+"""Messages between instances. All are frozen; the codec gives each kind its
+number.
+"""
+
+import dataclasses
+import enum
+
+from hyssoptack.core import action
+from hyssoptack.core import keyspace
+from hyssoptack.core import member
+from hyssoptack.core import query
+
+
+class CallStatus(enum.Enum):
+    """What became of one call to a leaf."""
+
+    ANSWERED = "answered"
+    VERSION_MISSING = "version_missing"
+    SHED = "shed"
+    DRAINING = "draining"
+    FAILED = "failed"
+    NOT_OWNER = "not_owner"
+    TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LeafAsk:
+    """One leaf to be asked within a sub-query."""
+
+    call_id: int
+    leaf_id: str
+    index_version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LeafReply:
+    """What became of one ask.
+
+    Attributes:
+        call_id: The ask that it belongs to.
+        leaf_id: The leaf that was asked.
+        status: What became of the call.
+        index_version: The version answered at.
+        held_versions: The versions that the leaf holds, when known.
+        key_range: The range that the leaf really answered for.
+        hits: Its hits.
+        service_ms: From the send to the leaf until its answer.
+        reached_leaf: True when any byte may have gone to the leaf.
+        draining: True when the leaf said with its answer that it leaves.
+    """
+
+    call_id: int
+    leaf_id: str
+    status: CallStatus
+    index_version: int = 0
+    held_versions: tuple[int, ...] = ()
+    key_range: keyspace.KeyRange | None = None
+    hits: tuple[query.Hit, ...] = ()
+    service_ms: float = 0.0
+    reached_leaf: bool = False
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SubQuery:
+    """Asks a relay to call leaves on behalf of one query."""
+
+    origin: str
+    query_id: str
+    service: str
+    text: str
+    limit_count: int
+    urgency: query.Urgency
+    remaining_ms: float
+    asks: tuple[LeafAsk, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SubAnswer:
+    """A batch of leaf replies, sent back to the origin of the query."""
+
+    origin: str
+    query_id: str
+    replies: tuple[LeafReply, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cancel:
+    """Tells a relay that answers to some asks are no longer wanted."""
+
+    query_id: str
+    call_ids: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ActionAsk:
+    """Asks an executor to claim and run an action on one leaf."""
+
+    origin: str
+    request_id: str
+    remaining_ms: float
+    leaf_id: str
+    action: action.Action
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ActionReply:
+    """What the executor made of an action."""
+
+    request_id: str
+    outcome: action.Outcome
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LeafNote:
+    """An observation of a leaf that other relays of its domain should know at
+    once.
+    """
+
+    leaf_id: str
+    draining: bool
+    observer: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Heartbeat:
+    """Periodic gossip: who I am, which revision I have in force, whom I have
+    heard from.
+    """
+
+    sender: member.Member
+    revision: int
+    beat_number: int
+    fresh: tuple[member.Member, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigWanted:
+    """Asks a peer for its configuration head and the parts the asker lacks."""
+
+    sender: member.Member
+    have_digests: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigOffer:
+    """A configuration head with part texts by digest."""
+
+    manifest_text: str
+    parts: dict[str, str]
+
+
+Message = (
+    SubQuery
+    | SubAnswer
+    | Cancel
+    | ActionAsk
+    | ActionReply
+    | LeafNote
+    | Heartbeat
+    | ConfigWanted
+    | ConfigOffer
+)
--- /dev/null
+++ b/hyssoptack/entry/__init__.py
@@ -0,0 +1,3 @@
+"""The entry daemon: front, coordinator, action executor, operator port,
+shutdown.
+"""
--- /dev/null
+++ b/hyssoptack/entry/daemon.py
@@ -0,0 +1,329 @@
+"""The entry daemon: builds the tasks, runs them, and stops without a cut."""
+
+import asyncio
+import concurrent.futures
+import os
+import signal
+import traceback
+import typing
+
+import uvloop
+
+from hyssoptack.charts import chart
+from hyssoptack.core import clock
+from hyssoptack.core import message
+from hyssoptack.entry import burn
+from hyssoptack.entry import coordinator
+from hyssoptack.entry import executor
+from hyssoptack.entry import front
+from hyssoptack.entry import metrics
+from hyssoptack.entry import operations
+from hyssoptack.entry import state
+from hyssoptack.events import log
+from hyssoptack.peers import gossip
+from hyssoptack.peers import link
+from hyssoptack.platform import configuration
+from hyssoptack.platform import follower
+from hyssoptack.platform import members
+from hyssoptack.platform import store
+from hyssoptack.policy import queryplan
+from hyssoptack.relay import client
+from hyssoptack.relay import relay
+from hyssoptack.settings import instance
+
+MS_PER_S = 1000.0
+REFRESH_MS = 100.0
+IDLE_CHECK_MS = 20.0
+THREAD_COUNT = 32
+EXIT_BROKEN = 70
+
+
+class Daemon:
+    """One entry instance."""
+
+    def __init__(
+        self,
+        settings: instance.InstanceSettings,
+        hedging: queryplan.Hedging,
+    ):
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._hurried = asyncio.Event()
+        self._stop_asked = asyncio.Event()
+        self._threads = concurrent.futures.ThreadPoolExecutor(
+            THREAD_COUNT, thread_name_prefix="platform"
+        )
+        self._state = state.State(settings, hedging)
+        self._config = configuration.Configuration()
+        self._client = client.LeafClient()
+        self._metrics = metrics.Metrics()
+        self._burn = burn.Burn()
+        store_client = store.StoreClient(settings.platform)
+        self._links = link.Links(
+            settings.peer_address,
+            settings.peers,
+            self._loop,
+            self._on_received,
+            self._on_undelivered,
+        )
+        self._relay = relay.Relay(
+            settings.relay,
+            self._client,
+            self._state.leaf_health,
+            self._on_drain,
+        )
+        self._coordinator = coordinator.Coordinator(
+            self._state,
+            self._relay,
+            self._send_to,
+            self._metrics,
+            self._burn,
+        )
+        self._executor = executor.Executor(
+            self._state,
+            self._relay,
+            store_client,
+            self._threads,
+            self._send_to,
+        )
+        self._gossip = gossip.Gossip(
+            self._state, self._config, self._links.send, self._on_config
+        )
+        self._follower = follower.Follower(
+            self._state,
+            self._config,
+            store_client,
+            members.MembersClient(settings.platform),
+            self._threads,
+            self._on_config,
+        )
+        self._front = front.Front(
+            self._state,
+            self._coordinator,
+            self._executor,
+            self._metrics,
+            self._loop,
+        )
+        self._operations = operations.Operations(
+            operations.Parts(
+                state=self._state,
+                configuration=self._config,
+                coordinator=self._coordinator,
+                executor=self._executor,
+                relay=self._relay,
+                links=self._links,
+                follower=self._follower,
+                metrics=self._metrics,
+                burn=self._burn,
+            ),
+            self._loop,
+        )
+
+    async def run(self) -> None:
+        """Runs until a planned stop is complete."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._on_signal)
+        self._links.start()
+        self._operations.start()
+        self._front.start()
+        tasks = [
+            asyncio.ensure_future(each)
+            for each in (
+                self._refresh(),
+                self._follower.follow_list(),
+                self._follower.follow_config(),
+                self._gossip.beat(),
+            )
+        ]
+        stopping = asyncio.ensure_future(self._stop_asked.wait())
+        await asyncio.wait(
+            [*tasks, stopping], return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in tasks:
+            if task.done():
+                # Only a broken invariant ends one of these.
+                task.result()
+        await self._leave()
+        for task in tasks:
+            task.cancel()
+        await self._close()
+
+    async def _refresh(self) -> None:
+        while True:
+            self._state.refresh(self._relay, clock.now_ms())
+            await asyncio.sleep(REFRESH_MS / MS_PER_S)
+
+    def _on_signal(self) -> None:
+        hurried = self._stop_asked.is_set()
+        log.write(log.Event.STOP_ASKED, hurried=hurried)
+        if hurried:
+            self._hurried.set()
+        self._stop_asked.set()
+
+    async def _leave(self) -> None:
+        """Tells everyone, waits out the balancer's lag, finishes all work."""
+        shutdown = self._settings.shutdown
+        self._state.take("stop_asked")
+        self._gossip.tell_all_of_domain()
+        if self._state.chart_state == "leaving":
+            await self._wait_or_hurry(shutdown.balancer_lag_ms)
+            self._state.take("balancer_informed")
+        ends_ms = clock.now_ms() + shutdown.drain_limit_ms
+        while not self._is_idle():
+            if clock.now_ms() >= ends_ms or self._hurried.is_set():
+                self._state.take("drain_limit")
+                return
+            await asyncio.sleep(IDLE_CHECK_MS / MS_PER_S)
+        self._state.take("idle")
+
+    async def _wait_or_hurry(self, wait_ms: float) -> None:
+        try:
+            await asyncio.wait_for(self._hurried.wait(), wait_ms / MS_PER_S)
+        except TimeoutError:
+            return
+
+    def _is_idle(self) -> bool:
+        return (
+            self._front.open_count() == 0
+            and self._coordinator.in_flight_count() == 0
+            and self._executor.in_flight_count == 0
+            and self._executor.open_task_count() == 0
+            and self._relay.open_count() == 0
+        )
+
+    async def _close(self) -> None:
+        await asyncio.to_thread(self._front.stop)
+        await asyncio.to_thread(self._operations.stop)
+        await asyncio.to_thread(self._links.stop)
+        await self._client.close()
+        self._threads.shutdown(wait=False, cancel_futures=True)
+
+    def _on_config(self, taken: configuration.InForce) -> None:
+        now_ms = clock.now_ms()
+        self._state.put_in_force(taken.catalog, now_ms)
+        self._state.refresh(self._relay, now_ms)
+        self._gossip.tell()
+
+    def _send_to(self, instance_id: str, body: message.Message) -> bool:
+        address = self._state.peer_address(instance_id)
+        if address is None:
+            return False
+        self._links.send(address, body)
+        return True
+
+    def _on_drain(self, leaf_id: str) -> None:
+        """Tells the other owners of a leaf that it is leaving."""
+        log.write(log.Event.LEAF_DRAINING, leaf_id=leaf_id)
+        own = self._settings.instance_id
+        note = message.LeafNote(leaf_id=leaf_id, draining=True, observer=own)
+        for owner in self._state.owners_of(leaf_id) - {own}:
+            self._send_to(owner, note)
+
+    def _on_undelivered(self, address: str, body: message.Message) -> None:
+        log.write(
+            log.Event.PEER_UNDELIVERED,
+            address=address,
+            kind=type(body).__name__,
+        )
+        instance_id = self._state.instance_at(address)
+        match body:
+            case message.SubQuery():
+                self._coordinator.on_undelivered(instance_id, body)
+            case message.ActionAsk():
+                self._executor.on_undelivered(body)
+            case _:
+                pass
+
+    def _on_received(self, received: link.Received) -> None:
+        if received.decoded.dropped_count:
+            log.write(
+                log.Event.PEER_UNREADABLE,
+                dropped_count=received.decoded.dropped_count,
+                reason=received.decoded.reason,
+            )
+        for each in received.decoded.messages:
+            self._on_message(each)
+
+    def _on_message(self, body: message.Message) -> None:
+        match body:
+            case message.SubQuery():
+                self._relay.handle(body, self._sink_to(body))
+            case message.SubAnswer():
+                self._coordinator.on_sub_answer(body)
+            case message.Cancel():
+                self._relay.cancel(body)
+            case message.ActionAsk():
+                self._executor.on_ask(body)
+            case message.ActionReply():
+                self._executor.on_reply(body)
+            case _:
+                self._on_control_message(body)
+
+    def _on_control_message(self, body: message.Message) -> None:
+        match body:
+            case message.LeafNote(leaf_id=leaf_id):
+                if self._state.catalog.leaf(leaf_id) is not None:
+                    self._state.leaf_health.drain_seen(leaf_id, clock.now_ms())
+            case message.Heartbeat():
+                self._gossip.on_heartbeat(body)
+            case message.ConfigWanted():
+                self._gossip.on_wanted(body)
+            case message.ConfigOffer():
+                self._gossip.on_offer(body)
+
+    def _sink_to(self, sub: message.SubQuery) -> relay.Sink:
+        def sink(replies: tuple[message.LeafReply, ...]) -> None:
+            answer = message.SubAnswer(
+                origin=self._settings.instance_id,
+                query_id=sub.query_id,
+                replies=replies,
+            )
+            self._send_to(sub.origin, answer)
+
+        return sink
+
+
+def _on_loop_error(
+    _loop: asyncio.AbstractEventLoop, context: dict[str, object]
+) -> None:
+    """Logs what a callback raised; a broken invariant stops the process."""
+    error = context.get("exception")
+    if isinstance(error, chart.BrokenInvariant):
+        _stop_broken(error)
+    log.write(
+        log.Event.REQUEST_FAULT,
+        error=repr(error),
+        message=str(context.get("message")),
+    )
+
+
+def _stop_broken(error: BaseException) -> typing.NoReturn:
+    """Stops at once: threads and tasks must not go on with broken state."""
+    detail = "".join(traceback.format_exception(error))
+    log.write(log.Event.INSTANCE_BROKEN, error=detail)
+    os._exit(EXIT_BROKEN)
+
+
+async def _main(
+    settings: instance.InstanceSettings, hedging: queryplan.Hedging
+) -> None:
+    asyncio.get_running_loop().set_exception_handler(_on_loop_error)
+    try:
+        await Daemon(settings, hedging).run()
+    except Exception as error:
+        _stop_broken(error)
+
+
+def run(
+    settings: instance.InstanceSettings,
+    hedging: queryplan.Hedging | None = None,
+) -> None:
+    """Runs an entry instance until it is told to stop.
+
+    Args:
+        settings: What the instance is told at its start.
+        hedging: When to hedge; the profile's quantile unless a bench says
+            otherwise.
+    """
+    log.open_destination(settings.log_path)
+    uvloop.run(_main(settings, hedging or queryplan.HedgeAfterQuantile()))
--- /dev/null
+++ b/hyssoptack/entry/operations.py
@@ -0,0 +1,217 @@
+"""The operators' port: metrics, probes and status."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import threading
+
+from cheroot import wsgi
+
+from hyssoptack.core import clock
+from hyssoptack.entry import burn
+from hyssoptack.entry import coordinator
+from hyssoptack.entry import executor
+from hyssoptack.entry import metrics
+from hyssoptack.entry import problem
+from hyssoptack.entry import state
+from hyssoptack.peers import link
+from hyssoptack.platform import configuration
+from hyssoptack.platform import follower
+from hyssoptack.relay import relay
+
+THREAD_COUNT = 4
+TEXT_TYPE = "text/plain; charset=utf-8"
+BURN_WINDOWS_MS = (60_000.0, 300_000.0, 3_600_000.0)
+STATUS_LINE_OK = "200 OK"
+STATUS_LINE_UNAVAILABLE = "503 Service Unavailable"
+STATUS_LINE_NOT_FOUND = "404 Not Found"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Parts:
+    """The tasks that the port reads from."""
+
+    state: state.State
+    configuration: configuration.Configuration
+    coordinator: coordinator.Coordinator
+    executor: executor.Executor
+    relay: relay.Relay
+    links: link.Links
+    follower: follower.Follower
+    metrics: metrics.Metrics
+    burn: burn.Burn
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LeafStatus:
+    """One leaf as this instance sees it."""
+
+    leaf_id: str
+    state: str
+    service_ms: float
+    held_versions: tuple[int, ...]
+    owned: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Status:
+    """What `/status` shows."""
+
+    instance_id: str
+    incarnation: str
+    failure_domain: str
+    state: str
+    leaving: bool
+    peer_address: str
+    operator_address: str
+    revision: int
+    change_id: str
+    in_force_ms: float
+    is_watcher: bool
+    watch_count: int
+    usable_instances: tuple[str, ...]
+    query_count: int
+    action_count: int
+    leaf_call_count: int
+    claim_write_count: int
+    peer_traffic: link.Traffic
+    admission_limits: dict[str, float]
+    leaves: tuple[LeafStatus, ...]
+
+
+class Operations:
+    """Owns the operators' socket."""
+
+    def __init__(self, parts: Parts, loop: asyncio.AbstractEventLoop):
+        self._parts = parts
+        self._loop = loop
+        address = parts.state.settings.operator_address
+        host, _, port = address.rpartition(":")
+        self._server = wsgi.Server(
+            (host, int(port)),
+            self._application,
+            numthreads=THREAD_COUNT,
+            shutdown_timeout=1,
+        )
+        self._thread = threading.Thread(
+            target=self._server.serve, name="operations"
+        )
+
+    def start(self) -> None:
+        """Opens the port."""
+        self._server.prepare()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Closes the port."""
+        self._server.stop()
+        self._thread.join()
+
+    def _application(
+        self,
+        environ: dict[str, object],
+        start_response: collections.abc.Callable,
+    ) -> list[bytes]:
+        accepts = str(environ.get("HTTP_ACCEPT", ""))
+        future = asyncio.run_coroutine_threadsafe(
+            self._answer(str(environ["PATH_INFO"]), accepts), self._loop
+        )
+        status, content_type, body = future.result()
+        headers = [
+            ("Content-Type", content_type),
+            ("Content-Length", str(len(body))),
+        ]
+        start_response(status, headers)
+        return [body]
+
+    async def _answer(self, path: str, accepts: str) -> tuple[str, str, bytes]:
+        """Reads the tasks' state on the loop, where they write it."""
+        match path:
+            case "/metrics":
+                self._set_gauges()
+                body, headers = self._parts.metrics.render(accepts)
+                return STATUS_LINE_OK, headers["Content-Type"], body
+            case "/healthz":
+                return STATUS_LINE_OK, TEXT_TYPE, b"alive\n"
+            case "/readyz":
+                ready = self._parts.state.is_ready()
+                line = STATUS_LINE_OK if ready else STATUS_LINE_UNAVAILABLE
+                text = self._parts.state.chart_state + "\n"
+                return line, TEXT_TYPE, text.encode()
+            case "/status":
+                page = problem.of_value(self._status())
+                return STATUS_LINE_OK, problem.JSON_TYPE, page.body
+            case "/burn":
+                windows = self._parts.burn.windows(
+                    BURN_WINDOWS_MS, clock.now_ms()
+                )
+                page = problem.of_value(windows)
+                return STATUS_LINE_OK, problem.JSON_TYPE, page.body
+            case _:
+                text = b"paths: /metrics /healthz /readyz /status /burn\n"
+                return STATUS_LINE_NOT_FOUND, TEXT_TYPE, text
+
+    def _set_gauges(self) -> None:
+        parts = self._parts
+        traffic = parts.links.traffic
+        facts = {
+            "revision": parts.configuration.revision(),
+            "ready": int(parts.state.is_ready()),
+            "queries_in_flight": parts.coordinator.in_flight_count(),
+            "actions_in_flight": parts.executor.in_flight_count,
+            "claim_writes": parts.executor.store_write_count,
+            "watches": parts.follower.watch_count,
+            "leaf_calls_made": parts.relay.call_count,
+            **dataclasses.asdict(traffic),
+        }
+        for name, value in facts.items():
+            parts.metrics.instance.set({"fact": name}, value)
+
+    def _status(self) -> Status:
+        parts = self._parts
+        now_ms = clock.now_ms()
+        settings = parts.state.settings
+        manifest = parts.configuration.manifest
+        since_ms = parts.state.in_force_since_ms
+        limits = {
+            name: round(gate.limit_count, 2)
+            for name, gate in parts.coordinator.gates().items()
+        }
+        return Status(
+            instance_id=settings.instance_id,
+            incarnation=parts.state.incarnation,
+            failure_domain=settings.failure_domain,
+            state=parts.state.chart_state,
+            leaving=parts.state.is_leaving(),
+            peer_address=settings.peer_address,
+            operator_address=settings.operator_address,
+            revision=parts.configuration.revision(),
+            change_id=manifest.change_id if manifest else "",
+            in_force_ms=now_ms - since_ms if since_ms else 0.0,
+            is_watcher=parts.follower.is_watcher(),
+            watch_count=parts.follower.watch_count,
+            usable_instances=tuple(sorted(parts.state.usable(now_ms))),
+            query_count=parts.coordinator.in_flight_count(),
+            action_count=parts.executor.in_flight_count,
+            leaf_call_count=parts.relay.call_count,
+            claim_write_count=parts.executor.store_write_count,
+            peer_traffic=parts.links.traffic,
+            admission_limits=limits,
+            leaves=self._leaves(now_ms),
+        )
+
+    def _leaves(self, now_ms: float) -> tuple[LeafStatus, ...]:
+        health = self._parts.state.leaf_health
+        result = []
+        for leaf_id in sorted(health.leaves):
+            view = health.refresh(leaf_id, now_ms)
+            result.append(
+                LeafStatus(
+                    leaf_id=leaf_id,
+                    state=view.state,
+                    service_ms=round(view.service_ms, 3),
+                    held_versions=view.held_versions or (),
+                    owned=self._parts.relay.owns(leaf_id, now_ms),
+                )
+            )
+        return tuple(result)
--- /dev/null
+++ b/hyssoptack/entry/state.py
@@ -0,0 +1,236 @@
+"""What one instance knows; owned by the event loop's thread."""
+
+import secrets
+
+from hyssoptack.charts import chart
+from hyssoptack.core import catalog
+from hyssoptack.core import clock
+from hyssoptack.core import member
+from hyssoptack.events import log
+from hyssoptack.policy import budget
+from hyssoptack.policy import health
+from hyssoptack.policy import membership
+from hyssoptack.policy import ownership
+from hyssoptack.policy import queryplan
+from hyssoptack.policy import routing
+from hyssoptack.relay import relay
+from hyssoptack.settings import instance
+
+_CHART = chart.load("instance")
+OWNERSHIP_VALID_RATIO = 0.5
+"""Ownership not renewed for this part of the list's lag is over."""
+
+GONE_LAGS_COUNT = 2.0
+"""Unseen for this many lags while the list is read: gone."""
+
+KEEP_LAGS_COUNT = 10
+"""Unseen incarnations are forgotten after this many lags."""
+
+
+class State:
+    """The shared knowledge of an instance's tasks."""
+
+    def __init__(
+        self,
+        settings: instance.InstanceSettings,
+        hedging: queryplan.Hedging,
+    ):
+        self.settings = settings
+        self.chart_state = _CHART.initial
+        self.incarnation = f"{settings.instance_id}-{secrets.token_hex(4)}"
+        self.catalog = catalog.EMPTY
+        self.in_force_since_ms = 0.0
+        self.roster = membership.Roster()
+        self.awaited = membership.Awaited()
+        self.addresses: dict[str, str] = {}
+        self.leaf_health = health.Health()
+        self.budgets = budget.Book()
+        self.router = routing.Router(settings.instance_id, self.leaf_health)
+        self.knowledge = queryplan.Knowledge(
+            router=self.router,
+            leaf_health=self.leaf_health,
+            budgets=self.budgets,
+            hedging=hedging,
+            current_service=lambda name: self.catalog.services.get(name),
+        )
+        self.visible_since_ms = 0.0
+        self._refreshed_ms = clock.now_ms()
+        self._view: routing.View | None = None
+        self._owned: frozenset[str] = frozenset()
+
+    def take(self, event: str) -> None:
+        """Steps the instance's state chart and logs the step."""
+        before = self.chart_state
+        self.chart_state = _CHART.step(before, event)
+        if self.chart_state != before:
+            log.write(
+                log.Event.INSTANCE_STATE,
+                instance=self.settings.instance_id,
+                before=before,
+                after=self.chart_state,
+                cause=event,
+            )
+
+    def is_ready(self) -> bool:
+        """Tells whether the balancer may send new requests."""
+        return self.chart_state == "serving"
+
+    def takes_requests(self) -> bool:
+        """Tells whether a request that arrives is still served."""
+        return self.chart_state in ("serving", "leaving", "draining")
+
+    def is_leaving(self) -> bool:
+        """Tells whether this instance has said that it leaves."""
+        return self.chart_state in ("leaving", "draining", "stopped")
+
+    def self_member(self) -> member.Member:
+        """Returns this instance as others should know it."""
+        return member.Member(
+            instance_id=self.settings.instance_id,
+            incarnation=self.incarnation,
+            failure_domain=self.settings.failure_domain,
+            peer_address=self.settings.peer_address,
+            operator_address=self.settings.operator_address,
+            leaving=self.is_leaving(),
+        )
+
+    def peer_address(self, instance_id: str) -> str | None:
+        """Finds where to send messages for an instance."""
+        return self.addresses.get(instance_id)
+
+    def instance_at(self, peer_address: str) -> str:
+        """Finds whose address this is; empty when nobody's."""
+        for name, address in self.addresses.items():
+            if address == peer_address:
+                return name
+        return ""
+
+    def owners_of(self, leaf_id: str) -> set[str]:
+        """Returns the instances that call a leaf."""
+        for service in self.catalog.services.values():
+            if leaf_id in service.leaves:
+                lanes = self.router.lanes(service, leaf_id)
+                return {lane.instance_id for lane in lanes}
+        return set()
+
+    def note_listed(
+        self, members: tuple[member.Member, ...], now_ms: float
+    ) -> None:
+        """Takes the platform's list."""
+        self.roster = membership.listed(self.roster, members, now_ms)
+        mine = any(each.incarnation == self.incarnation for each in members)
+        if mine and not self.visible_since_ms:
+            self.visible_since_ms = now_ms
+        self.addresses = membership.addresses(self.roster)
+
+    def note_heard(self, sender: member.Member, now_ms: float) -> None:
+        """Takes a sign of life of a peer."""
+        if sender.incarnation == self.incarnation:
+            return
+        known = sender.incarnation in self.roster.sightings
+        self.roster = membership.heard(self.roster, sender, now_ms)
+        self.awaited.heard(sender.instance_id)
+        if not known:
+            self.addresses = membership.addresses(self.roster)
+
+    def usable(self, now_ms: float) -> dict[str, member.Member]:
+        """Returns the instances that may get new work."""
+        return membership.usable(
+            self.roster,
+            self.awaited,
+            self.settings.peers.suspect_after_ms,
+            GONE_LAGS_COUNT * self.settings.platform.instance_list_lag_ms,
+            now_ms,
+        )
+
+    def refresh(self, owner: relay.Relay, now_ms: float) -> None:
+        """Computes owners anew where the view changed; renews what is owned.
+
+        Called often. A process that was stopped for long finds its view out of
+        date and drops its shares until it has been visible anew.
+        """
+        lag_ms = self.settings.platform.instance_list_lag_ms
+        valid_ms = OWNERSHIP_VALID_RATIO * lag_ms
+        paused_ms = now_ms - self._refreshed_ms
+        self._refreshed_ms = now_ms
+        if paused_ms > valid_ms:
+            log.write(log.Event.THAWED, paused_ms=paused_ms)
+            self.visible_since_ms = now_ms
+        self.roster = membership.pruned(
+            self.roster, KEEP_LAGS_COUNT * max(lag_ms, 1.0), now_ms
+        )
+        self._install_view(now_ms)
+        settled = bool(self.visible_since_ms) and ownership.may_use(
+            self.visible_since_ms, lag_ms, now_ms
+        )
+        owned = self._owned if settled else frozenset()
+        owner.install(self.catalog, owned, now_ms + max(valid_ms, 100.0))
+        if settled:
+            self.take("settled")
+
+    def _install_view(self, now_ms: float) -> None:
+        lag_ms = self.settings.platform.instance_list_lag_ms
+        domains = {each.failure_domain for each in self._members()}
+        domains.add(self.settings.failure_domain)
+        assumed = {
+            domain: membership.assumed(self.roster, domain, lag_ms, now_ms)
+            for domain in domains
+        }
+        view = routing.View(
+            catalog=self.catalog,
+            assumed=assumed,
+            usable=self.usable(now_ms),
+            owner_count=self.settings.relay.owner_count,
+            column_size_count=self.settings.relay.column_size_count,
+        )
+        if self._view is not None and _same_view(view, self._view):
+            return
+        self._view = view
+        self.router.install(view)
+        self._owned = self._leaves_owned(view)
+        log.write(
+            log.Event.VIEW_CHANGED,
+            usable_count=len(view.usable),
+            owned_count=len(self._owned),
+            revision=self.catalog.revision,
+        )
+
+    def _members(self) -> list[member.Member]:
+        return [each.member for each in self.roster.sightings.values()]
+
+    def _leaves_owned(self, view: routing.View) -> frozenset[str]:
+        domain = self.settings.failure_domain
+        names = {*view.assumed.get(domain, ()), self.settings.instance_id}
+        candidates = tuple(sorted(names))
+        owned: set[str] = set()
+        for service in self.catalog.services.values():
+            for column in ownership.columns(service, view.column_size_count):
+                if column.failure_domain != domain:
+                    continue
+                first = service.leaves[column.leaf_ids[0]]
+                count = ownership.owner_count_of(first, view.owner_count)
+                owning = ownership.owners(column.column_id, candidates, count)
+                if self.settings.instance_id in owning:
+                    owned.update(column.leaf_ids)
+        return frozenset(owned)
+
+    def put_in_force(self, current: catalog.Catalog, now_ms: float) -> None:
+        """Replaces the configuration by a later revision.
+
+        Raises:
+            chart.BrokenInvariant: The revision is not later.
+        """
+        if current.revision <= self.catalog.revision:
+            raise chart.BrokenInvariant("a revision would step down")
+        self.catalog = current
+        self.in_force_since_ms = now_ms
+        self.take("configured")
+
+
+def _same_view(one: routing.View, other: routing.View) -> bool:
+    """Compares views cheaply: catalogs by identity."""
+    return (
+        one.catalog is other.catalog
+        and one.assumed == other.assumed
+        and one.usable == other.usable
+    )
--- /dev/null
+++ b/hyssoptack/events/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events and how they are written."""
--- /dev/null
+++ b/hyssoptack/events/log.py
@@ -0,0 +1,63 @@
+"""Numbered log events, written as eliot messages.
+
+Numbers are stable and listed in docs/LOGS.md; a test compares the two.
+"""
+
+import enum
+import sys
+
+import eliot
+
+
+class Event(enum.Enum):
+    """Every event: its number, and when it is written."""
+
+    INSTANCE_STATE = (1001, "The instance's state chart took a step.")
+    INSTANCE_BROKEN = (1002, "A broken invariant stops the process.")
+    SETTINGS_REFUSED = (1003, "The settings file has errors; not started.")
+    STOP_ASKED = (1004, "A stop signal came; the second one hurries.")
+    THAWED = (1005, "The process had not run for long; shares are dropped.")
+    CONFIG_IN_FORCE = (2001, "A configuration revision is in force.")
+    CONFIG_REFUSED = (2002, "An offered configuration has errors.")
+    CONFIG_OLDER = (2003, "An older revision was offered and ignored.")
+    STORE_LOST = (2101, "The key-value service stopped answering.")
+    STORE_BACK = (2102, "The key-value service answers again.")
+    LIST_LOST = (2103, "The instance list stopped answering.")
+    LIST_BACK = (2104, "The instance list answers again.")
+    PEER_UNREADABLE = (3001, "A peer frame held what can't be read.")
+    PEER_UNDELIVERED = (3002, "A message could not be sent to a peer.")
+    VIEW_CHANGED = (3101, "Owners of leaves were computed anew.")
+    LEAF_DRAINING = (4001, "A leaf is seen to be leaving.")
+    QUERY_REFUSED = (5001, "A query was refused.")
+    ACTION_SETTLED = (6001, "An action came to its outcome.")
+    ACTION_UNRECORDED = (6002, "An action's outcome could not be recorded.")
+    REQUEST_FAULT = (7001, "A request met a fault of ours.")
+
+    @property
+    def number(self) -> int:
+        """The event's number."""
+        return self.value[0]
+
+    @property
+    def meaning(self) -> str:
+        """When the event is written."""
+        return self.value[1]
+
+
+def write(event: Event, **fields: object) -> None:
+    """Writes an event.
+
+    Args:
+        event: Which one.
+        **fields: What a reader needs besides; names carry units.
+    """
+    message_type = f"hyssoptack:{event.number}:{event.name.lower()}"
+    eliot.log_message(message_type=message_type, **fields)
+
+
+def open_destination(path: str) -> None:
+    """Sends events to a file, or to standard error when the path is empty."""
+    if path:
+        eliot.to_file(open(path, "a", encoding="utf-8"))  # noqa: SIM115
+    else:
+        eliot.to_file(sys.stderr)
--- /dev/null
+++ b/hyssoptack/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances: links, codec and gossip."""
--- /dev/null
+++ b/hyssoptack/peers/gossip.py
@@ -0,0 +1,137 @@
+"""Spreads heartbeats and configuration between instances.
+
+Each period an instance tells a few random peers who it is and which revision
+it has in force. A peer that is behind asks for what it lacks; a new revision is
+told at once. The cost for one instance does not grow with their number, and a
+revision reaches all in a number of rounds that grows with its logarithm
+(Demers et al., "Epidemic Algorithms for Replicated Database Maintenance",
+section 1.4).
+"""
+
+import asyncio
+import collections.abc
+import random
+
+from hyssoptack.core import clock
+from hyssoptack.core import member
+from hyssoptack.core import message
+from hyssoptack.entry import state
+from hyssoptack.platform import configuration
+
+MS_PER_S = 1000.0
+FRESH_COUNT = 6
+FRESH_AGE_MS = 3_000.0
+ASK_AGAIN_MS = 300.0
+
+Send = collections.abc.Callable[[str, message.Message], None]
+OnConfig = collections.abc.Callable[[configuration.InForce], None]
+
+
+class Gossip:
+    """Heartbeats and anti-entropy of the configuration."""
+
+    def __init__(
+        self,
+        knowledge: state.State,
+        config: configuration.Configuration,
+        send: Send,
+        on_config: OnConfig,
+    ):
+        self._state = knowledge
+        self._config = config
+        self._send = send
+        self._on_config = on_config
+        self._random = random.Random()
+        self._beat_number = 0
+        self._asked_ms = 0.0
+
+    async def beat(self) -> None:
+        """Sends heartbeats for as long as the instance runs."""
+        period_ms = self._state.settings.peers.period_ms
+        while True:
+            self.tell()
+            jitter = self._random.uniform(0.8, 1.2)
+            await asyncio.sleep(period_ms * jitter / MS_PER_S)
+
+    def tell(self) -> None:
+        """Sends a heartbeat to a few random peers now."""
+        settings = self._state.settings.peers
+        self._beat_number += 1
+        beat = message.Heartbeat(
+            sender=self._state.self_member(),
+            revision=self._config.revision(),
+            beat_number=self._beat_number,
+            fresh=self._fresh(),
+        )
+        for address in self._targets(settings.fanout_count):
+            self._send(address, beat)
+
+    def tell_all_of_domain(self) -> None:
+        """Tells every peer of this domain, as on leaving."""
+        beat = message.Heartbeat(
+            sender=self._state.self_member(),
+            revision=self._config.revision(),
+            beat_number=self._beat_number,
+        )
+        for address in self._state.addresses.values():
+            self._send(address, beat)
+
+    def _targets(self, count: int) -> list[str]:
+        own = self._state.settings.instance_id
+        known = [
+            address
+            for name, address in self._state.addresses.items()
+            if name != own
+        ]
+        seeds = self._state.settings.peers.seed_addresses
+        if not known:
+            known = list(seeds)
+        return self._random.sample(known, min(count, len(known)))
+
+    def _fresh(self) -> tuple[member.Member, ...]:
+        """Returns some instances that were heard from lately."""
+        horizon_ms = clock.now_ms() - FRESH_AGE_MS
+        lately = [
+            each.member
+            for each in self._state.roster.sightings.values()
+            if each.heard_ms > horizon_ms
+        ]
+        return tuple(self._random.sample(lately, min(FRESH_COUNT, len(lately))))
+
+    def on_heartbeat(self, beat: message.Heartbeat) -> None:
+        """Takes a peer's heartbeat."""
+        now_ms = clock.now_ms()
+        self._state.note_heard(beat.sender, now_ms)
+        for each in beat.fresh:
+            if each.incarnation not in self._state.roster.sightings:
+                self._state.note_heard(each, now_ms)
+        behind = beat.revision > self._config.revision()
+        if behind and now_ms - self._asked_ms > ASK_AGAIN_MS:
+            self._asked_ms = now_ms
+            wanted = message.ConfigWanted(
+                sender=self._state.self_member(),
+                have_digests=self._config.digests(),
+            )
+            self._send(self._address_of(beat.sender), wanted)
+
+    def _address_of(self, sender: member.Member) -> str:
+        known = self._state.peer_address(sender.instance_id)
+        return known or sender.peer_address
+
+    def on_wanted(self, wanted: message.ConfigWanted) -> None:
+        """Offers a peer the configuration in force."""
+        manifest = self._config.manifest
+        if manifest is None:
+            return
+        offer = message.ConfigOffer(
+            manifest_text=configuration.manifest_text(manifest),
+            parts=self._config.parts(wanted.have_digests),
+        )
+        self._state.note_heard(wanted.sender, clock.now_ms())
+        self._send(self._address_of(wanted.sender), offer)
+
+    def on_offer(self, offer: message.ConfigOffer) -> None:
+        """Takes a configuration from a peer."""
+        taken = self._config.offer(offer.manifest_text, offer.parts)
+        if isinstance(taken, configuration.InForce):
+            self._on_config(taken)
--- /dev/null
+++ b/hyssoptack/peers/link.py
@@ -0,0 +1,233 @@
+"""Links to other instances: pynng sockets, each owned by one thread.
+
+Every instance pulls on one address and pushes to the addresses of its peers.
+Sending never waits: a peer that is not connected or does not keep up loses the
+message, and the sender is told, so that a query can go another way.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import queue
+import threading
+
+import pynng
+
+from hyssoptack.core import clock
+from hyssoptack.core import message
+from hyssoptack.peers import codec
+from hyssoptack.settings import instance
+
+RECEIVE_WAIT_MS = 200
+SEND_BUFFER_COUNT = 128
+RECEIVE_BUFFER_COUNT = 1024
+DIAL_GRACE_MS = 1_000.0
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 1_000
+BATCH_LIMIT_COUNT = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outgoing:
+    """One message on its way to the thread that owns the sockets."""
+
+    address: str
+    body: message.Message
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Received:
+    """A frame's worth of messages, as handed to the event loop."""
+
+    decoded: codec.Decoded
+    byte_count: int
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Link:
+    """One push socket and whether its pipe is up."""
+
+    socket: pynng.Push0
+    dialled_ms: float
+    used_ms: float
+    pipe_count: int = 0
+
+
+@dataclasses.dataclass(kw_only=True)
+class Traffic:
+    """Totals since the start, for metrics and the capacity bench."""
+
+    sent_message_count: int = 0
+    sent_frame_count: int = 0
+    sent_bytes: int = 0
+    received_frame_count: int = 0
+    received_message_count: int = 0
+    received_bytes: int = 0
+    undelivered_count: int = 0
+    unreadable_count: int = 0
+
+
+OnReceived = collections.abc.Callable[[Received], None]
+OnUndelivered = collections.abc.Callable[[str, message.Message], None]
+
+
+class Links:
+    """Sends and receives peer messages for the event loop."""
+
+    def __init__(
+        self,
+        listen_address: str,
+        settings: instance.PeerSettings,
+        loop: asyncio.AbstractEventLoop,
+        on_received: OnReceived,
+        on_undelivered: OnUndelivered,
+    ):
+        self.traffic = Traffic()
+        self._settings = settings
+        self._loop = loop
+        self._on_received = on_received
+        self._on_undelivered = on_undelivered
+        self._outbox: queue.SimpleQueue[Outgoing | None] = queue.SimpleQueue()
+        self._stopping = threading.Event()
+        self._pull = pynng.Pull0(
+            recv_timeout=RECEIVE_WAIT_MS,
+            recv_max_size=codec.FRAME_LIMIT_BYTES,
+            recv_buffer_size=RECEIVE_BUFFER_COUNT,
+        )
+        self._pull.listen(f"tcp://{listen_address}")
+        self._threads = [
+            threading.Thread(target=self._receive, name="peers-receive"),
+            threading.Thread(target=self._send, name="peers-send"),
+        ]
+
+    def start(self) -> None:
+        """Starts the threads that own the sockets."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stops the threads and closes the sockets."""
+        self._stopping.set()
+        self._outbox.put(None)
+        for thread in self._threads:
+            thread.join()
+
+    def send(self, address: str, body: message.Message) -> None:
+        """Hands a message over for sending; never waits."""
+        self._outbox.put(Outgoing(address=address, body=body))
+
+    def _receive(self) -> None:
+        with self._pull:
+            while not self._stopping.is_set():
+                try:
+                    data = self._pull.recv()
+                except pynng.exceptions.Timeout:
+                    continue
+                except pynng.exceptions.NNGException:
+                    self.traffic.unreadable_count += 1
+                    continue
+                self._hand_over(data)
+
+    def _hand_over(self, data: bytes) -> None:
+        decoded = codec.read(data)
+        self.traffic.received_frame_count += 1
+        self.traffic.received_message_count += len(decoded.messages)
+        self.traffic.received_bytes += len(data)
+        self.traffic.unreadable_count += decoded.dropped_count
+        received = Received(decoded=decoded, byte_count=len(data))
+        self._call_soon(self._on_received, received)
+
+    def _call_soon(self, function: collections.abc.Callable, *args) -> None:
+        if not self._loop.is_closed():
+            self._loop.call_soon_threadsafe(function, *args)
+
+    def _send(self) -> None:
+        links: dict[str, _Link] = {}
+        while True:
+            batch = self._next_batch()
+            if batch is None:
+                break
+            for address, group in batch.items():
+                self._send_group(links, address, group)
+            self._close_idle(links)
+        for link in links.values():
+            link.socket.close()
+
+    def _next_batch(self) -> dict[str, list[message.Message]] | None:
+        """Waits for a message and takes along all that are ready with it.
+
+        Returns:
+            Messages by address, or None once stopping.
+        """
+        outgoing = self._outbox.get()
+        groups: dict[str, list[message.Message]] = {}
+        for _ in range(BATCH_LIMIT_COUNT):
+            if outgoing is None:
+                return None
+            groups.setdefault(outgoing.address, []).append(outgoing.body)
+            try:
+                outgoing = self._outbox.get_nowait()
+            except queue.Empty:
+                return groups
+        if outgoing is None:
+            return None
+        groups.setdefault(outgoing.address, []).append(outgoing.body)
+        return groups
+
+    def _send_group(
+        self,
+        links: dict[str, _Link],
+        address: str,
+        group: list[message.Message],
+    ) -> None:
+        link = links.get(address)
+        if link is None:
+            link = links[address] = self._dial(address)
+        link.used_ms = clock.now_ms()
+        settled = link.used_ms - link.dialled_ms > DIAL_GRACE_MS
+        if settled and link.pipe_count < 1:
+            self._undelivered(address, group)
+            return
+        data = codec.frame([codec.pack(each) for each in group])
+        try:
+            link.socket.send(data, block=False)
+        except pynng.exceptions.NNGException:
+            self._undelivered(address, group)
+            return
+        self.traffic.sent_frame_count += 1
+        self.traffic.sent_message_count += len(group)
+        self.traffic.sent_bytes += len(data)
+
+    def _undelivered(self, address: str, group: list[message.Message]) -> None:
+        self.traffic.undelivered_count += len(group)
+        for each in group:
+            self._call_soon(self._on_undelivered, address, each)
+
+    def _dial(self, address: str) -> _Link:
+        socket = pynng.Push0(
+            send_buffer_size=SEND_BUFFER_COUNT,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        now_ms = clock.now_ms()
+        link = _Link(socket=socket, dialled_ms=now_ms, used_ms=now_ms)
+
+        def added(_pipe: pynng.Pipe) -> None:
+            link.pipe_count += 1
+
+        def removed(_pipe: pynng.Pipe) -> None:
+            link.pipe_count -= 1
+
+        socket.add_post_pipe_connect_cb(added)
+        socket.add_post_pipe_remove_cb(removed)
+        socket.dial(f"tcp://{address}", block=False)
+        return link
+
+    def _close_idle(self, links: dict[str, _Link]) -> None:
+        horizon_ms = clock.now_ms() - self._settings.link_idle_ms
+        for address in [
+            address
+            for address, link in links.items()
+            if link.used_ms < horizon_ms
+        ]:
+            links.pop(address).socket.close()
--- /dev/null
+++ b/hyssoptack/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Clients of the platform: key-value service, instance list, configuration
+follower.
+"""
--- /dev/null
+++ b/hyssoptack/platform/members.py
@@ -0,0 +1,71 @@
+"""Client of the platform's list of live and leaving instances."""
+
+import dataclasses
+
+import expression
+import msgspec
+import urllib3
+
+from hyssoptack.core import member
+from hyssoptack.settings import instance
+
+STATUS_OK = 200
+STATUS_UNCHANGED = 304
+MS_PER_S = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Listing:
+    """The platform's list, as late as the platform has it.
+
+    Attributes:
+        members: Instances, live and leaving.
+        leaving_leaf_ids: Leaves that the platform says are leaving.
+    """
+
+    members: tuple[member.Member, ...] = ()
+    leaving_leaf_ids: tuple[str, ...] = ()
+
+
+_DECODER = msgspec.json.Decoder(Listing)
+
+
+class MembersClient:
+    """Blocking calls; an unchanged list is answered without a body."""
+
+    def __init__(self, settings: instance.PlatformSettings):
+        self._settings = settings
+        host, _, port = settings.instance_list_address.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=2, retries=False
+        )
+        self._etag = ""
+        self._last = Listing()
+
+    def read(self) -> expression.Result[Listing, str]:
+        """Reads the list.
+
+        Returns:
+            The list, or why it can't be had.
+        """
+        timeout = urllib3.Timeout(total=self._settings.timeout_ms / MS_PER_S)
+        try:
+            response = self._pool.request(
+                "GET",
+                "/members",
+                headers={"If-None-Match": self._etag},
+                timeout=timeout,
+                retries=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return expression.Error(repr(error))
+        if response.status == STATUS_UNCHANGED:
+            return expression.Ok(self._last)
+        if response.status != STATUS_OK:
+            return expression.Error(f"the list answered {response.status}")
+        try:
+            self._last = _DECODER.decode(response.data)
+        except msgspec.DecodeError as error:
+            return expression.Error(str(error))
+        self._etag = response.headers.get("ETag", "")
+        return expression.Ok(self._last)
--- /dev/null
+++ b/hyssoptack/platform/store.py
@@ -0,0 +1,154 @@
+"""Client of the platform's key-value service, over HTTP by urllib3.
+
+The client never repeats a write by itself: what a lost answer means is for the
+caller to decide, who knows what was written.
+"""
+
+import dataclasses
+
+import expression
+import msgspec
+import urllib3
+
+from hyssoptack.settings import instance
+
+ABSENT_VERSION = 0
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_CONFLICT = 409
+MS_PER_S = 1000.0
+POOL_COUNT = 32
+WATCH_MARGIN_MS = 1_000.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stored:
+    """A value and the version that the store gave it."""
+
+    value: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Absent:
+    """The store holds no value under the key."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Conflict:
+    """The compare failed; nothing was written. Holds what is there instead."""
+
+    found: Stored | Absent
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unreachable:
+    """No usable answer came; a write may or may not have taken effect."""
+
+    detail: str
+
+
+Found = Stored | Absent
+WriteFailure = Conflict | Unreachable
+
+_DECODER = msgspec.json.Decoder(Stored)
+
+
+class StoreClient:
+    """Blocking calls; tasks run them on threads of their own."""
+
+    def __init__(self, settings: instance.PlatformSettings):
+        self._settings = settings
+        host, _, port = settings.store_address.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=POOL_COUNT, retries=False
+        )
+
+    def get(self, key: str) -> expression.Result[Found, Unreachable]:
+        """Reads a value."""
+        return self._read(f"/kv/{key}", self._settings.timeout_ms)
+
+    def watch(
+        self, key: str, after_version: int
+    ) -> expression.Result[Found, Unreachable]:
+        """Waits until a value's version passes one, or the poll's time ends.
+
+        Args:
+            key: The key.
+            after_version: Answers at once when the version is above this.
+
+        Returns:
+            The value as it stands then.
+        """
+        wait_ms = self._settings.watch_ms
+        path = f"/kv/{key}?after={after_version}&wait_ms={int(wait_ms)}"
+        return self._read(path, wait_ms + WATCH_MARGIN_MS)
+
+    def put(
+        self, key: str, value: str, expected_version: int, ttl_ms: int = 0
+    ) -> expression.Result[int, WriteFailure]:
+        """Writes a value if the key is still at a version.
+
+        Args:
+            key: The key.
+            value: The new value.
+            expected_version: `ABSENT_VERSION` to create.
+            ttl_ms: Length of the lease that removes the value; 0 for none.
+
+        Returns:
+            The new version, or why it is not known to be written.
+        """
+        path = f"/kv/{key}?expect={expected_version}&ttl_ms={ttl_ms}"
+        try:
+            response = self._pool.request(
+                "PUT",
+                path,
+                body=value.encode(),
+                timeout=_timeout(self._settings.timeout_ms),
+                retries=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return expression.Error(Unreachable(detail=repr(error)))
+        if response.status == STATUS_OK:
+            return _decoded(response.data).map(lambda found: found.version)
+        if response.status == STATUS_CONFLICT:
+            return _conflict(response.data)
+        detail = f"the store answered {response.status}"
+        return expression.Error(Unreachable(detail=detail))
+
+    def _read(
+        self, path: str, timeout_ms: float
+    ) -> expression.Result[Found, Unreachable]:
+        try:
+            response = self._pool.request(
+                "GET", path, timeout=_timeout(timeout_ms), retries=False
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return expression.Error(Unreachable(detail=repr(error)))
+        if response.status == STATUS_NOT_FOUND:
+            return expression.Ok(Absent())
+        if response.status == STATUS_OK:
+            return _decoded(response.data)
+        detail = f"the store answered {response.status}"
+        return expression.Error(Unreachable(detail=detail))
+
+
+def _timeout(timeout_ms: float) -> urllib3.Timeout:
+    return urllib3.Timeout(total=timeout_ms / MS_PER_S)
+
+
+def _decoded(data: bytes) -> expression.Result[Stored, Unreachable]:
+    try:
+        return expression.Ok(_DECODER.decode(data))
+    except msgspec.DecodeError as error:
+        return expression.Error(Unreachable(detail=str(error)))
+
+
+def _conflict(data: bytes) -> expression.Result[int, WriteFailure]:
+    match _decoded(data):
+        case expression.Result(tag="ok", ok=found):
+            if found.version == ABSENT_VERSION:
+                return expression.Error(Conflict(found=Absent()))
+            return expression.Error(Conflict(found=found))
+        case expression.Result(error=error):
+            return expression.Error(error)
--- /dev/null
+++ b/hyssoptack/policy/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions as pure functions and small state holders: no sockets, no clock, no
+threads.
+"""
--- /dev/null
+++ b/hyssoptack/policy/admission.py
@@ -0,0 +1,166 @@
+"""Admission of queries: a limit on queries in flight that adapts, with a
+reserve for urgent ones.
+
+The limit grows by about one for each limit's worth of good answers and shrinks
+by a tenth on a bad one, at most once in a deadline. A refused query costs a
+leaf nothing and is told when to come back.
+"""
+
+import dataclasses
+
+from hyssoptack.core import query
+
+SHRINK_RATIO = 0.9
+SMOOTHING_RATIO = 0.1
+LIMIT_MIN_COUNT = 2.0
+RETRY_MIN_MS = 50
+RETRY_MAX_MS = 10_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Gate:
+    """What admission knows of one service on this instance.
+
+    Attributes:
+        limit_count: Queries allowed in flight now.
+        ceiling_count: The most that the limit may grow to.
+        reserve_count: The part of the ceiling kept for urgent lookups.
+        urgent_count: Urgent queries in flight.
+        browsing_count: Browsing queries in flight.
+        duration_ms: Smoothed time of a query.
+        shrunk_at_ms: When the limit last shrank.
+    """
+
+    limit_count: float
+    ceiling_count: int
+    reserve_count: int
+    urgent_count: int = 0
+    browsing_count: int = 0
+    duration_ms: float = 0.0
+    shrunk_at_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Admitted:
+    """The query may run."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Overloaded:
+    """The query is refused; there is room again after about
+    `retry_after_ms`.
+    """
+
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TooShort:
+    """The query is refused: answers take `expected_ms` now, more than its
+    deadline.
+    """
+
+    expected_ms: float
+
+
+Decision = Admitted | Overloaded | TooShort
+
+
+def new_gate(ceiling_count: int, reserve_count: int) -> Gate:
+    """Returns the gate of a service that has not served yet."""
+    return Gate(
+        limit_count=float(ceiling_count),
+        ceiling_count=ceiling_count,
+        reserve_count=reserve_count,
+    )
+
+
+def _room_count(gate: Gate, urgency: query.Urgency) -> float:
+    total = gate.urgent_count + gate.browsing_count
+    match urgency:
+        case query.Urgency.URGENT:
+            return gate.limit_count - total
+        case query.Urgency.BROWSING:
+            reserve = gate.reserve_count * gate.limit_count / gate.ceiling_count
+            return gate.limit_count - reserve - total
+
+
+def decide(gate: Gate, asked: query.Query, jitter_ratio: float) -> Decision:
+    """Decides whether a query may run now.
+
+    Args:
+        gate: The service's gate.
+        asked: The query.
+        jitter_ratio: A random number from 0 to 1, to spread those who come
+            back.
+
+    Returns:
+        Admitted, or why not.
+    """
+    if gate.duration_ms > 2 * asked.deadline_ms:
+        return TooShort(expected_ms=gate.duration_ms)
+    room = _room_count(gate, asked.urgency)
+    if room >= 1.0:
+        return Admitted()
+    turn_ms = max(gate.duration_ms, 1.0) / gate.limit_count
+    wait_ms = (
+        turn_ms * (2.0 - room) * (1.0 + jitter_ratio)
+        + RETRY_MIN_MS * jitter_ratio
+    )
+    return Overloaded(
+        retry_after_ms=int(min(RETRY_MAX_MS, max(RETRY_MIN_MS, wait_ms)))
+    )
+
+
+def enter(gate: Gate, urgency: query.Urgency) -> Gate:
+    """Returns the gate with one more query in flight."""
+    return _moved(gate, urgency, 1)
+
+
+def _moved(gate: Gate, urgency: query.Urgency, step: int) -> Gate:
+    match urgency:
+        case query.Urgency.URGENT:
+            return dataclasses.replace(
+                gate, urgent_count=gate.urgent_count + step
+            )
+        case query.Urgency.BROWSING:
+            return dataclasses.replace(
+                gate, browsing_count=gate.browsing_count + step
+            )
+
+
+def leave(
+    gate: Gate,
+    urgency: query.Urgency,
+    elapsed_ms: float,
+    good: bool,
+    deadline_ms: float,
+    now_ms: float,
+) -> Gate:
+    """Returns the gate after a query ended.
+
+    Args:
+        gate: The gate before.
+        urgency: The query's class.
+        elapsed_ms: How long it took.
+        good: Whether it was answered in time without a leaf shedding load.
+        deadline_ms: Its deadline; the limit shrinks at most once in this time.
+        now_ms: The time now.
+
+    Returns:
+        The gate with the query gone and its limit adapted.
+    """
+    gate = _moved(gate, urgency, -1)
+    smoothed = gate.duration_ms + SMOOTHING_RATIO * (
+        elapsed_ms - gate.duration_ms
+    )
+    limit = gate.limit_count
+    shrunk_at_ms = gate.shrunk_at_ms
+    if good:
+        limit = min(float(gate.ceiling_count), limit + 1.0 / limit)
+    elif now_ms - shrunk_at_ms >= deadline_ms:
+        limit = max(LIMIT_MIN_COUNT, limit * SHRINK_RATIO)
+        shrunk_at_ms = now_ms
+    return dataclasses.replace(
+        gate, limit_count=limit, duration_ms=smoothed, shrunk_at_ms=shrunk_at_ms
+    )
--- /dev/null
+++ b/hyssoptack/policy/budget.py
@@ -0,0 +1,78 @@
+"""The extra-load budget of a service: one token bucket for hedges, retries and
+re-asks alike.
+
+First calls earn tokens at the profile's ceiling ratio; each extra call spends
+one. Since every cause draws on the same bucket, an outage cannot multiply load
+(Dean and Barroso, "The Tail at Scale", section "Within Request Short-Term
+Adaptations").
+"""
+
+import dataclasses
+
+BURST_COUNT = 20.0
+"""Most tokens that a quiet time can save up."""
+
+INITIAL_COUNT = 5.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Budget:
+    """Tokens for extra calls, and the totals that the burn report reads."""
+
+    token_count: float = INITIAL_COUNT
+    first_call_count: int = 0
+    extra_call_count: int = 0
+
+
+def earn(budget: Budget, ceiling_ratio: float, call_count: int) -> Budget:
+    """Returns the budget after first calls were made."""
+    tokens = min(BURST_COUNT, budget.token_count + ceiling_ratio * call_count)
+    return dataclasses.replace(
+        budget,
+        token_count=tokens,
+        first_call_count=budget.first_call_count + call_count,
+    )
+
+
+def spend(budget: Budget, keep_count: float = 0.0) -> tuple[Budget, bool]:
+    """Tries to pay for one extra call.
+
+    Args:
+        budget: The budget before.
+        keep_count: Tokens that must be left; hedges leave some for retries.
+
+    Returns:
+        The budget afterwards, and whether the call may go.
+    """
+    if budget.token_count < 1.0 + keep_count:
+        return budget, False
+    after = dataclasses.replace(
+        budget,
+        token_count=budget.token_count - 1.0,
+        extra_call_count=budget.extra_call_count + 1,
+    )
+    return after, True
+
+
+class Book:
+    """The budgets of all services on one instance."""
+
+    def __init__(self) -> None:
+        self._budgets: dict[str, Budget] = {}
+
+    def of(self, service: str) -> Budget:
+        """Returns a service's budget."""
+        return self._budgets.get(service, Budget())
+
+    def earn(self, service: str, ceiling_ratio: float, call_count: int) -> None:
+        """Books first calls."""
+        self._budgets[service] = earn(
+            self.of(service), ceiling_ratio, call_count
+        )
+
+    def spend(self, service: str, keep_count: float = 0.0) -> bool:
+        """Books one extra call if it can be paid for; returns whether it may
+        go.
+        """
+        self._budgets[service], allowed = spend(self.of(service), keep_count)
+        return allowed
--- /dev/null
+++ b/hyssoptack/policy/health.py
@@ -0,0 +1,185 @@
+"""What calls have shown about leaves and relays, and what it means for the next
+call.
+
+Estimates fade back towards the service's typical figure, so that a leaf that
+was slow is tried again without a separate probe. When most leaves of a service
+look bad the fault may be ours, and nothing is avoided any more.
+"""
+
+import collections
+import dataclasses
+
+from hyssoptack.charts import chart
+from hyssoptack.core import message
+
+SMOOTHING_RATIO = 0.2
+PRIOR_MS = 5.0
+FADE_HALF_LIFE_MS = 10_000.0
+EJECTION_MS = 2_000.0
+DRAIN_MEMORY_MS = 30_000.0
+PANIC_RATIO = 0.5
+STRAGGLER_RATIO = 3.0
+"""A leaf this much slower than typical is a straggler."""
+
+WINDOW_COUNT = 256
+WINDOW_MIN_COUNT = 20
+
+_CHART = chart.load("leaf")
+
+
+@dataclasses.dataclass(kw_only=True)
+class LeafView:
+    """What one observer knows of one leaf.
+
+    Attributes:
+        state: Its state in the leaf chart.
+        service_ms: Smoothed time from a send to the leaf until its answer.
+        seen_ms: When it last answered or failed.
+        changed_ms: When its state last changed.
+        held_versions: The index versions it last said it holds; None before it
+            said any.
+    """
+
+    state: str = _CHART.initial
+    service_ms: float = PRIOR_MS
+    seen_ms: float = 0.0
+    changed_ms: float = 0.0
+    held_versions: tuple[int, ...] | None = None
+
+    def take(self, event: str, now_ms: float) -> bool:
+        """Steps the state chart; returns whether the state changed."""
+        before = self.state
+        self.state = _CHART.step(before, event)
+        if self.state != before:
+            self.changed_ms = now_ms
+        return self.state != before
+
+
+class Health:
+    """Views of leaves, and the recent latencies of each service."""
+
+    def __init__(self) -> None:
+        self.leaves: dict[str, LeafView] = collections.defaultdict(LeafView)
+        self._windows: dict[str, collections.deque[float]] = {}
+        self._typical_ms: dict[str, float] = {}
+
+    def note(
+        self, service: str, reply: message.LeafReply, now_ms: float
+    ) -> bool:
+        """Takes what a call has shown.
+
+        Args:
+            service: The service that the leaf belongs to.
+            reply: What became of the call.
+            now_ms: The time now.
+
+        Returns:
+            True when the leaf's state changed.
+        """
+        view = self.leaves[reply.leaf_id]
+        if reply.held_versions:
+            view.held_versions = reply.held_versions
+        match reply.status:
+            case (
+                message.CallStatus.ANSWERED | message.CallStatus.VERSION_MISSING
+            ):
+                view.service_ms += SMOOTHING_RATIO * (
+                    reply.service_ms - view.service_ms
+                )
+                view.seen_ms = now_ms
+                self._sample(service, view, reply.service_ms)
+                if reply.draining:
+                    return view.take("drain_seen", now_ms)
+                return view.take("answered", now_ms)
+            case message.CallStatus.FAILED | message.CallStatus.TIMED_OUT:
+                view.seen_ms = now_ms
+                slow_ms = max(reply.service_ms, 2 * view.service_ms)
+                view.service_ms += SMOOTHING_RATIO * (slow_ms - view.service_ms)
+                return view.take("failed", now_ms)
+            case message.CallStatus.CANCELLED:
+                # It was at least this slow, or nobody would have moved on.
+                if reply.service_ms > view.service_ms:
+                    view.seen_ms = now_ms
+                    step_ms = reply.service_ms - view.service_ms
+                    view.service_ms += SMOOTHING_RATIO * step_ms
+                return False
+            case message.CallStatus.DRAINING:
+                return view.take("drain_seen", now_ms)
+            case _:
+                return False
+
+    def drain_seen(self, leaf_id: str, now_ms: float) -> bool:
+        """Takes a report that a leaf is draining; returns whether that was
+        news.
+        """
+        return self.leaves[leaf_id].take("drain_seen", now_ms)
+
+    def refresh(self, leaf_id: str, now_ms: float) -> LeafView:
+        """Returns the view of a leaf after the steps that only time brings."""
+        view = self.leaves[leaf_id]
+        age_ms = now_ms - view.changed_ms
+        if view.state == "ejected" and age_ms > EJECTION_MS:
+            view.take("probe_due", now_ms)
+        if view.state == "draining" and age_ms > DRAIN_MEMORY_MS:
+            view.take("drain_lapsed", now_ms)
+        return view
+
+    def expected_ms(self, service: str, leaf_id: str, now_ms: float) -> float:
+        """Returns the time that a call to a leaf is expected to take, faded by
+        its age.
+        """
+        view = self.leaves[leaf_id]
+        typical_ms = self._typical_ms.get(service, PRIOR_MS)
+        if not view.seen_ms:
+            return typical_ms
+        weight = 0.5 ** ((now_ms - view.seen_ms) / FADE_HALF_LIFE_MS)
+        return typical_ms + weight * (view.service_ms - typical_ms)
+
+    def is_avoided(self, leaf_id: str, now_ms: float) -> bool:
+        """Tells whether a leaf gets no new work because it failed or drains."""
+        return self.refresh(leaf_id, now_ms).state in ("ejected", "draining")
+
+    def is_draining(self, leaf_id: str, now_ms: float) -> bool:
+        """Tells whether a leaf is leaving."""
+        return self.refresh(leaf_id, now_ms).state == "draining"
+
+    def in_panic(self, leaf_ids: tuple[str, ...], now_ms: float) -> bool:
+        """Tells whether so many leaves look ejected that ejecting has to
+        stop.
+        """
+        ejected = sum(
+            self.refresh(each, now_ms).state == "ejected" for each in leaf_ids
+        )
+        return ejected > PANIC_RATIO * len(leaf_ids)
+
+    def quantile_ms(self, service: str, ratio: float) -> float | None:
+        """Returns a quantile of a service's recent leaf latencies, or None with
+        too few.
+        """
+        window = self._windows.get(service)
+        if window is None or len(window) < WINDOW_MIN_COUNT:
+            return None
+        ordered = sorted(window)
+        return ordered[min(len(ordered) - 1, int(ratio * len(ordered)))]
+
+    def _sample(self, service: str, view: LeafView, service_ms: float) -> None:
+        known_slow = view.service_ms > STRAGGLER_RATIO * self._typical_ms.get(
+            service, service_ms
+        )
+        if known_slow:
+            # Else a few stragglers would set the very delay after which they
+            # are hedged.
+            return
+        window = self._windows.get(service)
+        if window is None:
+            window = self._windows[service] = collections.deque(
+                maxlen=WINDOW_COUNT
+            )
+        window.append(service_ms)
+        typical = self._typical_ms.get(service, service_ms)
+        # The median moves by sign, so that stragglers do not drag the typical
+        # figure with them.
+        step = 0.05 * max(typical, 0.1)
+        self._typical_ms[service] = typical + (
+            step if service_ms > typical else -step
+        )
--- /dev/null
+++ b/hyssoptack/policy/queryplan.py
@@ -0,0 +1,496 @@
+"""The decisions of one query from start to final answer, as events in and
+commands out.
+
+The coordinator feeds replies and the time, and carries out the commands.
+Nothing here reads a clock or a socket, so a recorded trace replays to the same
+commands (`trace.py`).
+"""
+
+import collections.abc
+import dataclasses
+import math
+
+from hyssoptack.core import catalog
+from hyssoptack.core import keyspace
+from hyssoptack.core import message
+from hyssoptack.core import query
+from hyssoptack.core import refusal
+from hyssoptack.policy import budget
+from hyssoptack.policy import health
+from hyssoptack.policy import merge
+from hyssoptack.policy import routing
+from hyssoptack.policy import snapshot
+
+ANSWER_RESERVE_MS = 5.0
+"""Time kept back from the deadline to merge and write the answer."""
+
+REROUTE_LIMIT_COUNT = 3
+REPIN_LIMIT_COUNT = 2
+HEDGE_KEEP_COUNT = 2.0
+HEDGE_FLOOR_MS = 1.0
+RETRY_AFTER_COVERAGE_MS = 500
+MISSING_SHOWN_COUNT = 5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HedgeAfterQuantile:
+    """Hedge once a call is slower than the profile's quantile of recent calls,
+    within budget.
+    """
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class HedgeAfterDelay:
+    """Hedge after a fixed delay without any budget: a baseline for the
+    bench.
+    """
+
+    delay_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoHedge:
+    """Never hedge: a baseline for the bench."""
+
+
+Hedging = HedgeAfterQuantile | HedgeAfterDelay | NoHedge
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ask:
+    """Call a leaf through a relay."""
+
+    call_id: int
+    lane: routing.Lane
+    index_version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Drop:
+    """Cancel a call whose answer is no longer wanted."""
+
+    call_id: int
+    instance_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Finish:
+    """The final answer to the caller."""
+
+    result: query.Answer | refusal.Refusal
+
+
+Command = Ask | Drop | Finish
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Knowledge:
+    """What a query's decisions draw on; shared by all queries of an instance.
+
+    Attributes:
+        router: Lanes and their scores.
+        leaf_health: What calls have shown about leaves.
+        budgets: Tokens for extra calls.
+        hedging: When to hedge.
+        current_service: Finds a service in the configuration in force now.
+    """
+
+    router: routing.Router
+    leaf_health: health.Health
+    budgets: budget.Book
+    hedging: Hedging
+    current_service: collections.abc.Callable[[str], catalog.Service | None]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Call:
+    """One call in flight."""
+
+    lane: routing.Lane
+    sent_ms: float
+
+
+@dataclasses.dataclass(kw_only=True)
+class _ShardState:
+    """How far one shard of the query is."""
+
+    shard: catalog.Shard
+    calls: dict[int, _Call] = dataclasses.field(default_factory=dict)
+    tried: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    failed: set[str] = dataclasses.field(default_factory=set)
+    reroute_count: int = 0
+    hedged: bool = False
+    answered: bool = False
+    lost: bool = False
+    last_status: str = "no way to a leaf"
+
+    def is_open(self) -> bool:
+        return not self.answered and not self.lost
+
+
+class QueryPlan:
+    """One query's decisions."""
+
+    def __init__(
+        self,
+        asked: query.Query,
+        profile: catalog.Profile,
+        service: catalog.Service,
+        knowledge: Knowledge,
+        now_ms: float,
+    ):
+        self.query = asked
+        self.shed_seen = False
+        self._profile = profile
+        self._service = service
+        self._know = knowledge
+        self._started_ms = now_ms
+        self.ends_ms = now_ms + max(1.0, asked.deadline_ms - ANSWER_RESERVE_MS)
+        self._states = [_ShardState(shard=shard) for shard in service.shards]
+        self._state_of: dict[int, _ShardState] = {}
+        self._next_call_id = 1
+        self.leaf_call_count = 0
+        self.extra_call_count = 0
+        self._repin_count = 0
+        self._replanned = False
+        self._finished = False
+        self._merge = merge.Merge(self._pin(), asked.limit_count)
+        self._hedge_after_ms = self._hedge_delay()
+
+    def start(self, now_ms: float) -> list[Command]:
+        """Returns the first calls, one for each shard."""
+        commands: list[Command] = []
+        for state in self._states:
+            commands.extend(self._ask(state, now_ms))
+        asked_count = sum(isinstance(each, Ask) for each in commands)
+        ceiling = self._profile.extra_load_ceiling_ratio
+        self._know.budgets.earn(self._service.name, ceiling, asked_count)
+        return commands + self._finish_if_done(now_ms)
+
+    def next_time_ms(self) -> float:
+        """Returns when `on_time` should be called next."""
+        hedge_ms = min(
+            (
+                call.sent_ms + self._hedge_after_ms
+                for state in self._states
+                if state.is_open() and not state.hedged
+                for call in state.calls.values()
+            ),
+            default=math.inf,
+        )
+        return min(self.ends_ms, hedge_ms)
+
+    def on_time(self, now_ms: float) -> list[Command]:
+        """Returns what the time alone brings: hedges, or the final answer at
+        the deadline.
+        """
+        if self._finished:
+            return []
+        if now_ms >= self.ends_ms:
+            return self._finish(now_ms)
+        commands: list[Command] = []
+        for state in self._states:
+            if state.is_open() and not state.hedged:
+                commands.extend(self._hedge(state, now_ms))
+        return commands
+
+    def on_reply(
+        self, reply: message.LeafReply, now_ms: float
+    ) -> list[Command]:
+        """Takes what became of a call.
+
+        Replies to calls that are no longer open change nothing.
+        """
+        state = self._state_of.pop(reply.call_id, None)
+        if self._finished or state is None:
+            return []
+        call = state.calls.pop(reply.call_id)
+        if reply.reached_leaf:
+            self.leaf_call_count += 1
+        commands = self._take(state, call, reply, now_ms)
+        return commands + self._finish_if_done(now_ms)
+
+    def _take(
+        self,
+        state: _ShardState,
+        call: _Call,
+        reply: message.LeafReply,
+        now_ms: float,
+    ) -> list[Command]:
+        state.last_status = reply.status.value
+        if not state.is_open():
+            return []
+        match reply.status:
+            case message.CallStatus.ANSWERED:
+                return self._take_answer(state, call, reply, now_ms)
+            case message.CallStatus.VERSION_MISSING:
+                return self._take_version_missing(state, now_ms)
+            case message.CallStatus.NOT_OWNER | message.CallStatus.DRAINING:
+                return self._reroute(state, now_ms)
+            case message.CallStatus.SHED:
+                self.shed_seen = True
+                return self._retry(state, now_ms)
+            case _:
+                # Whatever relay calls it, this leaf is no way out now.
+                state.failed.add(reply.leaf_id)
+                if not reply.reached_leaf:
+                    return self._reroute(state, now_ms)
+                return self._retry(state, now_ms)
+
+    def _take_answer(
+        self,
+        state: _ShardState,
+        call: _Call,
+        reply: message.LeafReply,
+        now_ms: float,
+    ) -> list[Command]:
+        if self._merge.index_version == query.ANY_VERSION:
+            self._merge.index_version = reply.index_version
+        if self._merge.add(reply):
+            state.answered = True
+            return self._drop_calls(state)
+        if self._merge.index_version in reply.held_versions:
+            # This leaf answered at another version than the pinned one, but
+            # holds it as well.
+            state.tried.discard((call.lane.leaf_id, call.lane.instance_id))
+            return self._paid_ask(state, now_ms)
+        return self._take_version_missing(state, now_ms)
+
+    def _take_version_missing(
+        self, state: _ShardState, now_ms: float
+    ) -> list[Command]:
+        version = self._pin()
+        changes = version not in (self._merge.index_version, query.ANY_VERSION)
+        if changes and self._repin_count < REPIN_LIMIT_COUNT:
+            return self._repin(version, now_ms)
+        return self._retry(state, now_ms)
+
+    def _repin(self, version: int, now_ms: float) -> list[Command]:
+        """Starts over at a version that covers more: nothing answered so far is
+        kept.
+        """
+        self._repin_count += 1
+        self._merge = merge.Merge(version, self.query.limit_count)
+        commands: list[Command] = []
+        for state in self._states:
+            commands.extend(self._drop_calls(state))
+            state.answered = state.lost = state.hedged = False
+            state.tried.clear()
+            state.failed.clear()
+            commands.extend(self._paid_ask(state, now_ms))
+        return commands
+
+    def _reroute(self, state: _ShardState, now_ms: float) -> list[Command]:
+        """Tries another lane for nothing: the leaf saw no call."""
+        state.reroute_count += 1
+        if state.calls:
+            return []
+        if state.reroute_count > REROUTE_LIMIT_COUNT:
+            state.lost = True
+            return []
+        return self._ask(state, now_ms)
+
+    def _retry(self, state: _ShardState, now_ms: float) -> list[Command]:
+        """Tries another lane if the budget pays; a call still in flight is
+        waited for instead.
+        """
+        if state.calls:
+            return []
+        return self._paid_ask(state, now_ms)
+
+    def _paid_ask(self, state: _ShardState, now_ms: float) -> list[Command]:
+        if not self._know.budgets.spend(self._service.name):
+            state.lost = True
+            return []
+        self.extra_call_count += 1
+        return self._ask(state, now_ms)
+
+    def _hedge(self, state: _ShardState, now_ms: float) -> list[Command]:
+        if len(state.calls) != 1:
+            return []
+        call = next(iter(state.calls.values()))
+        if now_ms < call.sent_ms + self._hedge_after_ms:
+            return []
+        state.hedged = True
+        lane = self._lane(state, now_ms, other_leaf_than=call.lane.leaf_id)
+        if lane is None or not self._pays_hedge():
+            return []
+        self.extra_call_count += 1
+        return [self._send(state, lane, now_ms)]
+
+    def _pays_hedge(self) -> bool:
+        match self._know.hedging:
+            case HedgeAfterQuantile():
+                return self._know.budgets.spend(
+                    self._service.name, HEDGE_KEEP_COUNT
+                )
+            case HedgeAfterDelay():
+                return True
+            case NoHedge():
+                return False
+
+    def _hedge_delay(self) -> float:
+        match self._know.hedging:
+            case HedgeAfterQuantile():
+                ratio = self._profile.hedge_after_ratio
+                quantile = self._know.leaf_health.quantile_ms(
+                    self._service.name, ratio
+                )
+                return (
+                    math.inf
+                    if quantile is None
+                    else max(HEDGE_FLOOR_MS, quantile)
+                )
+            case HedgeAfterDelay(delay_ms=delay_ms):
+                return delay_ms
+            case NoHedge():
+                return math.inf
+
+    def _ask(self, state: _ShardState, now_ms: float) -> list[Command]:
+        lane = self._lane(state, now_ms)
+        if lane is None:
+            state.lost = True
+            return []
+        return [self._send(state, lane, now_ms)]
+
+    def _lane(
+        self,
+        state: _ShardState,
+        now_ms: float,
+        other_leaf_than: str | None = None,
+    ) -> routing.Lane | None:
+        version = self._merge.index_version
+        leaf_ids = tuple(
+            leaf_id
+            for leaf_id in state.shard.leaf_ids
+            if leaf_id not in state.failed and self._may_hold(leaf_id, version)
+        )
+        return self._know.router.best(
+            self._service,
+            leaf_ids,
+            frozenset(state.tried),
+            now_ms,
+            other_leaf_than,
+        )
+
+    def _may_hold(self, leaf_id: str, version: int) -> bool:
+        held = self._know.leaf_health.leaves[leaf_id].held_versions
+        return version == query.ANY_VERSION or held is None or version in held
+
+    def _send(
+        self, state: _ShardState, lane: routing.Lane, now_ms: float
+    ) -> Ask:
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        state.calls[call_id] = _Call(lane=lane, sent_ms=now_ms)
+        state.tried.add((lane.leaf_id, lane.instance_id))
+        self._state_of[call_id] = state
+        return Ask(
+            call_id=call_id, lane=lane, index_version=self._merge.index_version
+        )
+
+    def _drop_calls(self, state: _ShardState) -> list[Command]:
+        commands: list[Command] = []
+        for call_id, call in state.calls.items():
+            self._state_of.pop(call_id, None)
+            self.leaf_call_count += 1
+            commands.append(
+                Drop(call_id=call_id, instance_id=call.lane.instance_id)
+            )
+        state.calls.clear()
+        return commands
+
+    def _pin(self) -> int:
+        views = self._know.leaf_health.leaves
+        held = {}
+        for shard in self._service.shards:
+            for leaf_id in shard.leaf_ids:
+                versions = views[leaf_id].held_versions
+                if versions is not None:
+                    held[leaf_id] = versions
+        return snapshot.choose(self._service.shards, held).index_version
+
+    def _finish_if_done(self, now_ms: float) -> list[Command]:
+        """Finishes once nothing is open, or once the floor is out of reach."""
+        if self._finished:
+            return []
+        open_count = sum(
+            state.shard.key_range.high - state.shard.key_range.low
+            for state in self._states
+            if state.is_open()
+        )
+        if not open_count:
+            more = self._ask_repartitioned(now_ms)
+            return more or self._finish(now_ms)
+        reachable = (
+            self._merge.coverage_ratio()
+            + open_count / keyspace.KEYSPACE_SIZE_COUNT
+        )
+        if reachable < self._profile.coverage_floor_ratio:
+            return self._finish(now_ms)
+        return []
+
+    def _ask_repartitioned(self, now_ms: float) -> list[Command]:
+        """Asks for what is missing by a shard map that came into force
+        meanwhile, once.
+        """
+        current = self._know.current_service(self._service.name)
+        if (
+            self._replanned
+            or current is None
+            or current.shards == self._service.shards
+        ):
+            return []
+        self._replanned = True
+        self._service = current
+        missing = self._merge.missing()
+        commands: list[Command] = []
+        for shard in current.shards:
+            overlaps = any(
+                each.low < shard.key_range.high
+                and shard.key_range.low < each.high
+                for each in missing
+            )
+            if overlaps:
+                state = _ShardState(shard=shard)
+                self._states.append(state)
+                commands.extend(self._paid_ask(state, now_ms))
+        return commands
+
+    def _missing_text(self) -> str:
+        """Names some shards without an answer, and what their calls met."""
+        missing = [
+            f"{state.shard.shard_id} {state.last_status}"
+            for state in self._states
+            if not state.answered
+        ]
+        return "missing: " + ", ".join(missing[:MISSING_SHOWN_COUNT])
+
+    def _finish(self, now_ms: float) -> list[Command]:
+        self._finished = True
+        commands: list[Command] = []
+        for state in self._states:
+            commands.extend(self._drop_calls(state))
+        coverage = self._merge.coverage_ratio()
+        floor = self._profile.coverage_floor_ratio
+        if coverage < floor or not self._merge.ranges():
+            result: query.Answer | refusal.Refusal = refusal.Refusal(
+                reason=refusal.Reason.COVERAGE_BELOW_FLOOR,
+                ran=refusal.Ran.NO,
+                detail=f"reached coverage {coverage:.4f} of at least {floor}; "
+                + self._missing_text(),
+                retry_after_ms=RETRY_AFTER_COVERAGE_MS,
+                coverage_ratio=coverage,
+            )
+        else:
+            result = query.Answer(
+                query_id=self.query.query_id,
+                hits=self._merge.best(),
+                index_version=self._merge.index_version,
+                coverage_ratio=coverage,
+                ranges=self._merge.ranges(),
+                leaf_call_count=self.leaf_call_count,
+                extra_call_count=self.extra_call_count,
+                elapsed_ms=now_ms - self._started_ms,
+            )
+        return [*commands, Finish(result=result)]
--- /dev/null
+++ b/hyssoptack/policy/routing.py
@@ -0,0 +1,165 @@
+"""Chooses the lane for a call: a leaf, and the relay of its failure domain that
+owns it.
+
+A lane's score is the leaf's expected time, times how full the lane already is
+from here, plus what the relay adds. Lanes of avoided leaves are left out unless
+the whole service looks bad.
+"""
+
+import collections
+import dataclasses
+
+from hyssoptack.core import catalog
+from hyssoptack.core import member
+from hyssoptack.policy import health
+from hyssoptack.policy import ownership
+
+OVERHEAD_SMOOTHING_RATIO = 0.1
+REMOTE_PRIOR_MS = 4.0
+LOCAL_PRIOR_MS = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Lane:
+    """One way to a leaf.
+
+    Attributes:
+        leaf_id: The leaf.
+        instance_id: The relay that calls it.
+        slot_count: The relay's share of the leaf's slots.
+    """
+
+    leaf_id: str
+    instance_id: str
+    slot_count: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class View:
+    """What lanes are made from; a new view replaces the old one whole.
+
+    Attributes:
+        catalog: The configuration in force.
+        assumed: Instances by failure domain that may hold shares.
+        usable: Instances that may get new work.
+        owner_count: Most owners of a column.
+        column_size_count: Leaves in a column.
+    """
+
+    catalog: catalog.Catalog
+    assumed: dict[str, tuple[str, ...]]
+    usable: dict[str, member.Member]
+    owner_count: int
+    column_size_count: int
+
+
+class Router:
+    """Lanes of the view in force, and what calls have shown about relays."""
+
+    def __init__(self, instance_id: str, leaf_health: health.Health):
+        self._instance_id = instance_id
+        self._health = leaf_health
+        self._view: View | None = None
+        self._lanes: dict[str, tuple[Lane, ...]] = {}
+        self._overhead_ms: dict[str, float] = {}
+        self.in_flight: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+
+    def install(self, view: View) -> None:
+        """Puts a new view in force."""
+        if view == self._view:
+            return
+        self._view = view
+        self._lanes = {}
+
+    def lanes(self, service: catalog.Service, leaf_id: str) -> tuple[Lane, ...]:
+        """Returns every lane to a leaf whose relay is usable."""
+        if leaf_id not in self._lanes:
+            self._fill(service)
+        return self._lanes.get(leaf_id, ())
+
+    def _fill(self, service: catalog.Service) -> None:
+        view = self._view
+        if view is None:
+            return
+        for column in ownership.columns(service, view.column_size_count):
+            candidates = view.assumed.get(column.failure_domain, ())
+            first = service.leaves[column.leaf_ids[0]]
+            count = ownership.owner_count_of(first, view.owner_count)
+            owning = ownership.owners(column.column_id, candidates, count)
+            for leaf_id in column.leaf_ids:
+                share = ownership.share_of(
+                    service.leaves[leaf_id], view.owner_count
+                )
+                self._lanes[leaf_id] = tuple(
+                    Lane(
+                        leaf_id=leaf_id,
+                        instance_id=each,
+                        slot_count=share.slot_count,
+                    )
+                    for each in owning
+                    if each in view.usable or each == self._instance_id
+                )
+
+    def best(
+        self,
+        service: catalog.Service,
+        leaf_ids: tuple[str, ...],
+        tried: frozenset[tuple[str, str]],
+        now_ms: float,
+        other_leaf_than: str | None = None,
+    ) -> Lane | None:
+        """Returns the lane with the lowest score.
+
+        Args:
+            service: The service that is called.
+            leaf_ids: The leaves that would do.
+            tried: Lanes, as (leaf, instance), that this call has used already.
+            now_ms: The time now.
+            other_leaf_than: A leaf to leave out, for hedges.
+
+        Returns:
+            The lane, or None when there is none left.
+        """
+        best: Lane | None = None
+        best_score = float("inf")
+        panic = self._health.in_panic(tuple(service.leaves), now_ms)
+        for leaf_id in leaf_ids:
+            if leaf_id == other_leaf_than or self._is_barred(
+                leaf_id, panic, now_ms
+            ):
+                continue
+            service_ms = self._health.expected_ms(service.name, leaf_id, now_ms)
+            for lane in self.lanes(service, leaf_id):
+                if (lane.leaf_id, lane.instance_id) in tried:
+                    continue
+                score = self._score(lane, service_ms)
+                if score < best_score:
+                    best, best_score = lane, score
+        return best
+
+    def _is_barred(self, leaf_id: str, panic: bool, now_ms: float) -> bool:
+        if panic:
+            return self._health.is_draining(leaf_id, now_ms)
+        return self._health.is_avoided(leaf_id, now_ms)
+
+    def _score(self, lane: Lane, service_ms: float) -> float:
+        waiting = self.in_flight[(lane.leaf_id, lane.instance_id)]
+        fullness = (waiting + 1) / max(1, lane.slot_count)
+        return service_ms * max(1.0, fullness) + self.overhead_ms(
+            lane.instance_id
+        )
+
+    def overhead_ms(self, instance_id: str) -> float:
+        """Returns what a relay is expected to add to a leaf's own time."""
+        local = instance_id == self._instance_id
+        prior = LOCAL_PRIOR_MS if local else REMOTE_PRIOR_MS
+        return self._overhead_ms.get(instance_id, prior)
+
+    def note_overhead(self, instance_id: str, added_ms: float) -> None:
+        """Takes what a relay added to one call."""
+        old = self.overhead_ms(instance_id)
+        self._overhead_ms[instance_id] = old + OVERHEAD_SMOOTHING_RATIO * (
+            added_ms - old
+        )
--- /dev/null
+++ b/hyssoptack/policy/snapshot.py
@@ -0,0 +1,68 @@
+"""Chooses the one index version that a query is answered from."""
+
+import dataclasses
+
+from hyssoptack.core import catalog
+from hyssoptack.core import query
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Choice:
+    """A version and the number of keys that can be answered at it as far as is
+    known.
+    """
+
+    index_version: int
+    reachable_count: int
+
+
+def choose(
+    shards: tuple[catalog.Shard, ...],
+    held: dict[str, tuple[int, ...]],
+    lost: frozenset[str] = frozenset(),
+) -> Choice:
+    """Chooses the version that covers most keys, the newest among equals.
+
+    Args:
+        shards: The shards that the query needs.
+        held: Versions by leaf, for the leaves that have told.
+        lost: Leaves that can't be asked.
+
+    Returns:
+        The choice; `query.ANY_VERSION` when no leaf has told anything yet.
+    """
+    versions = {
+        version
+        for shard in shards
+        for leaf_id in shard.leaf_ids
+        if leaf_id not in lost
+        for version in held.get(leaf_id, ())
+    }
+    best = Choice(index_version=query.ANY_VERSION, reachable_count=-1)
+    for version in sorted(versions, reverse=True):
+        reachable = sum(
+            shard.key_range.high - shard.key_range.low
+            for shard in shards
+            if _may_hold(shard, version, held, lost)
+        )
+        if reachable > best.reachable_count:
+            best = Choice(index_version=version, reachable_count=reachable)
+    return best
+
+
+def _may_hold(
+    shard: catalog.Shard,
+    version: int,
+    held: dict[str, tuple[int, ...]],
+    lost: frozenset[str],
+) -> bool:
+    """Tells whether some leaf of a shard holds a version, or has not told
+    yet.
+    """
+    for leaf_id in shard.leaf_ids:
+        if leaf_id in lost:
+            continue
+        versions = held.get(leaf_id)
+        if versions is None or version in versions:
+            return True
+    return False
--- /dev/null
+++ b/hyssoptack/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Leaf connections: slots, queues, deadlines and cancellation."""
--- /dev/null
+++ b/hyssoptack/relay/client.py
@@ -0,0 +1,266 @@
+"""Calls to leaves over HTTP, by aiohttp.
+
+The house style names urllib3, which can't be cancelled in flight and needs
+a thread a call; docs/design/0001-leaf-client.md has the measurement.
+"""
+
+import dataclasses
+
+import aiohttp
+import msgspec
+
+from hyssoptack.core import action
+from hyssoptack.core import catalog
+from hyssoptack.core import clock
+from hyssoptack.core import keyspace
+from hyssoptack.core import message
+from hyssoptack.core import query
+
+STATE_HEADER = "Leaf-State"
+DRAINING = "draining"
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+STATUS_UNAVAILABLE = 503
+CONNECT_LIMIT_MS = 250.0
+MS_PER_S = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SearchBody:
+    """What a leaf is asked, as JSON."""
+
+    query_id: str
+    service: str
+    text: str
+    limit: int
+    version: int
+    deadline_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SearchReply:
+    """What a leaf answers, as JSON; also its body when it lacks a version."""
+
+    query_id: str = ""
+    version: int = 0
+    held: tuple[int, ...] = ()
+    low: int = 0
+    high: int = 0
+    hits: tuple[tuple[int, float, str], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ActBody:
+    """A non-idempotent request to a leaf, as JSON."""
+
+    key: str
+    attempt_id: str
+    subject: str
+    body: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ActReply:
+    """What a leaf answers to a non-idempotent request, as JSON."""
+
+    receipt: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ran:
+    """The leaf ran the action and returned a receipt."""
+
+    receipt: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class DidNotRun:
+    """The leaf certainly did not run the action."""
+
+    detail: str
+    draining: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MayHaveRun:
+    """Bytes went to the leaf and no answer came back."""
+
+    detail: str
+
+
+ActResult = Ran | DidNotRun | MayHaveRun
+
+_ENCODER = msgspec.json.Encoder()
+_SEARCH_DECODER = msgspec.json.Decoder(SearchReply)
+_ACT_DECODER = msgspec.json.Decoder(ActReply)
+
+
+class LeafClient:
+    """Owns the connections from this instance to its leaves."""
+
+    def __init__(self) -> None:
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0)
+        self._session = aiohttp.ClientSession(
+            connector=connector, auto_decompress=False
+        )
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        await self._session.close()
+
+    async def search(
+        self,
+        leaf: catalog.Leaf,
+        ask: message.LeafAsk,
+        sub: message.SubQuery,
+        remaining_ms: float,
+    ) -> message.LeafReply:
+        """Asks one leaf.
+
+        Args:
+            leaf: The leaf.
+            ask: What is asked of it.
+            sub: The sub-query that the ask belongs to.
+            remaining_ms: Time left for the call.
+
+        Returns:
+            What became of the call; errors are statuses, not exceptions.
+        """
+        body = SearchBody(
+            query_id=sub.query_id,
+            service=sub.service,
+            text=sub.text,
+            limit=sub.limit_count,
+            version=ask.index_version,
+            deadline_ms=remaining_ms,
+        )
+        sent_ms = clock.now_ms()
+        reached = True
+        try:
+            async with self._session.post(
+                f"http://{leaf.address}/search",
+                data=_ENCODER.encode(body),
+                timeout=_timeout(remaining_ms),
+            ) as response:
+                raw = await response.read()
+                elapsed_ms = clock.now_ms() - sent_ms
+                state = response.headers.get(STATE_HEADER, "")
+                return _read_search(
+                    ask, response.status, state, raw, elapsed_ms, sub.query_id
+                )
+        except TimeoutError:
+            status = message.CallStatus.TIMED_OUT
+        except aiohttp.ClientConnectorError:
+            reached = False
+            status = message.CallStatus.FAILED
+        except (aiohttp.ClientError, OSError):
+            status = message.CallStatus.FAILED
+        return message.LeafReply(
+            call_id=ask.call_id,
+            leaf_id=ask.leaf_id,
+            status=status,
+            service_ms=clock.now_ms() - sent_ms,
+            reached_leaf=reached,
+        )
+
+    async def act(
+        self,
+        leaf: catalog.Leaf,
+        asked: action.Action,
+        attempt_id: str,
+        remaining_ms: float,
+    ) -> ActResult:
+        """Sends a non-idempotent request once.
+
+        Only a failure to connect, or the leaf's own refusal before running,
+        counts as not run.
+        """
+        body = ActBody(
+            key=asked.idempotency_key,
+            attempt_id=attempt_id,
+            subject=asked.subject,
+            body=asked.body_text,
+        )
+        try:
+            async with self._session.post(
+                f"http://{leaf.address}/act",
+                data=_ENCODER.encode(body),
+                timeout=_timeout(remaining_ms),
+            ) as response:
+                raw = await response.read()
+                return _read_act(response, raw)
+        except aiohttp.ClientConnectorError as error:
+            return DidNotRun(detail=f"no connection to the leaf: {error}")
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return MayHaveRun(detail=f"no answer from the leaf: {error!r}")
+
+
+def _timeout(remaining_ms: float) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=max(remaining_ms, 1.0) / MS_PER_S,
+        sock_connect=CONNECT_LIMIT_MS / MS_PER_S,
+    )
+
+
+def _read_search(
+    ask: message.LeafAsk,
+    http_status: int,
+    state: str,
+    raw: bytes,
+    elapsed_ms: float,
+    query_id: str,
+) -> message.LeafReply:
+    """Reads a leaf's answer; one that belongs to another query is a failure."""
+    failed = message.LeafReply(
+        call_id=ask.call_id,
+        leaf_id=ask.leaf_id,
+        status=message.CallStatus.FAILED,
+        service_ms=elapsed_ms,
+        reached_leaf=True,
+    )
+    if http_status == STATUS_UNAVAILABLE:
+        draining = state == DRAINING
+        status = (
+            message.CallStatus.DRAINING if draining else message.CallStatus.SHED
+        )
+        return dataclasses.replace(
+            failed, status=status, reached_leaf=not draining
+        )
+    if http_status not in (STATUS_OK, STATUS_CONFLICT):
+        return failed
+    try:
+        body = _SEARCH_DECODER.decode(raw)
+    except msgspec.DecodeError:
+        return failed
+    if body.query_id != query_id:
+        return failed
+    if http_status == STATUS_CONFLICT:
+        return dataclasses.replace(
+            failed,
+            status=message.CallStatus.VERSION_MISSING,
+            held_versions=body.held,
+        )
+    return message.LeafReply(
+        call_id=ask.call_id,
+        leaf_id=ask.leaf_id,
+        status=message.CallStatus.ANSWERED,
+        index_version=body.version,
+        held_versions=body.held,
+        key_range=keyspace.KeyRange(body.low, body.high),
+        hits=tuple(query.Hit(*each) for each in body.hits),
+        service_ms=elapsed_ms,
+        reached_leaf=True,
+        draining=state == DRAINING,
+    )
+
+
+def _read_act(response: aiohttp.ClientResponse, raw: bytes) -> ActResult:
+    draining = response.headers.get(STATE_HEADER, "") == DRAINING
+    if response.status == STATUS_UNAVAILABLE:
+        return DidNotRun(detail="the leaf shed the request", draining=draining)
+    if response.status != STATUS_OK:
+        return MayHaveRun(detail=f"the leaf answered {response.status}")
+    try:
+        return Ran(receipt=_ACT_DECODER.decode(raw).receipt)
+    except msgspec.DecodeError:
+        return MayHaveRun(detail="the leaf's answer can't be read")
--- /dev/null
+++ b/hyssoptack/relay/relay.py
@@ -0,0 +1,293 @@
+"""Calls the leaves that this instance owns, for itself and for its peers."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from hyssoptack.core import action
+from hyssoptack.core import catalog
+from hyssoptack.core import clock
+from hyssoptack.core import message
+from hyssoptack.core import query
+from hyssoptack.policy import health
+from hyssoptack.policy import ownership
+from hyssoptack.relay import client
+from hyssoptack.relay import lane
+from hyssoptack.settings import instance
+
+DEADLINE_MARGIN_MS = 2.0
+"""A relay gives up this much before the asker does, so that it still hears."""
+
+Sink = collections.abc.Callable[[tuple[message.LeafReply, ...]], None]
+DrainSink = collections.abc.Callable[[str], None]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Batch:
+    """Replies of one sub-query that wait to be sent together."""
+
+    sink: Sink
+    open_count: int
+    ready: list[message.LeafReply] = dataclasses.field(default_factory=list)
+    timer: asyncio.TimerHandle | None = None
+
+
+class Relay:
+    """Owns leaf connections and slots; runs on the event loop's thread."""
+
+    def __init__(
+        self,
+        settings: instance.RelaySettings,
+        leaf_client: client.LeafClient,
+        leaf_health: health.Health,
+        on_drain: DrainSink,
+    ):
+        self._settings = settings
+        self._client = leaf_client
+        self._health = leaf_health
+        self._on_drain = on_drain
+        self._catalog = catalog.EMPTY
+        self._owned: frozenset[str] = frozenset()
+        self._owned_until_ms = 0.0
+        self._lanes: dict[str, lane.Lane] = {}
+        self._jobs: dict[tuple[str, int], lane.Job] = {}
+        self.call_count = 0
+        self._action_count = 0
+
+    def install(
+        self,
+        current: catalog.Catalog,
+        owned: frozenset[str],
+        until_ms: float,
+    ) -> None:
+        """Puts a configuration and the owned leaves in force.
+
+        Args:
+            current: The configuration.
+            owned: The leaves that this instance may call.
+            until_ms: When that ends unless it is installed again: a process
+                that was stopped must not go on with an old view.
+        """
+        self._catalog = current
+        self._owned = owned
+        self._owned_until_ms = until_ms
+
+    def open_count(self) -> int:
+        """Returns the calls that wait or run."""
+        return len(self._jobs) + self._action_count
+
+    def lanes(self) -> dict[str, lane.Lane]:
+        """Returns the lanes by leaf, for the operator port."""
+        return self._lanes
+
+    def _lane(self, leaf: catalog.Leaf) -> lane.Lane:
+        share = ownership.share_of(leaf, self._settings.owner_count)
+        found = self._lanes.get(leaf.leaf_id)
+        if found is None:
+            found = lane.Lane(
+                share.slot_count, self._settings.queue_limit_count
+            )
+            self._lanes[leaf.leaf_id] = found
+        found.slot_count = share.slot_count
+        return found
+
+    def handle(self, sub: message.SubQuery, sink: Sink) -> None:
+        """Runs a sub-query; replies reach `sink` in one or more batches."""
+        batch = _Batch(sink=sink, open_count=len(sub.asks))
+        now_ms = clock.now_ms()
+        expires_ms = now_ms + max(1.0, sub.remaining_ms - DEADLINE_MARGIN_MS)
+        for ask in sub.asks:
+            self._submit(sub, ask, batch, now_ms, expires_ms)
+
+    def cancel(self, cancel: message.Cancel) -> None:
+        """Drops calls that wait, and aborts running ones where that pays."""
+        for call_id in cancel.call_ids:
+            job = self._jobs.pop((cancel.query_id, call_id), None)
+            if job is None:
+                continue
+            job.cancelled = True
+            if job.task is not None:
+                job.task.cancel()
+
+    def _submit(
+        self,
+        sub: message.SubQuery,
+        ask: message.LeafAsk,
+        batch: _Batch,
+        now_ms: float,
+        expires_ms: float,
+    ) -> None:
+        refused = self._refusal(sub.service, ask, now_ms)
+        if refused is not None:
+            self._deliver(batch, refused)
+            return
+        leaf = self._catalog.services[sub.service].leaves[ask.leaf_id]
+        job = lane.Job(
+            query_id=sub.query_id,
+            call_id=ask.call_id,
+            urgency=sub.urgency,
+            expires_ms=expires_ms,
+            run=lambda: self._run(sub, ask, leaf, batch, expires_ms),
+            give_up=lambda: self._give_up(sub, ask, batch),
+        )
+        self._jobs[(sub.query_id, ask.call_id)] = job
+        service_ms = self._health.expected_ms(sub.service, ask.leaf_id, now_ms)
+        if not self._lane(leaf).submit(job, now_ms, service_ms):
+            del self._jobs[(sub.query_id, ask.call_id)]
+            shed = _reply_without_call(ask, message.CallStatus.SHED)
+            self._deliver(batch, shed)
+
+    def _refusal(
+        self, service: str, ask: message.LeafAsk, now_ms: float
+    ) -> message.LeafReply | None:
+        """Returns why a leaf is not called from here, or None."""
+        known = self._catalog.services.get(service)
+        if known is None or ask.leaf_id not in known.leaves:
+            return _reply_without_call(ask, message.CallStatus.NOT_OWNER)
+        if not self.owns(ask.leaf_id, now_ms):
+            return _reply_without_call(ask, message.CallStatus.NOT_OWNER)
+        if self._health.is_draining(ask.leaf_id, now_ms):
+            return _reply_without_call(ask, message.CallStatus.DRAINING)
+        return None
+
+    def _give_up(
+        self, sub: message.SubQuery, ask: message.LeafAsk, batch: _Batch
+    ) -> None:
+        self._jobs.pop((sub.query_id, ask.call_id), None)
+        late = _reply_without_call(ask, message.CallStatus.TIMED_OUT)
+        self._deliver(batch, late)
+
+    async def _run(
+        self,
+        sub: message.SubQuery,
+        ask: message.LeafAsk,
+        leaf: catalog.Leaf,
+        batch: _Batch,
+        expires_ms: float,
+    ) -> None:
+        started_ms = clock.now_ms()
+        self.call_count += 1
+        reply = None
+        try:
+            reply = await self._client.search(
+                leaf, ask, sub, expires_ms - started_ms
+            )
+        except asyncio.CancelledError:
+            # The asker has moved on. What the leaf took so far still counts
+            # as a sign of how slow it is.
+            reply = message.LeafReply(
+                call_id=ask.call_id,
+                leaf_id=ask.leaf_id,
+                status=message.CallStatus.CANCELLED,
+                service_ms=clock.now_ms() - started_ms,
+                reached_leaf=True,
+            )
+        finally:
+            now_ms = clock.now_ms()
+            self._jobs.pop((sub.query_id, ask.call_id), None)
+            self._lane(leaf).finished(now_ms)
+        self._learn(sub.service, reply, now_ms)
+        self._deliver(batch, reply)
+
+    def _learn(
+        self, service: str, reply: message.LeafReply, now_ms: float
+    ) -> None:
+        changed = self._health.note(service, reply, now_ms)
+        if changed and self._health.is_draining(reply.leaf_id, now_ms):
+            self._on_drain(reply.leaf_id)
+
+    def _deliver(self, batch: _Batch, reply: message.LeafReply) -> None:
+        batch.ready.append(reply)
+        batch.open_count -= 1
+        if batch.open_count <= 0:
+            self._flush(batch)
+        elif batch.timer is None:
+            delay_s = self._settings.flush_ms / client.MS_PER_S
+            loop = asyncio.get_running_loop()
+            batch.timer = loop.call_later(delay_s, self._flush, batch)
+
+    def _flush(self, batch: _Batch) -> None:
+        if batch.timer is not None:
+            batch.timer.cancel()
+            batch.timer = None
+        if batch.ready:
+            replies = tuple(batch.ready)
+            batch.ready.clear()
+            batch.sink(replies)
+
+    async def act(
+        self,
+        leaf: catalog.Leaf,
+        asked: action.Action,
+        attempt_id: str,
+        expires_ms: float,
+    ) -> client.ActResult:
+        """Sends a non-idempotent request through the leaf's lane, once.
+
+        Args:
+            leaf: The leaf.
+            asked: The action, whose claim the caller holds.
+            attempt_id: The attempt that holds the claim.
+            expires_ms: After this time nothing is sent any more.
+
+        Returns:
+            What became of it; `DidNotRun` when it was never sent.
+        """
+        done: asyncio.Future[client.ActResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        async def run() -> None:
+            try:
+                now_ms = clock.now_ms()
+                if now_ms >= expires_ms:
+                    result: client.ActResult = client.DidNotRun(
+                        detail="too late to send"
+                    )
+                else:
+                    result = await self._client.act(
+                        leaf, asked, attempt_id, expires_ms - now_ms
+                    )
+            finally:
+                self._lane(leaf).finished(clock.now_ms())
+            done.set_result(result)
+
+        def give_up() -> None:
+            done.set_result(client.DidNotRun(detail="no free slot in time"))
+
+        job = lane.Job(
+            query_id="",
+            call_id=0,
+            urgency=query.Urgency.URGENT,
+            expires_ms=expires_ms,
+            run=run,
+            give_up=give_up,
+        )
+        now_ms = clock.now_ms()
+        view = self._health.refresh(leaf.leaf_id, now_ms)
+        if not self._lane(leaf).submit(job, now_ms, view.service_ms):
+            return client.DidNotRun(detail="the leaf's slots are taken")
+        self._action_count += 1
+        try:
+            result = await done
+        finally:
+            self._action_count -= 1
+        match result:
+            case client.DidNotRun(draining=True):
+                if self._health.drain_seen(leaf.leaf_id, clock.now_ms()):
+                    self._on_drain(leaf.leaf_id)
+            case _:
+                pass
+        return result
+
+    def owns(self, leaf_id: str, now_ms: float) -> bool:
+        """Tells whether this instance may call a leaf now."""
+        return leaf_id in self._owned and now_ms < self._owned_until_ms
+
+
+def _reply_without_call(
+    ask: message.LeafAsk, status: message.CallStatus
+) -> message.LeafReply:
+    return message.LeafReply(
+        call_id=ask.call_id, leaf_id=ask.leaf_id, status=status
+    )
--- /dev/null
+++ b/hyssoptack/reports/__init__.py
@@ -0,0 +1,1 @@
+"""What operators read: service-level burn and the configuration in force."""
--- /dev/null
+++ b/hyssoptack/reports/burn.py
@@ -0,0 +1,188 @@
+"""The service-level burn report: how fast each service uses up its errors.
+
+A burn rate of 1 uses up exactly what the profile's goal allows; 10 uses it up
+ten times as fast (Beyer et al., "The Site Reliability Workbook", chapter
+"Alerting on SLOs").
+"""
+
+import dataclasses
+import pathlib
+
+import msgspec
+
+from hyssoptack.core import catalog
+from hyssoptack.entry import burn
+
+_DECODER_TYPE = dict[str, dict[str, burn.Slice]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Row:
+    """One service in one window.
+
+    Attributes:
+        service: The service.
+        profile: Its profile.
+        window_s: Length of the window.
+        request_count: All requests.
+        answered_count: Those that got a whole answer.
+        late_count: Answers after the profile's deadline.
+        refused: Refusals by reason.
+        in_time_ratio: Share of requests answered in time.
+        coverage_mean_ratio: Mean coverage of answers.
+        extra_load_ratio: Extra calls for each first call.
+        p50_ms: Bound of the median latency.
+        p99_ms: Bound of the 99th percentile.
+        burn_rate: Errors over what the goal allows.
+        extra_load_burn_rate: Extra load over its ceiling.
+    """
+
+    service: str
+    profile: str
+    window_s: float
+    request_count: int
+    answered_count: int
+    late_count: int
+    refused: dict[str, int]
+    in_time_ratio: float
+    coverage_mean_ratio: float
+    extra_load_ratio: float
+    p50_ms: float
+    p99_ms: float
+    burn_rate: float
+    extra_load_burn_rate: float
+
+
+def merge(documents: list[object]) -> dict[str, dict[str, burn.Slice]]:
+    """Adds up what several instances answered under `/burn`."""
+    totals: dict[str, dict[str, burn.Slice]] = {}
+    for document in documents:
+        for service, windows in msgspec.convert(
+            document, _DECODER_TYPE, strict=False
+        ).items():
+            for window, each in windows.items():
+                total = totals.setdefault(service, {}).setdefault(
+                    window, burn.Slice()
+                )
+                burn.add(total, each)
+    return totals
+
+
+def _quantile_ms(latency: dict[int, int], ratio: float) -> float:
+    """Returns the bound under which a share of answers lies."""
+    total = sum(latency.values())
+    if not total:
+        return 0.0
+    seen = 0
+    for index in sorted(latency):
+        seen += latency[index]
+        if seen >= ratio * total:
+            last = len(burn.LATENCY_BOUNDS_MS) - 1
+            return float(burn.LATENCY_BOUNDS_MS[min(index, last)])
+    return float(burn.LATENCY_BOUNDS_MS[-1])
+
+
+def _row(
+    service: str, profile: catalog.Profile, window: str, each: burn.Slice
+) -> Row:
+    refused_count = sum(each.refused.values())
+    request_count = each.answered_count + refused_count
+    in_time = each.answered_count - each.late_count
+    first_count = each.leaf_call_count - each.extra_call_count
+    in_time_ratio = in_time / request_count if request_count else 1.0
+    allowed = max(1.0 - profile.latency_goal_ratio, 1e-9)
+    extra_ratio = each.extra_call_count / first_count if first_count > 0 else 0
+    ceiling = max(profile.extra_load_ceiling_ratio, 1e-9)
+    answered = max(1, each.answered_count)
+    return Row(
+        service=service,
+        profile=profile.name,
+        window_s=float(window) / 1000.0,
+        request_count=request_count,
+        answered_count=each.answered_count,
+        late_count=each.late_count,
+        refused=dict(each.refused),
+        in_time_ratio=in_time_ratio,
+        coverage_mean_ratio=each.covered_sum / answered,
+        extra_load_ratio=extra_ratio,
+        p50_ms=_quantile_ms(each.latency, 0.5),
+        p99_ms=_quantile_ms(each.latency, 0.99),
+        burn_rate=(1.0 - in_time_ratio) / allowed,
+        extra_load_burn_rate=extra_ratio / ceiling,
+    )
+
+
+def rows(
+    totals: dict[str, dict[str, burn.Slice]], current: catalog.Catalog
+) -> list[Row]:
+    """Returns the report's rows, by service and then by window."""
+    result = []
+    for service in sorted(totals):
+        known = current.services.get(service)
+        if known is None:
+            continue
+        profile = current.profiles[known.profile]
+        for window in sorted(totals[service], key=float):
+            result.append(
+                _row(service, profile, window, totals[service][window])
+            )
+    return result
+
+
+def text(report: list[Row]) -> str:
+    """Returns the report as a table for a terminal."""
+    head = (
+        f"{'service':<24}{'window':>8}{'requests':>10}{'in time':>9}"
+        f"{'coverage':>10}{'extra':>8}{'p50 ms':>8}{'p99 ms':>8}{'burn':>8}"
+        "  refused"
+    )
+    lines = [head]
+    for row in report:
+        refused = ", ".join(
+            f"{reason} {count}" for reason, count in sorted(row.refused.items())
+        )
+        lines.append(
+            f"{row.service:<24}{row.window_s:>7.0f}s{row.request_count:>10}"
+            f"{row.in_time_ratio:>9.4f}{row.coverage_mean_ratio:>10.4f}"
+            f"{row.extra_load_ratio:>8.4f}{row.p50_ms:>8.0f}{row.p99_ms:>8.0f}"
+            f"{row.burn_rate:>8.2f}  {refused or '-'}"
+        )
+    return "\n".join(lines)
+
+
+def plot(report: list[Row], path: pathlib.Path) -> None:
+    """Draws burn rates by service and window into a picture."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    services = sorted({row.service for row in report})
+    windows = sorted({row.window_s for row in report})
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(11, 4))
+    width = 0.8 / max(1, len(windows))
+    for offset, window_s in enumerate(windows):
+        chosen = {
+            row.service: row for row in report if row.window_s == window_s
+        }
+        places = [index + offset * width for index in range(len(services))]
+        burns = [
+            chosen[name].burn_rate if name in chosen else 0 for name in services
+        ]
+        extras = [
+            chosen[name].extra_load_burn_rate if name in chosen else 0
+            for name in services
+        ]
+        left.bar(places, burns, width, label=f"{window_s:.0f} s")
+        right.bar(places, extras, width, label=f"{window_s:.0f} s")
+    for axes, title in (
+        (left, "Latency goal: burn rate"),
+        (right, "Extra load over its ceiling"),
+    ):
+        axes.set_xticks(range(len(services)), services, rotation=20)
+        axes.axhline(1.0, color="black", linewidth=0.8)
+        axes.set_title(title)
+        axes.legend(title="window")
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
--- /dev/null
+++ b/hyssoptack/reports/fleet.py
@@ -0,0 +1,58 @@
+"""Reads every instance's operator port, for reports on the whole fleet."""
+
+import concurrent.futures
+import dataclasses
+
+import msgspec
+import urllib3
+
+from hyssoptack.core import member
+
+TIMEOUT_S = 2.0
+THREAD_COUNT = 16
+STATUS_OK = 200
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reading:
+    """What one instance answered; `document` is None when it did not."""
+
+    member: member.Member
+    document: dict | None
+    error: str = ""
+
+
+def _read_one(
+    pool: urllib3.PoolManager, each: member.Member, path: str
+) -> Reading:
+    try:
+        response = pool.request(
+            "GET",
+            f"http://{each.operator_address}{path}",
+            timeout=TIMEOUT_S,
+            retries=False,
+        )
+        if response.status != STATUS_OK:
+            text = f"answered {response.status}"
+            return Reading(member=each, document=None, error=text)
+        document = msgspec.json.decode(response.data)
+        return Reading(member=each, document=document)
+    except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+        return Reading(member=each, document=None, error=repr(error))
+
+
+def read(members: tuple[member.Member, ...], path: str) -> list[Reading]:
+    """Reads a path from every instance at once.
+
+    Args:
+        members: The instances.
+        path: Such as `/status`.
+
+    Returns:
+        A reading for each instance, in the order of the instances.
+    """
+    pool = urllib3.PoolManager(num_pools=max(10, len(members)))
+    with concurrent.futures.ThreadPoolExecutor(THREAD_COUNT) as threads:
+        return list(
+            threads.map(lambda each: _read_one(pool, each, path), members)
+        )
--- /dev/null
+++ b/hyssoptack/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: thin mains over the library."""
--- /dev/null
+++ b/hyssoptack/scripts/main.py
@@ -0,0 +1,432 @@
+"""The command line: `hyssoptack entry`, `config`, `report` and the others."""
+
+import json
+import pathlib
+import sys
+import typing
+
+import cyclopts
+import expression
+import msgspec
+
+from hyssoptack.core import catalog
+from hyssoptack.core import member
+from hyssoptack.platform import change
+from hyssoptack.platform import members as members_client
+from hyssoptack.platform import store
+from hyssoptack.reports import burn as burn_report
+from hyssoptack.reports import fleet
+from hyssoptack.scripts import caller
+from hyssoptack.settings import catalog as catalog_settings
+from hyssoptack.settings import check
+from hyssoptack.settings import instance
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_OVERTAKEN = 3
+EXIT_UNSETTLED = 4
+
+application = cyclopts.App(
+    name="hyssoptack",
+    help="A query tier between callers and very many shards.",
+)
+config_application = cyclopts.App(
+    name="config", help="Check, compare, apply and follow the configuration."
+)
+leaf_application = cyclopts.App(
+    name="leaf", help="What instances see of leaves."
+)
+instance_application = cyclopts.App(name="instance", help="The instances.")
+report_application = cyclopts.App(name="report", help="Reports for operators.")
+for _each in (
+    config_application,
+    leaf_application,
+    instance_application,
+    report_application,
+):
+    application.command(_each)
+
+StoreAddress = typing.Annotated[
+    str,
+    cyclopts.Parameter(
+        name="--store",
+        env_var="HYSSOPTACK_STORE",
+        help="IP:port of the platform's key-value service.",
+    ),
+]
+MembersAddress = typing.Annotated[
+    str,
+    cyclopts.Parameter(
+        name="--members",
+        env_var="HYSSOPTACK_MEMBERS",
+        help="IP:port of the platform's instance list.",
+    ),
+]
+FrontAddress = typing.Annotated[
+    str,
+    cyclopts.Parameter(
+        name="--front",
+        env_var="HYSSOPTACK_FRONT",
+        help="IP:port of the balancer or of one instance.",
+    ),
+]
+AsJson = typing.Annotated[
+    bool, cyclopts.Parameter(name="--json", help="Print JSON.")
+]
+
+
+def _fail(text: str, code: int = EXIT_FAILED) -> typing.NoReturn:
+    print(text, file=sys.stderr)
+    sys.exit(code)
+
+
+def _fail_settings(errors: list[check.SettingsError]) -> typing.NoReturn:
+    _fail("\n".join(str(each) for each in errors), EXIT_USAGE)
+
+
+def _platform(
+    store_address: str, members_address: str
+) -> instance.PlatformSettings:
+    for address in (store_address, members_address):
+        if not check.is_address(address):
+            _fail(f"{address!r} is not IP:port", EXIT_USAGE)
+    return instance.PlatformSettings(
+        store_address=store_address,
+        instance_list_address=members_address,
+        timeout_ms=2_000.0,
+        watch_ms=1_000.0,
+        instance_list_lag_ms=0.0,
+        list_period_ms=1_000.0,
+        watcher_count=1,
+    )
+
+
+def _store(address: str) -> store.StoreClient:
+    return store.StoreClient(_platform(address, address))
+
+
+def _read_file(file: pathlib.Path) -> dict[str, str]:
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        _fail(f"{file}: {error}", EXIT_USAGE)
+    parts, errors = catalog_settings.split(text, str(file))
+    if errors:
+        _fail_settings(errors)
+    return parts
+
+
+def _members(address: str) -> tuple[member.Member, ...]:
+    client = members_client.MembersClient(_platform(address, address))
+    match client.read():
+        case expression.Result(tag="ok", ok=listing):
+            return listing.members
+        case expression.Result(error=detail):
+            _fail(f"the instance list can't be read: {detail}")
+
+
+def _head(client: store.StoreClient) -> change.Head:
+    match change.read_head(client):
+        case expression.Result(tag="ok", ok=head):
+            return head
+        case expression.Result(error=unreachable):
+            _fail(f"the store can't be read: {unreachable.detail}")
+
+
+def _parts_in_force(
+    client: store.StoreClient,
+) -> tuple[change.Head, dict[str, str]]:
+    head = _head(client)
+    match change.read_parts(client, head):
+        case expression.Result(tag="ok", ok=parts):
+            return head, parts
+        case expression.Result(error=unreachable):
+            _fail(f"the store can't be read: {unreachable.detail}")
+
+
+@application.command
+def entry(settings: pathlib.Path) -> None:
+    """Run an entry instance until SIGTERM; a second SIGTERM hurries it.
+
+    Args:
+        settings: The instance's YAML file.
+    """
+    from hyssoptack.entry import daemon
+
+    read, errors = instance.load(settings)
+    if read is None:
+        _fail_settings(errors)
+    daemon.run(read)
+
+
+@config_application.command(name="check")
+def config_check(file: pathlib.Path, *, as_json: AsJson = False) -> None:
+    """Check a configuration file; prints every error at once.
+
+    Args:
+        file: YAML with profiles and services.
+    """
+    parts = _read_file(file)
+    current, _ = catalog_settings.assemble(0, parts, str(file))
+    counts = {
+        "profiles": len(current.profiles),
+        "services": len(current.services),
+        "leaves": sum(len(each.leaves) for each in current.services.values()),
+        "largest_part_bytes": max(
+            len(text.encode()) for text in parts.values()
+        ),
+    }
+    if as_json:
+        print(json.dumps(counts))
+    else:
+        shown = ", ".join(f"{value} {name}" for name, value in counts.items())
+        print(f"{file}: good: {shown}")
+
+
+@config_application.command(name="diff")
+def config_diff(file: pathlib.Path, *, store_address: StoreAddress) -> None:
+    """Show what a file would change; exit status 1 when it differs.
+
+    Args:
+        file: YAML with profiles and services.
+    """
+    parts = _read_file(file)
+    _, in_force = _parts_in_force(_store(store_address))
+    text = change.difference(in_force, parts)
+    print(text or "no difference")
+    sys.exit(EXIT_FAILED if text else EXIT_OK)
+
+
+@config_application.command(name="apply")
+def config_apply(
+    file: pathlib.Path,
+    *,
+    store_address: StoreAddress,
+    author: str = "operator",
+    on_revision: int | None = None,
+    as_json: AsJson = False,
+) -> None:
+    """Apply a file as the next revision.
+
+    Exit status: 0 applied or unchanged, 1 not applied, 2 errors in the file,
+    3 overtaken by another change, 4 not known (see `config history`).
+
+    Args:
+        file: YAML with profiles and services.
+        author: Who applies it.
+        on_revision: Apply only on top of this revision.
+    """
+    parts = _read_file(file)
+    outcome = change.apply(_store(store_address), parts, author, on_revision)
+    match outcome:
+        case change.Applied(revision=number, changed_parts=names):
+            text, code = f"applied revision {number}: {', '.join(names)}", 0
+        case change.Unchanged(revision=number):
+            text, code = f"unchanged: revision {number} holds this already", 0
+        case change.Overtaken(by=by, changed_parts=names):
+            text = (
+                f"overtaken by revision {by.revision} of {by.author}; "
+                f"yours differs from it in: {', '.join(names) or 'nothing'}"
+            )
+            code = EXIT_OVERTAKEN
+        case change.NotApplied(detail=detail):
+            text, code = f"not applied: {detail}", EXIT_FAILED
+        case change.Unsettled(change_id=change_id, detail=detail):
+            text = f"not known: look for change {change_id}: {detail}"
+            code = EXIT_UNSETTLED
+    if as_json:
+        kind = type(outcome).__name__.lower()
+        document = {"outcome": kind, **msgspec.to_builtins(outcome)}
+        print(json.dumps(document))
+    else:
+        print(text)
+    sys.exit(code)
+
+
+@config_application.command(name="status")
+def config_status(*, members: MembersAddress, as_json: AsJson = False) -> None:
+    """Show which revision each instance has in force, and for how long.
+
+    Exit status 1 when instances differ or do not answer.
+    """
+    readings = fleet.read(_members(members), "/status")
+    revisions = {
+        each.document["revision"] if each.document else None
+        for each in readings
+    }
+    rows = [
+        {
+            "instance": each.member.instance_id,
+            "failure_domain": each.member.failure_domain,
+            "revision": each.document["revision"] if each.document else None,
+            "in_force_s": round(each.document["in_force_ms"] / 1000, 1)
+            if each.document
+            else None,
+            "state": each.document["state"] if each.document else each.error,
+        }
+        for each in readings
+    ]
+    if as_json:
+        print(json.dumps(rows))
+    else:
+        for row in rows:
+            print(
+                f"{row['instance']:<18}{row['failure_domain']:<14}"
+                f"revision {row['revision']}  for {row['in_force_s']} s  "
+                f"{row['state']}"
+            )
+    sys.exit(EXIT_OK if len(revisions) == 1 else EXIT_FAILED)
+
+
+@config_application.command(name="history")
+def config_history(
+    *, store_address: StoreAddress, as_json: AsJson = False
+) -> None:
+    """Show the latest revisions, the newest first."""
+    head = _head(_store(store_address))
+    trail = head.manifest.trail if head.manifest else ()
+    if as_json:
+        print(json.dumps(msgspec.to_builtins(trail)))
+        return
+    for each in trail:
+        print(
+            f"{each.revision:>6}  {each.applied_at_text}  {each.author:<14}"
+            f"{each.change_id}  {', '.join(each.changed_parts)}"
+        )
+
+
+@leaf_application.command(name="list")
+def leaf_list(*, members: MembersAddress, as_json: AsJson = False) -> None:
+    """Show the state of each leaf as the instances see it."""
+    seen: dict[str, dict[str, str]] = {}
+    for each in fleet.read(_members(members), "/status"):
+        for leaf in (each.document or {}).get("leaves", ()):
+            states = seen.setdefault(leaf["leaf_id"], {})
+            states[each.member.instance_id] = leaf["state"]
+    if as_json:
+        print(json.dumps(seen))
+        return
+    for leaf_id, states in sorted(seen.items()):
+        counts: dict[str, int] = {}
+        for state in states.values():
+            counts[state] = counts.get(state, 0) + 1
+        shown = ", ".join(f"{name} {count}" for name, count in counts.items())
+        print(f"{leaf_id:<34}{shown}")
+
+
+@instance_application.command(name="list")
+def instance_list(*, members: MembersAddress, as_json: AsJson = False) -> None:
+    """Show the instances that the platform lists."""
+    listed = _members(members)
+    if as_json:
+        print(json.dumps(msgspec.to_builtins(listed)))
+        return
+    for each in listed:
+        state = "leaving" if each.leaving else "live"
+        print(
+            f"{each.instance_id:<18}{each.failure_domain:<14}{state:<9}"
+            f"{each.operator_address}"
+        )
+
+
+def _catalog_in_force(store_address: str) -> catalog.Catalog:
+    head, parts = _parts_in_force(_store(store_address))
+    current, errors = catalog_settings.assemble(
+        head.revision(), parts, "configuration in force"
+    )
+    if errors:
+        _fail_settings(errors)
+    return current
+
+
+@report_application.command(name="burn")
+def report_burn(
+    *,
+    members: MembersAddress,
+    store_address: StoreAddress,
+    as_json: AsJson = False,
+    plot: pathlib.Path | None = None,
+) -> None:
+    """Show how fast each service uses up what its profile allows.
+
+    Args:
+        plot: Also draw the report into this PNG file.
+    """
+    readings = fleet.read(_members(members), "/burn")
+    documents = [
+        each.document for each in readings if each.document is not None
+    ]
+    totals = burn_report.merge(documents)
+    report = burn_report.rows(totals, _catalog_in_force(store_address))
+    if as_json:
+        print(json.dumps(msgspec.to_builtins(report)))
+    else:
+        print(burn_report.text(report))
+    for each in readings:
+        if each.document is None:
+            print(
+                f"left out: {each.member.instance_id}: {each.error}",
+                file=sys.stderr,
+            )
+    if plot is not None:
+        burn_report.plot(report, plot)
+
+
+@application.command
+def query(
+    service: str,
+    text: str,
+    *,
+    front: FrontAddress,
+    limit: int = 10,
+    deadline_ms: int | None = None,
+    urgent: bool = False,
+) -> None:
+    """Send one search and print the answer.
+
+    Args:
+        service: The service to search.
+        text: The words to search for.
+        limit: The most hits.
+        deadline_ms: A deadline shorter than the profile's.
+        urgent: Send it as an urgent lookup.
+    """
+    result = caller.search(front, service, text, limit, deadline_ms, urgent)
+    print(result.text)
+    sys.exit(EXIT_OK if result.status == caller.STATUS_OK else EXIT_FAILED)
+
+
+@application.command
+def act(
+    service: str,
+    subject: str,
+    request: str,
+    *,
+    key: str,
+    front: FrontAddress,
+) -> None:
+    """Send one non-idempotent request and print its outcome.
+
+    Args:
+        service: The service to act on.
+        subject: What to act on, such as a tail number.
+        request: The request as a JSON object.
+        key: The idempotency key; the same key never runs twice.
+    """
+    try:
+        document = json.loads(request)
+    except json.JSONDecodeError as error:
+        _fail(f"request: {error}", EXIT_USAGE)
+    result = caller.act(front, service, subject, document, key)
+    print(result.text)
+    sys.exit(EXIT_OK if result.status == caller.STATUS_OK else EXIT_FAILED)
+
+
+def main() -> None:
+    """Runs the command line."""
+    application()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hyssoptack/settings/__init__.py
@@ -0,0 +1,1 @@
+"""YAML documents read into checked, frozen settings records."""
--- /dev/null
+++ b/hyssoptack/settings/catalog.py
@@ -0,0 +1,241 @@
+"""The operators' configuration: YAML documents into a catalog, and a catalog
+into parts.
+
+A part is the YAML text of all profiles or of one service. Parts are kept under
+their digests, so a change of one service moves one part, and the head of the
+chain stays far below one value's limit however many services there are.
+"""
+
+import hashlib
+import typing
+
+import yaml
+
+from hyssoptack.core import catalog
+from hyssoptack.core import keyspace
+from hyssoptack.settings import check
+
+PROFILES_PART = "profiles"
+SERVICE_PREFIX = "service/"
+PART_LIMIT_BYTES = 1_000_000
+_DAY_MS = 86_400_000
+
+
+def digest_of(text: str) -> str:
+    """Returns the digest that a part is kept under."""
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+def _profile(name: str, fields: check.Fields) -> catalog.Profile:
+    result = catalog.Profile(
+        name=name,
+        deadline_ms=fields.count("deadline_ms", 1, 60_000),
+        coverage_floor_ratio=fields.ratio("coverage_floor_ratio"),
+        extra_load_ceiling_ratio=fields.ratio("extra_load_ceiling_ratio"),
+        hedge_after_ratio=fields.ratio("hedge_after_ratio", 0.95),
+        latency_goal_ratio=fields.ratio("latency_goal_ratio", 0.99),
+    )
+    fields.finish()
+    return result
+
+
+def _leaf(
+    fields: check.Fields, defaults: dict[str, typing.Any]
+) -> catalog.Leaf:
+    result = catalog.Leaf(
+        leaf_id=fields.text("leaf_id"),
+        failure_domain=fields.text("failure_domain"),
+        address=fields.address("address"),
+        slot_count=fields.count(
+            "slot_count", 1, 10_000, defaults["slot_count"]
+        ),
+        connection_limit_count=fields.count(
+            "connection_limit_count",
+            1,
+            100_000,
+            defaults["connection_limit_count"],
+        ),
+        connect_cost_ms=fields.number(
+            "connect_cost_ms", 0, 10_000, defaults["connect_cost_ms"]
+        ),
+    )
+    fields.finish()
+    return result
+
+
+def _leaf_defaults(fields: check.Fields) -> dict[str, typing.Any]:
+    result = {
+        "slot_count": fields.count("slot_count", 1, 10_000),
+        "connection_limit_count": fields.count(
+            "connection_limit_count", 1, 100_000
+        ),
+        "connect_cost_ms": fields.number("connect_cost_ms", 0, 10_000),
+    }
+    fields.finish()
+    return result
+
+
+def _shard(
+    fields: check.Fields, defaults: dict[str, typing.Any]
+) -> tuple[catalog.Shard, list[catalog.Leaf]]:
+    low = fields.count("low", 0, keyspace.KEYSPACE_SIZE_COUNT - 1)
+    high = fields.count("high", 1, keyspace.KEYSPACE_SIZE_COUNT)
+    if high <= low:
+        fields.error("high", high, "a key above low")
+    leaves = [_leaf(each, defaults) for each in fields.listed("leaves")]
+    shard = catalog.Shard(
+        shard_id=fields.text("shard_id"),
+        key_range=keyspace.KeyRange(low, high),
+        leaf_ids=tuple(leaf.leaf_id for leaf in leaves),
+    )
+    fields.finish()
+    return shard, leaves
+
+
+def _check_shards(
+    fields: check.Fields,
+    shards: list[catalog.Shard],
+    leaves: list[catalog.Leaf],
+) -> None:
+    """Reports overlapping ranges, a gap in the key space, and names that stand
+    twice.
+    """
+    ranges = sorted(shard.key_range for shard in shards)
+    position = 0
+    for each in ranges:
+        if each.low != position:
+            fields.error(
+                "shards",
+                (each.low, each.high),
+                f"a range that starts at {position}",
+            )
+        position = each.high
+    if ranges and position != keyspace.KEYSPACE_SIZE_COUNT:
+        fields.error(
+            "shards", position, f"ranges up to {keyspace.KEYSPACE_SIZE_COUNT}"
+        )
+    names = [leaf.leaf_id for leaf in leaves]
+    for name in sorted({name for name in names if names.count(name) > 1}):
+        fields.error("shards", name, "each leaf_id once")
+
+
+def _service(name: str, fields: check.Fields) -> catalog.Service:
+    defaults = _leaf_defaults(fields.sub("leaf_defaults", required=True))
+    pairs = [_shard(each, defaults) for each in fields.listed("shards")]
+    shards = [shard for shard, _ in pairs]
+    leaves = [leaf for _, group in pairs for leaf in group]
+    _check_shards(fields, shards, leaves)
+    result = catalog.Service(
+        name=name,
+        association=fields.text("association"),
+        profile=fields.text("profile"),
+        accepts_actions=fields.flag("accepts_actions", False),
+        action_retention_ms=fields.count(
+            "action_retention_ms", 1_000, 30 * _DAY_MS, _DAY_MS
+        ),
+        shards=tuple(shards),
+        leaves={leaf.leaf_id: leaf for leaf in leaves},
+    )
+    fields.finish()
+    return result
+
+
+def split(
+    text: str, file: str
+) -> tuple[dict[str, str], list[check.SettingsError]]:
+    """Splits one configuration document into part texts by part name.
+
+    Returns:
+        The parts and a list of errors in the document's shape or its values.
+    """
+    document, errors = check.parse_yaml(text, file)
+    if errors:
+        return {}, errors
+    if not isinstance(document, dict) or set(document) != {
+        "profiles",
+        "services",
+    }:
+        found = (
+            sorted(map(str, document))
+            if isinstance(document, dict)
+            else document
+        )
+        error = check.SettingsError(
+            file=file,
+            key="(document)",
+            value=check.shown(found),
+            expected="profiles and services",
+        )
+        return {}, [error]
+    parts = {PROFILES_PART: _dump({"profiles": document["profiles"]})}
+    services = (
+        document["services"] if isinstance(document["services"], dict) else {}
+    )
+    for name, body in services.items():
+        parts[SERVICE_PREFIX + str(name)] = _dump({"service": body})
+    _, errors = assemble(0, parts, file)
+    return parts, errors
+
+
+def assemble(
+    revision: int, parts: dict[str, str], file: str
+) -> tuple[catalog.Catalog, list[check.SettingsError]]:
+    """Builds a catalog from part texts.
+
+    Args:
+        revision: The revision that the parts belong to.
+        parts: Part texts by part name.
+        file: Where they come from, for errors.
+
+    Returns:
+        The catalog and a list of errors; usable only when the list is empty.
+    """
+    errors: list[check.SettingsError] = []
+    profiles: dict[str, catalog.Profile] = {}
+    services: dict[str, catalog.Service] = {}
+    for part_name in sorted(parts):
+        text = parts[part_name]
+        if len(text.encode()) > PART_LIMIT_BYTES:
+            errors.append(
+                check.SettingsError(
+                    file=file,
+                    key=part_name,
+                    value=f"{len(text.encode())} bytes",
+                    expected=f"at most {PART_LIMIT_BYTES} bytes",
+                )
+            )
+            continue
+        document, yaml_errors = check.parse_yaml(text, file)
+        errors.extend(yaml_errors)
+        fields = check.Fields(document, file, "", errors)
+        if part_name == PROFILES_PART:
+            for name, each in fields.named("profiles").items():
+                profiles[name] = _profile(name, each)
+        else:
+            name = part_name.removeprefix(SERVICE_PREFIX)
+            each = fields.sub("service", required=True)
+            each.path = f"services.{name}"
+            services[name] = _service(name, each)
+    for service in services.values():
+        if service.profile not in profiles:
+            errors.append(
+                check.SettingsError(
+                    file=file,
+                    key=f"services.{service.name}.profile",
+                    value=check.shown(service.profile),
+                    expected="one of: " + ", ".join(sorted(profiles)),
+                )
+            )
+    return catalog.Catalog(
+        revision=revision, profiles=profiles, services=services
+    ), errors
+
+
+def _dump(document: object) -> str:
+    return yaml.dump(
+        document,
+        sort_keys=True,
+        default_flow_style=None,
+        width=200,
+        allow_unicode=True,
+    )
--- /dev/null
+++ b/hyssoptack/settings/check.py
@@ -0,0 +1,243 @@
+"""Checks a parsed YAML mapping field by field and collects every error at
+once.
+"""
+
+import dataclasses
+import ipaddress
+import typing
+
+import yaml
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SettingsError:
+    """One thing wrong in a settings file.
+
+    Attributes:
+        file: The file or part that was read.
+        key: Dotted path of the field.
+        value: What stands there, as text.
+        expected: What should stand there.
+    """
+
+    file: str
+    key: str
+    value: str
+    expected: str
+
+    def __str__(self) -> str:
+        found = f"found {self.value}, expected {self.expected}"
+        return f"{self.file}: {self.key}: {found}"
+
+
+_MISSING: typing.Any = object()
+_TEXT_LIMIT_COUNT = 60
+_PORT_MAX = 65_535
+
+
+def shown(value: object) -> str:
+    """Returns a value as a short text for an error."""
+    if value is _MISSING:
+        return "nothing"
+    text = repr(value)
+    return (
+        text
+        if len(text) <= _TEXT_LIMIT_COUNT
+        else text[:_TEXT_LIMIT_COUNT] + "..."
+    )
+
+
+class Fields:
+    """Reads the fields of one mapping; errors go to a list shared by the whole
+    document.
+    """
+
+    def __init__(
+        self, mapping: object, file: str, path: str, errors: list[SettingsError]
+    ):
+        self.file = file
+        self.path = path
+        self.errors = errors
+        self._seen: set[str] = set()
+        if isinstance(mapping, dict):
+            self._mapping = mapping
+        else:
+            self._mapping = {}
+            self.error("", mapping, "a mapping of field names to values")
+
+    def error(self, name: str, value: object, expected: str) -> None:
+        """Records one error for a field of this mapping."""
+        key = (
+            ".".join(part for part in (self.path, name) if part) or "(document)"
+        )
+        self.errors.append(
+            SettingsError(
+                file=self.file, key=key, value=shown(value), expected=expected
+            )
+        )
+
+    def _take(self, name: str, default: object) -> object:
+        self._seen.add(name)
+        return self._mapping.get(name, default)
+
+    def number(
+        self,
+        name: str,
+        low: float,
+        high: float,
+        default: float = _MISSING,
+        whole: bool = False,
+    ) -> typing.Any:
+        """Reads a number between two bounds.
+
+        Args:
+            name: The field; its suffix names the unit.
+            low: The least value allowed.
+            high: The greatest value allowed.
+            default: Used when the field is absent; without one the field is
+                required.
+            whole: Whether only whole numbers are allowed.
+
+        Returns:
+            The number, or `low` when there was an error.
+        """
+        value = self._take(name, default)
+        kinds = (int,) if whole else (int, float)
+        if (
+            isinstance(value, bool)
+            or not isinstance(value, kinds)
+            or not low <= value <= high
+        ):
+            self.error(
+                name,
+                value,
+                f"a {'whole ' if whole else ''}number from {low} to {high}",
+            )
+            return low
+        return value
+
+    def count(
+        self, name: str, low: int, high: int, default: int = _MISSING
+    ) -> int:
+        """Reads a whole number between two bounds."""
+        return self.number(name, low, high, default, whole=True)
+
+    def ratio(self, name: str, default: float = _MISSING) -> float:
+        """Reads a number from 0 to 1."""
+        return self.number(name, 0.0, 1.0, default)
+
+    def text(self, name: str, default: str = _MISSING) -> str:
+        """Reads a text that is not empty."""
+        value = self._take(name, default)
+        if not isinstance(value, str) or (not value and default is _MISSING):
+            self.error(name, value, "a text that is not empty")
+            return ""
+        return value
+
+    def flag(self, name: str, default: bool) -> bool:
+        """Reads true or false."""
+        value = self._take(name, default)
+        if not isinstance(value, bool):
+            self.error(name, value, "true or false")
+            return default
+        return value
+
+    def address(self, name: str) -> str:
+        """Reads an address of the form `IP:port`."""
+        value = self._take(name, _MISSING)
+        if not isinstance(value, str) or not is_address(value):
+            self.error(
+                name, value, "an IP number and a port, such as 127.0.0.1:8080"
+            )
+            return ""
+        return value
+
+    def addresses(self, name: str) -> tuple[str, ...]:
+        """Reads a list of addresses; an absent one reads as empty."""
+        value = self._take(name, [])
+        if not isinstance(value, list) or not all(
+            isinstance(each, str) and is_address(each) for each in value
+        ):
+            self.error(name, value, "a list of addresses such as 127.0.0.1:80")
+            return ()
+        return tuple(value)
+
+    def sub(self, name: str, required: bool = False) -> "Fields":
+        """Opens a mapping within this one; an absent optional one reads as
+        empty.
+        """
+        value = self._take(name, _MISSING)
+        if value is _MISSING and not required:
+            value = {}
+        return Fields(value, self.file, self._path_of(name), self.errors)
+
+    def named(self, name: str, required: bool = True) -> dict[str, "Fields"]:
+        """Opens a mapping from names to mappings."""
+        value = self._take(name, _MISSING if required else {})
+        if not isinstance(value, dict) or not all(
+            isinstance(key, str) for key in value
+        ):
+            self.error(name, value, "a mapping from names to mappings")
+            return {}
+        return {
+            key: Fields(
+                each, self.file, f"{self._path_of(name)}.{key}", self.errors
+            )
+            for key, each in value.items()
+        }
+
+    def listed(self, name: str) -> list["Fields"]:
+        """Opens a list of mappings."""
+        value = self._take(name, _MISSING)
+        if not isinstance(value, list) or not value:
+            self.error(name, value, "a list of mappings that is not empty")
+            return []
+        return [
+            Fields(
+                each, self.file, f"{self._path_of(name)}[{index}]", self.errors
+            )
+            for index, each in enumerate(value)
+        ]
+
+    def finish(self) -> None:
+        """Reports every field that nothing asked for."""
+        known = ", ".join(sorted(self._seen))
+        for name, value in self._mapping.items():
+            if name not in self._seen:
+                self.error(
+                    str(name),
+                    value,
+                    f"no such field; the fields here are: {known}",
+                )
+
+    def _path_of(self, name: str) -> str:
+        return f"{self.path}.{name}" if self.path else name
+
+
+def is_address(text: str) -> bool:
+    """Tells whether a text is `IP:port` with an IP number, not a host name."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return port.isdigit() and 0 < int(port) <= _PORT_MAX
+
+
+def parse_yaml(text: str, file: str) -> tuple[object, list[SettingsError]]:
+    """Parses YAML text.
+
+    Returns:
+        The document and no error, or None and one error that names the line.
+    """
+    try:
+        return yaml.safe_load(text), []
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        place = f"line {mark.line + 1}" if mark else "(document)"
+        problem = getattr(error, "problem", None) or "unreadable text"
+        return None, [
+            SettingsError(
+                file=file, key=place, value=problem, expected="valid YAML"
+            )
+        ]
--- /dev/null
+++ b/hyssoptack/settings/instance.py
@@ -0,0 +1,260 @@
+"""Settings of one instance: its addresses, its failure domain, the platform,
+and limits.
+"""
+
+import dataclasses
+import pathlib
+
+from hyssoptack.settings import check
+
+_HOUR_MS = 3_600_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlatformSettings:
+    """Where the platform's services are, and how far they are trusted.
+
+    Attributes:
+        store_address: The key-value service.
+        instance_list_address: The list of live and leaving instances.
+        timeout_ms: Longest wait for one store answer.
+        watch_ms: Length of one long poll.
+        instance_list_lag_ms: How late the list may be; ownership waits this
+            out.
+        list_period_ms: How often the list is read.
+        watcher_count: Instances of each failure domain that watch the store.
+    """
+
+    store_address: str
+    instance_list_address: str
+    timeout_ms: float
+    watch_ms: float
+    instance_list_lag_ms: float
+    list_period_ms: float
+    watcher_count: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FrontSettings:
+    """Limits of the callers' port.
+
+    Attributes:
+        thread_count: Threads that read requests and wait for answers.
+        max_query_count: Queries in flight at the same time.
+        urgent_reserve_count: Of these, kept for urgent lookups.
+        max_action_count: Actions in flight at the same time.
+        body_limit_bytes: The largest body taken.
+        client_timeout_ms: Longest wait for a caller's next bytes.
+    """
+
+    thread_count: int
+    max_query_count: int
+    urgent_reserve_count: int
+    max_action_count: int
+    body_limit_bytes: int
+    client_timeout_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PeerSettings:
+    """Gossip between instances.
+
+    Attributes:
+        period_ms: Time between heartbeats.
+        fanout_count: Peers told by each heartbeat.
+        suspect_after_ms: Silence after which a peer gets no new sub-queries.
+        link_idle_ms: Unused links are closed after this time.
+        seed_addresses: Peers to ask while the platform can't be reached.
+    """
+
+    period_ms: float
+    fanout_count: int
+    suspect_after_ms: float
+    link_idle_ms: float
+    seed_addresses: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RelaySettings:
+    """Leaf connections.
+
+    Attributes:
+        owner_count: Most instances of a failure domain that share one leaf.
+        column_size_count: Leaves that are owned together.
+        flush_ms: How long finished replies wait for company before they are
+            sent.
+        queue_limit_count: Most calls that wait for one leaf.
+        claim_max_age_ms: A claim older than this is never sent.
+    """
+
+    owner_count: int
+    column_size_count: int
+    flush_ms: float
+    queue_limit_count: int
+    claim_max_age_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ShutdownSettings:
+    """A planned stop.
+
+    Attributes:
+        balancer_lag_ms: How long new requests may still arrive after the health
+            probe fails.
+        drain_limit_ms: Longest wait for requests in flight.
+    """
+
+    balancer_lag_ms: float
+    drain_limit_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class InstanceSettings:
+    """Everything that one instance is told at its start."""
+
+    instance_id: str
+    failure_domain: str
+    front_address: str
+    operator_address: str
+    peer_address: str
+    log_path: str
+    platform: PlatformSettings
+    front: FrontSettings
+    peers: PeerSettings
+    relay: RelaySettings
+    shutdown: ShutdownSettings
+
+
+def _platform(fields: check.Fields) -> PlatformSettings:
+    result = PlatformSettings(
+        store_address=fields.address("store_address"),
+        instance_list_address=fields.address("instance_list_address"),
+        timeout_ms=fields.number("timeout_ms", 1, 60_000, 500),
+        watch_ms=fields.number("watch_ms", 100, 600_000, 10_000),
+        instance_list_lag_ms=fields.number(
+            "instance_list_lag_ms", 0, 600_000, 2_000
+        ),
+        list_period_ms=fields.number("list_period_ms", 50, 600_000, 500),
+        watcher_count=fields.count("watcher_count", 1, 10, 2),
+    )
+    fields.finish()
+    return result
+
+
+def _front(fields: check.Fields) -> FrontSettings:
+    result = FrontSettings(
+        thread_count=fields.count("thread_count", 4, 1_000, 64),
+        max_query_count=fields.count("max_query_count", 1, 10_000, 24),
+        urgent_reserve_count=fields.count("urgent_reserve_count", 0, 10_000, 8),
+        max_action_count=fields.count("max_action_count", 1, 10_000, 16),
+        body_limit_bytes=fields.count(
+            "body_limit_bytes", 256, 10_000_000, 65_536
+        ),
+        client_timeout_ms=fields.number(
+            "client_timeout_ms", 100, 600_000, 2_000
+        ),
+    )
+    if result.urgent_reserve_count >= result.max_query_count:
+        fields.error(
+            "urgent_reserve_count",
+            result.urgent_reserve_count,
+            "below max_query_count",
+        )
+    if result.max_query_count + result.max_action_count >= result.thread_count:
+        fields.error(
+            "thread_count",
+            result.thread_count,
+            "more than max_query_count + max_action_count",
+        )
+    fields.finish()
+    return result
+
+
+def _peers(fields: check.Fields) -> PeerSettings:
+    result = PeerSettings(
+        period_ms=fields.number("period_ms", 50, 60_000, 500),
+        fanout_count=fields.count("fanout_count", 1, 64, 4),
+        suspect_after_ms=fields.number("suspect_after_ms", 100, 600_000, 3_000),
+        link_idle_ms=fields.number("link_idle_ms", 1_000, _HOUR_MS, 60_000),
+        seed_addresses=fields.addresses("seed_addresses"),
+    )
+    fields.finish()
+    return result
+
+
+def _relay(fields: check.Fields) -> RelaySettings:
+    result = RelaySettings(
+        owner_count=fields.count("owner_count", 1, 1_000, 3),
+        column_size_count=fields.count("column_size_count", 1, 10_000, 40),
+        flush_ms=fields.number("flush_ms", 0, 100, 1),
+        queue_limit_count=fields.count("queue_limit_count", 0, 10_000, 32),
+        claim_max_age_ms=fields.number("claim_max_age_ms", 10, 600_000, 2_000),
+    )
+    fields.finish()
+    return result
+
+
+def _shutdown(fields: check.Fields) -> ShutdownSettings:
+    result = ShutdownSettings(
+        balancer_lag_ms=fields.number("balancer_lag_ms", 0, 600_000, 1_500),
+        drain_limit_ms=fields.number("drain_limit_ms", 0, 600_000, 10_000),
+    )
+    fields.finish()
+    return result
+
+
+def parse(
+    text: str, file: str
+) -> tuple[InstanceSettings, list[check.SettingsError]]:
+    """Reads instance settings from YAML text.
+
+    Args:
+        text: The document.
+        file: Its name, for errors.
+
+    Returns:
+        The settings and a list of errors; the settings are usable only when the
+        list is empty.
+    """
+    document, errors = check.parse_yaml(text, file)
+    if errors:
+        document = {}
+    fields = check.Fields(document, file, "", errors)
+    result = InstanceSettings(
+        instance_id=fields.text("instance_id"),
+        failure_domain=fields.text("failure_domain"),
+        front_address=fields.address("front_address"),
+        operator_address=fields.address("operator_address"),
+        peer_address=fields.address("peer_address"),
+        log_path=fields.text("log_path", ""),
+        platform=_platform(fields.sub("platform", required=True)),
+        front=_front(fields.sub("front")),
+        peers=_peers(fields.sub("peers")),
+        relay=_relay(fields.sub("relay")),
+        shutdown=_shutdown(fields.sub("shutdown")),
+    )
+    fields.finish()
+    return result, errors
+
+
+def load(
+    path: pathlib.Path,
+) -> tuple[InstanceSettings | None, list[check.SettingsError]]:
+    """Reads instance settings from a file.
+
+    Returns:
+        The settings and no errors, or None and the errors.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return None, [
+            check.SettingsError(
+                file=str(path),
+                key="(file)",
+                value=str(error),
+                expected="a readable UTF-8 file",
+            )
+        ]
+    result, errors = parse(text, str(path))
+    return (None if errors else result), errors
--- /dev/null
+++ b/hyssoptack/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Small fault-injectable stand-ins for the platform, leaves, balancer and
+callers.
+"""
--- /dev/null
+++ b/hyssoptack/standins/balancer.py
@@ -0,0 +1,114 @@
+"""A stand-in of the platform's balancer: TCP, round robin over ready instances.
+
+It learns that an instance is not ready only from its probe, which is periodic:
+for that long, new connections still go to an instance that leaves.
+"""
+
+import asyncio
+import itertools
+
+import aiohttp
+import cyclopts
+import uvloop
+
+PROBE_S = 0.2
+PROBE_LIMIT_S = 0.5
+CHUNK_BYTES = 262_144
+
+
+class Balancer:
+    """Probes and forwards."""
+
+    def __init__(self, backends: list[str]):
+        self._pairs = [each.split("=", 1) for each in backends]
+        self._ready: list[str] = []
+        self._turn = itertools.count()
+
+    async def probe(self) -> None:
+        """Keeps the list of ready instances up to date."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_LIMIT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                results = await asyncio.gather(
+                    *(self._is_ready(session, each) for _, each in self._pairs)
+                )
+                self._ready = [
+                    front
+                    for (front, _), ready in zip(
+                        self._pairs, results, strict=True
+                    )
+                    if ready
+                ]
+                await asyncio.sleep(PROBE_S)
+
+    async def _is_ready(
+        self, session: aiohttp.ClientSession, address: str
+    ) -> bool:
+        try:
+            async with session.get(f"http://{address}/readyz") as response:
+                return response.status == 200
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return False
+
+    async def accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forwards one connection to the next ready instance."""
+        for _ in range(max(1, len(self._ready))):
+            if not self._ready:
+                break
+            target = self._ready[next(self._turn) % len(self._ready)]
+            host, _, port = target.rpartition(":")
+            try:
+                far_reader, far_writer = await asyncio.open_connection(
+                    host, int(port)
+                )
+            except OSError:
+                continue
+            await asyncio.gather(
+                _pump(reader, far_writer), _pump(far_reader, writer)
+            )
+            return
+        writer.write(
+            b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+            b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+        )
+        writer.close()
+
+
+async def _pump(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    try:
+        while data := await reader.read(CHUNK_BYTES):
+            writer.write(data)
+            await writer.drain()
+    except OSError:
+        pass
+    if not writer.is_closing():
+        writer.close()
+
+
+async def _serve(listen: str, backends: list[str]) -> None:
+    balancer = Balancer(backends)
+    host, _, port = listen.rpartition(":")
+    await asyncio.start_server(balancer.accept, host, int(port), backlog=1024)
+    await balancer.probe()
+
+
+application = cyclopts.App(name="hyssoptack-standin-balancer")
+
+
+@application.default
+def main(*, listen: str, backend: list[str]) -> None:
+    """Balances until the process ends.
+
+    Args:
+        listen: Where callers connect.
+        backend: FRONT=OPERATOR addresses, once for each instance.
+    """
+    uvloop.run(_serve(listen, backend))
+
+
+if __name__ == "__main__":
+    application()
--- /dev/null
+++ b/hyssoptack/standins/leaf.py
@@ -0,0 +1,262 @@
+"""A stand-in leaf: slots, connection limit, index versions, faults on
+demand.
+"""
+
+import asyncio
+import dataclasses
+import random
+import weakref
+
+import cyclopts
+from aiohttp import web
+
+from hyssoptack.standins import records
+from hyssoptack.standins import web as standin_web
+
+MS_PER_S = 1000.0
+LOG_LIMIT_COUNT = 200_000
+
+
+@dataclasses.dataclass(kw_only=True)
+class Behaviour:
+    """How the leaf behaves now; a POST to /behaviour changes any field.
+
+    Attributes:
+        low: First key of its range.
+        high: First key after its range.
+        versions: Index versions that it holds.
+        service_ms: Mean time of a search.
+        spread_ratio: Part of the mean that varies, exponentially.
+        slow_factor: Multiplies every search's time.
+        draining: Whether it says that it leaves; then it takes nothing new.
+        shed: Whether it refuses everything.
+        act_ms: Time of an action.
+        lose_act_count: Next actions that run and then lose their answer.
+        queue_limit_count: Requests that may wait for a slot.
+        health_lie: Whether /healthz says well whatever happens.
+    """
+
+    low: int = 0
+    high: int = 0
+    versions: list[int] = dataclasses.field(default_factory=lambda: [1])
+    service_ms: float = 2.0
+    spread_ratio: float = 0.5
+    slow_factor: float = 1.0
+    draining: bool = False
+    shed: bool = False
+    act_ms: float = 2.0
+    lose_act_count: int = 0
+    queue_limit_count: int = 64
+    health_lie: bool = True
+
+
+@dataclasses.dataclass(kw_only=True)
+class Account:
+    """What happened, for the referee."""
+
+    search_count: int = 0
+    shed_count: int = 0
+    act_count: int = 0
+    cancelled_count: int = 0
+    over_limit_count: int = 0
+    connection_peak_count: int = 0
+    slot_peak_count: int = 0
+    new_work_while_draining_count: int = 0
+    runs: dict[str, int] = dataclasses.field(default_factory=dict)
+    answered: list[tuple[str, int, int, int]] = dataclasses.field(
+        default_factory=list
+    )
+
+
+class Leaf:
+    """The leaf's handlers and state."""
+
+    def __init__(
+        self,
+        leaf_id: str,
+        service: str,
+        slot_count: int,
+        connection_limit_count: int,
+        connect_cost_ms: float,
+        behaviour: Behaviour,
+    ):
+        self._leaf_id = leaf_id
+        self._service = service
+        self._connection_limit_count = connection_limit_count
+        self._connect_cost_ms = connect_cost_ms
+        self._behaviour = behaviour
+        self._account = Account()
+        self._slots = asyncio.Semaphore(slot_count)
+        self._running_count = 0
+        self._waiting_count = 0
+        self._greeted: weakref.WeakSet = weakref.WeakSet()
+        self._random = random.Random(leaf_id)
+        application = web.Application()
+        application.router.add_post("/search", self._search)
+        application.router.add_post("/act", self._act)
+        application.router.add_post("/behaviour", self._change)
+        application.router.add_get("/account", self._show_account)
+        application.router.add_get("/healthz", self._health)
+        self.runner = web.AppRunner(
+            application, access_log=None, handler_cancellation=True
+        )
+
+    def _headers(self) -> dict[str, str]:
+        if self._behaviour.draining:
+            return {"Leaf-State": "draining"}
+        return {}
+
+    async def _greet(self, request: web.Request) -> bool:
+        """Charges a new connection; returns whether it is within the limit."""
+        count = len(self.runner.server.connections)
+        account = self._account
+        account.connection_peak_count = max(
+            account.connection_peak_count, count
+        )
+        if count > self._connection_limit_count:
+            account.over_limit_count += 1
+            return False
+        if request.transport not in self._greeted:
+            self._greeted.add(request.transport)
+            await asyncio.sleep(self._connect_cost_ms / MS_PER_S)
+        return True
+
+    def _refusal(self) -> web.Response | None:
+        behaviour = self._behaviour
+        full = self._waiting_count >= behaviour.queue_limit_count
+        if behaviour.draining:
+            self._account.new_work_while_draining_count += 1
+        if behaviour.draining or behaviour.shed or full:
+            self._account.shed_count += 1
+            return standin_web.answer(
+                {"shed": True}, status=503, **self._headers()
+            )
+        return None
+
+    async def _take_slot(self, work_ms: float) -> None:
+        """Waits for a slot, and holds it for the time of the work."""
+        self._waiting_count += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting_count -= 1
+        self._running_count += 1
+        account = self._account
+        account.slot_peak_count = max(
+            account.slot_peak_count, self._running_count
+        )
+        try:
+            await asyncio.sleep(work_ms / MS_PER_S)
+        except asyncio.CancelledError:
+            account.cancelled_count += 1
+            raise
+        finally:
+            self._running_count -= 1
+            self._slots.release()
+
+    async def _search(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        if not await self._greet(request):
+            return standin_web.answer({}, status=503)
+        refused = self._refusal()
+        if refused is not None:
+            return refused
+        behaviour = self._behaviour
+        held = sorted(behaviour.versions)
+        version = body["version"] or held[-1]
+        if version not in held:
+            reply = {"query_id": body["query_id"], "held": held}
+            return standin_web.answer(reply, status=409, **self._headers())
+        low, high = behaviour.low, behaviour.high
+        varying = behaviour.spread_ratio * self._random.expovariate(1.0)
+        fixed = 1.0 - behaviour.spread_ratio
+        work_ms = behaviour.service_ms * (fixed + varying)
+        await self._take_slot(work_ms * behaviour.slow_factor)
+        hits = records.search(
+            self._service, body["text"], low, high, version, body["limit"]
+        )
+        self._account.search_count += 1
+        if len(self._account.answered) < LOG_LIMIT_COUNT:
+            entry = (body["query_id"], version, low, high)
+            self._account.answered.append(entry)
+        reply = {
+            "query_id": body["query_id"],
+            "version": version,
+            "held": held,
+            "low": low,
+            "high": high,
+            "hits": hits,
+        }
+        return standin_web.answer(reply, **self._headers())
+
+    async def _act(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        if not await self._greet(request):
+            return standin_web.answer({}, status=503)
+        refused = self._refusal()
+        if refused is not None:
+            return refused
+        key = body["key"]
+        # The effect comes first: what follows can lose only the answer.
+        runs = self._account.runs
+        runs[key] = runs.get(key, 0) + 1
+        self._account.act_count += 1
+        await asyncio.shield(self._take_slot(self._behaviour.act_ms))
+        if self._behaviour.lose_act_count > 0:
+            self._behaviour.lose_act_count -= 1
+            return standin_web.lose(request)
+        receipt = f"{self._leaf_id}/{key}/{runs[key]}"
+        return standin_web.answer({"receipt": receipt}, **self._headers())
+
+    async def _change(self, request: web.Request) -> web.Response:
+        for name, value in (await request.json()).items():
+            if not hasattr(self._behaviour, name):
+                return standin_web.answer({"unknown": name}, status=400)
+            setattr(self._behaviour, name, value)
+        return standin_web.answer(dataclasses.asdict(self._behaviour))
+
+    async def _show_account(self, request: web.Request) -> web.Response:
+        account = dataclasses.asdict(self._account)
+        if "brief" in request.query:
+            del account["answered"]
+        return standin_web.answer(account)
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        well = self._behaviour.health_lie or not self._behaviour.shed
+        return standin_web.answer({"well": well}, 200 if well else 503)
+
+
+application = cyclopts.App(name="hyssoptack-standin-leaf")
+
+
+@application.default
+def main(
+    *,
+    leaf_id: str,
+    service: str,
+    address: str,
+    low: int,
+    high: int,
+    slot_count: int = 3,
+    connection_limit_count: int = 30,
+    connect_cost_ms: float = 6.0,
+    service_ms: float = 2.0,
+    version: int = 1,
+) -> None:
+    """Serves one leaf until the process ends."""
+    behaviour = Behaviour(
+        low=low, high=high, versions=[version], service_ms=service_ms
+    )
+    leaf = Leaf(
+        leaf_id,
+        service,
+        slot_count,
+        connection_limit_count,
+        connect_cost_ms,
+        behaviour,
+    )
+    standin_web.run([(leaf.runner, address)])
+
+
+if __name__ == "__main__":
+    application()
