--- /dev/null
+++ b/hyssoptack/standins/members.py
@@ -0,0 +1,165 @@
+"""A stand-in of the platform's instance list; it lags on purpose.
+
+It asks each instance's operator port who runs there, and publishes what it saw
+some time later. Each failure domain reads its own view, in which addresses in
+other domains are those of the wide-area stand-in.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import hashlib
+import json
+import time
+
+import aiohttp
+import cyclopts
+from aiohttp import web
+
+from hyssoptack.standins import web as standin_web
+
+MS_PER_S = 1000.0
+POLL_MS = 150.0
+POLL_LIMIT_S = 0.5
+MISSES_COUNT = 3
+"""Polls in a row without an answer until an instance is taken as gone."""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Faults:
+    """What goes wrong now; a POST to /faults changes any field."""
+
+    outage: bool = False
+    cut_domains: list[str] = dataclasses.field(default_factory=list)
+    lag_ms: float = 1_000.0
+    leaving_leaf_ids: list[str] = dataclasses.field(default_factory=list)
+
+
+class Members:
+    """Polls, history and views."""
+
+    def __init__(
+        self,
+        operators: list[str],
+        views: dict[str, dict[str, str]],
+        lag_ms: float,
+    ):
+        self._operators = operators
+        self._views = views
+        self._faults = Faults(lag_ms=lag_ms)
+        self._seen: dict[str, dict] = {}
+        self._misses: collections.Counter[str] = collections.Counter()
+        self._history: collections.deque = collections.deque()
+        self._published: list[dict] = []
+        self.read_count = 0
+
+    def runner(self, domain: str) -> web.AppRunner:
+        """Returns an application that serves one failure domain."""
+        application = web.Application()
+        application["domain"] = domain
+        application.router.add_get("/members", self._list)
+        application.router.add_post("/faults", self._change)
+        application.on_startup.append(self._start)
+        return web.AppRunner(application, access_log=None)
+
+    async def _start(self, application: web.Application) -> None:
+        if application["domain"] == next(iter(self._views)):
+            application["poll"] = asyncio.ensure_future(self._poll())
+
+    async def _poll(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=POLL_LIMIT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await asyncio.gather(
+                    *(self._look(session, each) for each in self._operators)
+                )
+                now_s = time.monotonic()
+                self._history.append((now_s, list(self._seen.values())))
+                horizon_s = now_s - self._faults.lag_ms / MS_PER_S
+                while self._history and self._history[0][0] <= horizon_s:
+                    self._published = self._history.popleft()[1]
+                await asyncio.sleep(POLL_MS / MS_PER_S)
+
+    async def _look(self, session: aiohttp.ClientSession, address: str) -> None:
+        try:
+            async with session.get(f"http://{address}/status") as response:
+                status = await response.json()
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            self._misses[address] += 1
+            if self._misses[address] >= MISSES_COUNT:
+                self._seen.pop(address, None)
+            return
+        self._misses[address] = 0
+        self._seen[address] = {
+            name: status[name]
+            for name in (
+                "instance_id",
+                "incarnation",
+                "failure_domain",
+                "peer_address",
+                "operator_address",
+                "leaving",
+            )
+        }
+
+    async def _list(self, request: web.Request) -> web.Response:
+        domain = request.app["domain"]
+        if self._faults.outage or domain in self._faults.cut_domains:
+            return standin_web.lose(request)
+        self.read_count += 1
+        view = self._views[domain]
+        members = [
+            {
+                **each,
+                "peer_address": view.get(
+                    each["instance_id"], each["peer_address"]
+                ),
+            }
+            for each in self._published
+        ]
+        listing = {
+            "members": members,
+            "leaving_leaf_ids": self._faults.leaving_leaf_ids,
+        }
+        text = json.dumps(listing, sort_keys=True)
+        etag = hashlib.sha256(text.encode()).hexdigest()[:16]
+        if request.headers.get("If-None-Match") == etag:
+            return web.Response(status=304)
+        return standin_web.answer(listing, ETag=etag)
+
+    async def _change(self, request: web.Request) -> web.Response:
+        for name, value in (await request.json()).items():
+            if not hasattr(self._faults, name):
+                return standin_web.answer({"unknown": name}, status=400)
+            setattr(self._faults, name, value)
+        return standin_web.answer(dataclasses.asdict(self._faults))
+
+
+application = cyclopts.App(name="hyssoptack-standin-members")
+
+
+@application.default
+def main(
+    *,
+    listen: list[str],
+    operator: list[str],
+    views: str,
+    lag_ms: float = 1_000.0,
+) -> None:
+    """Serves the list until the process ends.
+
+    Args:
+        listen: DOMAIN=IP:PORT, once for each failure domain.
+        operator: Operator addresses of all instances.
+        views: JSON: for each domain, peer addresses by instance.
+        lag_ms: How late the list is.
+    """
+    members = Members(operator, json.loads(views), lag_ms)
+    pairs = [each.split("=", 1) for each in listen]
+    standin_web.run(
+        [(members.runner(domain), address) for domain, address in pairs]
+    )
+
+
+if __name__ == "__main__":
+    application()
--- /dev/null
+++ b/hyssoptack/standins/web.py
@@ -0,0 +1,42 @@
+"""What the HTTP stand-ins share: serving, JSON answers, lost answers."""
+
+import asyncio
+import json
+
+import uvloop
+from aiohttp import web
+
+
+class LostAnswer(Exception):
+    """The effect took place; the connection closes without an answer."""
+
+
+def lose(request: web.Request) -> web.Response:
+    """Closes the connection of a request in place of an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
+def answer(value: object, status: int = 200, **headers: str) -> web.Response:
+    """Returns a JSON answer."""
+    return web.Response(
+        text=json.dumps(value),
+        status=status,
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+async def _serve(runners: list[tuple[web.AppRunner, str]]) -> None:
+    for runner, address in runners:
+        host, _, port = address.rpartition(":")
+        await runner.setup()
+        site = web.TCPSite(runner, host, int(port), backlog=1024)
+        await site.start()
+    await asyncio.Event().wait()
+
+
+def run(runners: list[tuple[web.AppRunner, str]]) -> None:
+    """Serves applications on their addresses until the process ends."""
+    uvloop.run(_serve(runners))
