Free a leaf's slot when its call is cancelled before it starts

Cause: a task cancelled before its first step runs none of its code, so the release in the call's own finally never came; the lane had no slot left and queued calls, which nothing gave up at their deadline, answered nobody.

Ruled out: leaf health (both other replicas were warm), membership (all eight instances usable), index versions (all held version 1).

Change: the slot is released by the task's done callback, waiting calls are given up by a timer, and a cancelled call always answers its asker, or the asker would take the relay for lost.

--- a/hyssoptack/core/keyspace.py
+++ b/hyssoptack/core/keyspace.py
@@ -72,6 +72,17 @@
     return tuple(left)
 
 
+def joined(ranges: tuple[KeyRange, ...]) -> tuple[KeyRange, ...]:
+    """Returns disjoint ranges in order, with those that touch made one."""
+    result: list[KeyRange] = []
+    for each in sorted(ranges):
+        if result and result[-1].high == each.low:
+            result[-1] = KeyRange(result[-1].low, each.high)
+        else:
+            result.append(each)
+    return tuple(result)
+
+
 def coverage_ratio(answered: tuple[KeyRange, ...]) -> float:
     """Returns the share of the whole key space that disjoint ranges hold."""
     return measure_count(answered) / KEYSPACE_SIZE_COUNT
--- a/hyssoptack/entry/problem.py
+++ b/hyssoptack/entry/problem.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from hyssoptack.core import action
+from hyssoptack.core import keyspace
 from hyssoptack.core import query
 from hyssoptack.core import refusal
 
@@ -76,6 +77,9 @@
             ],
             "index_version": answer.index_version,
             "coverage_ratio": round(answer.coverage_ratio, 6),
+            "covered_ranges": [
+                (each.low, each.high) for each in keyspace.joined(answer.ranges)
+            ],
             "leaf_call_count": answer.leaf_call_count,
             "extra_call_count": answer.extra_call_count,
             "elapsed_ms": round(answer.elapsed_ms, 3),
--- a/hyssoptack/relay/lane.py
+++ b/hyssoptack/relay/lane.py
@@ -6,8 +6,12 @@
 import heapq
 import itertools
 
+from hyssoptack.core import clock
+from hyssoptack.core import message
 from hyssoptack.core import query
 
+MS_PER_S = 1000.0
+
 _PRIORITY = {query.Urgency.URGENT: 0, query.Urgency.BROWSING: 1}
 
 
@@ -21,8 +25,9 @@
         urgency: Its class.
         expires_ms: When its answer is no longer of use.
         run: Makes the call.
-        give_up: Reports that the call was not made because its time was over.
+        give_up: Reports that the call was not made, and why.
         task: The running call, once it holds a slot.
+        started: True once the call's own code runs.
         cancelled: True once the answer is no longer wanted.
     """
 
@@ -31,8 +36,9 @@
     urgency: query.Urgency
     expires_ms: float
     run: collections.abc.Callable[[], collections.abc.Coroutine]
-    give_up: collections.abc.Callable[[], None]
+    give_up: collections.abc.Callable[[message.CallStatus], None]
     task: asyncio.Task | None = None
+    started: bool = False
     cancelled: bool = False
 
 
@@ -49,7 +55,7 @@
 
     def waiting_count(self) -> int:
         """Returns how many calls wait."""
-        return len(self._queue)
+        return sum(not job.cancelled for _, _, job in self._queue)
 
     def expected_wait_ms(
         self, urgency: query.Urgency, service_ms: float
@@ -58,7 +64,10 @@
         if self.running_count < self.slot_count:
             return 0.0
         priority = _PRIORITY[urgency]
-        ahead = sum(each[0] <= priority for each in self._queue) + 1
+        ahead = 1 + sum(
+            each <= priority and not job.cancelled
+            for each, _, job in self._queue
+        )
         return ahead * service_ms / max(1, self.slot_count)
 
     def submit(self, job: Job, now_ms: float, service_ms: float) -> bool:
@@ -70,11 +79,14 @@
         wait_ms = self.expected_wait_ms(job.urgency, service_ms)
         if now_ms + wait_ms >= job.expires_ms or self.slot_count < 1:
             return False
-        if wait_ms and len(self._queue) >= self._queue_limit_count:
+        if wait_ms and self.waiting_count() >= self._queue_limit_count:
             return False
         entry = (_PRIORITY[job.urgency], next(self._order), job)
         heapq.heappush(self._queue, entry)
         self.dispatch(now_ms)
+        if job.task is None:
+            delay_s = (job.expires_ms - now_ms) / MS_PER_S
+            asyncio.get_running_loop().call_later(delay_s, self._expire, job)
         return True
 
     def dispatch(self, now_ms: float) -> None:
@@ -84,13 +96,22 @@
             if job.cancelled:
                 continue
             if now_ms >= job.expires_ms:
-                job.give_up()
+                self._expire(job)
                 continue
             self.running_count += 1
             self.peak_count = max(self.peak_count, self.running_count)
             job.task = asyncio.ensure_future(job.run())
+            # Not in the call itself: a task that is cancelled before its
+            # first step never runs any of its code.
+            job.task.add_done_callback(self._finished)
 
-    def finished(self, now_ms: float) -> None:
+    def _finished(self, _task: asyncio.Task) -> None:
         """Frees the slot of a call that ended."""
         self.running_count -= 1
-        self.dispatch(now_ms)
+        self.dispatch(clock.now_ms())
+
+    def _expire(self, job: Job) -> None:
+        """Gives up a call that waited for all of its time."""
+        if job.task is None and not job.cancelled:
+            job.cancelled = True
+            job.give_up(message.CallStatus.TIMED_OUT)
--- a/hyssoptack/relay/relay.py
+++ b/hyssoptack/relay/relay.py
@@ -108,6 +108,9 @@
             job.cancelled = True
             if job.task is not None:
                 job.task.cancel()
+            if not job.started:
+                # An asker that hears nothing takes the relay for lost.
+                job.give_up(message.CallStatus.CANCELLED)
 
     def _submit(
         self,
@@ -128,7 +131,7 @@
             urgency=sub.urgency,
             expires_ms=expires_ms,
             run=lambda: self._run(sub, ask, leaf, batch, expires_ms),
-            give_up=lambda: self._give_up(sub, ask, batch),
+            give_up=lambda status: self._give_up(sub, ask, batch, status),
         )
         self._jobs[(sub.query_id, ask.call_id)] = job
         service_ms = self._health.expected_ms(sub.service, ask.leaf_id, now_ms)
@@ -151,11 +154,14 @@
         return None
 
     def _give_up(
-        self, sub: message.SubQuery, ask: message.LeafAsk, batch: _Batch
+        self,
+        sub: message.SubQuery,
+        ask: message.LeafAsk,
+        batch: _Batch,
+        status: message.CallStatus,
     ) -> None:
         self._jobs.pop((sub.query_id, ask.call_id), None)
-        late = _reply_without_call(ask, message.CallStatus.TIMED_OUT)
-        self._deliver(batch, late)
+        self._deliver(batch, _reply_without_call(ask, status))
 
     async def _run(
         self,
@@ -167,7 +173,7 @@
     ) -> None:
         started_ms = clock.now_ms()
         self.call_count += 1
-        reply = None
+        self._jobs[(sub.query_id, ask.call_id)].started = True
         try:
             reply = await self._client.search(
                 leaf, ask, sub, expires_ms - started_ms
@@ -185,7 +191,6 @@
         finally:
             now_ms = clock.now_ms()
             self._jobs.pop((sub.query_id, ask.call_id), None)
-            self._lane(leaf).finished(now_ms)
         self._learn(sub.service, reply, now_ms)
         self._deliver(batch, reply)
 
@@ -238,21 +243,17 @@
         )
 
         async def run() -> None:
-            try:
-                now_ms = clock.now_ms()
-                if now_ms >= expires_ms:
-                    result: client.ActResult = client.DidNotRun(
-                        detail="too late to send"
-                    )
-                else:
-                    result = await self._client.act(
-                        leaf, asked, attempt_id, expires_ms - now_ms
-                    )
-            finally:
-                self._lane(leaf).finished(clock.now_ms())
+            now_ms = clock.now_ms()
+            if now_ms >= expires_ms:
+                late = client.DidNotRun(detail="too late to send")
+                done.set_result(late)
+                return
+            result = await self._client.act(
+                leaf, asked, attempt_id, expires_ms - now_ms
+            )
             done.set_result(result)
 
-        def give_up() -> None:
+        def give_up(_status: message.CallStatus) -> None:
             done.set_result(client.DidNotRun(detail="no free slot in time"))
 
         job = lane.Job(
