--- /dev/null
+++ b/bench/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs under failure: real processes, small stand-ins, counted results."""
--- a/hyssoptack/entry/executor.py
+++ b/hyssoptack/entry/executor.py
@@ -35,7 +35,7 @@
 SETTLE_SHARE_RATIO = 0.3
 """Part of the deadline kept to settle what a lost executor did."""
 
-CLAIM_TRY_COUNT = 4
+CLAIM_TRY_COUNT = 6
 RECORD_TRY_COUNT = 8
 RECORD_WAIT_MS = 250.0
 
