--- /dev/null
+++ b/bench/proofs/answers_test.py
@@ -0,0 +1,205 @@
+"""One snapshot, true coverage, and to each caller its own whole answer.
+
+A referee computes what every answer must hold: its hits from its ranges and
+version, and its ranges from what the leaves logged for its query.
+"""
+
+import collections
+import pathlib
+import time
+
+import pytest
+import yaml
+
+from bench import fleet
+from bench.proofs import callers
+from hyssoptack.core import keyspace
+
+SERVICE = "oven-kiosk"
+TEXTS = (
+    "baguette",
+    "croissant rotary oven",
+    "fault check the damper",
+    "brioche brick",
+    "tapalapa deck oven curve",
+)
+OPTIONS = fleet.Options(
+    deployment="dakar", services=(SERVICE,), port_shift=4_500, service_ms=3.0
+)
+
+
+@pytest.fixture(scope="module")
+def run(tmp_path_factory):
+    folder = pathlib.Path(tmp_path_factory.mktemp("answers"))
+    with fleet.Fleet(OPTIONS, folder) as started:
+        yield started
+
+
+def _logs(run) -> dict[tuple[str, int], list[keyspace.KeyRange]]:
+    """Returns what leaves answered, by query and version."""
+    logs = collections.defaultdict(list)
+    for leaf_id in run.leaf_ids(SERVICE):
+        if run.processes[leaf_id].poll() is not None:
+            continue
+        for query_id, version, low, high in run.account(leaf_id, False)[
+            "answered"
+        ]:
+            logs[(query_id, version)].append(keyspace.KeyRange(low, high))
+    return logs
+
+
+def _referee(run, replies, dead: tuple[str, ...] = ()) -> dict[str, int]:
+    """Checks every reply; returns counts for the page of proofs."""
+    logs = _logs(run)
+    counts = collections.Counter()
+    for text, reply in replies:
+        counts[f"status {reply.status}"] += 1
+        assert reply.status in (200, 503), reply.body
+        if reply.status == 503:
+            assert reply.body["ran"] == "no"
+            counts[reply.body["reason"]] += 1
+            detail = reply.body["detail"].partition("missing: ")[2]
+            for word in set(detail.split()[1::2]):
+                counts[word.strip(",")] += 1
+            assert int(reply.retry_after) >= 1
+            continue
+        body = reply.body
+        ranges = tuple(
+            keyspace.KeyRange(low, high) for low, high in body["covered_ranges"]
+        )
+        covered = keyspace.coverage_ratio(ranges)
+        assert abs(covered - body["coverage_ratio"]) < 1e-5
+        counts["whole"] += covered == 1.0
+        titles = [title for _, title in callers.answered_hits(body)]
+        mark = f"[v{body['index_version']}]"
+        assert all(each.endswith(mark) for each in titles), "mixed versions"
+        expected = callers.expected_hits(SERVICE, text, body)
+        assert callers.answered_hits(body) == expected
+        if not dead:
+            logged = logs[(body["query_id"], body["index_version"])]
+            for each in ranges:
+                assert not keyspace.subtract(each, _disjoint(logged)), body
+    return dict(counts)
+
+
+def _disjoint(ranges) -> tuple[keyspace.KeyRange, ...]:
+    taken: list[keyspace.KeyRange] = []
+    for each in ranges:
+        taken.extend(keyspace.subtract(each, tuple(taken)))
+    return tuple(taken)
+
+
+def _load(run, **body) -> callers.Load:
+    return callers.Load(run, SERVICE, TEXTS, 6, **body)
+
+
+def test_index_versions_roll_under_load(run):
+    load = _load(run)
+    for version in (2, 3):
+        for leaf_id in run.leaf_ids(SERVICE):
+            run.behave(leaf_id, versions=[version - 1, version])
+            time.sleep(0.03)
+        for leaf_id in run.leaf_ids(SERVICE):
+            run.behave(leaf_id, versions=[version])
+            time.sleep(0.03)
+    replies = load.stop()
+    counts = _referee(run, replies)
+    versions = {
+        reply.body["index_version"]
+        for _, reply in replies
+        if reply.status == 200
+    }
+    print("versions roll:", counts, versions)
+    assert versions >= {1, 2, 3}
+    assert counts["whole"] >= 0.9 * len(replies)
+
+
+def test_versions_that_no_two_shards_share_are_never_mixed(run):
+    ids = run.leaf_ids(SERVICE)
+    load = _load(run)
+    for number in range(6):
+        for index, leaf_id in enumerate(ids):
+            run.behave(leaf_id, versions=[3 + (index + number) % 2])
+    for leaf_id in ids:
+        run.behave(leaf_id, versions=[3, 4])
+    time.sleep(1.0)
+    replies = load.stop()
+    counts = _referee(run, replies)
+    print("split versions:", counts)
+    assert replies[-1][1].status == 200
+
+
+def _apply_boundary(run, boundary: int) -> None:
+    document = yaml.safe_load(run.catalog_path.read_text("utf-8"))
+    shards = document["services"][SERVICE]["shards"]
+    shards[0]["high"] = boundary
+    shards[1]["low"] = boundary
+    run.catalog_path.write_text(
+        yaml.safe_dump(document, allow_unicode=True), "utf-8"
+    )
+    run.cli("config", "apply", str(run.catalog_path))
+
+
+@pytest.mark.parametrize("first", ["overlap", "gap"])
+def test_a_repartition_under_load_counts_no_key_twice(run, first):
+    shards = run.catalog.services[SERVICE].shards
+    old = shards[0].key_range.high
+    new = old - 2_000 if first == "gap" else old + 2_000
+    load = _load(run)
+    time.sleep(0.5)
+    # Shard 1 changes before shard 2: for a while keys belong to both or none.
+    for leaf_id in shards[0].leaf_ids:
+        run.behave(leaf_id, high=new)
+        time.sleep(0.2)
+    for leaf_id in shards[1].leaf_ids:
+        run.behave(leaf_id, low=new)
+        time.sleep(0.2)
+    _apply_boundary(run, new)
+    time.sleep(1.0)
+    for leaf_id in shards[0].leaf_ids:
+        run.behave(leaf_id, high=old)
+    for leaf_id in shards[1].leaf_ids:
+        run.behave(leaf_id, low=old)
+    _apply_boundary(run, old)
+    replies = load.stop()
+    counts = _referee(run, replies)
+    print("repartition:", first, counts)
+    assert counts["whole"] >= 0.5 * len(replies)
+
+
+def test_stragglers_freezes_and_cuts_mix_up_no_answers(run):
+    ids = run.leaf_ids(SERVICE)
+    load = _load(run)
+    for leaf_id in ids[::10]:
+        run.behave(leaf_id, slow_factor=30.0)
+    time.sleep(1.0)
+    run.freeze(ids[4])
+    run.cut([("plateau", "pikine")])
+    time.sleep(1.0)
+    run.cut([])
+    run.thaw(ids[4])
+    time.sleep(1.0)
+    for leaf_id in ids[::10]:
+        run.behave(leaf_id, slow_factor=1.0)
+    replies = load.stop()
+    counts = _referee(run, replies)
+    print("stragglers, freeze, cut:", counts)
+    assert counts["status 200"] >= 0.9 * len(replies)
+
+
+def test_lost_replicas_cost_no_coverage(run):
+    victims = [
+        shard.leaf_ids[0] for shard in run.catalog.services[SERVICE].shards
+    ]
+    load = _load(run)
+    time.sleep(0.5)
+    for leaf_id in victims[:5]:
+        run.kill(leaf_id)
+        time.sleep(0.2)
+    time.sleep(1.0)
+    replies = load.stop()
+    counts = _referee(run, replies, dead=tuple(victims[:5]))
+    print("lost replicas:", counts)
+    for leaf_id in victims[:5]:
+        run.start_leaf(leaf_id)
+    assert counts["whole"] >= 0.98 * len(replies)
--- a/hyssoptack/entry/coordinator.py
+++ b/hyssoptack/entry/coordinator.py
@@ -68,6 +68,7 @@
         self._random = random.Random()
         self._running: dict[str, _Running] = {}
         self._gates: dict[str, admission.Gate] = {}
+        self.started_count = 0
 
     def in_flight_count(self) -> int:
         """Returns the queries in flight."""
@@ -99,6 +100,7 @@
             self._count(asked, profile, refused, 0.0)
             return refused
         self._gates[asked.service] = admission.enter(gate, asked.urgency)
+        self.started_count += 1
         plan = queryplan.QueryPlan(
             asked, profile, service, self._state.knowledge, now_ms
         )
--- a/hyssoptack/entry/operations.py
+++ b/hyssoptack/entry/operations.py
@@ -73,6 +73,7 @@
     query_count: int
     action_count: int
     leaf_call_count: int
+    search_count: int
     claim_write_count: int
     peer_traffic: link.Traffic
     admission_limits: dict[str, float]
@@ -194,6 +195,7 @@
             query_count=parts.coordinator.in_flight_count(),
             action_count=parts.executor.in_flight_count,
             leaf_call_count=parts.relay.call_count,
+            search_count=parts.coordinator.started_count,
             claim_write_count=parts.executor.store_write_count,
             peer_traffic=parts.links.traffic,
             admission_limits=limits,
--- /dev/null
+++ b/hyssoptack/policy/example.py
@@ -0,0 +1,170 @@
+"""A small service and the knowledge around it, to try decisions without I/O.
+
+For embedders who want to see the parts at work, for the replay of traces, and
+for tests.
+"""
+
+from hyssoptack.core import catalog
+from hyssoptack.core import keyspace
+from hyssoptack.core import member
+from hyssoptack.core import message
+from hyssoptack.core import query
+from hyssoptack.policy import budget
+from hyssoptack.policy import health
+from hyssoptack.policy import queryplan
+from hyssoptack.policy import routing
+
+OWN_ID = "plateau-1"
+DOMAINS = ("plateau", "almadies", "pikine")
+
+
+def service(
+    shard_count: int, replica_count: int, name: str = "oven-kiosk"
+) -> catalog.Service:
+    """Returns a service with equal shards, a replica in each of some
+    domains.
+    """
+    size = keyspace.KEYSPACE_SIZE_COUNT
+    leaves: dict[str, catalog.Leaf] = {}
+    shards = []
+    for number in range(shard_count):
+        ids = []
+        for domain in DOMAINS[:replica_count]:
+            leaf_id = f"{name}-{number:03d}-{domain}"
+            ids.append(leaf_id)
+            leaves[leaf_id] = catalog.Leaf(
+                leaf_id=leaf_id,
+                failure_domain=domain,
+                address="127.0.0.1:1",
+                slot_count=3,
+                connection_limit_count=30,
+                connect_cost_ms=6.0,
+            )
+        key_range = keyspace.KeyRange(
+            size * number // shard_count, size * (number + 1) // shard_count
+        )
+        shards.append(
+            catalog.Shard(
+                shard_id=f"{name}-{number:03d}",
+                key_range=key_range,
+                leaf_ids=tuple(ids),
+            )
+        )
+    return catalog.Service(
+        name=name,
+        association="Association",
+        profile="dawn",
+        accepts_actions=False,
+        action_retention_ms=60_000,
+        shards=tuple(shards),
+        leaves=leaves,
+    )
+
+
+def profile(**changed: float) -> catalog.Profile:
+    """Returns a profile; fields can be changed."""
+    fields: dict[str, float] = {
+        "deadline_ms": 400,
+        "coverage_floor_ratio": 0.5,
+        "extra_load_ceiling_ratio": 0.05,
+        **changed,
+    }
+    return catalog.Profile(name="dawn", **fields)
+
+
+def knowledge(
+    current: catalog.Service,
+    hedging: queryplan.Hedging | None = None,
+) -> queryplan.Knowledge:
+    """Returns what a fresh instance of three domains knows of a service."""
+    leaf_health = health.Health()
+    router = routing.Router(OWN_ID, leaf_health)
+    members = {
+        f"{domain}-{number}": member.Member(
+            instance_id=f"{domain}-{number}",
+            incarnation=f"{domain}-{number}-a",
+            failure_domain=domain,
+            peer_address="127.0.0.1:1",
+            operator_address="127.0.0.1:1",
+        )
+        for domain in DOMAINS
+        for number in (1, 2, 3)
+    }
+    router.install(
+        routing.View(
+            catalog=catalog.Catalog(
+                revision=1,
+                profiles={"dawn": profile()},
+                services={current.name: current},
+            ),
+            assumed={
+                domain: tuple(f"{domain}-{number}" for number in (1, 2, 3))
+                for domain in DOMAINS
+            },
+            usable=members,
+            owner_count=3,
+            column_size_count=40,
+        )
+    )
+    services = {current.name: current}
+    return queryplan.Knowledge(
+        router=router,
+        leaf_health=leaf_health,
+        budgets=budget.Book(),
+        hedging=hedging or queryplan.HedgeAfterQuantile(),
+        current_service=services.get,
+    )
+
+
+def asked(service_name: str = "oven-kiosk", number: int = 1) -> query.Query:
+    """Returns a browsing query with the profile's deadline."""
+    return query.Query(
+        query_id=f"q{number}",
+        service=service_name,
+        text="baguette",
+        limit_count=10,
+        urgency=query.Urgency.BROWSING,
+        deadline_ms=400,
+    )
+
+
+def answer_to(
+    ask: queryplan.Ask,
+    current: catalog.Service,
+    version: int = 1,
+    held: tuple[int, ...] = (1,),
+    service_ms: float = 5.0,
+) -> message.LeafReply:
+    """Returns a leaf's whole answer to an ask."""
+    shard = next(
+        each for each in current.shards if ask.lane.leaf_id in each.leaf_ids
+    )
+    hit = query.Hit(shard.key_range.low, 1.0, f"{shard.shard_id} [v{version}]")
+    return message.LeafReply(
+        call_id=ask.call_id,
+        leaf_id=ask.lane.leaf_id,
+        status=message.CallStatus.ANSWERED,
+        index_version=version,
+        held_versions=held,
+        key_range=shard.key_range,
+        hits=(hit,),
+        service_ms=service_ms,
+        reached_leaf=True,
+    )
+
+
+def failure_of(
+    ask: queryplan.Ask,
+    status: message.CallStatus,
+    held: tuple[int, ...] = (),
+    reached: bool = True,
+) -> message.LeafReply:
+    """Returns a reply without an answer."""
+    return message.LeafReply(
+        call_id=ask.call_id,
+        leaf_id=ask.lane.leaf_id,
+        status=status,
+        held_versions=held,
+        reached_leaf=reached,
+        service_ms=5.0,
+    )
--- a/hyssoptack/policy/health.py
+++ b/hyssoptack/policy/health.py
@@ -15,9 +15,11 @@
 SMOOTHING_RATIO = 0.2
 PRIOR_MS = 5.0
 FADE_HALF_LIFE_MS = 10_000.0
+HELD_FRESH_MS = 2_000.0
+"""Versions that a leaf said it holds are believed for this long."""
+
 EJECTION_MS = 2_000.0
 DRAIN_MEMORY_MS = 30_000.0
-PANIC_RATIO = 0.5
 STRAGGLER_RATIO = 3.0
 """A leaf this much slower than typical is a straggler."""
 
@@ -36,6 +38,7 @@
         service_ms: Smoothed time from a send to the leaf until its answer.
         seen_ms: When it last answered or failed.
         changed_ms: When its state last changed.
+        held_ms: When it said so.
         held_versions: The index versions it last said it holds; None before it
             said any.
     """
@@ -45,6 +48,7 @@
     seen_ms: float = 0.0
     changed_ms: float = 0.0
     held_versions: tuple[int, ...] | None = None
+    held_ms: float = 0.0
 
     def take(self, event: str, now_ms: float) -> bool:
         """Steps the state chart; returns whether the state changed."""
@@ -79,6 +83,7 @@
         view = self.leaves[reply.leaf_id]
         if reply.held_versions:
             view.held_versions = reply.held_versions
+            view.held_ms = now_ms
         match reply.status:
             case (
                 message.CallStatus.ANSWERED | message.CallStatus.VERSION_MISSING
@@ -91,6 +96,9 @@
                 if reply.draining:
                     return view.take("drain_seen", now_ms)
                 return view.take("answered", now_ms)
+            case message.CallStatus.TIMED_OUT if not reply.reached_leaf:
+                # It expired in a queue of ours; the leaf never saw it.
+                return False
             case message.CallStatus.FAILED | message.CallStatus.TIMED_OUT:
                 view.seen_ms = now_ms
                 slow_ms = max(reply.service_ms, 2 * view.service_ms)
@@ -124,6 +132,15 @@
             view.take("drain_lapsed", now_ms)
         return view
 
+    def held_versions(
+        self, leaf_id: str, now_ms: float
+    ) -> tuple[int, ...] | None:
+        """Returns the versions that a leaf lately said it holds, or None."""
+        view = self.leaves.get(leaf_id)
+        if view is None or now_ms - view.held_ms > HELD_FRESH_MS:
+            return None
+        return view.held_versions
+
     def expected_ms(self, service: str, leaf_id: str, now_ms: float) -> float:
         """Returns the time that a call to a leaf is expected to take, faded by
         its age.
@@ -143,15 +160,6 @@
         """Tells whether a leaf is leaving."""
         return self.refresh(leaf_id, now_ms).state == "draining"
 
-    def in_panic(self, leaf_ids: tuple[str, ...], now_ms: float) -> bool:
-        """Tells whether so many leaves look ejected that ejecting has to
-        stop.
-        """
-        ejected = sum(
-            self.refresh(each, now_ms).state == "ejected" for each in leaf_ids
-        )
-        return ejected > PANIC_RATIO * len(leaf_ids)
-
     def quantile_ms(self, service: str, ratio: float) -> float | None:
         """Returns a quantile of a service's recent leaf latencies, or None with
         too few.
--- a/hyssoptack/policy/queryplan.py
+++ b/hyssoptack/policy/queryplan.py
@@ -29,7 +29,7 @@
 HEDGE_KEEP_COUNT = 2.0
 HEDGE_FLOOR_MS = 1.0
 RETRY_AFTER_COVERAGE_MS = 500
-MISSING_SHOWN_COUNT = 5
+MISSING_SHOWN_COUNT = 12
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -122,7 +122,12 @@
     hedged: bool = False
     answered: bool = False
     lost: bool = False
-    last_status: str = "no way to a leaf"
+    last_status: str = "unreachable"
+
+    def status_text(self) -> str:
+        """Says how its last call ended, for refusals."""
+        waited = ",".join(call.lane.leaf_id for call in self.calls.values())
+        return f"waits-for-{waited}" if waited else self.last_status
 
     def is_open(self) -> bool:
         return not self.answered and not self.lost
@@ -154,7 +159,7 @@
         self._repin_count = 0
         self._replanned = False
         self._finished = False
-        self._merge = merge.Merge(self._pin(), asked.limit_count)
+        self._merge = merge.Merge(self._pin(now_ms), asked.limit_count)
         self._hedge_after_ms = self._hedge_delay()
 
     def start(self, now_ms: float) -> list[Command]:
@@ -224,18 +229,25 @@
             case message.CallStatus.ANSWERED:
                 return self._take_answer(state, call, reply, now_ms)
             case message.CallStatus.VERSION_MISSING:
+                state.failed.add(reply.leaf_id)
                 return self._take_version_missing(state, now_ms)
             case message.CallStatus.NOT_OWNER | message.CallStatus.DRAINING:
                 return self._reroute(state, now_ms)
             case message.CallStatus.SHED:
                 self.shed_seen = True
-                return self._retry(state, now_ms)
+                return self._again(state, reply, now_ms)
             case _:
                 # Whatever relay calls it, this leaf is no way out now.
                 state.failed.add(reply.leaf_id)
-                if not reply.reached_leaf:
-                    return self._reroute(state, now_ms)
-                return self._retry(state, now_ms)
+                return self._again(state, reply, now_ms)
+
+    def _again(
+        self, state: _ShardState, reply: message.LeafReply, now_ms: float
+    ) -> list[Command]:
+        """Tries another lane; only a call that reached a leaf is paid for."""
+        if reply.reached_leaf:
+            return self._retry(state, now_ms)
+        return self._reroute(state, now_ms)
 
     def _take_answer(
         self,
@@ -259,7 +271,7 @@
     def _take_version_missing(
         self, state: _ShardState, now_ms: float
     ) -> list[Command]:
-        version = self._pin()
+        version = self._pin(now_ms)
         changes = version not in (self._merge.index_version, query.ANY_VERSION)
         if changes and self._repin_count < REPIN_LIMIT_COUNT:
             return self._repin(version, now_ms)
@@ -360,21 +372,26 @@
         other_leaf_than: str | None = None,
     ) -> routing.Lane | None:
         version = self._merge.index_version
-        leaf_ids = tuple(
+        left = tuple(
             leaf_id
             for leaf_id in state.shard.leaf_ids
-            if leaf_id not in state.failed and self._may_hold(leaf_id, version)
+            if leaf_id not in state.failed
+        )
+        holders = tuple(
+            each for each in left if self._may_hold(each, version, now_ms)
         )
+        # What a leaf holds is known from its answers only: if all that are
+        # left are thought to lack the version, asking is how to find out.
         return self._know.router.best(
             self._service,
-            leaf_ids,
+            holders or left,
             frozenset(state.tried),
             now_ms,
             other_leaf_than,
         )
 
-    def _may_hold(self, leaf_id: str, version: int) -> bool:
-        held = self._know.leaf_health.leaves[leaf_id].held_versions
+    def _may_hold(self, leaf_id: str, version: int, now_ms: float) -> bool:
+        held = self._know.leaf_health.held_versions(leaf_id, now_ms)
         return version == query.ANY_VERSION or held is None or version in held
 
     def _send(
@@ -400,12 +417,11 @@
         state.calls.clear()
         return commands
 
-    def _pin(self) -> int:
-        views = self._know.leaf_health.leaves
+    def _pin(self, now_ms: float) -> int:
         held = {}
         for shard in self._service.shards:
             for leaf_id in shard.leaf_ids:
-                versions = views[leaf_id].held_versions
+                versions = self._know.leaf_health.held_versions(leaf_id, now_ms)
                 if versions is not None:
                     held[leaf_id] = versions
         return snapshot.choose(self._service.shards, held).index_version
@@ -460,7 +476,7 @@
     def _missing_text(self) -> str:
         """Names some shards without an answer, and what their calls met."""
         missing = [
-            f"{state.shard.shard_id} {state.last_status}"
+            f"{state.shard.shard_id} {state.status_text()}"
             for state in self._states
             if not state.answered
         ]
@@ -468,6 +484,7 @@
 
     def _finish(self, now_ms: float) -> list[Command]:
         self._finished = True
+        missing = self._missing_text()
         commands: list[Command] = []
         for state in self._states:
             commands.extend(self._drop_calls(state))
@@ -478,7 +495,7 @@
                 reason=refusal.Reason.COVERAGE_BELOW_FLOOR,
                 ran=refusal.Ran.NO,
                 detail=f"reached coverage {coverage:.4f} of at least {floor}; "
-                + self._missing_text(),
+                + missing,
                 retry_after_ms=RETRY_AFTER_COVERAGE_MS,
                 coverage_ratio=coverage,
             )
--- a/hyssoptack/policy/routing.py
+++ b/hyssoptack/policy/routing.py
@@ -122,14 +122,30 @@
         Returns:
             The lane, or None when there is none left.
         """
+        left = tuple(each for each in leaf_ids if each != other_leaf_than)
+        well = tuple(
+            each for each in left if not self._health.is_avoided(each, now_ms)
+        )
+        found = self._lowest(service, well, tried, now_ms)
+        if found is not None or other_leaf_than is not None:
+            return found
+        # Where all look bad the fault may be ours; only leaving ones are out.
+        staying = tuple(
+            each for each in left if not self._health.is_draining(each, now_ms)
+        )
+        return self._lowest(service, staying, tried, now_ms)
+
+    def _lowest(
+        self,
+        service: catalog.Service,
+        leaf_ids: tuple[str, ...],
+        tried: frozenset[tuple[str, str]],
+        now_ms: float,
+    ) -> Lane | None:
+        """Returns the untried lane with the lowest score."""
         best: Lane | None = None
         best_score = float("inf")
-        panic = self._health.in_panic(tuple(service.leaves), now_ms)
         for leaf_id in leaf_ids:
-            if leaf_id == other_leaf_than or self._is_barred(
-                leaf_id, panic, now_ms
-            ):
-                continue
             service_ms = self._health.expected_ms(service.name, leaf_id, now_ms)
             for lane in self.lanes(service, leaf_id):
                 if (lane.leaf_id, lane.instance_id) in tried:
@@ -139,11 +155,6 @@
                     best, best_score = lane, score
         return best
 
-    def _is_barred(self, leaf_id: str, panic: bool, now_ms: float) -> bool:
-        if panic:
-            return self._health.is_draining(leaf_id, now_ms)
-        return self._health.is_avoided(leaf_id, now_ms)
-
     def _score(self, lane: Lane, service_ms: float) -> float:
         waiting = self.in_flight[(lane.leaf_id, lane.instance_id)]
         fullness = (waiting + 1) / max(1, lane.slot_count)
