--- /dev/null
+++ b/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes: costs at several sizes, each with a fitted line and its error."""
--- /dev/null
+++ b/bench/slopes/leaf_client.py
@@ -0,0 +1,139 @@
+"""Processor time of a leaf call: urllib3 threads, aiohttp, aiohttp on uvloop.
+
+One process calls 30 to 370 leaves at once, as one query does in one stage.
+"""
+
+import asyncio
+import concurrent.futures
+import time
+
+import msgspec
+import urllib3
+import uvloop
+
+from bench.slopes import farms
+from bench.slopes import fit
+from hyssoptack.core import catalog
+from hyssoptack.core import message
+from hyssoptack.core import query
+from hyssoptack.relay import client
+
+SIZES = (30, 90, 185, 370)
+ROUNDS = 25
+WARM_ROUNDS = 4
+
+
+def _sub(number: int) -> message.SubQuery:
+    return message.SubQuery(
+        origin="bench",
+        query_id=f"q{number}",
+        service="wide",
+        text="baguette",
+        limit_count=10,
+        urgency=query.Urgency.BROWSING,
+        remaining_ms=5_000.0,
+        asks=(),
+    )
+
+
+async def _aiohttp_rounds(leaves: list[catalog.Leaf]) -> list[float]:
+    leaf_client = client.LeafClient()
+    walls = []
+
+    async def one_round(number: int) -> None:
+        sub = _sub(number)
+        calls = [
+            leaf_client.search(
+                leaf,
+                message.LeafAsk(
+                    call_id=index, leaf_id=leaf.leaf_id, index_version=0
+                ),
+                sub,
+                5_000.0,
+            )
+            for index, leaf in enumerate(leaves)
+        ]
+        replies = await asyncio.gather(*calls)
+        answered = message.CallStatus.ANSWERED
+        assert all(each.status is answered for each in replies)
+
+    for number in range(WARM_ROUNDS):
+        await one_round(number)
+    cpu_s = time.process_time()
+    for number in range(ROUNDS):
+        started_s = time.perf_counter()
+        await one_round(number)
+        walls.append((time.perf_counter() - started_s) * 1000)
+    walls.append((time.process_time() - cpu_s) * 1000)
+    await leaf_client.close()
+    return walls
+
+
+def _urllib3_rounds(leaves: list[catalog.Leaf]) -> list[float]:
+    pool = urllib3.PoolManager(num_pools=len(leaves) + 1, retries=False)
+    encoder = msgspec.json.Encoder()
+    decoder = msgspec.json.Decoder(client.SearchReply)
+
+    def call(leaf: catalog.Leaf) -> client.SearchReply:
+        body = client.SearchBody(
+            query_id="q",
+            service="wide",
+            text="baguette",
+            limit=10,
+            version=0,
+            deadline_ms=5_000.0,
+        )
+        response = pool.request(
+            "POST", f"http://{leaf.address}/search", body=encoder.encode(body)
+        )
+        return decoder.decode(response.data)
+
+    walls = []
+    with concurrent.futures.ThreadPoolExecutor(len(leaves)) as threads:
+        for _ in range(WARM_ROUNDS):
+            list(threads.map(call, leaves))
+        cpu_s = time.process_time()
+        for _ in range(ROUNDS):
+            started_s = time.perf_counter()
+            list(threads.map(call, leaves))
+            walls.append((time.perf_counter() - started_s) * 1000)
+        walls.append((time.process_time() - cpu_s) * 1000)
+    return walls
+
+
+def main() -> None:
+    """Measures and prints."""
+    ways = {
+        "urllib3 in threads": _urllib3_rounds,
+        "aiohttp on asyncio": lambda leaves: asyncio.run(
+            _aiohttp_rounds(leaves)
+        ),
+        "aiohttp on uvloop": lambda leaves: uvloop.run(_aiohttp_rounds(leaves)),
+    }
+    rows = []
+    cpus: dict[str, list[float]] = {way: [] for way in ways}
+    for size in SIZES:
+        with farms.Farms(size) as farm:
+            for way, rounds in ways.items():
+                *walls, cpu_ms = rounds(farm.leaves())
+                cpus[way].append(cpu_ms / ROUNDS)
+                rows.append(
+                    {
+                        "client": way,
+                        "leaves": size,
+                        "cpu_us_a_call": round(
+                            cpu_ms * 1000 / ROUNDS / size, 1
+                        ),
+                        "p50_ms": round(fit.quantile(walls, 0.5), 1),
+                        "p99_ms": round(fit.quantile(walls, 0.99), 1),
+                    }
+                )
+    lines = {
+        f"cpu ms a query, {way}": fit.line(list(SIZES), values)
+        for way, values in cpus.items()
+    }
+    fit.show("leaf_client", rows, lines)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/slopes/peer_message.py
@@ -0,0 +1,178 @@
+"""Processor time and latency of a peer message, by size and by batch.
+
+The product's links (blocking sockets in threads that feed the loop) against
+pynng's own asyncio calls, echoing between two processes.
+"""
+
+import asyncio
+import subprocess
+import sys
+import time
+
+import pynng
+import uvloop
+
+from bench.slopes import fit
+from hyssoptack.core import message
+from hyssoptack.core import query
+from hyssoptack.peers import codec
+from hyssoptack.peers import link
+from hyssoptack.settings import instance
+
+NEAR = "127.0.0.1:27001"
+FAR = "127.0.0.1:27002"
+HIT_COUNTS = (1, 10, 50, 200, 400)
+BATCHES = (1, 4, 16, 64)
+ROUNDS = 400
+SETTINGS = instance.PeerSettings(
+    period_ms=500.0,
+    fanout_count=4,
+    suspect_after_ms=3_000.0,
+    link_idle_ms=60_000.0,
+    seed_addresses=(),
+)
+
+
+def _answer(hit_count: int) -> message.SubAnswer:
+    hits = tuple(
+        query.Hit(index, 0.5, f"Baguette, deck oven, curve {index}")
+        for index in range(hit_count)
+    )
+    reply = message.LeafReply(
+        call_id=1,
+        leaf_id="leaf-0001",
+        status=message.CallStatus.ANSWERED,
+        hits=hits,
+    )
+    return message.SubAnswer(origin="bench", query_id="q1", replies=(reply,))
+
+
+async def _echo() -> None:
+    loop = asyncio.get_running_loop()
+
+    def on_received(received: link.Received) -> None:
+        for each in received.decoded.messages:
+            links.send(NEAR, each)
+
+    links = link.Links(FAR, SETTINGS, loop, on_received, lambda *_: None)
+    links.start()
+    print("ready", flush=True)
+    await asyncio.Event().wait()
+
+
+async def _echo_asyncio() -> None:
+    with pynng.Pull0(listen=f"tcp://{FAR}") as pull, pynng.Push0() as push:
+        push.dial(f"tcp://{NEAR}", block=False)
+        print("ready", flush=True)
+        while True:
+            data = await pull.arecv()
+            decoded = codec.read(data)
+            packed = [codec.pack(each) for each in decoded.messages]
+            await push.asend(codec.frame(packed))
+
+
+async def _round_trips(body: message.Message, batch: int) -> list[float]:
+    """Returns round trips in ms and, last, the processor ms for all."""
+    loop = asyncio.get_running_loop()
+    waiting: list[asyncio.Future] = []
+    state = {"left": 0}
+
+    def on_received(received: link.Received) -> None:
+        state["left"] -= len(received.decoded.messages)
+        if state["left"] <= 0 and waiting:
+            waiting.pop().set_result(None)
+
+    links = link.Links(NEAR, SETTINGS, loop, on_received, lambda *_: None)
+    links.start()
+    walls = []
+    cpu_s = 0.0
+    for number in range(ROUNDS + 50):
+        if number == 50:
+            walls.clear()
+            cpu_s = time.process_time()
+        started_s = time.perf_counter()
+        done = loop.create_future()
+        waiting.append(done)
+        state["left"] = batch
+        for _ in range(batch):
+            links.send(FAR, body)
+        await done
+        walls.append((time.perf_counter() - started_s) * 1000)
+    walls.append((time.process_time() - cpu_s) * 1000)
+    await asyncio.to_thread(links.stop)
+    return walls
+
+
+async def _round_trips_asyncio(body: message.Message, _batch: int):
+    walls = []
+    cpu_s = 0.0
+    with pynng.Pull0(listen=f"tcp://{NEAR}") as pull, pynng.Push0() as push:
+        push.dial(f"tcp://{FAR}", block=False)
+        for number in range(ROUNDS + 50):
+            if number == 50:
+                walls.clear()
+                cpu_s = time.process_time()
+            started_s = time.perf_counter()
+            await push.asend(codec.frame([codec.pack(body)]))
+            codec.read(await pull.arecv())
+            walls.append((time.perf_counter() - started_s) * 1000)
+    walls.append((time.process_time() - cpu_s) * 1000)
+    return walls
+
+
+def _with_far(mode: str, work) -> list[float]:
+    far = subprocess.Popen(
+        [sys.executable, "-m", "bench.slopes.peer_message", mode],
+        stdout=subprocess.PIPE,
+    )
+    far.stdout.readline()
+    try:
+        return uvloop.run(work)
+    finally:
+        far.kill()
+        far.wait()
+
+
+def _row(way: str, size: int, batch: int, walls: list[float]) -> dict:
+    *trips, cpu_ms = walls
+    return {
+        "way": way,
+        "bytes": size,
+        "batch": batch,
+        "cpu_us_a_message": round(cpu_ms * 1000 / ROUNDS / batch, 1),
+        "p50_ms": round(fit.quantile(trips, 0.5), 3),
+        "p99_ms": round(fit.quantile(trips, 0.99), 3),
+    }
+
+
+def main() -> None:
+    """Measures and prints; with an argument, is the far side."""
+    if len(sys.argv) > 1:
+        asyncio_mode = sys.argv[1] == "asyncio"
+        uvloop.run(_echo_asyncio() if asyncio_mode else _echo())
+        return
+    rows = []
+    sizes, cpus = [], []
+    for hit_count in HIT_COUNTS:
+        body = _answer(hit_count)
+        size = len(codec.frame([codec.pack(body)]))
+        walls = _with_far("threads", _round_trips(body, 1))
+        rows.append(_row("threads", size, 1, walls))
+        sizes.append(size)
+        cpus.append(walls[-1] * 1000 / ROUNDS)
+        walls = _with_far("asyncio", _round_trips_asyncio(body, 1))
+        rows.append(_row("asyncio", size, 1, walls))
+    batch_cpus = []
+    for batch in BATCHES:
+        walls = _with_far("threads", _round_trips(_answer(10), batch))
+        rows.append(_row("threads", 0, batch, walls))
+        batch_cpus.append(walls[-1] * 1000 / ROUNDS)
+    lines = {
+        "cpu us a round trip by bytes": fit.line(sizes, cpus),
+        "cpu us a batch by messages": fit.line(list(BATCHES), batch_cpus),
+    }
+    fit.show("peer_message", rows, lines)
+
+
+if __name__ == "__main__":
+    main()
