Make a query's decisions cost the same for each leaf at any width

Cause: after each reply the plan summed over all its shards (open keys, hedge times) and the merge sorted all its ranges: quadratic in leaves. Seen as 133 ms of coordinator CPU for a search of 370 leaves.

Ruled out: the leaf client (relays used 0.25 ms a call as in its own bench).

Change: running counts, a queue of calls in the order of their hedges, sorted ranges by bisection, and one pass of commands for each batch of replies.

The coordinator still calls a third of the leaves itself: next.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -41,6 +41,9 @@
         instance_overrides: Laid over each instance's settings.
         port_shift: Added to every port, so that runs do not meet.
         list_lag_ms: How late the instance list is.
+        catalog_document: Configuration to use instead of the deployment's; its
+            leaves are then somebody else's to start.
+        instances: Instances to use instead of the deployment's.
         hedging: Policy for the bench: quantile, none, or fixed:MS.
         admission: Whether admission refuses; off only as a baseline.
     """
@@ -51,6 +54,8 @@
     instance_overrides: dict = dataclasses.field(default_factory=dict)
     port_shift: int = 0
     list_lag_ms: float = 1_000.0
+    catalog_document: dict | None = None
+    instances: tuple[dict, ...] = ()
     hedging: str = "quantile"
     admission: bool = True
 
@@ -71,7 +76,8 @@
         self.catalog_path = self.folder / "catalog.yaml"
         self.catalog = self._write_catalog(source / "catalog.yaml")
         self.instances = [
-            self._shifted(each) for each in self._plan["instances"]
+            self._shifted(each)
+            for each in options.instances or self._plan["instances"]
         ]
         self.domains = sorted(
             {each["failure_domain"] for each in self.instances}
@@ -92,6 +98,9 @@
         }
 
     def _write_catalog(self, source: pathlib.Path) -> catalog.Catalog:
+        document = self.options.catalog_document
+        if document is not None:
+            return self._keep_catalog(document, source)
         document = yaml.safe_load(source.read_text("utf-8"))
         wanted = self.options.services or tuple(document["services"])
         document["services"] = {
@@ -101,6 +110,11 @@
             for shard in service["shards"]:
                 for leaf in shard["leaves"]:
                     leaf["address"] = self._address(leaf["address"])
+        return self._keep_catalog(document, source)
+
+    def _keep_catalog(
+        self, document: dict, source: pathlib.Path
+    ) -> catalog.Catalog:
         text = yaml.safe_dump(document, allow_unicode=True)
         self.catalog_path.write_text(text, "utf-8")
         parts, errors = catalog_settings.split(text, str(source))
@@ -174,7 +188,8 @@
     def start(self) -> None:
         """Starts everything, applies the configuration, waits until ready."""
         self._start_platform()
-        self._start_leaves()
+        if self.options.catalog_document is None:
+            self._start_leaves()
         for each in self.instances:
             self.start_instance(each["instance_id"])
         self._wait_for_store()
--- /dev/null
+++ b/bench/slopes/plan.py
@@ -0,0 +1,56 @@
+"""Processor time of one query's decisions, without any I/O, by leaves."""
+
+import gc
+
+from bench.slopes import fit
+from hyssoptack.policy import example
+from hyssoptack.policy import queryplan
+
+SIZES = (30, 90, 185, 370)
+ROUNDS = 12
+
+
+def _one_query(current, know, number: int) -> float:
+    """Runs one query; returns the processor ms of its decisions alone."""
+    with fit.Stopwatch() as first:
+        plan = queryplan.QueryPlan(
+            example.asked(number=number), example.profile(), current, know, 0.0
+        )
+        commands = plan.start(0.0)
+    asks = [each for each in commands if isinstance(each, queryplan.Ask)]
+    replies = [example.answer_to(ask, current) for ask in asks]
+    with fit.Stopwatch() as second:
+        for reply in replies:
+            know.leaf_health.note(current.name, reply, 1.0)
+            commands = plan.on_reply(reply, 1.0)
+            plan.next_time_ms()
+    assert isinstance(commands[-1], queryplan.Finish)
+    return first.cpu_ms + second.cpu_ms
+
+
+def main() -> None:
+    """Measures and prints."""
+    rows, cpus = [], []
+    for size in SIZES:
+        current = example.service(size, 3)
+        know = example.knowledge(current)
+        _one_query(current, know, 0)
+        gc.collect()
+        total_ms = sum(
+            _one_query(current, know, number) for number in range(ROUNDS)
+        )
+        cpu_ms = total_ms / ROUNDS
+        cpus.append(cpu_ms)
+        rows.append(
+            {
+                "leaves": size,
+                "cpu_ms_a_query": round(cpu_ms, 3),
+                "cpu_us_a_leaf": round(cpu_ms * 1000 / size, 1),
+            }
+        )
+    lines = {"cpu ms a query": fit.line(list(SIZES), cpus)}
+    fit.show("plan", rows, lines)
+
+
+if __name__ == "__main__":
+    main()
--- a/hyssoptack/entry/coordinator.py
+++ b/hyssoptack/entry/coordinator.py
@@ -300,17 +300,17 @@
         if running is None or running.done.done():
             return
         now_ms = clock.now_ms()
+        commands: list[queryplan.Command] = []
         for reply in replies:
-            sent = self._forget(running, reply.call_id)
+            sent = running.sent.get(reply.call_id)
             if sent is None or sent.lane.instance_id != instance_id:
                 continue
+            self._forget(running, reply.call_id)
             if reply.status is message.CallStatus.ANSWERED:
                 added_ms = now_ms - sent.sent_ms - reply.service_ms
                 self._state.router.note_overhead(instance_id, added_ms)
-            commands = running.plan.on_reply(reply, now_ms)
-            self._carry(running, commands, now_ms)
-            if running.done.done():
-                return
+            commands.extend(running.plan.on_reply(reply, now_ms))
+        self._carry(running, commands, now_ms)
 
     def on_undelivered(self, instance_id: str, sub: message.SubQuery) -> None:
         """Takes back a sub-query that could not be sent to a peer."""
--- a/hyssoptack/policy/merge.py
+++ b/hyssoptack/policy/merge.py
@@ -5,6 +5,7 @@
 taken.
 """
 
+import bisect
 import heapq
 
 from hyssoptack.core import keyspace
@@ -19,6 +20,7 @@
         self.index_version = index_version
         self._limit_count = limit_count
         self._ranges: list[keyspace.KeyRange] = []
+        self._covered_count = 0
         self._hits: list[query.Hit] = []
 
     def add(self, reply: message.LeafReply) -> bool:
@@ -30,13 +32,16 @@
         """
         if reply.index_version != self.index_version or reply.key_range is None:
             return False
-        fresh = keyspace.subtract(reply.key_range, tuple(self._ranges))
+        fresh = keyspace.subtract(reply.key_range, self._near(reply.key_range))
         if not fresh:
             return True
-        self._ranges.extend(fresh)
+        for part in fresh:
+            bisect.insort(self._ranges, part)
+        self._covered_count += keyspace.measure_count(fresh)
         if fresh == (reply.key_range,):
+            inside = reply.key_range
             self._hits.extend(
-                hit for hit in reply.hits if reply.key_range.contains(hit.key)
+                hit for hit in reply.hits if inside.contains(hit.key)
             )
         else:
             self._hits.extend(
@@ -46,9 +51,19 @@
             )
         return True
 
+    def _near(self, wanted: keyspace.KeyRange) -> tuple[keyspace.KeyRange, ...]:
+        """Returns the ranges answered so far that may overlap a range."""
+        first = bisect.bisect_left(self._ranges, wanted)
+        if first and self._ranges[first - 1].high > wanted.low:
+            first -= 1
+        last = bisect.bisect_left(
+            self._ranges, keyspace.KeyRange(wanted.high, wanted.high)
+        )
+        return tuple(self._ranges[first:last])
+
     def ranges(self) -> tuple[keyspace.KeyRange, ...]:
         """Returns the disjoint ranges answered so far, in order."""
-        return tuple(sorted(self._ranges))
+        return tuple(self._ranges)
 
     def missing(self) -> tuple[keyspace.KeyRange, ...]:
         """Returns the ranges of the key space that nothing has answered yet."""
@@ -57,7 +72,7 @@
 
     def coverage_ratio(self) -> float:
         """Returns the share of the key space answered so far."""
-        return keyspace.coverage_ratio(tuple(self._ranges))
+        return self._covered_count / keyspace.KEYSPACE_SIZE_COUNT
 
     def best(self) -> tuple[query.Hit, ...]:
         """Returns the best hits in order of score, then key."""
--- a/hyssoptack/policy/queryplan.py
+++ b/hyssoptack/policy/queryplan.py
@@ -6,6 +6,7 @@
 commands (`trace.py`).
 """
 
+import collections
 import collections.abc
 import dataclasses
 import math
@@ -133,6 +134,10 @@
         return not self.answered and not self.lost
 
 
+def _key_count(shard: catalog.Shard) -> int:
+    return shard.key_range.high - shard.key_range.low
+
+
 class QueryPlan:
     """One query's decisions."""
 
@@ -153,6 +158,10 @@
         self.ends_ms = now_ms + max(1.0, asked.deadline_ms - ANSWER_RESERVE_MS)
         self._states = [_ShardState(shard=shard) for shard in service.shards]
         self._state_of: dict[int, _ShardState] = {}
+        self._open_count = len(self._states)
+        self._open_key_count = keyspace.KEYSPACE_SIZE_COUNT
+        # Calls in the order they were sent, which is that of their hedges.
+        self._unhedged: collections.deque[int] = collections.deque()
         self._next_call_id = 1
         self.leaf_call_count = 0
         self.extra_call_count = 0
@@ -174,16 +183,20 @@
 
     def next_time_ms(self) -> float:
         """Returns when `on_time` should be called next."""
-        hedge_ms = min(
-            (
-                call.sent_ms + self._hedge_after_ms
-                for state in self._states
-                if state.is_open() and not state.hedged
-                for call in state.calls.values()
-            ),
-            default=math.inf,
-        )
-        return min(self.ends_ms, hedge_ms)
+        call = self._next_unhedged()
+        if call is None:
+            return self.ends_ms
+        return min(self.ends_ms, call.sent_ms + self._hedge_after_ms)
+
+    def _next_unhedged(self) -> _Call | None:
+        """Returns the longest open call of a shard that has no hedge yet."""
+        while self._unhedged:
+            call_id = self._unhedged[0]
+            state = self._state_of.get(call_id)
+            if state is not None and state.is_open() and not state.hedged:
+                return state.calls[call_id]
+            self._unhedged.popleft()
+        return None
 
     def on_time(self, now_ms: float) -> list[Command]:
         """Returns what the time alone brings: hedges, or the final answer at
@@ -194,9 +207,11 @@
         if now_ms >= self.ends_ms:
             return self._finish(now_ms)
         commands: list[Command] = []
-        for state in self._states:
-            if state.is_open() and not state.hedged:
-                commands.extend(self._hedge(state, now_ms))
+        while (call := self._next_unhedged()) is not None:
+            if now_ms < call.sent_ms + self._hedge_after_ms:
+                break
+            state = self._state_of[self._unhedged.popleft()]
+            commands.extend(self._hedge(state, call, now_ms))
         return commands
 
     def on_reply(
@@ -260,6 +275,7 @@
             self._merge.index_version = reply.index_version
         if self._merge.add(reply):
             state.answered = True
+            self._close(state)
             return self._drop_calls(state)
         if self._merge.index_version in reply.held_versions:
             # This leaf answered at another version than the pinned one, but
@@ -286,7 +302,7 @@
         commands: list[Command] = []
         for state in self._states:
             commands.extend(self._drop_calls(state))
-            state.answered = state.lost = state.hedged = False
+            self._reopen(state)
             state.tried.clear()
             state.failed.clear()
             commands.extend(self._paid_ask(state, now_ms))
@@ -298,8 +314,7 @@
         if state.calls:
             return []
         if state.reroute_count > REROUTE_LIMIT_COUNT:
-            state.lost = True
-            return []
+            return self._lose(state)
         return self._ask(state, now_ms)
 
     def _retry(self, state: _ShardState, now_ms: float) -> list[Command]:
@@ -310,19 +325,31 @@
             return []
         return self._paid_ask(state, now_ms)
 
+    def _close(self, state: _ShardState) -> None:
+        self._open_count -= 1
+        self._open_key_count -= _key_count(state.shard)
+
+    def _lose(self, state: _ShardState) -> list[Command]:
+        """Gives a shard up."""
+        state.lost = True
+        self._close(state)
+        return []
+
+    def _reopen(self, state: _ShardState) -> None:
+        if not state.is_open():
+            self._open_count += 1
+            self._open_key_count += _key_count(state.shard)
+        state.answered = state.lost = state.hedged = False
+
     def _paid_ask(self, state: _ShardState, now_ms: float) -> list[Command]:
         if not self._know.budgets.spend(self._service.name):
-            state.lost = True
-            return []
+            return self._lose(state)
         self.extra_call_count += 1
         return self._ask(state, now_ms)
 
-    def _hedge(self, state: _ShardState, now_ms: float) -> list[Command]:
-        if len(state.calls) != 1:
-            return []
-        call = next(iter(state.calls.values()))
-        if now_ms < call.sent_ms + self._hedge_after_ms:
-            return []
+    def _hedge(
+        self, state: _ShardState, call: _Call, now_ms: float
+    ) -> list[Command]:
         state.hedged = True
         lane = self._lane(state, now_ms, other_leaf_than=call.lane.leaf_id)
         if lane is None or not self._pays_hedge():
@@ -361,8 +388,7 @@
     def _ask(self, state: _ShardState, now_ms: float) -> list[Command]:
         lane = self._lane(state, now_ms)
         if lane is None:
-            state.lost = True
-            return []
+            return self._lose(state)
         return [self._send(state, lane, now_ms)]
 
     def _lane(
@@ -402,6 +428,7 @@
         state.calls[call_id] = _Call(lane=lane, sent_ms=now_ms)
         state.tried.add((lane.leaf_id, lane.instance_id))
         self._state_of[call_id] = state
+        self._unhedged.append(call_id)
         return Ask(
             call_id=call_id, lane=lane, index_version=self._merge.index_version
         )
@@ -430,18 +457,11 @@
         """Finishes once nothing is open, or once the floor is out of reach."""
         if self._finished:
             return []
-        open_count = sum(
-            state.shard.key_range.high - state.shard.key_range.low
-            for state in self._states
-            if state.is_open()
-        )
-        if not open_count:
+        if not self._open_count:
             more = self._ask_repartitioned(now_ms)
             return more or self._finish(now_ms)
-        reachable = (
-            self._merge.coverage_ratio()
-            + open_count / keyspace.KEYSPACE_SIZE_COUNT
-        )
+        open_ratio = self._open_key_count / keyspace.KEYSPACE_SIZE_COUNT
+        reachable = self._merge.coverage_ratio() + open_ratio
         if reachable < self._profile.coverage_floor_ratio:
             return self._finish(now_ms)
         return []
@@ -470,6 +490,8 @@
             if overlaps:
                 state = _ShardState(shard=shard)
                 self._states.append(state)
+                self._open_count += 1
+                self._open_key_count += _key_count(shard)
                 commands.extend(self._paid_ask(state, now_ms))
         return commands
 
