Spread a query's calls over relays by what a call costs them

Cause: a coordinator that owns a third of the columns called a third of the leaves itself and was the bottleneck; its own load did not show in its score.

Ruled out: charging queue length of lanes (slots were free).

--- a/bench/slopes/plan.py
+++ b/bench/slopes/plan.py
@@ -1,13 +1,14 @@
 """Processor time of one query's decisions, without any I/O, by leaves."""
 
 import gc
+import statistics
 
 from bench.slopes import fit
 from hyssoptack.policy import example
 from hyssoptack.policy import queryplan
 
 SIZES = (30, 90, 185, 370)
-ROUNDS = 12
+ROUNDS = 41
 
 
 def _one_query(current, know, number: int) -> float:
@@ -36,10 +37,10 @@
         know = example.knowledge(current)
         _one_query(current, know, 0)
         gc.collect()
-        total_ms = sum(
+        # The median: this machine's speed varies from one moment to the next.
+        cpu_ms = statistics.median(
             _one_query(current, know, number) for number in range(ROUNDS)
         )
-        cpu_ms = total_ms / ROUNDS
         cpus.append(cpu_ms)
         rows.append(
             {
--- a/hyssoptack/entry/coordinator.py
+++ b/hyssoptack/entry/coordinator.py
@@ -179,8 +179,6 @@
             match command:
                 case queryplan.Ask(call_id=call_id, lane=lane):
                     running.sent[call_id] = _Sent(lane=lane, sent_ms=now_ms)
-                    key = (lane.leaf_id, lane.instance_id)
-                    self._state.router.in_flight[key] += 1
                     asks.setdefault(lane.instance_id, []).append(
                         message.LeafAsk(
                             call_id=call_id,
@@ -189,7 +187,7 @@
                         )
                     )
                 case queryplan.Drop(call_id=call_id, instance_id=instance_id):
-                    self._forget(running, call_id)
+                    running.sent.pop(call_id, None)
                     drops.setdefault(instance_id, []).append(call_id)
                 case queryplan.Finish(result=finished):
                     result = finished
@@ -202,15 +200,6 @@
         else:
             self._arm(running, now_ms)
 
-    def _forget(self, running: _Running, call_id: int) -> _Sent | None:
-        sent = running.sent.pop(call_id, None)
-        if sent is not None:
-            key = (sent.lane.leaf_id, sent.lane.instance_id)
-            self._state.router.in_flight[key] -= 1
-            if not self._state.router.in_flight[key]:
-                del self._state.router.in_flight[key]
-        return sent
-
     def _send_cancel(
         self, running: _Running, instance_id: str, call_ids: tuple[int, ...]
     ) -> None:
@@ -305,7 +294,7 @@
             sent = running.sent.get(reply.call_id)
             if sent is None or sent.lane.instance_id != instance_id:
                 continue
-            self._forget(running, reply.call_id)
+            del running.sent[reply.call_id]
             if reply.status is message.CallStatus.ANSWERED:
                 added_ms = now_ms - sent.sent_ms - reply.service_ms
                 self._state.router.note_overhead(instance_id, added_ms)
--- a/hyssoptack/policy/queryplan.py
+++ b/hyssoptack/policy/queryplan.py
@@ -225,6 +225,7 @@
         if self._finished or state is None:
             return []
         call = state.calls.pop(reply.call_id)
+        self._know.router.closed(call.lane)
         if reply.reached_leaf:
             self.leaf_call_count += 1
         commands = self._take(state, call, reply, now_ms)
@@ -427,6 +428,7 @@
         self._next_call_id += 1
         state.calls[call_id] = _Call(lane=lane, sent_ms=now_ms)
         state.tried.add((lane.leaf_id, lane.instance_id))
+        self._know.router.opened(lane)
         self._state_of[call_id] = state
         self._unhedged.append(call_id)
         return Ask(
@@ -437,6 +439,7 @@
         commands: list[Command] = []
         for call_id, call in state.calls.items():
             self._state_of.pop(call_id, None)
+            self._know.router.closed(call.lane)
             self.leaf_call_count += 1
             commands.append(
                 Drop(call_id=call_id, instance_id=call.lane.instance_id)
--- a/hyssoptack/policy/routing.py
+++ b/hyssoptack/policy/routing.py
@@ -17,11 +17,13 @@
 OVERHEAD_SMOOTHING_RATIO = 0.1
 REMOTE_PRIOR_MS = 4.0
 LOCAL_PRIOR_MS = 0.5
+CALL_COST_MS = 0.25
+"""Processor time that a relay spends on a call (`bench.slopes.leaf_client`)."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
+@dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
 class Lane:
-    """One way to a leaf.
+    """One way to a leaf; compared by identity, which is cheap to hash.
 
     Attributes:
         leaf_id: The leaf.
@@ -62,9 +64,8 @@
         self._view: View | None = None
         self._lanes: dict[str, tuple[Lane, ...]] = {}
         self._overhead_ms: dict[str, float] = {}
-        self.in_flight: collections.Counter[tuple[str, str]] = (
-            collections.Counter()
-        )
+        self._lane_load: collections.Counter[Lane] = collections.Counter()
+        self._relay_load: collections.Counter[str] = collections.Counter()
 
     def install(self, view: View) -> None:
         """Puts a new view in force."""
@@ -156,11 +157,23 @@
         return best
 
     def _score(self, lane: Lane, service_ms: float) -> float:
-        waiting = self.in_flight[(lane.leaf_id, lane.instance_id)]
+        waiting = self._lane_load.get(lane, 0)
         fullness = (waiting + 1) / max(1, lane.slot_count)
-        return service_ms * max(1.0, fullness) + self.overhead_ms(
-            lane.instance_id
-        )
+        relay_ms = CALL_COST_MS * self._relay_load.get(lane.instance_id, 0)
+        leaf_ms = service_ms * max(1.0, fullness)
+        return leaf_ms + relay_ms + self.overhead_ms(lane.instance_id)
+
+    def opened(self, lane: Lane) -> None:
+        """Notes a call sent on a lane."""
+        self._lane_load[lane] += 1
+        self._relay_load[lane.instance_id] += 1
+
+    def closed(self, lane: Lane) -> None:
+        """Notes that a call on a lane is over."""
+        self._lane_load[lane] -= 1
+        if not self._lane_load[lane]:
+            del self._lane_load[lane]
+        self._relay_load[lane.instance_id] -= 1
 
     def overhead_ms(self, instance_id: str) -> float:
         """Returns what a relay is expected to add to a leaf's own time."""
