Let finished leaf replies wait 4 ms for company, not 1 ms

Cause: a relay of 41 calls flushed up to ten times a query; each message costs the coordinator about 165 us whatever it holds.

--- a/hyssoptack/settings/instance.py
+++ b/hyssoptack/settings/instance.py
@@ -186,7 +186,7 @@
     result = RelaySettings(
         owner_count=fields.count("owner_count", 1, 1_000, 3),
         column_size_count=fields.count("column_size_count", 1, 10_000, 40),
-        flush_ms=fields.number("flush_ms", 0, 100, 1),
+        flush_ms=fields.number("flush_ms", 0, 100, 4),
         queue_limit_count=fields.count("queue_limit_count", 0, 10_000, 32),
         claim_max_age_ms=fields.number("claim_max_age_ms", 10, 600_000, 2_000),
     )
