--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -286,7 +286,7 @@
             module = "bench.baseline_entry"
             words = [
                 str(path),
-                "--hedging",
+                "--hedges",
                 self.options.hedging,
                 "--admits" if self.options.admission else "--no-admits",
             ]
--- a/bench/slopes/gossip.py
+++ b/bench/slopes/gossip.py
@@ -22,7 +22,7 @@
 from hyssoptack.peers import gossip
 from hyssoptack.peers import link
 from hyssoptack.platform import configuration
-from hyssoptack.policy import queryplan
+from hyssoptack.policy import hedging
 from hyssoptack.settings import catalog as catalog_settings
 from hyssoptack.settings import instance
 
@@ -73,7 +73,7 @@
     def __init__(self, number: int, total: int):
         loop = asyncio.get_running_loop()
         settings = _settings(number)
-        self.state = state.State(settings, queryplan.NoHedge())
+        self.state = state.State(settings, hedging.NoHedge())
         self.config = configuration.Configuration()
         self.revised_ms: dict[int, float] = {}
         self.links = link.Links(
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -18,6 +18,7 @@
 from hyssoptack.core import query
 from hyssoptack.core import refusal
 from hyssoptack.policy import example
+from hyssoptack.policy import hedging
 from hyssoptack.policy import queryplan
 
 FOLDER = fleet.ROOT / "traces"
@@ -57,9 +58,9 @@
 class Replay:
     """One run of the decisions over a trace, in virtual time."""
 
-    def __init__(self, trace: Trace, hedging: queryplan.Hedging):
+    def __init__(self, trace: Trace, hedges: hedging.Hedging):
         self._service = example.service(len(trace.leaf_ms) // 3, 3)
-        self._know = example.knowledge(self._service, hedging)
+        self._know = example.knowledge(self._service, hedges)
         self._times = {
             leaf_id: itertools.cycle(times)
             for leaf_id, times in zip(
@@ -172,13 +173,13 @@
     """Records the traces anew, or replays them with the word `replay`."""
     if sys.argv[1:] == ["replay"]:
         for name in ("healthy", "stragglers"):
-            for hedging in (
-                queryplan.HedgeAfterQuantile(),
-                queryplan.HedgeAfterDelay(delay_ms=100.0),
-                queryplan.NoHedge(),
+            for hedges in (
+                hedging.HedgeAfterQuantile(),
+                hedging.HedgeAfterDelay(delay_ms=100.0),
+                hedging.NoHedge(),
             ):
-                outcome = Replay(load(name), hedging).run()
-                print(name, type(hedging).__name__, outcome)
+                outcome = Replay(load(name), hedges).run()
+                print(name, type(hedges).__name__, outcome)
         return
     _record("healthy", None)
     _record("stragglers", measures.straggle)
--- a/bench/traces_test.py
+++ b/bench/traces_test.py
@@ -5,16 +5,16 @@
 import pytest
 
 from bench import traces
-from hyssoptack.policy import queryplan
+from hyssoptack.policy import hedging
 
-_PRODUCT = queryplan.HedgeAfterQuantile()
-_NONE = queryplan.NoHedge()
-_FIXED = queryplan.HedgeAfterDelay(delay_ms=100.0)
+_PRODUCT = hedging.HedgeAfterQuantile()
+_NONE = hedging.NoHedge()
+_FIXED = hedging.HedgeAfterDelay(delay_ms=100.0)
 
 
 @functools.cache
-def _outcome(name, hedging) -> traces.Outcome:
-    return traces.Replay(traces.load(name), hedging).run()
+def _outcome(name, hedges) -> traces.Outcome:
+    return traces.Replay(traces.load(name), hedges).run()
 
 
 @pytest.mark.parametrize("name", ["healthy", "stragglers"])
--- a/hyssoptack/entry/daemon.py
+++ b/hyssoptack/entry/daemon.py
@@ -12,7 +12,9 @@
 from hyssoptack.charts import chart
 from hyssoptack.core import clock
 from hyssoptack.core import message
+from hyssoptack.entry import actor
 from hyssoptack.entry import burn
+from hyssoptack.entry import claims
 from hyssoptack.entry import coordinator
 from hyssoptack.entry import executor
 from hyssoptack.entry import front
@@ -27,7 +29,7 @@
 from hyssoptack.platform import members
 from hyssoptack.platform import store
 from hyssoptack.policy import admission
-from hyssoptack.policy import queryplan
+from hyssoptack.policy import hedging
 from hyssoptack.relay import client
 from hyssoptack.relay import relay
 from hyssoptack.settings import instance
@@ -45,7 +47,7 @@
     def __init__(
         self,
         settings: instance.InstanceSettings,
-        hedging: queryplan.Hedging,
+        hedges: hedging.Hedging,
         admits: admission.Policy,
     ):
         self._settings = settings
@@ -55,7 +57,7 @@
         self._threads = concurrent.futures.ThreadPoolExecutor(
             THREAD_COUNT, thread_name_prefix="platform"
         )
-        self._state = state.State(settings, hedging)
+        self._state = state.State(settings, hedges)
         self._config = configuration.Configuration()
         self._client = client.LeafClient()
         self._metrics = metrics.Metrics()
@@ -82,11 +84,18 @@
             self._burn,
             admits,
         )
+        self._claims = claims.Claims(store_client, self._threads)
         self._executor = executor.Executor(
             self._state,
             self._relay,
-            store_client,
-            self._threads,
+            self._claims,
+            self._send_to,
+        )
+        self._actor = actor.Actor(
+            self._state,
+            self._relay,
+            self._executor,
+            self._claims,
             self._send_to,
         )
         self._gossip = gossip.Gossip(
@@ -103,7 +112,7 @@
         self._front = front.Front(
             self._state,
             self._coordinator,
-            self._executor,
+            self._actor,
             self._metrics,
             self._loop,
         )
@@ -112,7 +121,8 @@
                 state=self._state,
                 configuration=self._config,
                 coordinator=self._coordinator,
-                executor=self._executor,
+                actor=self._actor,
+                claims=self._claims,
                 relay=self._relay,
                 links=self._links,
                 follower=self._follower,
@@ -189,7 +199,7 @@
         return (
             self._front.open_count() == 0
             and self._coordinator.in_flight_count() == 0
-            and self._executor.in_flight_count == 0
+            and self._actor.in_flight_count == 0
             and self._executor.open_task_count() == 0
             and self._relay.open_count() == 0
         )
@@ -233,7 +243,7 @@
             case message.SubQuery():
                 self._coordinator.on_undelivered(instance_id, body)
             case message.ActionAsk():
-                self._executor.on_undelivered(body)
+                self._actor.on_undelivered(body)
             case _:
                 pass
 
@@ -258,7 +268,7 @@
             case message.ActionAsk():
                 self._executor.on_ask(body)
             case message.ActionReply():
-                self._executor.on_reply(body)
+                self._actor.on_reply(body)
             case _:
                 self._on_control_message(body)
 
@@ -309,26 +319,26 @@
 
 async def _main(
     settings: instance.InstanceSettings,
-    hedging: queryplan.Hedging,
+    hedges: hedging.Hedging,
     admits: admission.Policy,
 ) -> None:
     asyncio.get_running_loop().set_exception_handler(_on_loop_error)
     try:
-        await Daemon(settings, hedging, admits).run()
+        await Daemon(settings, hedges, admits).run()
     except Exception as error:
         _stop_broken(error)
 
 
 def run(
     settings: instance.InstanceSettings,
-    hedging: queryplan.Hedging | None = None,
+    hedges: hedging.Hedging | None = None,
     admits: admission.Policy | None = None,
 ) -> None:
     """Runs an entry instance until it is told to stop.
 
     Args:
         settings: What the instance is told at its start.
-        hedging: When to hedge; the profile's quantile unless a bench says
+        hedges: When to hedge; the profile's quantile unless a bench says
             otherwise.
         admits: How queries are admitted; adaptively unless a bench says
             otherwise.
@@ -336,7 +346,7 @@
     log.open_destination(settings.log_path)
     work = _main(
         settings,
-        hedging or queryplan.HedgeAfterQuantile(),
+        hedges or hedging.HedgeAfterQuantile(),
         admits or admission.Adaptive(),
     )
     uvloop.run(work)
--- a/hyssoptack/entry/front.py
+++ b/hyssoptack/entry/front.py
@@ -16,8 +16,8 @@
 from hyssoptack.core import action
 from hyssoptack.core import query
 from hyssoptack.core import refusal
+from hyssoptack.entry import actor
 from hyssoptack.entry import coordinator
-from hyssoptack.entry import executor
 from hyssoptack.entry import metrics
 from hyssoptack.entry import problem
 from hyssoptack.entry import state
@@ -37,6 +37,7 @@
 _SEARCH = re.compile(_SERVICE + r"/search")
 _ACTIONS = re.compile(_SERVICE + r"/actions")
 _OUTCOME = re.compile(_SERVICE + r"/actions/(?P<key>[^/]+)")
+_BODY_UNREAD = (refusal.Reason.TOO_LARGE, refusal.Reason.TIMEOUT_READING)
 _KEY = re.compile(r"[\x21-\x7e]{1,255}")
 
 
@@ -83,6 +84,18 @@
     return _refused(refusal.Reason.MALFORMED, detail)
 
 
+_REQUEST = "hyssoptack.request"
+"""Where the HTTP library's own request stands in the environment."""
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Lets the application end a connection whose body it has not read."""
+
+    def get_environ(self) -> dict[str, object]:
+        """Returns the environment with the library's request in it."""
+        return {**super().get_environ(), _REQUEST: self.req}
+
+
 Environ = dict[str, object]
 Work = collections.abc.Coroutine[object, object, problem.Page]
 
@@ -94,7 +107,7 @@
         self,
         knowledge: state.State,
         queries: coordinator.Coordinator,
-        actions: executor.Executor,
+        actions: actor.Actor,
         counts: metrics.Metrics,
         loop: asyncio.AbstractEventLoop,
     ):
@@ -115,6 +128,7 @@
             timeout=settings.front.client_timeout_ms / MS_PER_S,
             shutdown_timeout=1,
         )
+        self._server.gateway = _Gateway
         self._server.max_request_header_size = HEADER_LIMIT_BYTES
         # The body limit is checked here, so that the answer names the reason.
         self._thread = threading.Thread(target=self._server.serve, name="front")
@@ -161,6 +175,9 @@
             work = self._work(environ)
             page = asyncio.run_coroutine_threadsafe(work, self._loop).result()
         except Refused as refused:
+            if refused.refusal.reason in _BODY_UNREAD:
+                # The library would wait for the rest of the body first.
+                environ[_REQUEST].close_connection = True
             return problem.of_refusal(refused.refusal)
         except Exception as error:  # A fault of ours must still be answered.
             log.write(log.Event.REQUEST_FAULT, error=repr(error))
--- a/hyssoptack/entry/operations.py
+++ b/hyssoptack/entry/operations.py
@@ -8,9 +8,10 @@
 from cheroot import wsgi
 
 from hyssoptack.core import clock
+from hyssoptack.entry import actor
 from hyssoptack.entry import burn
+from hyssoptack.entry import claims
 from hyssoptack.entry import coordinator
-from hyssoptack.entry import executor
 from hyssoptack.entry import metrics
 from hyssoptack.entry import problem
 from hyssoptack.entry import state
@@ -34,7 +35,8 @@
     state: state.State
     configuration: configuration.Configuration
     coordinator: coordinator.Coordinator
-    executor: executor.Executor
+    actor: actor.Actor
+    claims: claims.Claims
     relay: relay.Relay
     links: link.Links
     follower: follower.Follower
@@ -161,8 +163,8 @@
             "revision": parts.configuration.revision(),
             "ready": int(parts.state.is_ready()),
             "queries_in_flight": parts.coordinator.in_flight_count(),
-            "actions_in_flight": parts.executor.in_flight_count,
-            "claim_writes": parts.executor.store_write_count,
+            "actions_in_flight": parts.actor.in_flight_count,
+            "claim_writes": parts.claims.write_count,
             "watches": parts.follower.watch_count,
             "leaf_calls_made": parts.relay.call_count,
             **dataclasses.asdict(traffic),
@@ -195,10 +197,10 @@
             watch_count=parts.follower.watch_count,
             usable_instances=tuple(sorted(parts.state.usable(now_ms))),
             query_count=parts.coordinator.in_flight_count(),
-            action_count=parts.executor.in_flight_count,
+            action_count=parts.actor.in_flight_count,
             leaf_call_count=parts.relay.call_count,
             search_count=parts.coordinator.started_count,
-            claim_write_count=parts.executor.store_write_count,
+            claim_write_count=parts.claims.write_count,
             peer_traffic=parts.links.traffic,
             admission_limits=limits,
             extra_call_tokens={
--- a/hyssoptack/entry/state.py
+++ b/hyssoptack/entry/state.py
@@ -10,6 +10,7 @@
 from hyssoptack.events import log
 from hyssoptack.policy import budget
 from hyssoptack.policy import health
+from hyssoptack.policy import hedging
 from hyssoptack.policy import membership
 from hyssoptack.policy import ownership
 from hyssoptack.policy import queryplan
@@ -37,7 +38,7 @@
     def __init__(
         self,
         settings: instance.InstanceSettings,
-        hedging: queryplan.Hedging,
+        hedges: hedging.Hedging,
     ):
         self.settings = settings
         self.chart_state = _CHART.initial
@@ -57,7 +58,7 @@
             router=self.router,
             leaf_health=self.leaf_health,
             budgets=self.budgets,
-            hedging=hedging,
+            hedges=hedges,
             current_service=lambda name: self.catalog.services.get(name),
         )
         self.visible_since_ms = 0.0
--- a/hyssoptack/policy/example.py
+++ b/hyssoptack/policy/example.py
@@ -11,6 +11,7 @@
 from hyssoptack.core import query
 from hyssoptack.policy import budget
 from hyssoptack.policy import health
+from hyssoptack.policy import hedging
 from hyssoptack.policy import queryplan
 from hyssoptack.policy import routing
 
@@ -72,7 +73,7 @@
 
 def knowledge(
     current: catalog.Service,
-    hedging: queryplan.Hedging | None = None,
+    hedges: hedging.Hedging | None = None,
 ) -> queryplan.Knowledge:
     """Returns what a fresh instance of three domains knows of a service."""
     leaf_health = health.Health()
@@ -109,7 +110,7 @@
         router=router,
         leaf_health=leaf_health,
         budgets=budget.Book(),
-        hedging=hedging or queryplan.HedgeAfterQuantile(),
+        hedges=hedges or hedging.HedgeAfterQuantile(),
         current_service=services.get,
     )
 
--- a/hyssoptack/policy/queryplan.py
+++ b/hyssoptack/policy/queryplan.py
@@ -17,8 +17,10 @@
 from hyssoptack.core import refusal
 from hyssoptack.policy import budget
 from hyssoptack.policy import health
+from hyssoptack.policy import hedging
 from hyssoptack.policy import merge
 from hyssoptack.policy import routing
+from hyssoptack.policy import shardstate
 from hyssoptack.policy import snapshot
 
 ANSWER_RESERVE_MS = 5.0
@@ -32,26 +34,6 @@
 MISSING_SHOWN_COUNT = 12
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class HedgeAfterQuantile:
-    """Hedge calls slower than the profile's quantile, within budget."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class HedgeAfterDelay:
-    """Hedge after a fixed delay without a budget: a baseline."""
-
-    delay_ms: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NoHedge:
-    """Never hedge: a baseline for the bench."""
-
-
-Hedging = HedgeAfterQuantile | HedgeAfterDelay | NoHedge
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ask:
     """Call a leaf through a relay."""
@@ -87,52 +69,17 @@
         router: Lanes and their scores.
         leaf_health: What calls have shown about leaves.
         budgets: Tokens for extra calls.
-        hedging: When to hedge.
+        hedges: When to hedge.
         current_service: Finds a service in the configuration in force now.
     """
 
     router: routing.Router
     leaf_health: health.Health
     budgets: budget.Book
-    hedging: Hedging
+    hedges: hedging.Hedging
     current_service: collections.abc.Callable[[str], catalog.Service | None]
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Call:
-    """One call in flight."""
-
-    lane: routing.Lane
-    sent_ms: float
-
-
-@dataclasses.dataclass(kw_only=True)
-class _ShardState:
-    """How far one shard of the query is."""
-
-    shard: catalog.Shard
-    calls: dict[int, _Call] = dataclasses.field(default_factory=dict)
-    tried: set[tuple[str, str]] = dataclasses.field(default_factory=set)
-    failed: set[str] = dataclasses.field(default_factory=set)
-    reroute_count: int = 0
-    hedged: bool = False
-    answered: bool = False
-    lost: bool = False
-    last_status: str = "unreachable"
-
-    def status_text(self) -> str:
-        """Says how its last call ended, for refusals."""
-        waited = ",".join(call.lane.leaf_id for call in self.calls.values())
-        return f"waits-for-{waited}" if waited else self.last_status
-
-    def is_open(self) -> bool:
-        return not self.answered and not self.lost
-
-
-def _key_count(shard: catalog.Shard) -> int:
-    return shard.key_range.high - shard.key_range.low
-
-
 class QueryPlan:
     """One query's decisions."""
 
@@ -151,8 +98,10 @@
         self._know = knowledge
         self._started_ms = now_ms
         self.ends_ms = now_ms + max(1.0, asked.deadline_ms - ANSWER_RESERVE_MS)
-        self._states = [_ShardState(shard=shard) for shard in service.shards]
-        self._state_of: dict[int, _ShardState] = {}
+        self._states = [
+            shardstate.ShardState(shard=shard) for shard in service.shards
+        ]
+        self._state_of: dict[int, shardstate.ShardState] = {}
         self._open_count = len(self._states)
         self._open_key_count = keyspace.KEYSPACE_SIZE_COUNT
         # Calls in the order they were sent, which is that of their hedges.
@@ -183,7 +132,7 @@
             return self.ends_ms
         return min(self.ends_ms, call.sent_ms + self._hedge_after_ms)
 
-    def _next_unhedged(self) -> _Call | None:
+    def _next_unhedged(self) -> shardstate.Call | None:
         """Returns the longest open call of a shard that has no hedge yet."""
         while self._unhedged:
             call_id = self._unhedged[0]
@@ -226,8 +175,8 @@
 
     def _take(
         self,
-        state: _ShardState,
-        call: _Call,
+        state: shardstate.ShardState,
+        call: shardstate.Call,
         reply: message.LeafReply,
         now_ms: float,
     ) -> list[Command]:
@@ -251,7 +200,10 @@
                 return self._again(state, reply, now_ms)
 
     def _again(
-        self, state: _ShardState, reply: message.LeafReply, now_ms: float
+        self,
+        state: shardstate.ShardState,
+        reply: message.LeafReply,
+        now_ms: float,
     ) -> list[Command]:
         """Tries another lane; only a call that reached a leaf is paid for."""
         if reply.reached_leaf:
@@ -260,8 +212,8 @@
 
     def _take_answer(
         self,
-        state: _ShardState,
-        call: _Call,
+        state: shardstate.ShardState,
+        call: shardstate.Call,
         reply: message.LeafReply,
         now_ms: float,
     ) -> list[Command]:
@@ -279,7 +231,7 @@
         return self._take_version_missing(state, now_ms)
 
     def _take_version_missing(
-        self, state: _ShardState, now_ms: float
+        self, state: shardstate.ShardState, now_ms: float
     ) -> list[Command]:
         version = self._pin(now_ms)
         changes = version not in (self._merge.index_version, query.ANY_VERSION)
@@ -300,7 +252,9 @@
             commands.extend(self._paid_ask(state, now_ms))
         return commands
 
-    def _reroute(self, state: _ShardState, now_ms: float) -> list[Command]:
+    def _reroute(
+        self, state: shardstate.ShardState, now_ms: float
+    ) -> list[Command]:
         """Tries another lane for nothing: the leaf saw no call."""
         state.reroute_count += 1
         if state.calls:
@@ -309,36 +263,40 @@
             return self._lose(state)
         return self._ask(state, now_ms)
 
-    def _retry(self, state: _ShardState, now_ms: float) -> list[Command]:
+    def _retry(
+        self, state: shardstate.ShardState, now_ms: float
+    ) -> list[Command]:
         """Tries another lane, paid, unless a call is still in flight."""
         if state.calls:
             return []
         return self._paid_ask(state, now_ms)
 
-    def _close(self, state: _ShardState) -> None:
+    def _close(self, state: shardstate.ShardState) -> None:
         self._open_count -= 1
-        self._open_key_count -= _key_count(state.shard)
+        self._open_key_count -= state.key_count()
 
-    def _lose(self, state: _ShardState) -> list[Command]:
+    def _lose(self, state: shardstate.ShardState) -> list[Command]:
         """Gives a shard up."""
         state.lost = True
         self._close(state)
         return []
 
-    def _reopen(self, state: _ShardState) -> None:
+    def _reopen(self, state: shardstate.ShardState) -> None:
         if not state.is_open():
             self._open_count += 1
-            self._open_key_count += _key_count(state.shard)
+            self._open_key_count += state.key_count()
         state.answered = state.lost = state.hedged = False
 
-    def _paid_ask(self, state: _ShardState, now_ms: float) -> list[Command]:
+    def _paid_ask(
+        self, state: shardstate.ShardState, now_ms: float
+    ) -> list[Command]:
         if not self._know.budgets.spend(self._service.name):
             return self._lose(state)
         self.extra_call_count += 1
         return self._ask(state, now_ms)
 
     def _hedge(
-        self, state: _ShardState, call: _Call, now_ms: float
+        self, state: shardstate.ShardState, call: shardstate.Call, now_ms: float
     ) -> list[Command]:
         state.hedged = True
         lane = self._lane(state, now_ms, other_leaf_than=call.lane.leaf_id)
@@ -348,19 +306,19 @@
         return [self._send(state, lane, now_ms)]
 
     def _pays_hedge(self) -> bool:
-        match self._know.hedging:
-            case HedgeAfterQuantile():
+        match self._know.hedges:
+            case hedging.HedgeAfterQuantile():
                 return self._know.budgets.spend(
                     self._service.name, HEDGE_KEEP_COUNT
                 )
-            case HedgeAfterDelay():
+            case hedging.HedgeAfterDelay():
                 return True
-            case NoHedge():
+            case hedging.NoHedge():
                 return False
 
     def _hedge_delay(self) -> float:
-        match self._know.hedging:
-            case HedgeAfterQuantile():
+        match self._know.hedges:
+            case hedging.HedgeAfterQuantile():
                 ratio = self._profile.hedge_after_ratio
                 quantile = self._know.leaf_health.quantile_ms(
                     self._service.name, ratio
@@ -370,12 +328,14 @@
                     if quantile is None
                     else max(HEDGE_FLOOR_MS, quantile)
                 )
-            case HedgeAfterDelay(delay_ms=delay_ms):
+            case hedging.HedgeAfterDelay(delay_ms=delay_ms):
                 return delay_ms
-            case NoHedge():
+            case hedging.NoHedge():
                 return math.inf
 
-    def _ask(self, state: _ShardState, now_ms: float) -> list[Command]:
+    def _ask(
+        self, state: shardstate.ShardState, now_ms: float
+    ) -> list[Command]:
         lane = self._lane(state, now_ms)
         if lane is None:
             return self._lose(state)
@@ -383,7 +343,7 @@
 
     def _lane(
         self,
-        state: _ShardState,
+        state: shardstate.ShardState,
         now_ms: float,
         other_leaf_than: str | None = None,
     ) -> routing.Lane | None:
@@ -411,11 +371,11 @@
         return version == query.ANY_VERSION or held is None or version in held
 
     def _send(
-        self, state: _ShardState, lane: routing.Lane, now_ms: float
+        self, state: shardstate.ShardState, lane: routing.Lane, now_ms: float
     ) -> Ask:
         call_id = self._next_call_id
         self._next_call_id += 1
-        state.calls[call_id] = _Call(lane=lane, sent_ms=now_ms)
+        state.calls[call_id] = shardstate.Call(lane=lane, sent_ms=now_ms)
         state.tried.add((lane.leaf_id, lane.instance_id))
         self._know.router.opened(lane)
         self._state_of[call_id] = state
@@ -424,7 +384,7 @@
             call_id=call_id, lane=lane, index_version=self._merge.index_version
         )
 
-    def _drop_calls(self, state: _ShardState) -> list[Command]:
+    def _drop_calls(self, state: shardstate.ShardState) -> list[Command]:
         commands: list[Command] = []
         for call_id, call in state.calls.items():
             self._state_of.pop(call_id, None)
@@ -478,10 +438,10 @@
                 for each in missing
             )
             if overlaps:
-                state = _ShardState(shard=shard)
+                state = shardstate.ShardState(shard=shard)
                 self._states.append(state)
                 self._open_count += 1
-                self._open_key_count += _key_count(shard)
+                self._open_key_count += state.key_count()
                 commands.extend(self._paid_ask(state, now_ms))
         return commands
 
--- /dev/null
+++ b/hyssoptack/policy/shardstate.py
@@ -0,0 +1,42 @@
+"""How far one shard of a query is: its calls, and the lanes it has used."""
+
+import dataclasses
+
+from hyssoptack.core import catalog
+from hyssoptack.policy import routing
+
+
+@dataclasses.dataclass(kw_only=True)
+class Call:
+    """One call in flight."""
+
+    lane: routing.Lane
+    sent_ms: float
+
+
+@dataclasses.dataclass(kw_only=True)
+class ShardState:
+    """How far one shard of the query is."""
+
+    shard: catalog.Shard
+    calls: dict[int, Call] = dataclasses.field(default_factory=dict)
+    tried: set[tuple[str, str]] = dataclasses.field(default_factory=set)
+    failed: set[str] = dataclasses.field(default_factory=set)
+    reroute_count: int = 0
+    hedged: bool = False
+    answered: bool = False
+    lost: bool = False
+    last_status: str = "unreachable"
+
+    def status_text(self) -> str:
+        """Says how its last call ended, for refusals."""
+        waited = ",".join(call.lane.leaf_id for call in self.calls.values())
+        return f"waits-for-{waited}" if waited else self.last_status
+
+    def is_open(self) -> bool:
+        """Tells whether the shard still waits for an answer."""
+        return not self.answered and not self.lost
+
+    def key_count(self) -> int:
+        """Returns how many keys the shard has."""
+        return self.shard.key_range.high - self.shard.key_range.low
