--- a/hyssoptack/core/catalog.py
+++ b/hyssoptack/core/catalog.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hyssoptack.core import keyspace
+from hyssoptack.core import query
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -17,6 +18,7 @@
             call.
         hedge_after_ratio: The quantile of a leaf's own latency after which a
             hedge may go.
+        urgency: The class of searches that name none.
         latency_goal_ratio: The share of requests that must be in time, for the
             burn report.
     """
@@ -27,6 +29,7 @@
     extra_load_ceiling_ratio: float
     hedge_after_ratio: float = 0.95
     latency_goal_ratio: float = 0.99
+    urgency: query.Urgency = query.Urgency.BROWSING
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/entry/coordinator.py
+++ b/hyssoptack/entry/coordinator.py
@@ -194,15 +194,9 @@
         result: Result | None = None
         for command in commands:
             match command:
-                case queryplan.Ask(call_id=call_id, lane=lane):
-                    running.sent[call_id] = _Sent(lane=lane, sent_ms=now_ms)
-                    asks.setdefault(lane.instance_id, []).append(
-                        message.LeafAsk(
-                            call_id=call_id,
-                            leaf_id=lane.leaf_id,
-                            index_version=command.index_version,
-                        )
-                    )
+                case queryplan.Ask(lane=lane):
+                    group = asks.setdefault(lane.instance_id, [])
+                    group.append(self._note_ask(running, command, now_ms))
                 case queryplan.Drop(call_id=call_id, instance_id=instance_id):
                     running.sent.pop(call_id, None)
                     drops.setdefault(instance_id, []).append(call_id)
@@ -217,6 +211,16 @@
         else:
             self._arm(running, now_ms)
 
+    def _note_ask(
+        self, running: _Running, ask: queryplan.Ask, now_ms: float
+    ) -> message.LeafAsk:
+        running.sent[ask.call_id] = _Sent(lane=ask.lane, sent_ms=now_ms)
+        return message.LeafAsk(
+            call_id=ask.call_id,
+            leaf_id=ask.lane.leaf_id,
+            index_version=ask.index_version,
+        )
+
     def _send_cancel(
         self, running: _Running, instance_id: str, call_ids: tuple[int, ...]
     ) -> None:
--- a/hyssoptack/entry/front.py
+++ b/hyssoptack/entry/front.py
@@ -14,6 +14,7 @@
 from cheroot import wsgi
 
 from hyssoptack.core import action
+from hyssoptack.core import catalog
 from hyssoptack.core import query
 from hyssoptack.core import refusal
 from hyssoptack.entry import actor
@@ -47,9 +48,7 @@
     text: str
     limit: int = HIT_DEFAULT_COUNT
     deadline_ms: int | None = None
-    class_: query.Urgency = msgspec.field(
-        default=query.Urgency.BROWSING, name="class"
-    )
+    class_: query.Urgency | None = msgspec.field(default=None, name="class")
 
 
 class ActionBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -221,7 +220,7 @@
             service=service_name,
             text=body.text,
             limit_count=body.limit,
-            urgency=body.class_,
+            urgency=body.class_ or self._profile(service_name).urgency,
             deadline_ms=deadline_ms,
         )
         return self._run_query(asked)
@@ -279,6 +278,10 @@
                 f"service {service_name} takes no actions",
             )
 
+    def _profile(self, service_name: str) -> catalog.Profile:
+        current = self._state.catalog
+        return current.profiles[current.services[service_name].profile]
+
     def _deadline(self, service_name: str, wanted_ms: int | None) -> int:
         """Returns the deadline: the profile's, or the caller's shorter one."""
         if not self._state.takes_requests():
@@ -298,7 +301,7 @@
                 f"no service {service_name!r}; there are: "
                 + ", ".join(sorted(current.services)),
             )
-        longest_ms = current.profiles[service.profile].deadline_ms
+        longest_ms = self._profile(service_name).deadline_ms
         if wanted_ms is None:
             return longest_ms
         if not DEADLINE_MIN_MS <= wanted_ms <= longest_ms:
--- /dev/null
+++ b/hyssoptack/policy/snapshot_test.py
@@ -0,0 +1,45 @@
+"""Tests of the choice of a version."""
+
+from hyssoptack.core import query
+from hyssoptack.policy import example
+from hyssoptack.policy import snapshot
+
+
+def _held(current, *versions):
+    return {
+        shard.leaf_ids[0]: each
+        for shard, each in zip(current.shards, versions, strict=True)
+    }
+
+
+def test_nothing_known_asks_for_any():
+    shards = example.service(2, 1).shards
+    assert snapshot.choose(shards, {}).index_version == query.ANY_VERSION
+
+
+def test_the_newest_version_that_all_hold_is_chosen():
+    current = example.service(2, 1)
+    held = _held(current, (1, 2), (1, 2))
+    assert snapshot.choose(current.shards, held).index_version == 2
+
+
+def test_an_older_version_that_covers_more_goes_first():
+    current = example.service(2, 1)
+    held = _held(current, (1, 2), (1,))
+    assert snapshot.choose(current.shards, held).index_version == 1
+
+
+def test_a_leaf_that_has_not_told_may_hold_it():
+    current = example.service(2, 1)
+    held = {current.shards[0].leaf_ids[0]: (3,)}
+    choice = snapshot.choose(current.shards, held)
+    assert choice.index_version == 3
+    assert choice.reachable_count == 65_536
+
+
+def test_lost_leaves_do_not_count():
+    current = example.service(1, 2)
+    first, second = current.shards[0].leaf_ids
+    held = {first: (2,), second: (1,)}
+    choice = snapshot.choose(current.shards, held, frozenset({first}))
+    assert choice.index_version == 1
--- a/hyssoptack/settings/catalog.py
+++ b/hyssoptack/settings/catalog.py
@@ -12,11 +12,13 @@
 
 from hyssoptack.core import catalog
 from hyssoptack.core import keyspace
+from hyssoptack.core import query
 from hyssoptack.settings import check
 
 PROFILES_PART = "profiles"
 SERVICE_PREFIX = "service/"
 PART_LIMIT_BYTES = 1_000_000
+_CLASSES = tuple(each.value for each in query.Urgency)
 _DAY_MS = 86_400_000
 
 
@@ -33,6 +35,9 @@
         extra_load_ceiling_ratio=fields.ratio("extra_load_ceiling_ratio"),
         hedge_after_ratio=fields.ratio("hedge_after_ratio", 0.95),
         latency_goal_ratio=fields.ratio("latency_goal_ratio", 0.99),
+        urgency=query.Urgency(
+            fields.choice("class", _CLASSES, query.Urgency.BROWSING.value)
+        ),
     )
     fields.finish()
     return result
--- a/hyssoptack/settings/check.py
+++ b/hyssoptack/settings/check.py
@@ -138,6 +138,14 @@
             return default
         return value
 
+    def choice(self, name: str, choices: tuple[str, ...], default: str) -> str:
+        """Reads one of a few texts."""
+        value = self._take(name, default)
+        if value not in choices:
+            self.error(name, value, "one of: " + ", ".join(choices))
+            return default
+        return value
+
     def address(self, name: str) -> str:
         """Reads an address of the form `IP:port`."""
         value = self._take(name, _MISSING)
--- a/hyssoptack/settings/settings_test.py
+++ b/hyssoptack/settings/settings_test.py
@@ -74,3 +74,5 @@
     assert _changed("deadline_ms: 400", "deadline_ms: -1")
     assert _changed("coverage_floor_ratio: 0.9", "coverage_floor_ratio: 90")
     assert _changed("deadline_ms: 400", "deadline_s: 4")
+    wrong = _changed("deadline_ms: 400", "class: royal, deadline_ms: 400")
+    assert any("one of: urgent, browsing" in each for each in wrong)
