End a stopped instance at once, not after its long poll

Found by reading the instances' events.

Ruled out: requests in flight (the chart went to stopped by 'idle' at once).

Change: the daemon ends the process when all its work is finished.

--- a/bench/proofs/leaving_test.py
+++ b/bench/proofs/leaving_test.py
@@ -11,7 +11,12 @@
 SERVICE = "membership"
 TEXTS = ("boulangerie medina", "four de thies franchise", "member")
 OPTIONS = fleet.Options(
-    deployment="dakar", services=(SERVICE,), port_shift=5_000, service_ms=3.0
+    deployment="dakar",
+    services=(SERVICE,),
+    port_shift=5_000,
+    service_ms=3.0,
+    # A stop must not wait for the end of a long poll.
+    instance_overrides={"platform": {"watch_ms": 60_000}},
 )
 DRAIN_LIMIT_S = 3.0
 
--- a/hyssoptack/entry/daemon.py
+++ b/hyssoptack/entry/daemon.py
@@ -38,6 +38,7 @@
 REFRESH_MS = 100.0
 IDLE_CHECK_MS = 20.0
 THREAD_COUNT = 32
+EXIT_OK = 0
 EXIT_BROKEN = 70
 
 
@@ -350,3 +351,6 @@
         admits or admission.Adaptive(),
     )
     uvloop.run(work)
+    # All work is finished. What may be left is a thread in a long poll of the
+    # store, for which the interpreter would wait until the poll's end.
+    os._exit(EXIT_OK)
