--- a/hyssoptack/standins/web.py
+++ b/hyssoptack/standins/web.py
@@ -7,10 +7,6 @@
 from aiohttp import web
 
 
-class LostAnswer(Exception):
-    """The effect took place; the connection closes without an answer."""
-
-
 def lose(request: web.Request) -> web.Response:
     """Closes the connection of a request in place of an answer."""
     if request.transport is not None:
