--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -13,6 +13,10 @@
     """Every event: its number, and when it is written."""
 
     INSTANCE_STATE = (1001, "The instance's state chart took a step.")
+    STARTED = (1003, "The process has its settings and opens its ports.")
+    READY = (1006, "The instance asks for callers, or stops asking.")
+    STOPPED = (1007, "The process ends.")
+    LOGS_DROPPED = (1008, "Log lines were left out: nobody read them in time.")
     INSTANCE_BROKEN = (1002, "A broken invariant stops the process.")
     STOP_ASKED = (1004, "A stop signal came; the second one hurries.")
     THAWED = (1005, "The process had not run for long; shares are dropped.")
@@ -27,9 +31,13 @@
     PEER_UNDELIVERED = (3002, "A message could not be sent to a peer.")
     VIEW_CHANGED = (3101, "Owners of leaves were computed anew.")
     LEAF_DRAINING = (4001, "A leaf is seen to be leaving.")
+    UPSTREAMS_CHANGED = (4101, "The list of upstreams in use has changed.")
+    UPSTREAM_UNREACHABLE = (4102, "An upstream is left alone for a while.")
     QUERY_REFUSED = (5001, "A query was refused.")
     ACTION_SETTLED = (6001, "An action came to its outcome.")
     ACTION_UNRECORDED = (6002, "An action's outcome could not be recorded.")
+    REQUEST_ENDED = (6101, "A caller's request came to its end.")
+    CALL_EXTRA = (6102, "A request is sent to one more upstream.")
     REQUEST_FAULT = (7001, "A request met a fault of ours.")
 
     @property
--- /dev/null
+++ b/hyssoptack/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway daemon: takes callers' requests and calls upstreams."""
--- /dev/null
+++ b/hyssoptack/gateway/beliefs.py
@@ -0,0 +1,117 @@
+"""What one instance believes: the configuration and the list of upstreams.
+
+The configuration only moves up. An upstream that vanishes from the list around
+an outage of the store is kept for as long as it has to enter itself again.
+"""
+
+import collections.abc
+import dataclasses
+
+from hyssoptack.core import traffic
+from hyssoptack.events import log
+from hyssoptack.gateway import pool
+from hyssoptack.policy import placing
+from hyssoptack.policy import routetable
+
+RETURN_MS = 2_000.0
+"""Time that a living upstream needs to enter itself again after the store's
+return, by the users' word; one missing for longer is gone."""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Beliefs:
+    """The views that requests are served from.
+
+    Attributes:
+        placing: Standings of the upstreams.
+        pools: Connections to them.
+        table: Routes in force.
+        config_ms: When the configuration was taken.
+        listed_ms: When the list of upstreams was taken.
+        store_back_ms: When the store last returned from an outage.
+        on_configuration: Told of each new configuration.
+    """
+
+    placing: placing.Placing
+    pools: pool.Pools
+    on_configuration: collections.abc.Callable[[traffic.Configuration], None]
+    table: routetable.RouteTable = dataclasses.field(
+        default_factory=lambda: routetable.RouteTable(None)
+    )
+    config_ms: float = 0.0
+    listed_ms: float = 0.0
+    upstreams: dict[str, traffic.Upstream] = dataclasses.field(
+        default_factory=dict
+    )
+    store_back_ms: float = float("-inf")
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before there is one."""
+        found = self.table.configuration
+        return found.version if found else 0
+
+    @property
+    def complete(self) -> bool:
+        """Whether both views were read."""
+        return self.version > 0 and self.listed_ms > 0
+
+    def take_configuration(
+        self, offered: traffic.Configuration, source: str, now_ms: float
+    ) -> bool:
+        """Puts a configuration in force if it is newer; tells whether it is."""
+        before = self.version
+        if offered.version <= before:
+            if offered.version < before:
+                log.write(
+                    log.Event.CONFIG_OLDER,
+                    offered=offered.version,
+                    in_force=before,
+                    source=source,
+                )
+            return False
+        self.table = routetable.RouteTable(offered)
+        self.config_ms = now_ms
+        self.on_configuration(offered)
+        log.write(
+            log.Event.CONFIG_IN_FORCE,
+            revision=offered.version,
+            before=before,
+            source=source,
+            route_count=len(offered.routes),
+        )
+        return True
+
+    def take_list(
+        self, listed: dict[str, traffic.Upstream], now_ms: float
+    ) -> None:
+        """Replaces the list of upstreams."""
+        kept = dict(listed)
+        if now_ms - self.store_back_ms <= RETURN_MS:
+            # What is missing may have lapsed in the outage only.
+            kept = self.upstreams | kept
+        self._log_changes(kept)
+        self.upstreams = kept
+        self.listed_ms = now_ms
+        self.placing.install(kept, now_ms)
+        self.pools.keep_only(kept)
+
+    def _log_changes(self, kept: dict[str, traffic.Upstream]) -> None:
+        came = [each for each in kept if each not in self.upstreams]
+        went = [each for each in self.upstreams if each not in kept]
+        drains = [
+            upstream_id
+            for upstream_id, upstream in kept.items()
+            if upstream.draining
+            and not getattr(
+                self.upstreams.get(upstream_id), "draining", False
+            )
+        ]
+        if came or went or drains:
+            log.write(
+                log.Event.UPSTREAMS_CHANGED,
+                came=came,
+                went=went,
+                draining=drains,
+                count=len(kept),
+            )
--- /dev/null
+++ b/hyssoptack/gateway/daemon.py
@@ -0,0 +1,187 @@
+"""The gateway process: opens ports, keeps beliefs, serves, and stops cleanly."""
+
+import asyncio
+import signal
+
+import uvloop
+
+from hyssoptack.core import clock
+from hyssoptack.core import traffic
+from hyssoptack.events import log
+from hyssoptack.gateway import beliefs
+from hyssoptack.gateway import following
+from hyssoptack.gateway import pool
+from hyssoptack.gateway import serving
+from hyssoptack.http1 import callerside
+from hyssoptack.http1 import message
+from hyssoptack.platform import headers
+from hyssoptack.platform import keyvalue
+from hyssoptack.policy import budget
+from hyssoptack.policy import callplan
+from hyssoptack.policy import placing
+from hyssoptack.settings import gateway
+
+BACKLOG_COUNT = 1_024
+"""Connections that may wait to be accepted: a burst of all callers at once."""
+
+INSTANCES_ASSUMED_COUNT = 12
+"""Instances that share a budget's slack, before this one knows its peers: more
+than either user runs (8 and 9), so that the sum stays within the budget."""
+
+SLACK_SHARE_RATIO = 0.7
+"""Part of the slack that is used at all; the rest covers counts that differ."""
+
+EXTRA_RATIO_SHARE = 0.75
+"""Part of the budget's ratio that is used, as a window's edges cut unevenly."""
+
+TURN_AWAY_MS = 2_600.0
+"""From a stop signal until idle connections are closed: the balancer takes two
+questions, a second apart, to see that an instance is not ready."""
+
+END_MARGIN_MS = 400.0
+"""Before the kill, the process ends by itself."""
+
+DRAIN_CHECK_MS = 50.0
+
+
+class Gateway:
+    """One running gateway."""
+
+    def __init__(self, settings: gateway.GatewaySettings):
+        self._settings = settings
+        self._pools = pool.Pools(headers.REQUEST_ID)
+        self._placing = placing.Placing(
+            placing.PlacingSettings(
+                failure_domain=settings.failure_domain,
+                crossing_ms=settings.crossing_ms,
+            )
+        )
+        self._beliefs = beliefs.Beliefs(
+            placing=self._placing,
+            pools=self._pools,
+            on_configuration=self._on_configuration,
+        )
+        self._serving = serving.Serving(
+            self._beliefs, self._knowledge(), settings.failure_domain
+        )
+        self._callers = callerside.Server(handler=self._serving.handle)
+        self._probes = callerside.Server(handler=self._answer_probe)
+        self._store = keyvalue.Client(settings.store_address, self._pools)
+        self._stop = asyncio.Event()
+        self._said_ready = False
+
+    def _knowledge(self) -> callplan.Knowledge:
+        shared = self._settings.budget
+        burst_count = (
+            SLACK_SHARE_RATIO * shared.slack_count / INSTANCES_ASSUMED_COUNT
+        )
+        return callplan.Knowledge(
+            placing=self._placing,
+            budgets=budget.Book(burst_count, burst_count),
+            extra_ratio=EXTRA_RATIO_SHARE * shared.ratio,
+        )
+
+    def _on_configuration(self, offered: traffic.Configuration) -> None:
+        self._callers.limits = offered.limits
+
+    def _answer_probe(self, exchange: callerside.Exchange) -> None:
+        if exchange.request.path != headers.READINESS_PATH:
+            exchange.answer(message.problem(404, "unknown_path"))
+            return
+        ready = self._beliefs.complete and not self._stop.is_set()
+        self._note_ready(ready)
+        if ready:
+            reply = message.Reply(status=200, headers=(), body=b"")
+        else:
+            reply = message.problem(503, "not_ready")
+        exchange.answer(reply)
+
+    def _note_ready(self, ready: bool) -> None:
+        if ready != self._said_ready:
+            self._said_ready = ready
+            log.write(log.Event.READY, ready=ready)
+
+    async def run(self) -> None:
+        """Serves until a stop signal, then finishes what is in progress."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._on_stop)
+        loop.add_signal_handler(signal.SIGINT, self._on_stop)
+        listeners = [
+            await self._listen(
+                self._settings.readiness_address, self._probes
+            ),
+            await self._listen(self._settings.callers_address, self._callers),
+        ]
+        log.write(
+            log.Event.STARTED,
+            instance=self._settings.instance_id,
+            failure_domain=self._settings.failure_domain,
+        )
+        follower = following.Follower(self._beliefs, self._store)
+        tasks = [
+            loop.create_task(each)
+            for each in (
+                follower.follow_list(),
+                follower.follow_configuration(),
+                self._callers.sweep(),
+                self._probes.sweep(),
+                self._pools.sweep(),
+            )
+        ]
+        failed = loop.create_task(_first_failure(tasks))
+        stopped = loop.create_task(self._stop.wait())
+        await asyncio.wait(
+            (failed, stopped), return_when=asyncio.FIRST_COMPLETED
+        )
+        if failed.done():
+            failed.result()
+        await self._finish(listeners)
+
+    async def _listen(
+        self, address: str, server: callerside.Server
+    ) -> asyncio.Server:
+        split = traffic.split_address(address)
+        assert split is not None, "addresses are checked with the settings"
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            server.connection, split[0], split[1], backlog=BACKLOG_COUNT
+        )
+
+    def _on_stop(self) -> None:
+        log.write(log.Event.STOP_ASKED, running=len(self._serving.running))
+        self._stop.set()
+
+    async def _finish(self, listeners: list[asyncio.Server]) -> None:
+        """Turns callers away, finishes what is in progress, and ends."""
+        started_ms = clock.now_ms()
+        self._callers.closing = True
+        end_ms = started_ms + self._settings.grace_ms - END_MARGIN_MS
+        turn_ms = min(started_ms + TURN_AWAY_MS, end_ms)
+        await asyncio.sleep((turn_ms - clock.now_ms()) / message.MS_PER_S)
+        while clock.now_ms() < end_ms:
+            self._callers.close_idle()
+            if not self._callers.connections:
+                break
+            await asyncio.sleep(DRAIN_CHECK_MS / message.MS_PER_S)
+        for each in listeners:
+            each.close()
+        log.write(
+            log.Event.STOPPED,
+            took_ms=round(clock.now_ms() - started_ms),
+            unfinished=len(self._serving.running),
+        )
+
+
+async def _first_failure(tasks: list[asyncio.Task[None]]) -> None:
+    done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_EXCEPTION)
+    for each in done:
+        each.result()
+
+
+def run(settings: gateway.GatewaySettings) -> None:
+    """Runs a gateway until it is stopped."""
+
+    async def main() -> None:
+        await Gateway(settings).run()
+
+    uvloop.run(main())
--- /dev/null
+++ b/hyssoptack/gateway/pool.py
@@ -0,0 +1,279 @@
+"""Connections to upstreams: kept ones, new ones, and calls waiting for one."""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+
+from hyssoptack.core import clock
+from hyssoptack.core import traffic
+from hyssoptack.http1 import message
+from hyssoptack.http1 import upstreamside
+
+CONNECT_TIMEOUT_MS = 400.0
+"""Longest wait for a connection: some 6 ms of handshake and 4 ms of network
+under load; a dark machine answers never."""
+
+IDLE_MARGIN_RATIO = 0.6
+"""A kept connection is used for this share of the time that its upstream keeps
+it, so that the two do not cross."""
+
+IDLE_DEFAULT_MS = 3_000.0
+"""Idle time where the upstream says nothing of it."""
+
+FRESH_MS = 1_500.0
+"""A connection that answered this lately still works: silent ones show by then.
+Calls that must not fail take no older one."""
+
+SWEEP_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Job:
+    """One call to make.
+
+    Attributes:
+        upstream: Whom to call.
+        data: The whole request.
+        request_id: The id that the reply must carry.
+        to_head: Whether it is a HEAD request.
+        once: Whether the request may run once only: never on a kept connection.
+        proven: Whether only a connection that lately worked will do.
+        sink: Takes the outcome, once.
+    """
+
+    upstream: traffic.Upstream
+    data: collections.abc.Callable[[], bytes]
+    request_id: bytes
+    to_head: bool
+    once: bool
+    proven: bool
+    sink: upstreamside.Sink
+
+
+class Call:
+    """A call in progress; cancelling it is final."""
+
+    def __init__(self, lane: "_Lane", job: Job):
+        self.job = job
+        self._lane = lane
+        self.connection: upstreamside.UpstreamConnection | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.over = False
+
+    def cancel(self) -> None:
+        """Gives the call up; its connection can't be used again."""
+        if self.over:
+            return
+        self.over = True
+        if self.task is not None:
+            self.task.cancel()
+        if self.connection is not None:
+            self.connection.close()
+        self._lane.released()
+
+    def end(self, outcome: upstreamside.Outcome) -> None:
+        """Hands the outcome over."""
+        if self.over:
+            return
+        self.over = True
+        self.job.sink(outcome)
+
+
+class Pools:
+    """All lanes, one an upstream."""
+
+    def __init__(self, id_header: bytes) -> None:
+        self._id_header = id_header
+        self._lanes: dict[str, _Lane] = {}
+        self.opened_count = 0
+
+    def call(self, job: Job, connection_limit_count: int) -> Call:
+        """Starts a call."""
+        lane = self._lanes.get(job.upstream.upstream_id)
+        if lane is None:
+            lane = _Lane(self, job.upstream, self._id_header)
+            self._lanes[job.upstream.upstream_id] = lane
+        lane.limit_count = connection_limit_count
+        return lane.start(job)
+
+    def keep_only(self, upstream_ids: collections.abc.Container[str]) -> None:
+        """Closes idle connections to upstreams that are not listed any more."""
+        for upstream_id in tuple(self._lanes):
+            if upstream_id not in upstream_ids:
+                self._lanes[upstream_id].close_idle(0.0)
+                if self._lanes[upstream_id].empty:
+                    del self._lanes[upstream_id]
+
+    async def sweep(self) -> None:
+        """Closes connections that idled too long, while the pools are used."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now_ms = clock.now_ms()
+            for lane in self._lanes.values():
+                lane.close_stale(now_ms)
+
+
+class _Lane:
+    """Connections to one upstream."""
+
+    def __init__(
+        self, pools: Pools, upstream: traffic.Upstream, id_header: bytes
+    ):
+        self._pools = pools
+        self._id_header = id_header
+        host, _, port = upstream.address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._idle: list[upstreamside.UpstreamConnection] = []
+        self._waiting: collections.deque[Call] = collections.deque()
+        self._open_count = 0
+        self.limit_count = 1
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing is open or waits here."""
+        return not self._open_count and not self._waiting
+
+    def start(self, job: Job) -> Call:
+        """Starts a call on a kept connection, a new one, or when one is free."""
+        call = Call(self, job)
+        connection = None if job.once else self._take_idle(job.proven)
+        if connection is not None:
+            self._use(call, connection)
+        elif self._make_room():
+            self._open(call)
+        else:
+            self._waiting.append(call)
+        return call
+
+    def _take_idle(
+        self, proven: bool
+    ) -> upstreamside.UpstreamConnection | None:
+        now_ms = clock.now_ms()
+        while self._idle:
+            connection = self._idle[-1]
+            age_ms = now_ms - connection.used_ms
+            if proven and age_ms > FRESH_MS:
+                return None
+            self._idle.pop()
+            if connection.reusable and age_ms < _idle_limit_ms(connection):
+                return connection
+            connection.close()
+        return None
+
+    def _make_room(self) -> bool:
+        if self._open_count >= self.limit_count and self._idle:
+            self._idle.pop(0).close()
+        return self._open_count < self.limit_count
+
+    def _open(self, call: Call) -> None:
+        self._open_count += 1
+        self._pools.opened_count += 1
+        call.task = asyncio.get_running_loop().create_task(self._connect(call))
+
+    async def _connect(self, call: Call) -> None:
+        loop = asyncio.get_running_loop()
+        connection = None
+        reason = "connect_timeout"
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / message.MS_PER_S):
+                _, connection = await loop.create_connection(
+                    lambda: upstreamside.UpstreamConnection(self._id_header),
+                    self._host,
+                    self._port,
+                )
+        except TimeoutError:
+            pass
+        except OSError as error:
+            reason = f"connect_failed_{error.errno}"
+        finally:
+            # Also when the call was cancelled meanwhile.
+            if connection is None:
+                self._open_count -= 1
+        call.task = None
+        if connection is None:
+            call.end(upstreamside.Broken(reason=reason, sent=False))
+            self.released()
+            return
+        connection.on_lost = self._on_lost(connection)
+        self._use(call, connection)
+
+    def _on_lost(
+        self, connection: upstreamside.UpstreamConnection
+    ) -> collections.abc.Callable[[], None]:
+        def lost() -> None:
+            self._open_count -= 1
+            if connection in self._idle:
+                self._idle.remove(connection)
+            self.released()
+
+        return lost
+
+    def _use(
+        self, call: Call, connection: upstreamside.UpstreamConnection
+    ) -> None:
+        if call.over:
+            connection.close()
+            return
+        call.connection = connection
+
+        def ended(outcome: upstreamside.Outcome) -> None:
+            call.connection = None
+            self._give_back(connection)
+            call.end(outcome)
+
+        job = call.job
+        connection.send(job.data(), job.request_id, job.to_head, ended)
+
+    def _give_back(self, connection: upstreamside.UpstreamConnection) -> None:
+        # The parser may still be inside the bytes that brought the reply, and
+        # may find more of them: look again when it is done.
+        asyncio.get_running_loop().call_soon(self._keep, connection)
+
+    def _keep(self, connection: upstreamside.UpstreamConnection) -> None:
+        if connection.lost:
+            return
+        if not connection.reusable:
+            connection.close()
+            return
+        self._idle.append(connection)
+        self.released()
+
+    def released(self) -> None:
+        """Starts a call that waited for a connection."""
+        while self._waiting and self._waiting[0].over:
+            self._waiting.popleft()
+        if not self._waiting:
+            return
+        call = self._waiting[0]
+        connection = None if call.job.once else self._take_idle(False)
+        if connection is not None:
+            self._waiting.popleft()
+            self._use(call, connection)
+        elif self._make_room():
+            self._waiting.popleft()
+            self._open(call)
+
+    def close_idle(self, older_than_ms: float) -> None:
+        """Closes idle connections unused for longer than a time."""
+        now_ms = clock.now_ms()
+        for connection in tuple(self._idle):
+            if now_ms - connection.used_ms >= older_than_ms:
+                self._idle.remove(connection)
+                connection.close()
+
+    def close_stale(self, now_ms: float) -> None:
+        """Closes the connections that their upstream may close soon."""
+        for connection in tuple(self._idle):
+            if now_ms - connection.used_ms >= _idle_limit_ms(connection):
+                self._idle.remove(connection)
+                connection.close()
+
+
+def _idle_limit_ms(connection: upstreamside.UpstreamConnection) -> float:
+    return min(
+        IDLE_DEFAULT_MS if connection.idle_limit_ms == float("inf")
+        else connection.idle_limit_ms * IDLE_MARGIN_RATIO,
+        30_000.0,
+    )
--- /dev/null
+++ b/hyssoptack/gateway/serving.py
@@ -0,0 +1,336 @@
+"""Serves callers' requests: routes them, runs their plans, writes answers."""
+
+import asyncio
+import dataclasses
+
+from hyssoptack.core import clock
+from hyssoptack.core import traffic
+from hyssoptack.events import log
+from hyssoptack.gateway import beliefs
+from hyssoptack.gateway import pool
+from hyssoptack.http1 import callerside
+from hyssoptack.http1 import message
+from hyssoptack.http1 import upstreamside
+from hyssoptack.platform import headers
+from hyssoptack.policy import callplan
+from hyssoptack.policy import records
+from hyssoptack.policy import routetable
+
+ANSWER_MARGIN_MS = 8.0
+"""Kept back from a goal for the way to the caller and back (2 ms, 4 ms with a
+new connection) and for timers that fire late."""
+
+RETRY_AFTER_MS = 100.0
+"""When a refused caller may come back: about as long as a full queue of an
+upstream takes to clear."""
+
+CONNECTIONS_OWN_RATIO = 0.2
+"""Share of an upstream's connections that one instance of its own failure
+domain may use: 3 to 4 instances are there, and others come for hedges."""
+
+CONNECTIONS_OTHER_RATIO = 0.07
+"""The same for an instance of another failure domain."""
+
+
+class Serving:
+    """Serves requests from the beliefs of one instance."""
+
+    def __init__(
+        self,
+        believed: beliefs.Beliefs,
+        knowledge: callplan.Knowledge,
+        failure_domain: str,
+    ):
+        self._beliefs = believed
+        self._knowledge = knowledge
+        self._failure_domain = failure_domain
+        self.running: set[Running] = set()
+
+    def handle(self, exchange: callerside.Exchange) -> None:
+        """Serves one request."""
+        facts = headers.caller_facts(exchange.request)
+        if isinstance(facts, str):
+            exchange.answer(message.problem(400, facts))
+            return
+        path = exchange.request.path.decode("latin-1")
+        found = self._beliefs.table.find(facts.host, path)
+        match found:
+            case routetable.Miss.NOT_CONFIGURED:
+                self._refuse(exchange, facts, 503, found.value)
+            case routetable.Miss.NO_ROUTE:
+                self._refuse(exchange, facts, 404, found.value)
+            case routetable.Found():
+                Running(self, exchange, facts, found).start()
+
+    def _refuse(
+        self,
+        exchange: callerside.Exchange,
+        facts: headers.CallerFacts,
+        status: int,
+        reason: str,
+    ) -> None:
+        wait_ms = RETRY_AFTER_MS if status == 503 else None
+        exchange.answer(message.problem(status, reason, wait_ms))
+        log.write(
+            log.Event.REQUEST_ENDED,
+            request_id=facts.request_id.decode("latin-1"),
+            host=facts.host,
+            path=exchange.request.path.decode("latin-1"),
+            status=status,
+            reason=reason,
+            version=self._beliefs.version,
+        )
+
+    @property
+    def beliefs(self) -> beliefs.Beliefs:
+        """What requests are served from."""
+        return self._beliefs
+
+    @property
+    def knowledge(self) -> callplan.Knowledge:
+        """What plans draw on."""
+        return self._knowledge
+
+    def connection_limit_count(self, upstream: traffic.Upstream) -> int:
+        """Returns how many connections to an upstream this instance may use."""
+        configuration = self._beliefs.table.configuration
+        service = (
+            configuration.services.get(upstream.service)
+            if configuration
+            else None
+        )
+        if service is None:
+            return 1
+        own = upstream.failure_domain == self._failure_domain
+        ratio = CONNECTIONS_OWN_RATIO if own else CONNECTIONS_OTHER_RATIO
+        return max(2, round(ratio * service.max_connections_count))
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Trace:
+    """One call, for the log line of its request."""
+
+    upstream_id: str
+    sent_ms: float
+    extra: str
+    outcome: str = "open"
+    took_ms: float = 0.0
+
+    def text(self, started_ms: float) -> str:
+        """Returns the call as `upstream why +start took outcome`."""
+        after_ms = self.sent_ms - started_ms
+        why = self.extra or "first"
+        return (
+            f"{self.upstream_id} {why} +{after_ms:.0f} "
+            f"{self.took_ms:.0f} {self.outcome}"
+        )
+
+
+class Running:
+    """One request in progress."""
+
+    def __init__(
+        self,
+        serving: Serving,
+        exchange: callerside.Exchange,
+        facts: headers.CallerFacts,
+        found: routetable.Found,
+    ):
+        self._serving = serving
+        self._exchange = exchange
+        self._facts = facts
+        self._route = found.route
+        self._version = serving.beliefs.version
+        self._now_ms = clock.now_ms()
+        received_ms = exchange.request.received_ms
+        self._wait_ms = found.route.timeout_ms
+        if facts.deadline_ms is not None:
+            self._wait_ms = min(self._wait_ms, facts.deadline_ms)
+        self._deadline_at_ms = received_ms + (
+            facts.deadline_ms
+            if facts.deadline_ms is not None
+            else found.route.timeout_ms
+        )
+        self._ask = callplan.Ask(
+            route=found.route,
+            services=found.services,
+            goal_at_ms=received_ms + found.route.goal_ms - ANSWER_MARGIN_MS,
+            ends_at_ms=received_ms + self._wait_ms,
+        )
+        self._plan = callplan.CallPlan(
+            self._ask, serving.knowledge, self._now_ms
+        )
+        self._calls: dict[int, pool.Call] = {}
+        self._traces: dict[int, _Trace] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Sends the first calls."""
+        self._serving.running.add(self)
+        self._exchange.on_left = self._left
+        self._carry(self._plan.start(self._now_ms))
+
+    def _carry(self, commands: list[callplan.Command]) -> None:
+        for command in commands:
+            match command:
+                case callplan.Send():
+                    self._send(command)
+                case callplan.Cancel(call_id=call_id):
+                    self._cancel(call_id)
+                case callplan.Finish(result=result):
+                    self._finish(result)
+        if not self._plan.finished:
+            self._arm()
+
+    def _send(self, command: callplan.Send) -> None:
+        upstream = command.upstream
+        call_id = command.call_id
+        self._traces[call_id] = _Trace(
+            upstream_id=upstream.upstream_id,
+            sent_ms=self._now_ms,
+            extra=command.extra,
+        )
+        if command.extra:
+            self._log_extra(command)
+        job = pool.Job(
+            upstream=upstream,
+            data=lambda: self._data(upstream),
+            request_id=self._facts.request_id,
+            to_head=self._exchange.request.method == b"HEAD",
+            once=not self._route.idempotent,
+            proven=bool(command.extra),
+            sink=lambda outcome: self._on_outcome(call_id, outcome),
+        )
+        limit_count = self._serving.connection_limit_count(upstream)
+        self._calls[call_id] = self._serving.beliefs.pools.call(
+            job, limit_count
+        )
+
+    def _data(self, upstream: traffic.Upstream) -> bytes:
+        remaining_ms = self._deadline_at_ms - clock.now_ms()
+        return headers.upstream_request(
+            self._exchange.request, upstream, remaining_ms
+        )
+
+    def _cancel(self, call_id: int) -> None:
+        call = self._calls.pop(call_id, None)
+        if call is not None:
+            call.cancel()
+            self._note(call_id, "cancelled")
+
+    def _note(self, call_id: int, outcome: str) -> None:
+        trace = self._traces[call_id]
+        trace.outcome = outcome
+        trace.took_ms = clock.now_ms() - trace.sent_ms
+
+    def _on_outcome(
+        self, call_id: int, outcome: upstreamside.Outcome
+    ) -> None:
+        self._now_ms = clock.now_ms()
+        self._calls.pop(call_id, None)
+        read = self._read(outcome)
+        self._note(call_id, read.reason or read.kind.value)
+        if not read.reached:
+            self._log_unreachable(call_id, read)
+        self._carry(self._plan.on_outcome(call_id, read, self._now_ms))
+
+    def _read(self, outcome: upstreamside.Outcome) -> callplan.Outcome:
+        match outcome:
+            case upstreamside.Broken(reason=reason, sent=False):
+                return callplan.Outcome(
+                    kind=callplan.Kind.NOT_RUN, reason=reason, reached=False
+                )
+            case upstreamside.Broken(reason=reason):
+                return callplan.Outcome(
+                    kind=callplan.Kind.FAILED, reason=reason
+                )
+            case message.Reply() if isinstance(
+                self._route.target, traffic.AllShards
+            ):
+                return headers.part_outcome(outcome)
+            case message.Reply():
+                return headers.outcome(outcome)
+
+    def _arm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        wait_ms = max(0.0, self._plan.next_time_ms() - self._now_ms)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(wait_ms / message.MS_PER_S, self._on_time)
+
+    def _on_time(self) -> None:
+        self._now_ms = clock.now_ms()
+        self._carry(self._plan.on_time(self._now_ms))
+
+    def _left(self) -> None:
+        """Cancels everything: nobody waits for the answer."""
+        self._now_ms = clock.now_ms()
+        self._carry(self._plan.abandon(self._now_ms))
+        self._end(0, "caller_left")
+
+    def _finish(self, result: callplan.Result) -> None:
+        match result:
+            case callplan.Answer(replies=replies, part_count=part_count):
+                reply = self._answer(replies, part_count)
+                detail = f"{len(replies)}/{part_count}"
+            case callplan.Refuse(reason=detail):
+                reply = message.problem(503, detail, RETRY_AFTER_MS)
+            case callplan.Fail(reason=detail, reply=message.Reply() as failure):
+                reply = headers.single_reply(failure)
+            case callplan.Fail(reason=detail, timed_out=timed_out):
+                reply = message.problem(504 if timed_out else 502, detail)
+        self._exchange.answer(reply)
+        self._end(reply.status, detail)
+
+    def _answer(
+        self, replies: tuple[message.Reply, ...], part_count: int
+    ) -> message.Reply:
+        match self._route.target:
+            case traffic.AllShards(top_count=top_count):
+                bodies = tuple(each.body for each in replies)
+                return headers.merged_reply(
+                    self._facts.request_id,
+                    replies,
+                    part_count,
+                    records.greatest(bodies, top_count),
+                )
+            case _:
+                return headers.single_reply(replies[0])
+
+    def _end(self, status: int, detail: str) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._serving.running.discard(self)
+        now_ms = clock.now_ms()
+        started_ms = self._exchange.request.received_ms
+        log.write(
+            log.Event.REQUEST_ENDED,
+            request_id=self._facts.request_id.decode("latin-1"),
+            route=self._route.name,
+            status=status,
+            reason=detail,
+            took_ms=round(now_ms - started_ms, 1),
+            wait_ms=self._wait_ms,
+            version=self._version,
+            version_age_ms=round(now_ms - self._serving.beliefs.config_ms),
+            list_age_ms=round(now_ms - self._serving.beliefs.listed_ms),
+            calls=[each.text(started_ms) for each in self._traces.values()],
+        )
+
+    def _log_extra(self, command: callplan.Send) -> None:
+        log.write(
+            log.Event.CALL_EXTRA,
+            request_id=self._facts.request_id.decode("latin-1"),
+            upstream=command.upstream.upstream_id,
+            service=command.upstream.service,
+            why=command.extra,
+            after_ms=round(self._now_ms - self._exchange.request.received_ms),
+        )
+
+    def _log_unreachable(self, call_id: int, read: callplan.Outcome) -> None:
+        log.write(
+            log.Event.UPSTREAM_UNREACHABLE,
+            request_id=self._facts.request_id.decode("latin-1"),
+            upstream=self._traces[call_id].upstream_id,
+            reason=read.reason,
+        )
--- /dev/null
+++ b/hyssoptack/http1/message.py
@@ -0,0 +1,161 @@
+"""Requests and replies as immutable records, and how they are written."""
+
+import dataclasses
+import http
+
+Header = tuple[bytes, bytes]
+"""A header's name, as it was sent, and its value."""
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+
+NO_BODY_STATUSES = frozenset((204, 304))
+MS_PER_S = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Request:
+    """One whole request.
+
+    Attributes:
+        method: The method as sent.
+        target: Path and query as sent.
+        headers: All headers in order.
+        body: The whole body, without its framing.
+        received_ms: When its first byte came.
+        keep_alive: Whether the caller wants to use the connection again.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    received_ms: float
+    keep_alive: bool
+
+    def values(self, name: bytes) -> list[bytes]:
+        """Returns every value of a header; `name` is in lower case."""
+        return [value for key, value in self.headers if key.lower() == name]
+
+    def value(self, name: bytes) -> bytes:
+        """Returns a header's first value, or nothing."""
+        found = self.values(name)
+        return found[0] if found else b""
+
+    @property
+    def path(self) -> bytes:
+        """The target without its query."""
+        return self.target.partition(b"?")[0]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reply:
+    """One whole reply.
+
+    Attributes:
+        status: The status code.
+        headers: All headers in order.
+        body: The whole body, without its framing.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+    def value(self, name: bytes) -> bytes:
+        """Returns a header's first value; `name` is in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return b""
+
+
+def passed_on(
+    headers: tuple[Header, ...], without: frozenset[bytes]
+) -> list[Header]:
+    """Returns the headers that go on to the next hop.
+
+    Args:
+        headers: What came.
+        without: Further names to leave out, in lower case.
+
+    Returns:
+        The headers but for those of the connection, of framing, and `without`.
+    """
+    named = {
+        each.strip().lower()
+        for key, value in headers
+        if key.lower() == b"connection"
+        for each in value.split(b",")
+    }
+    dropped = HOP_BY_HOP | without | named | {b"content-length"}
+    return [each for each in headers if each[0].lower() not in dropped]
+
+
+def request_bytes(
+    method: bytes, target: bytes, headers: list[Header], body: bytes
+) -> bytes:
+    """Returns a request as it goes on the wire."""
+    lines = [b"%s %s HTTP/1.1" % (method, target)]
+    lines.extend(b"%s: %s" % each for each in headers)
+    if body or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def reply_bytes(reply: Reply, keep_alive: bool, to_head: bool = False) -> bytes:
+    """Returns a reply as it goes on the wire.
+
+    Args:
+        reply: The reply; its headers carry no framing.
+        keep_alive: Whether the connection stays open after it.
+        to_head: Whether it answers HEAD, which has no body.
+
+    Returns:
+        The bytes.
+    """
+    try:
+        phrase = http.HTTPStatus(reply.status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    lines = [b"HTTP/1.1 %d %s" % (reply.status, phrase.encode())]
+    lines.extend(b"%s: %s" % each for each in reply.headers)
+    if reply.status not in NO_BODY_STATUSES:
+        lines.append(b"Content-Length: %d" % len(reply.body))
+    if not keep_alive:
+        lines.append(b"Connection: close")
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    return head if to_head else head + reply.body
+
+
+def problem(
+    status: int, reason: str, retry_after_ms: float | None = None
+) -> Reply:
+    """Returns a failure of our own.
+
+    Args:
+        status: The status code.
+        reason: One word for the cause, for callers and logs.
+        retry_after_ms: When to come back, if that makes sense.
+
+    Returns:
+        The reply, with a short body of problem details (RFC 9457).
+    """
+    headers = [(b"Content-Type", b"application/problem+json")]
+    if retry_after_ms is not None:
+        seconds = b"%.3f" % (retry_after_ms / MS_PER_S)
+        headers.append((b"Retry-After", seconds))
+    body = b'{"status":%d,"reason":"%s"}' % (status, reason.encode())
+    return Reply(status=status, headers=tuple(headers), body=body)
--- /dev/null
+++ b/hyssoptack/platform/headers.py
@@ -0,0 +1,156 @@
+"""Reads and writes the headers that the platform gives a meaning to.
+
+The names of headers and of the readiness path appear nowhere else.
+"""
+
+import dataclasses
+
+from hyssoptack.core import traffic
+from hyssoptack.http1 import message
+from hyssoptack.policy import callplan
+
+READINESS_PATH = b"/hyssoptack/readiness"
+REQUEST_ID = b"x-request-id"
+
+_DEADLINE = b"x-request-deadline"
+_EXPECTED = b"x-expected-instance"
+# The upstream's signature under its reply.
+_SIGNATURE = b"x-server-stamp"
+_SIGNATURES = b"X-Part-Stamps"
+_MISSING = b"X-Missing-Parts"
+_NOT_RUN = b"x-not-executed"
+
+_OWN_HEADERS = frozenset((_DEADLINE, _EXPECTED, b"expect"))
+
+STATUS_MISDIRECTED = 421
+STATUS_BAD_GATEWAY = 502
+STATUS_PROMISES = frozenset((408, 421, 429, 503))
+"""With these a caller is told that its request has not run."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerFacts:
+    """What a request says of itself besides its content.
+
+    Attributes:
+        request_id: Names this attempt of the caller.
+        deadline_ms: How long the caller waits; None where it does not say.
+        host: The host, without a port.
+    """
+
+    request_id: bytes
+    deadline_ms: float | None
+    host: str
+
+
+def caller_facts(request: message.Request) -> CallerFacts | str:
+    """Reads a request's facts, or says what is wrong with them."""
+    ids = request.values(REQUEST_ID)
+    hosts = request.values(b"host")
+    if len(ids) != 1 or not ids[0]:
+        return "request_id_missing_or_repeated"
+    if len(hosts) != 1:
+        return "host_missing_or_repeated"
+    if not request.target.startswith(b"/"):
+        return "target_is_no_path"
+    host = hosts[0].decode("latin-1").rpartition(":")
+    name = host[0] if host[2].isdigit() and host[0] else hosts[0].decode("latin-1")
+    return CallerFacts(
+        request_id=ids[0], deadline_ms=_deadline(request), host=name
+    )
+
+
+def _deadline(request: message.Request) -> float | None:
+    try:
+        return max(0.0, float(request.value(_DEADLINE)))
+    except ValueError:
+        return None
+
+
+def upstream_request(
+    request: message.Request, upstream: traffic.Upstream, remaining_ms: float
+) -> bytes:
+    """Returns the request as it goes to an upstream."""
+    headers = message.passed_on(request.headers, _OWN_HEADERS)
+    headers.append((b"X-Request-Deadline", b"%d" % max(1, remaining_ms)))
+    headers.append((b"X-Expected-Instance", upstream.upstream_id.encode()))
+    return message.request_bytes(
+        request.method, request.target, headers, request.body
+    )
+
+
+def outcome(reply: message.Reply) -> callplan.Outcome:
+    """Reads what an upstream's reply says about the request.
+
+    Args:
+        reply: A whole reply.
+
+    Returns:
+        Its meaning. Only an explicit word of the upstream, or another
+        upstream's at its address, says that the request has not run.
+    """
+    if reply.status == STATUS_MISDIRECTED:
+        return callplan.Outcome(
+            kind=callplan.Kind.NOT_RUN, reply=reply, reason="other_upstream"
+        )
+    if reply.value(_NOT_RUN):
+        return callplan.Outcome(
+            kind=callplan.Kind.SHED, reply=reply, reason=f"shed_{reply.status}"
+        )
+    signed = bool(reply.value(_SIGNATURE))
+    success = 200 <= reply.status < 300
+    if reply.value(b"content-encoding"):
+        return _failed("encoded_reply")
+    if success and not signed:
+        return _failed("unsigned_success")
+    if success or 400 <= reply.status < 500 and signed:
+        return callplan.Outcome(kind=callplan.Kind.ANSWERED, reply=reply)
+    passable = signed and reply.status not in STATUS_PROMISES
+    return callplan.Outcome(
+        kind=callplan.Kind.FAILED,
+        reply=reply if passable else None,
+        reason=f"status_{reply.status}",
+    )
+
+
+def part_outcome(reply: message.Reply) -> callplan.Outcome:
+    """Reads a reply that is to be part of a merged answer.
+
+    A failure is no part, even where it would do as an answer of its own.
+    """
+    read = outcome(reply)
+    if read.kind is callplan.Kind.ANSWERED and reply.status != 200:
+        return _failed(f"status_{reply.status}")
+    return read
+
+
+def _failed(reason: str) -> callplan.Outcome:
+    return callplan.Outcome(kind=callplan.Kind.FAILED, reason=reason)
+
+
+def single_reply(reply: message.Reply) -> message.Reply:
+    """Returns an upstream's reply as the caller gets it."""
+    headers = message.passed_on(reply.headers, frozenset())
+    return message.Reply(
+        status=reply.status, headers=tuple(headers), body=reply.body
+    )
+
+
+def merged_reply(
+    request_id: bytes,
+    parts: tuple[message.Reply, ...],
+    part_count: int,
+    body: bytes,
+) -> message.Reply:
+    """Returns the answer that merges the replies of several shards."""
+    signatures = b", ".join(each.value(_SIGNATURE) for each in parts)
+    return message.Reply(
+        status=200,
+        headers=(
+            (b"X-Request-Id", request_id),
+            (b"Content-Type", b"application/octet-stream"),
+            (_SIGNATURES, signatures),
+            (_MISSING, b"%d" % (part_count - len(parts))),
+        ),
+        body=body,
+    )
--- /dev/null
+++ b/hyssoptack/platform/keyvalue.py
@@ -0,0 +1,296 @@
+"""Client of the platform's key-value store, on the product's HTTP client.
+
+A write whose answer is lost may or may not have happened, and may still happen
+later; the client never repeats one by itself.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import typing
+import urllib.parse
+
+import expression
+import msgspec
+
+from hyssoptack.core import traffic
+from hyssoptack.gateway import pool
+from hyssoptack.http1 import message
+from hyssoptack.http1 import upstreamside
+
+T = typing.TypeVar("T")
+
+CALL_TIMEOUT_MS = 1_000.0
+"""Longest wait for an answer: the store takes 4 ms, and some 200 ms when slow;
+a second is a silent connection."""
+
+WATCH_MARGIN_MS = 700.0
+"""Added to a watch's own time for the same reasons."""
+
+CONNECTION_LIMIT_COUNT = 4
+PAGE_LIMIT_COUNT = 400
+"""Most pages of one range: 200,000 items, far over what is kept there."""
+
+ABSENT_REVISION = 0
+"""The revision of a key that does not exist, in a write's conditions."""
+
+
+class Trouble(enum.Enum):
+    """Why a call brought nothing."""
+
+    UNREACHABLE = "unreachable"
+    BUSY = "busy"
+    COMPACTED = "compacted"
+    CONFLICT = "conflict"
+    NO_LEASE = "no_lease"
+    REFUSED = "refused"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Failure:
+    """A call that brought nothing."""
+
+    trouble: Trouble
+    detail: str
+
+
+class Item(msgspec.Struct):
+    """A key and its value, or the key's removal."""
+
+    key: str
+    value: bytes = b""
+    revision: int = 0
+    removed: bool = False
+
+
+class Listing(msgspec.Struct):
+    """Items under a prefix.
+
+    `store_revision` is the store's own at the time of the first page.
+    """
+
+    items: list[Item]
+    store_revision: int
+
+
+class _Page(msgspec.Struct):
+    items: list[Item]
+    # The whole store's revision, not that of any item.
+    current_rev: int
+    has_more: bool = False
+
+
+class Changes(msgspec.Struct):
+    """What a watch saw, and the revision to go on from."""
+
+    events: list[Item]
+    current_rev: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+    ttl_ms: float
+
+
+class _Condition(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _Write(msgspec.Struct):
+    key: str
+    value: bytes
+    lease: int
+
+
+class _Transaction(msgspec.Struct):
+    expect: list[_Condition]
+    writes: list[_Write]
+    deletes: list[str]
+
+
+_PAGE = msgspec.json.Decoder(_Page)
+_CHANGES = msgspec.json.Decoder(Changes)
+_LEASE = msgspec.json.Decoder(_Lease)
+_ENCODER = msgspec.json.Encoder()
+
+_TROUBLES = {
+    404: Trouble.NO_LEASE,
+    410: Trouble.COMPACTED,
+    412: Trouble.CONFLICT,
+    429: Trouble.BUSY,
+    503: Trouble.BUSY,
+}
+
+
+class Client:
+    """Calls to the store; all run on the event loop."""
+
+    def __init__(self, address: str, pools: pool.Pools):
+        self._pools = pools
+        self._host = address.encode()
+        self._store = traffic.Upstream(
+            upstream_id="store",
+            service="store",
+            address=address,
+            failure_domain="",
+            slot_count=1,
+            draining=False,
+            cold_ms=0.0,
+        )
+        self.call_count = 0
+
+    async def list(
+        self, prefix: str, stale: bool = False
+    ) -> expression.Result[Listing, Failure]:
+        """Reads all items under a prefix; pages are not one snapshot.
+
+        Args:
+            prefix: Start of the keys.
+            stale: Whether an answer some seconds old will do.
+
+        Returns:
+            The items, or what went wrong.
+        """
+        items: list[Item] = []
+        store_revision: int | None = None
+        query = {"prefix": prefix} | ({"allow_stale": "1"} if stale else {})
+        for _ in range(PAGE_LIMIT_COUNT):
+            result = await self._call("GET", "kv-range", query)
+            match result:
+                case expression.Result(tag="ok", ok=body):
+                    page = _decoded(_PAGE, body)
+                case expression.Result(error=failure):
+                    return expression.Error(failure)
+            if isinstance(page, Failure):
+                return expression.Error(page)
+            items.extend(page.items)
+            if store_revision is None:
+                store_revision = page.current_rev
+            if not page.has_more or not page.items:
+                break
+            query = query | {"after": page.items[-1].key}
+        return expression.Ok(
+            Listing(items=items, store_revision=store_revision or 0)
+        )
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_ms: float
+    ) -> expression.Result[Changes, Failure]:
+        """Waits until something under a prefix changes, or the time is over."""
+        query = {
+            "prefix": prefix,
+            "after": str(after_revision),
+            "wait_ms": str(int(wait_ms)),
+        }
+        result = await self._call(
+            "GET", "kv-watch", query, wait_ms + WATCH_MARGIN_MS
+        )
+        return _read(result, _CHANGES)
+
+    async def grant(
+        self, ttl_ms: float
+    ) -> expression.Result[int, Failure]:
+        """Takes a lease; returns its number."""
+        body = _ENCODER.encode({"ttl_ms": int(ttl_ms)})
+        result = await self._call("POST", "kv-lease", {}, body=body)
+        return _read(result, _LEASE).map(lambda found: found.lease)
+
+    async def keep(self, lease: int) -> expression.Result[bytes, Failure]:
+        """Renews a lease."""
+        return await self._call("POST", f"kv-keep/{lease}", {})
+
+    async def end(self, lease: int) -> expression.Result[bytes, Failure]:
+        """Ends a lease; its keys go."""
+        return await self._call("DELETE", f"kv-lease-end/{lease}", {})
+
+    async def put(
+        self, key: str, value: bytes, lease: int
+    ) -> expression.Result[bytes, Failure]:
+        """Writes a key that goes with a lease."""
+        write = _Write(key=key, value=value, lease=lease)
+        body = _ENCODER.encode(
+            _Transaction(expect=[], writes=[write], deletes=[])
+        )
+        return await self._call("POST", "kv-txn", {}, body=body)
+
+    async def _call(
+        self,
+        method: str,
+        name: str,
+        query: dict[str, str],
+        timeout_ms: float = CALL_TIMEOUT_MS,
+        body: bytes = b"",
+    ) -> expression.Result[bytes, Failure]:
+        self.call_count += 1
+        path = f"/hyssoptack/{name}"
+        if query:
+            path += "?" + urllib.parse.urlencode(query, safe="/")
+        outcome = await self._exchange(method, path, timeout_ms, body)
+        match outcome:
+            case message.Reply(status=200):
+                return expression.Ok(outcome.body)
+            case message.Reply(status=status):
+                trouble = _TROUBLES.get(status, Trouble.REFUSED)
+                detail = f"{method} {name}: status {status}"
+            case upstreamside.Broken(reason=reason):
+                trouble = Trouble.UNREACHABLE
+                detail = f"{method} {name}: {reason}"
+        return expression.Error(Failure(trouble=trouble, detail=detail))
+
+    async def _exchange(
+        self, method: str, path: str, timeout_ms: float, body: bytes
+    ) -> upstreamside.Outcome:
+        headers = [(b"Host", self._host)]
+        if body:
+            headers.append((b"Content-Type", b"application/json"))
+        data = message.request_bytes(
+            method.encode(), path.encode(), headers, body
+        )
+        done: asyncio.Future[upstreamside.Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def sink(outcome: upstreamside.Outcome) -> None:
+            if not done.done():
+                done.set_result(outcome)
+
+        job = pool.Job(
+            upstream=self._store,
+            data=lambda: data,
+            request_id=b"",
+            to_head=False,
+            once=False,
+            proven=False,
+            sink=sink,
+        )
+        call = self._pools.call(job, CONNECTION_LIMIT_COUNT)
+        try:
+            async with asyncio.timeout(timeout_ms / message.MS_PER_S):
+                return await done
+        except TimeoutError:
+            return upstreamside.Broken(reason="timeout", sent=True)
+        finally:
+            call.cancel()
+
+
+def _read(
+    result: expression.Result[bytes, Failure], decoder: msgspec.json.Decoder[T]
+) -> expression.Result[T, Failure]:
+    match result:
+        case expression.Result(tag="ok", ok=body):
+            found = _decoded(decoder, body)
+            if isinstance(found, Failure):
+                return expression.Error(found)
+            return expression.Ok(found)
+        case expression.Result(error=failure):
+            return expression.Error(failure)
+
+
+def _decoded(
+    decoder: msgspec.json.Decoder[T], body: bytes
+) -> T | Failure:
+    try:
+        return decoder.decode(body)
+    except msgspec.DecodeError as error:
+        return Failure(trouble=Trouble.REFUSED, detail=f"unreadable: {error}")
--- /dev/null
+++ b/hyssoptack/platform/wire.py
@@ -0,0 +1,172 @@
+"""Reads what the platform's store holds into the product's records.
+
+The names of the fields below are the platform's; they appear nowhere else.
+"""
+
+import expression
+import msgspec
+
+from hyssoptack.core import traffic
+
+CONFIGURATION_KEY = "op/config"
+UPSTREAM_PREFIX = "servers/"
+PEER_PREFIX = "hyssoptack/peers/"
+
+_IDEMPOTENT = "idempotent"
+_DRAINING = "draining"
+
+
+class _SplitPart(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    route_type: str
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int
+    max_attempts: int
+    service: str | None = None
+    traffic_split: list[_SplitPart] | None = None
+    # The shards of an index, each of which is a service.
+    fanout_services: list[str] | None = None
+    top_k: int = 0
+    min_shard_fraction: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    # Counted over all callers of one upstream, not for each caller.
+    max_connections: int
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    warmup_remaining_ms: float = 0.0
+
+
+_CONFIGURATION = msgspec.json.Decoder(_Configuration)
+_SERVER = msgspec.json.Decoder(_Server)
+
+
+def configuration(
+    data: bytes,
+) -> expression.Result[traffic.Configuration, str]:
+    """Reads a configuration.
+
+    Args:
+        data: The stored value.
+
+    Returns:
+        The configuration, or what is wrong with the value.
+    """
+    try:
+        raw = _CONFIGURATION.decode(data)
+        return expression.Ok(
+            traffic.Configuration(
+                version=raw.version,
+                routes=tuple(_route(each) for each in raw.routes),
+                services={each.name: _service(each) for each in raw.services},
+                limits=_limits(raw.limits),
+            )
+        )
+    except (msgspec.DecodeError, ValueError) as error:
+        return expression.Error(f"unreadable configuration: {error}")
+
+
+def _route(raw: _Route) -> traffic.Route:
+    return traffic.Route(
+        name=raw.name,
+        host=raw.host.lower(),
+        prefix=raw.prefix,
+        idempotent=raw.route_type == _IDEMPOTENT,
+        timeout_ms=raw.timeout_ms,
+        goal_ms=raw.target_latency_ms,
+        rank=raw.priority,
+        max_attempts_count=max(1, raw.max_attempts),
+        target=_target(raw),
+    )
+
+
+def _target(raw: _Route) -> traffic.Target:
+    if raw.fanout_services:
+        return traffic.AllShards(
+            shards=tuple(raw.fanout_services),
+            top_count=raw.top_k,
+            floor_ratio=raw.min_shard_fraction,
+        )
+    if raw.traffic_split:
+        shares = tuple(
+            traffic.Share(service=each.service, weight=each.weight)
+            for each in raw.traffic_split
+        )
+        return traffic.Split(shares=shares)
+    if raw.service:
+        return traffic.OneService(service=raw.service)
+    raise ValueError(f"route {raw.name} names no service")
+
+
+def _service(raw: _Service) -> traffic.Service:
+    return traffic.Service(
+        name=raw.name, max_connections_count=raw.max_connections
+    )
+
+
+def _limits(raw: _Limits) -> traffic.Limits:
+    return traffic.Limits(
+        max_header_bytes=raw.max_header_bytes,
+        max_body_bytes=raw.max_body_bytes,
+        header_timeout_ms=raw.header_timeout_ms,
+        idle_timeout_ms=raw.idle_timeout_ms,
+    )
+
+
+def upstream(
+    key: str, data: bytes
+) -> expression.Result[traffic.Upstream, str]:
+    """Reads one entry of the list of upstreams.
+
+    Args:
+        key: The entry's key; the upstream's id stands nowhere else.
+        data: The stored value.
+
+    Returns:
+        The upstream, or what is wrong with the entry.
+    """
+    try:
+        raw = _SERVER.decode(data)
+    except msgspec.DecodeError as error:
+        return expression.Error(f"unreadable entry {key}: {error}")
+    return expression.Ok(
+        traffic.Upstream(
+            upstream_id=key.removeprefix(UPSTREAM_PREFIX),
+            service=raw.service,
+            address=raw.address,
+            failure_domain=raw.zone,
+            slot_count=max(1, raw.slots),
+            draining=raw.state == _DRAINING,
+            cold_ms=raw.warmup_remaining_ms,
+        )
+    )
--- a/hyssoptack/policy/budget.py
+++ b/hyssoptack/policy/budget.py
@@ -23,9 +23,14 @@
     extra_call_count: int = 0
 
 
-def earn(budget: Budget, ceiling_ratio: float, call_count: int) -> Budget:
+def earn(
+    budget: Budget,
+    ceiling_ratio: float,
+    call_count: int,
+    burst_count: float = BURST_COUNT,
+) -> Budget:
     """Returns the budget after first calls were made."""
-    tokens = min(BURST_COUNT, budget.token_count + ceiling_ratio * call_count)
+    tokens = min(burst_count, budget.token_count + ceiling_ratio * call_count)
     return dataclasses.replace(
         budget,
         token_count=tokens,
@@ -56,17 +61,23 @@
 class Book:
     """The budgets of all services on one instance."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        burst_count: float = BURST_COUNT,
+        initial_count: float = INITIAL_COUNT,
+    ) -> None:
+        self.burst_count = burst_count
+        self._initial = Budget(token_count=initial_count)
         self._budgets: dict[str, Budget] = {}
 
     def of(self, service: str) -> Budget:
         """Returns a service's budget."""
-        return self._budgets.get(service, Budget())
+        return self._budgets.get(service, self._initial)
 
     def earn(self, service: str, ceiling_ratio: float, call_count: int) -> None:
         """Books first calls."""
         self._budgets[service] = earn(
-            self.of(service), ceiling_ratio, call_count
+            self.of(service), ceiling_ratio, call_count, self.burst_count
         )
 
     def spend(self, service: str, keep_count: float = 0.0) -> bool:
--- /dev/null
+++ b/hyssoptack/policy/callplan.py
@@ -0,0 +1,420 @@
+"""The decisions for one request, as events in and commands out.
+
+A request has one part for each service that it goes to: one, or all shards of
+an index. The runner feeds outcomes of calls and the time, and carries out the
+commands. Nothing here reads a clock or a socket.
+
+What may be sent again: a call that did not run, always; one that may have run,
+only where the route is idempotent. Each extra call is paid from the service's
+budget and counts towards the route's attempts.
+"""
+
+import dataclasses
+import enum
+
+from hyssoptack.core import traffic
+from hyssoptack.policy import budget
+from hyssoptack.policy import placing
+
+HEDGE_QUANTILE_RATIO = 0.95
+"""A call that takes longer than this share of its route's calls is hedged: with
+pauses of 4 calls in 100 that costs about 5 extra calls in 100."""
+
+HEDGE_FLOOR_MS = 5.0
+"""No hedge sooner: below it, timers and the wire decide, not the upstream."""
+
+HEDGE_DEFAULT_RATIO = 0.4
+"""Before a route has measured calls, hedge at this share of its goal."""
+
+HEDGE_LATEST_RATIO = 0.6
+"""Hedge at this share of the time to the goal at the latest, so that the second
+call has time to answer."""
+
+HEDGE_KEEP_COUNT = 1.0
+"""Tokens that hedges leave for retries after failures."""
+
+END_MARGIN_MS = 10.0
+"""Kept back from the caller's deadline to write the answer and carry it."""
+
+
+class Kind(enum.Enum):
+    """What a call's outcome says about the request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    SHED = "shed"
+    FAILED = "failed"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What became of a call.
+
+    Attributes:
+        kind: What it says about the request.
+        reply: The upstream's reply, if a whole one came.
+        reason: What was seen, for logs.
+        reached: Whether the upstream may have seen the request.
+    """
+
+    kind: Kind
+    reply: object = None
+    reason: str = ""
+    reached: bool = True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Send:
+    """Call an upstream; `extra` says why it is not the part's first call."""
+
+    call_id: int
+    upstream: traffic.Upstream
+    extra: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cancel:
+    """Give up a call."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answer:
+    """Answer with these replies, in the order of their parts."""
+
+    replies: tuple[object, ...]
+    part_count: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refuse:
+    """Nothing ran, and nothing will; the caller may come back."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fail:
+    """It may have run; `reply` is an upstream's failure to pass on, if any."""
+
+    reason: str
+    timed_out: bool
+    reply: object = None
+
+
+Result = Answer | Refuse | Fail
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Finish:
+    """The request's end."""
+
+    result: Result
+
+
+Command = Send | Cancel | Finish
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ask:
+    """One request, as the plan needs it.
+
+    Attributes:
+        route: Its route.
+        services: One service for each part.
+        goal_at_ms: When an answer loses most of its use.
+        ends_at_ms: When the caller stops waiting, or the route's timeout ends.
+    """
+
+    route: traffic.Route
+    services: tuple[str, ...]
+    goal_at_ms: float
+    ends_at_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Knowledge:
+    """What all plans of an instance draw on."""
+
+    placing: placing.Placing
+    budgets: budget.Book
+    extra_ratio: float
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Call:
+    upstream_id: str
+    sent_ms: float
+    part: "_Part"
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Part:
+    service: str
+    calls: dict[int, _Call] = dataclasses.field(default_factory=dict)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    attempt_count: int = 0
+    reply: object = None
+    failure: object = None
+    lost: bool = False
+    hedged: bool = False
+    last_reason: str = "no_upstream"
+
+    def is_open(self) -> bool:
+        return self.reply is None and not self.lost
+
+
+class CallPlan:
+    """One request's decisions."""
+
+    def __init__(self, ask: Ask, knowledge: Knowledge, now_ms: float):
+        self.ask = ask
+        self._know = knowledge
+        self._parts = [_Part(service=each) for each in ask.services]
+        self._calls: dict[int, _Call] = {}
+        self._next_call_id = 1
+        self._may_have_run = False
+        self.finished = False
+        self.extra_count = 0
+        self._ends_ms = max(now_ms, ask.ends_at_ms - END_MARGIN_MS)
+        self._hedge_after_ms = self._hedge_delay(now_ms)
+        match ask.route.target:
+            case traffic.AllShards(floor_ratio=floor_ratio):
+                self._floor_ratio = floor_ratio
+            case _:
+                self._floor_ratio = 1.0
+
+    def start(self, now_ms: float) -> list[Command]:
+        """Returns the first calls, one for each part."""
+        commands: list[Command] = []
+        for part in self._parts:
+            self._know.budgets.earn(
+                part.service, self._know.extra_ratio, 1
+            )
+            commands.extend(self._send(part, now_ms))
+        return commands + self._finish_if_due(now_ms)
+
+    def next_time_ms(self) -> float:
+        """Returns when `on_time` should be called next."""
+        times = [self._ends_ms]
+        if self._covers_floor():
+            times.append(self.ask.goal_at_ms)
+        for part in self._parts:
+            if self._may_hedge(part):
+                call = next(iter(part.calls.values()))
+                times.append(call.sent_ms + self._hedge_after_ms)
+        return min(times)
+
+    def on_time(self, now_ms: float) -> list[Command]:
+        """Returns what time alone brings: hedges, or the end."""
+        if self.finished:
+            return []
+        commands: list[Command] = []
+        for part in self._parts:
+            if not self._may_hedge(part):
+                continue
+            call = next(iter(part.calls.values()))
+            if now_ms >= call.sent_ms + self._hedge_after_ms:
+                commands.extend(self._hedge(part, now_ms))
+        return commands + self._finish_if_due(now_ms)
+
+    def on_outcome(
+        self, call_id: int, outcome: Outcome, now_ms: float
+    ) -> list[Command]:
+        """Takes what became of a call; an unknown call changes nothing."""
+        call = self._calls.pop(call_id, None)
+        if call is None:
+            return []
+        self._know.placing.ended(call.upstream_id)
+        self._learn(call, outcome, now_ms)
+        if self.finished:
+            return []
+        part = call.part
+        part.calls.pop(call_id, None)
+        part.last_reason = outcome.reason or outcome.kind.value
+        commands = self._take(part, outcome, now_ms)
+        return commands + self._finish_if_due(now_ms)
+
+    def abandon(self, now_ms: float) -> list[Command]:
+        """Gives everything up: the caller has left."""
+        self.finished = True
+        return self._cancel_all(now_ms)
+
+    def upstream_of(self, call_id: int) -> str:
+        """Returns the upstream of an open call, or nothing."""
+        call = self._calls.get(call_id)
+        return call.upstream_id if call else ""
+
+    # Outcomes of calls.
+
+    def _learn(self, call: _Call, outcome: Outcome, now_ms: float) -> None:
+        know = self._know.placing
+        match outcome.kind:
+            case Kind.ANSWERED:
+                elapsed_ms = now_ms - call.sent_ms
+                name = self.ask.route.name
+                know.answered(name, call.upstream_id, elapsed_ms, now_ms)
+            case Kind.SHED:
+                know.shed(call.upstream_id, now_ms)
+            case Kind.NOT_RUN if not outcome.reached:
+                know.unreachable(call.upstream_id, now_ms)
+            case Kind.NOT_RUN:
+                know.failed(call.upstream_id, now_ms)
+            case Kind.FAILED:
+                know.failed(call.upstream_id, now_ms)
+
+    def _take(
+        self, part: _Part, outcome: Outcome, now_ms: float
+    ) -> list[Command]:
+        if not part.is_open():
+            return []
+        match outcome.kind:
+            case Kind.ANSWERED:
+                part.reply = outcome.reply
+                self._may_have_run = True
+                return self._cancel_part(part, now_ms)
+            case Kind.FAILED:
+                self._may_have_run = True
+                part.failure = outcome.reply or part.failure
+                if not self.ask.route.idempotent:
+                    part.lost = True
+                    return []
+                return self._again(part, "retry", now_ms)
+            case Kind.NOT_RUN if not outcome.reached:
+                # Nothing was sent: it is no attempt, and costs no budget.
+                part.attempt_count -= 1
+                return [] if part.calls else self._send(part, now_ms, "reroute")
+            case Kind.SHED | Kind.NOT_RUN:
+                return self._again(part, outcome.kind.value, now_ms)
+
+    def _again(self, part: _Part, why: str, now_ms: float) -> list[Command]:
+        """Sends a part once more, unless a call is out or none may be."""
+        if part.calls:
+            return []
+        if part.attempt_count >= self.ask.route.max_attempts_count:
+            part.lost = True
+            return []
+        if not self._know.budgets.spend(part.service):
+            part.lost = True
+            part.last_reason = "no_retry_budget"
+            return []
+        return self._send(part, now_ms, why)
+
+    # Calls.
+
+    def _send(
+        self, part: _Part, now_ms: float, extra: str = ""
+    ) -> list[Command]:
+        upstream = self._know.placing.choose(
+            self.ask.route.name, part.service, frozenset(part.tried), now_ms
+        )
+        if upstream is None:
+            part.lost = not part.calls
+            return []
+        call_id = self._next_call_id
+        self._next_call_id += 1
+        call = _Call(
+            upstream_id=upstream.upstream_id, sent_ms=now_ms, part=part
+        )
+        part.calls[call_id] = self._calls[call_id] = call
+        part.tried.add(upstream.upstream_id)
+        part.attempt_count += 1
+        self.extra_count += bool(extra)
+        self._know.placing.sent(upstream.upstream_id)
+        return [Send(call_id=call_id, upstream=upstream, extra=extra)]
+
+    def _may_hedge(self, part: _Part) -> bool:
+        return (
+            self.ask.route.idempotent
+            and part.is_open()
+            and not part.hedged
+            and len(part.calls) == 1
+            and part.attempt_count < self.ask.route.max_attempts_count
+        )
+
+    def _hedge(self, part: _Part, now_ms: float) -> list[Command]:
+        part.hedged = True
+        if not self._know.budgets.spend(part.service, HEDGE_KEEP_COUNT):
+            return []
+        return self._send(part, now_ms, "hedge")
+
+    def _hedge_delay(self, now_ms: float) -> float:
+        to_goal_ms = max(0.0, self.ask.goal_at_ms - now_ms)
+        typical = self._know.placing.typical(self.ask.route.name)
+        slow_ms = typical.quantile_ms(HEDGE_QUANTILE_RATIO)
+        if slow_ms is None:
+            slow_ms = HEDGE_DEFAULT_RATIO * self.ask.route.goal_ms
+        if to_goal_ms:
+            slow_ms = min(slow_ms, HEDGE_LATEST_RATIO * to_goal_ms)
+        return max(HEDGE_FLOOR_MS, slow_ms)
+
+    def _cancel_part(self, part: _Part, now_ms: float) -> list[Command]:
+        commands: list[Command] = []
+        for call_id, call in part.calls.items():
+            self._calls.pop(call_id, None)
+            self._know.placing.ended(call.upstream_id)
+            self._know.placing.outlasted(
+                self.ask.route.name,
+                call.upstream_id,
+                now_ms - call.sent_ms,
+                now_ms,
+            )
+            commands.append(Cancel(call_id=call_id))
+        part.calls.clear()
+        return commands
+
+    def _cancel_all(self, now_ms: float) -> list[Command]:
+        commands: list[Command] = []
+        for part in self._parts:
+            commands.extend(self._cancel_part(part, now_ms))
+        return commands
+
+    # The end.
+
+    def _covered_ratio(self) -> float:
+        answered = sum(part.reply is not None for part in self._parts)
+        return answered / len(self._parts)
+
+    def _covers_floor(self) -> bool:
+        answered = sum(part.reply is not None for part in self._parts)
+        # Counted in parts: 0.89 of 10 shards are 9.
+        return answered > 0 and answered >= self._floor_ratio * len(self._parts)
+
+    def _finish_if_due(self, now_ms: float) -> list[Command]:
+        if self.finished:
+            return []
+        open_count = sum(part.is_open() for part in self._parts)
+        answered = sum(part.reply is not None for part in self._parts)
+        reachable = answered + open_count
+        if reachable < self._floor_ratio * len(self._parts):
+            return self._finish(now_ms, timed_out=False)
+        if not open_count:
+            return self._finish(now_ms, timed_out=False)
+        if self._covers_floor() and now_ms >= self.ask.goal_at_ms:
+            return self._finish(now_ms, timed_out=False)
+        if now_ms >= self._ends_ms:
+            return self._finish(now_ms, timed_out=True)
+        return []
+
+    def _finish(self, now_ms: float, timed_out: bool) -> list[Command]:
+        self.finished = True
+        # A call that is still out may run at any moment.
+        out = bool(self._calls)
+        result = self._result(timed_out, out)
+        return [*self._cancel_all(now_ms), Finish(result=result)]
+
+    def _result(self, timed_out: bool, out: bool) -> Result:
+        if self._covers_floor():
+            replies = tuple(
+                part.reply for part in self._parts if part.reply is not None
+            )
+            return Answer(replies=replies, part_count=len(self._parts))
+        worst = next(
+            (part for part in self._parts if part.reply is None), self._parts[0]
+        )
+        reason = "deadline" if timed_out else worst.last_reason
+        if self._may_have_run or out:
+            reply = worst.failure if len(self._parts) == 1 else None
+            return Fail(reason=reason, timed_out=timed_out, reply=reply)
+        return Refuse(reason=reason)
--- /dev/null
+++ b/hyssoptack/policy/placing.py
@@ -0,0 +1,282 @@
+"""Chooses the upstream for a call, from what calls have shown.
+
+Each upstream has a slowness: how long its calls take, relative to what calls of
+the same route take elsewhere. The choice goes by slowness, by the calls that
+this instance has out there, and by the price of crossing failure domains. A
+belief fades towards "as fast as the others", so an upstream that was slow is
+tried again without a separate probe.
+"""
+
+import collections
+import dataclasses
+
+from hyssoptack.core import traffic
+
+PRIOR_MS = 15.0
+"""Assumed time of a call before any was measured: the middle of what the users'
+services take (4 to 30 ms); one call replaces it."""
+
+TYPICAL_STEP_RATIO = 0.05
+"""Step of the running median; 20 calls move it by its own size at most."""
+
+SMOOTHING_RATIO = 0.25
+"""Weight of the newest call in an upstream's slowness: three slow calls show a
+slow upstream, one pause of it does not."""
+
+SLOWNESS_MAX_RATIO = 10.0
+"""A call is taken as at most this many times slow, or one long pause would
+outweigh dozens of quick calls."""
+
+FADE_HALF_LIFE_MS = 3_000.0
+"""How fast a slowness is forgotten without calls: slow spells last 5 to 10 s on
+the users' days, so a slow upstream is tried a few times during one."""
+
+EJECTION_MS = 1_000.0
+"""No calls for this long after a failure to connect; doubles up to the most."""
+
+EJECTION_MAX_MS = 4_000.0
+"""A crashed upstream's entry is gone after about this long."""
+
+FAILURE_SLOWNESS_RATIO = 6.0
+"""A failed call counts as one that took this many times the usual: upstreams
+that fail part of their calls are then avoided like slow ones."""
+
+COLD_RATIO = 1.6
+"""How much slower an upstream is shortly after its start (users' site files)."""
+
+SHED_QUIET_MS = 150.0
+"""An upstream that refused for want of room is left alone for about as long as
+its queue takes to clear: 18 calls on 3 slots of 10 to 30 ms."""
+
+WINDOW_COUNT = 128
+WINDOW_STEP_COUNT = 16
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PlacingSettings:
+    """How upstreams are weighed.
+
+    Attributes:
+        failure_domain: Where this instance runs.
+        crossing_ms: What a call to another failure domain must gain in time to
+            be worth its network price.
+    """
+
+    failure_domain: str
+    crossing_ms: float
+
+
+@dataclasses.dataclass(kw_only=True)
+class Standing:
+    """What is known of one upstream.
+
+    Attributes:
+        upstream: The entry that lists it.
+        listed_ms: When the entry was taken.
+        slowness_ratio: Smoothed time of its calls over the typical one.
+        measured_ms: When a call last told something.
+        in_flight_count: Calls of this instance that are out.
+        failure_count: Failures to connect in a row.
+        ejected_until_ms: No calls before this time.
+        shed_until_ms: Lately had no room; others are preferred until then.
+    """
+
+    upstream: traffic.Upstream
+    listed_ms: float
+    slowness_ratio: float = 1.0
+    measured_ms: float = 0.0
+    in_flight_count: int = 0
+    failure_count: int = 0
+    ejected_until_ms: float = 0.0
+    shed_until_ms: float = 0.0
+
+
+class Typical:
+    """What calls of one route take: a running median and recent quantiles."""
+
+    def __init__(self) -> None:
+        self.median_ms = 0.0
+        self._recent: collections.deque[float] = collections.deque(
+            maxlen=WINDOW_COUNT
+        )
+        self._sorted: list[float] = []
+        self._since_sort_count = 0
+
+    def note(self, elapsed_ms: float) -> None:
+        """Takes the time of a call that was answered."""
+        if not self.median_ms:
+            self.median_ms = elapsed_ms
+        step_ms = TYPICAL_STEP_RATIO * self.median_ms
+        self.median_ms += step_ms if elapsed_ms > self.median_ms else -step_ms
+        self._recent.append(elapsed_ms)
+        self._since_sort_count += 1
+        if self._since_sort_count >= WINDOW_STEP_COUNT or not self._sorted:
+            self._sorted = sorted(self._recent)
+            self._since_sort_count = 0
+
+    def quantile_ms(self, ratio: float) -> float | None:
+        """Returns a quantile of the recent calls; None with too few."""
+        if len(self._sorted) < WINDOW_STEP_COUNT:
+            return None
+        return self._sorted[int(ratio * (len(self._sorted) - 1))]
+
+
+class Placing:
+    """Standings of all listed upstreams."""
+
+    def __init__(self, settings: PlacingSettings):
+        self._settings = settings
+        self.standings: dict[str, Standing] = {}
+        self._by_service: dict[str, list[Standing]] = {}
+        self._typical: dict[str, Typical] = {}
+
+    def install(
+        self, upstreams: dict[str, traffic.Upstream], now_ms: float
+    ) -> None:
+        """Replaces the list of upstreams; what calls have shown is kept."""
+        known = self.standings
+        self.standings = {}
+        self._by_service = {}
+        for upstream_id, upstream in upstreams.items():
+            standing = known.get(upstream_id)
+            if standing is None:
+                standing = Standing(upstream=upstream, listed_ms=now_ms)
+            standing.upstream = upstream
+            standing.listed_ms = now_ms
+            self.standings[upstream_id] = standing
+            listed = self._by_service.setdefault(upstream.service, [])
+            listed.append(standing)
+
+    def typical(self, route_name: str) -> Typical:
+        """Returns what is known of a route's calls."""
+        found = self._typical.get(route_name)
+        if found is None:
+            found = self._typical[route_name] = Typical()
+        return found
+
+    def choose(
+        self,
+        route_name: str,
+        service: str,
+        tried: frozenset[str],
+        now_ms: float,
+    ) -> traffic.Upstream | None:
+        """Returns the best upstream for a call.
+
+        Args:
+            route_name: The route, whose typical time is used.
+            service: The service to call.
+            tried: Upstreams that this request was sent to already.
+            now_ms: The time now.
+
+        Returns:
+            The upstream, or None if there is none left.
+        """
+        staying = [
+            each
+            for each in self._by_service.get(service, ())
+            if each.upstream.upstream_id not in tried
+            and not each.upstream.draining
+        ]
+        well = [each for each in staying if each.ejected_until_ms <= now_ms]
+        # Where none looks well, the fault may be ours: any will do.
+        candidates = well or staying
+        if not candidates:
+            return None
+        typical_ms = self.typical(route_name).median_ms or PRIOR_MS
+        best = min(
+            candidates, key=lambda each: self._score(each, typical_ms, now_ms)
+        )
+        return best.upstream
+
+    def _score(
+        self, standing: Standing, typical_ms: float, now_ms: float
+    ) -> float:
+        upstream = standing.upstream
+        cold = upstream.cold_ms > now_ms - standing.listed_ms
+        expected_ms = typical_ms * self.slowness(standing, now_ms)
+        if cold:
+            expected_ms *= COLD_RATIO
+        queue = max(0, standing.in_flight_count + 1 - upstream.slot_count)
+        own_load = standing.in_flight_count / upstream.slot_count
+        expected_ms *= 1.0 + 0.5 * own_load + queue / upstream.slot_count
+        if standing.shed_until_ms > now_ms:
+            expected_ms += SHED_QUIET_MS
+        if upstream.failure_domain != self._settings.failure_domain:
+            expected_ms += self._settings.crossing_ms
+        return expected_ms
+
+    def slowness(self, standing: Standing, now_ms: float) -> float:
+        """Returns an upstream's slowness, faded by the age of its last call."""
+        age_ms = now_ms - standing.measured_ms
+        weight = 0.5 ** (age_ms / FADE_HALF_LIFE_MS)
+        return 1.0 + weight * (standing.slowness_ratio - 1.0)
+
+    # What calls show.
+
+    def sent(self, upstream_id: str) -> None:
+        """Notes a call that goes out."""
+        standing = self.standings.get(upstream_id)
+        if standing is not None:
+            standing.in_flight_count += 1
+
+    def ended(self, upstream_id: str) -> None:
+        """Notes that a call is over."""
+        standing = self.standings.get(upstream_id)
+        if standing is not None and standing.in_flight_count:
+            standing.in_flight_count -= 1
+
+    def answered(
+        self, route_name: str, upstream_id: str, elapsed_ms: float, now_ms: float
+    ) -> None:
+        """Takes the time of an answered call."""
+        typical = self.typical(route_name)
+        typical.note(elapsed_ms)
+        standing = self.standings.get(upstream_id)
+        if standing is None:
+            return
+        standing.failure_count = 0
+        standing.ejected_until_ms = 0.0
+        self._measure(standing, elapsed_ms / typical.median_ms, now_ms)
+
+    def outlasted(
+        self, route_name: str, upstream_id: str, elapsed_ms: float, now_ms: float
+    ) -> None:
+        """Takes a call given up unanswered: it was at least this slow."""
+        standing = self.standings.get(upstream_id)
+        typical_ms = self.typical(route_name).median_ms
+        if standing is None or not typical_ms:
+            return
+        ratio = elapsed_ms / typical_ms
+        if ratio > self.slowness(standing, now_ms):
+            self._measure(standing, ratio, now_ms)
+
+    def failed(self, upstream_id: str, now_ms: float) -> None:
+        """Takes a call that the upstream failed."""
+        standing = self.standings.get(upstream_id)
+        if standing is not None:
+            self._measure(standing, FAILURE_SLOWNESS_RATIO, now_ms)
+
+    def unreachable(self, upstream_id: str, now_ms: float) -> bool:
+        """Takes a failure to connect; tells whether it ejects anew."""
+        standing = self.standings.get(upstream_id)
+        if standing is None:
+            return False
+        anew = standing.ejected_until_ms <= now_ms
+        if anew:
+            standing.failure_count += 1
+            wait_ms = EJECTION_MS * 2 ** (standing.failure_count - 1)
+            standing.ejected_until_ms = now_ms + min(EJECTION_MAX_MS, wait_ms)
+        return anew
+
+    def shed(self, upstream_id: str, now_ms: float) -> None:
+        """Takes a refusal for want of room."""
+        standing = self.standings.get(upstream_id)
+        if standing is not None:
+            standing.shed_until_ms = now_ms + SHED_QUIET_MS
+
+    def _measure(self, standing: Standing, ratio: float, now_ms: float) -> None:
+        faded = self.slowness(standing, now_ms)
+        seen = min(SLOWNESS_MAX_RATIO, ratio)
+        standing.slowness_ratio = faded + SMOOTHING_RATIO * (seen - faded)
+        standing.measured_ms = now_ms
--- /dev/null
+++ b/hyssoptack/policy/routetable.py
@@ -0,0 +1,74 @@
+"""Finds the route of a request, and the services that it goes to."""
+
+import dataclasses
+import enum
+
+from hyssoptack.core import traffic
+
+
+class Miss(enum.Enum):
+    """Why there is no route."""
+
+    NOT_CONFIGURED = "no_configuration_yet"
+    NO_ROUTE = "no_route"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Found:
+    """A route, and the services that this request goes to."""
+
+    route: traffic.Route
+    services: tuple[str, ...]
+
+
+class RouteTable:
+    """The routes of one configuration, by host, longest prefix first.
+
+    A split hands out its services in the smoothest order that keeps the
+    weights, so that every short span of requests has them too.
+    """
+
+    def __init__(self, configuration: traffic.Configuration | None):
+        self.configuration = configuration
+        self._by_host: dict[str, list[traffic.Route]] = {}
+        self._credit: dict[str, dict[str, float]] = {}
+        routes = configuration.routes if configuration else ()
+        for route in sorted(routes, key=lambda each: -len(each.prefix)):
+            self._by_host.setdefault(route.host, []).append(route)
+
+    def find(self, host: str, path: str) -> Found | Miss:
+        """Returns where a request goes.
+
+        Args:
+            host: The host that the caller named.
+            path: The path without its query.
+
+        Returns:
+            The route with the longest prefix that begins the path.
+        """
+        if self.configuration is None:
+            return Miss.NOT_CONFIGURED
+        for route in self._by_host.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return Found(route=route, services=self._services(route))
+        return Miss.NO_ROUTE
+
+    def _services(self, route: traffic.Route) -> tuple[str, ...]:
+        match route.target:
+            case traffic.OneService(service=service):
+                return (service,)
+            case traffic.AllShards(shards=shards):
+                return shards
+            case traffic.Split(shares=shares):
+                return (self._next_share(route.name, shares),)
+
+    def _next_share(
+        self, route_name: str, shares: tuple[traffic.Share, ...]
+    ) -> str:
+        credit = self._credit.setdefault(route_name, {})
+        total = sum(each.weight for each in shares)
+        for each in shares:
+            credit[each.service] = credit.get(each.service, 0.0) + each.weight
+        chosen = max(shares, key=lambda each: credit[each.service])
+        credit[chosen.service] -= total
+        return chosen.service
--- /dev/null
+++ b/hyssoptack/settings/gateway.py
@@ -0,0 +1,115 @@
+"""Settings of one gateway: a YAML file into a checked frozen record.
+
+JSON is YAML too, and a file that begins as JSON is read as such: the YAML
+library costs a small machine 25 ms of its start.
+"""
+
+import dataclasses
+import pathlib
+
+import expression
+import msgspec
+
+from hyssoptack.core import traffic
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BudgetSettings:
+    """The budget for extra calls that all instances share.
+
+    Attributes:
+        ratio: Extra calls allowed for each request for a service.
+        window_ms: The span over which they are counted.
+        slack_count: Extra calls allowed besides, in one span.
+    """
+
+    ratio: float
+    window_ms: float
+    slack_count: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GatewaySettings:
+    """One gateway's settings.
+
+    Attributes:
+        instance_id: This instance's name; unique.
+        failure_domain: Where it runs.
+        failure_domains: All failure domains, with their regions.
+        callers_address: Where callers connect.
+        readiness_address: Where the balancer asks whether to send callers.
+        peer_address: Where peers connect; empty for none.
+        metrics_address: Where metrics are served; empty for none.
+        store_address: The platform's store.
+        lease_min_ms: The shortest lease that the store grants.
+        grace_ms: From a stop signal to the kill.
+        drain_ms: How soon a leaving upstream must get nothing more.
+        heartbeat_ms: How often upstreams renew their entries.
+        budget: The budget for extra calls.
+        crossing_ms: The time that a call into another failure domain must gain
+            to be worth its network price.
+    """
+
+    instance_id: str
+    failure_domain: str
+    failure_domains: dict[str, str]
+    callers_address: str
+    readiness_address: str
+    store_address: str
+    budget: BudgetSettings
+    grace_ms: float
+    drain_ms: float
+    heartbeat_ms: float
+    lease_min_ms: float = 1_000.0
+    peer_address: str = ""
+    metrics_address: str = ""
+    crossing_ms: float = 15.0
+
+
+def load(path: str) -> expression.Result[GatewaySettings, str]:
+    """Reads and checks a settings file.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The settings, or a line that says what is wrong and where.
+    """
+    try:
+        data = pathlib.Path(path).read_bytes()
+        return parse(data).map_error(lambda detail: f"{path}: {detail}")
+    except OSError as error:
+        return expression.Error(f"{path}: {error.strerror}")
+
+
+def parse(data: bytes) -> expression.Result[GatewaySettings, str]:
+    """Reads and checks settings, given as YAML."""
+    try:
+        if data.lstrip().startswith(b"{"):
+            settings = msgspec.json.decode(data, type=GatewaySettings)
+        else:
+            settings = msgspec.yaml.decode(data, type=GatewaySettings)
+    except msgspec.DecodeError as error:
+        return expression.Error(str(error))
+    return _checked(settings)
+
+
+def _checked(
+    settings: GatewaySettings,
+) -> expression.Result[GatewaySettings, str]:
+    addresses = {
+        "callers_address": settings.callers_address,
+        "readiness_address": settings.readiness_address,
+        "store_address": settings.store_address,
+    }
+    for name, address in addresses.items():
+        if traffic.split_address(address) is None:
+            return expression.Error(f"{name}: expected HOST:PORT: {address!r}")
+    if settings.failure_domain not in settings.failure_domains:
+        return expression.Error(
+            f"failure_domain: {settings.failure_domain!r} is not among "
+            "failure_domains"
+        )
+    if settings.budget.ratio < 0 or settings.grace_ms <= 0:
+        return expression.Error("budget.ratio, grace_ms: expected positive")
+    return expression.Ok(settings)
