--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -104,8 +104,8 @@
     async def run(self) -> None:
         """Serves until a stop signal, then finishes what is in progress."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._on_stop)
-        loop.add_signal_handler(signal.SIGINT, self._on_stop)
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
+        loop.add_signal_handler(signal.SIGINT, self.stop)
         listeners = [
             await self._listen(
                 self._settings.readiness_address, self._probes
@@ -147,7 +147,8 @@
             server.connection, split[0], split[1], backlog=BACKLOG_COUNT
         )
 
-    def _on_stop(self) -> None:
+    def stop(self) -> None:
+        """Begins a planned stop."""
         log.write(log.Event.STOP_ASKED, running=len(self._serving.running))
         self._stop.set()
 
--- /dev/null
+++ b/hyssoptack/gateway/gateway_test.py
@@ -0,0 +1,390 @@
+"""A whole gateway between stand-ins: what callers and upstreams see."""
+
+import asyncio
+
+import pytest
+
+from hyssoptack.gateway import harness
+
+SINGLE = {"prefix": "/one/", "service": "desk"}
+ONCE = {"prefix": "/once/", "service": "desk", "route_type": "non_idempotent"}
+SHARDS = {
+    "prefix": "/all/",
+    "fanout_services": ["s0", "s1", "s2", "s3"],
+    "top_k": 3,
+    "min_shard_fraction": 0.75,
+}
+
+
+def run(test):
+    """Runs an async test on a loop of its own."""
+    asyncio.run(test)
+
+
+async def _desk(site: harness.Site, count: int = 2) -> None:
+    for index in range(count):
+        await site.add_upstream(f"i-{index}", "desk", b"booked" * 4)
+    site.configure(SINGLE, ONCE)
+    await site.start()
+
+
+async def _index(site: harness.Site) -> None:
+    for index in range(4):
+        body = bytes([index]) * 16 + bytes([200 - index]) * 16 + b"rest"
+        await site.add_upstream(f"i-{index}", f"s{index}", body)
+    site.configure(SHARDS)
+    await site.start()
+
+
+def test_a_request_gets_the_upstreams_reply_unchanged():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site)
+            got = await site.get("/one/x?q=1", "r1")
+            assert got.status == 200
+            assert got.body == b"booked" * 4
+            assert got.headers["x-server-stamp"].endswith(".r1")
+            heads = [h for s in site.services.values() for h in s.heads]
+            assert heads[0].startswith(b"GET /one/x?q=1 HTTP/1.1\r\n")
+            assert b"X-Request-Deadline: " in heads[0]
+            assert site.run_count("r1") == 1
+
+    run(test())
+
+
+def test_a_query_merges_the_greatest_records_of_all_shards():
+    async def test():
+        async with harness.Site() as site:
+            await _index(site)
+            got = await site.get("/all/", "r1")
+            expected = b"".join(bytes([b]) * 16 for b in (200, 199, 198))
+            assert (got.status, got.body) == (200, expected)
+            assert got.headers["x-missing-parts"] == "0"
+            assert len(got.headers["x-part-stamps"].split(",")) == 4
+
+    run(test())
+
+
+def test_a_silent_shard_is_left_out_at_the_goal():
+    async def test():
+        async with harness.Site() as site:
+            await _index(site)
+            site.services["i-3"].manners.never = True
+            started = asyncio.get_running_loop().time()
+            got = await site.get("/all/", "r1")
+            took_s = asyncio.get_running_loop().time() - started
+            assert got.status == 200
+            assert got.headers["x-missing-parts"] == "1"
+            assert took_s < 0.4
+
+    run(test())
+
+
+def test_below_the_floor_a_query_fails_and_says_nothing_of_not_running():
+    async def test():
+        async with harness.Site() as site:
+            await _index(site)
+            for each in ("i-2", "i-3"):
+                site.services[each].manners.fail_count = 9
+            got = await site.get("/all/", "r1")
+            assert got.status == 502
+            assert "retry-after" not in got.headers
+
+    run(test())
+
+
+def test_a_request_that_may_run_once_is_not_sent_again_after_a_reset():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site)
+            for each in site.services.values():
+                each.manners.reset_count = 1
+            got = await site.get("/once/x", "r1", method="POST", body=b"book")
+            assert got.status == 502
+            assert site.run_count("r1") == 1
+
+    run(test())
+
+
+def test_a_request_that_may_run_once_goes_on_after_a_refusal():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site)
+            for each in site.services.values():
+                each.manners.shed_count = 1
+            # Both refuse; nothing ran, so the caller is told so.
+            got = await site.get("/once/x", "r1", method="POST", body=b"book")
+            assert got.status == 503
+            assert float(got.headers["retry-after"]) > 0
+            assert site.run_count("r1") == 0
+            site.services["i-0"].manners.shed_count = 1
+            got = await site.get("/once/x", "r2", method="POST", body=b"book")
+            assert got.status == 200
+            assert site.run_count("r2") == 1
+
+    run(test())
+
+
+def test_an_idempotent_request_is_sent_again_after_a_reset():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site)
+            for each in site.services.values():
+                each.manners.reset_count = 1
+            first = await site.get("/one/x", "r1")
+            assert first.status == 502
+            site.services["i-0"].manners.reset_count = 1
+            site.services["i-1"].manners.reset_count = 0
+            for number in range(4):
+                got = await site.get("/one/x", f"r1{number}")
+                assert got.status == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize("fault", ["twice", "stale_first", "unframed"])
+def test_an_answer_to_another_request_reaches_nobody(fault):
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            setattr(site.services["i-0"].manners, fault, True)
+            for number in range(6):
+                got = await site.get("/one/x", f"r{number}")
+                assert got.status == 200
+                assert got.body == b"booked" * 4
+                assert got.headers["x-server-stamp"].endswith(f".r{number}")
+
+    run(test())
+
+
+@pytest.mark.parametrize("fault", ["unsigned", "cut"])
+def test_a_spoilt_success_is_never_passed_on(fault):
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            setattr(site.services["i-0"].manners, fault, True)
+            got = await site.get("/one/x", "r1")
+            assert got.status == 502
+
+    run(test())
+
+
+def test_an_address_used_again_by_another_upstream_runs_nothing():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            site.services["i-0"].upstream_id = "i-other"
+            got = await site.get("/once/x", "r1", method="POST")
+            assert got.status == 503
+            assert site.run_count("r1") == 0
+
+    run(test())
+
+
+def test_a_caller_that_leaves_cancels_the_work():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            site.services["i-0"].manners.never = True
+            address = site.settings["gateway-1"].callers_address
+            host, _, port = address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(harness.request_bytes("/one/x", "r1"))
+            await asyncio.sleep(0.1)
+            writer.close()
+            await asyncio.sleep(0.3)
+            assert site.services["i-0"].cancelled_count == 1
+
+    run(test())
+
+
+def test_a_kept_connection_serves_many_and_pipelined_requests_in_order():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            address = site.settings["gateway-1"].callers_address
+            host, _, port = address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            for number in range(3):
+                writer.write(harness.request_bytes("/one/x", f"r{number}"))
+            for number in range(3):
+                got = await harness.read(reader)
+                assert got.headers["x-request-id"] == f"r{number}"
+            writer.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /one/x HTTP/1.1\r\nHost: shop.example\r\n\r\n", 400),
+        (
+            b"POST /one/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r\r\n"
+            b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /one/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r\r\n"
+            b"Content-Length: 5000\r\n\r\n" + b"x" * 5000,
+            413,
+        ),
+        (
+            b"GET /one/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r\r\n"
+            b"X-Long: " + b"x" * 5000 + b"\r\n\r\n",
+            431,
+        ),
+        (b"GET /one/x HTTP/1.1\r\nHost: shop", 408),
+    ],
+)
+def test_bad_input_gets_a_clear_refusal(data, status):
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            address = site.settings["gateway-1"].callers_address
+            got = await harness.send(address, data)
+            assert got.status == status
+            assert not sum(map(len, (s.runs for s in site.services.values())))
+
+    run(test())
+
+
+def test_a_chunked_body_reaches_the_upstream_whole():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            address = site.settings["gateway-1"].callers_address
+            data = (
+                b"POST /once/x HTTP/1.1\r\nHost: shop.example\r\n"
+                b"X-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"4\r\nbook\r\n3\r\ning\r\n0\r\n\r\n"
+            )
+            got = await harness.send(address, data)
+            assert got.status == 200
+            head = site.services["i-0"].heads[0].lower()
+            assert b"content-length: 7\r\n" in head
+            assert b"transfer-encoding" not in head
+
+    run(test())
+
+
+def test_before_a_configuration_requests_are_refused_and_not_denied():
+    async def test():
+        async with harness.Site() as site:
+            await site.start(ready=False)
+            await asyncio.sleep(0.3)
+            assert await site.probe() == 503
+            assert (await site.get("/one/x", "r1")).status == 503
+            await site.add_upstream("i-0", "desk")
+            site.configure(SINGLE)
+            await site.wait_ready()
+            await asyncio.sleep(1.5)
+            assert (await site.get("/one/x", "r2")).status == 200
+            assert (await site.get("/none/x", "r3")).status == 404
+
+    run(test())
+
+
+def test_a_new_configuration_is_in_force_soon_and_an_older_one_never():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            version = site.configure({**SINGLE, "prefix": "/new/"})
+            await asyncio.sleep(0.3)
+            assert (await site.get("/new/x", "r1")).status == 200
+            assert (await site.get("/one/x", "r2")).status == 404
+            site._version = 0
+            assert site.configure(SINGLE) < version
+            await asyncio.sleep(0.3)
+            assert (await site.get("/new/x", "r3")).status == 200
+
+    run(test())
+
+
+def test_a_leaving_upstream_gets_nothing_after_it_said_so():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site)
+            site.enter("i-0", "desk", state="draining")
+            await asyncio.sleep(1.5)
+            before = sum(site.services["i-0"].runs.values())
+            for number in range(10):
+                got = await site.get("/one/x", f"r{number}")
+                assert got.status == 200
+            assert sum(site.services["i-0"].runs.values()) == before
+
+    run(test())
+
+
+def test_entries_lost_in_an_outage_are_kept_for_their_return_only():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            site.store.faults.down = True
+            await asyncio.sleep(1.3)
+            site.store.remove("servers/i-0")
+            site.store.faults.down = False
+            await asyncio.sleep(1.2)
+            assert (await site.get("/one/x", "r1")).status == 200
+            await asyncio.sleep(2.8)
+            assert (await site.get("/one/x", "r2")).status == 503
+
+    run(test())
+
+
+def test_a_silent_store_stops_nothing_and_is_noticed():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            site.store.faults.silent = True
+            await asyncio.sleep(1.5)
+            assert (await site.get("/one/x", "r1")).status == 200
+            assert await site.probe() == 200
+            site.store.faults.silent = False
+            site.configure({**SINGLE, "prefix": "/new/"})
+            await asyncio.sleep(3.0)
+            assert (await site.get("/new/x", "r2")).status == 200
+
+    run(test())
+
+
+def test_a_split_keeps_its_weights():
+    async def test():
+        async with harness.Site() as site:
+            await site.add_upstream("i-0", "a")
+            await site.add_upstream("i-1", "b")
+            site.configure(
+                {
+                    "prefix": "/one/",
+                    "traffic_split": [
+                        {"service": "a", "weight": 0.7},
+                        {"service": "b", "weight": 0.3},
+                    ],
+                }
+            )
+            await site.start()
+            for number in range(20):
+                await site.get("/one/x", f"r{number}")
+            assert sum(site.services["i-0"].runs.values()) == 14
+
+    run(test())
+
+
+def test_a_planned_stop_finishes_what_is_in_progress():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            site.services["i-0"].manners.delay_ms = 500
+            asked = asyncio.create_task(site.get("/one/x", "r1"))
+            await asyncio.sleep(0.1)
+            site.gateways["gateway-1"].stop()
+            await asyncio.sleep(0.05)
+            assert await site.probe() == 503
+            late = asyncio.create_task(site.get("/one/x", "r2"))
+            got = await asked
+            assert got.status == 200
+            assert got.headers["connection"] == "close"
+            assert (await late).status == 200
+
+    run(test())
--- /dev/null
+++ b/hyssoptack/standins/kvstore.py
@@ -0,0 +1,210 @@
+"""A stand-in of the platform's key-value store, speaking its protocol.
+
+It runs on an event loop in the test's own process. Faults are set as fields.
+"""
+
+import asyncio
+import base64
+import dataclasses
+import json
+import urllib.parse
+
+from hyssoptack.core import clock
+from hyssoptack.http1 import callerside
+from hyssoptack.http1 import message
+
+
+@dataclasses.dataclass(kw_only=True)
+class Faults:
+    """What the store does wrong.
+
+    Attributes:
+        down: Answers 503 to everything.
+        silent: Answers nothing.
+        lose_writes: Carries writes out without answering them.
+        compacted: Watches get 410.
+        lag_ms: Extra time before each answer.
+    """
+
+    down: bool = False
+    silent: bool = False
+    lose_writes: bool = False
+    compacted: bool = False
+    lag_ms: float = 0.0
+
+
+class Store:
+    """Keys, leases and watches of one store."""
+
+    def __init__(self, page_count: int = 50):
+        self.faults = Faults()
+        self.calls: list[str] = []
+        self.address = ""
+        self._page_count = page_count
+        self._revision = 0
+        self._items: dict[str, dict[str, object]] = {}
+        self._events: list[dict[str, object]] = []
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._changed = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Opens a port on loopback."""
+        server = callerside.Server(handler=self._handle)
+        self._server = await asyncio.get_running_loop().create_server(
+            server.connection, "127.0.0.1", 0
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def stop(self) -> None:
+        """Closes the port."""
+        if self._server is not None:
+            self._server.close()
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Writes a key, as the operator or an upstream does."""
+        self._revision += 1
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self._revision,
+            "created_at": self._revision,
+            "lease": lease,
+        }
+        self._items[key] = item
+        self._note(item)
+        return self._revision
+
+    def remove(self, key: str) -> None:
+        """Removes a key."""
+        self._revision += 1
+        self._items.pop(key, None)
+        self._note({"key": key, "revision": self._revision, "removed": True})
+
+    def keys(self) -> list[str]:
+        """Returns the keys that are there."""
+        return sorted(self._items)
+
+    def _note(self, event: dict[str, object]) -> None:
+        self._events.append(event)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _handle(self, exchange: callerside.Exchange) -> None:
+        task = asyncio.get_running_loop().create_task(self._serve(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, exchange: callerside.Exchange) -> None:
+        request = exchange.request
+        target = urllib.parse.urlsplit(request.target.decode())
+        query = dict(urllib.parse.parse_qsl(target.query))
+        name = target.path.removeprefix("/hyssoptack/")
+        self.calls.append(name)
+        await asyncio.sleep(self.faults.lag_ms / 1000)
+        if self.faults.silent:
+            return
+        if self.faults.down:
+            exchange.answer(message.problem(503, "down"))
+            return
+        self._expire()
+        status, body = await self._answer(name, query, request.body)
+        if name.startswith("kv-txn") and self.faults.lose_writes:
+            return
+        exchange.answer(
+            message.Reply(
+                status=status, headers=(), body=json.dumps(body).encode()
+            )
+        )
+
+    async def _answer(
+        self, name: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, object]:
+        if name == "kv-range":
+            return 200, self._range(query)
+        if name == "kv-watch":
+            return await self._watch(query)
+        if name == "kv-txn":
+            return self._transaction(json.loads(body))
+        if name == "kv-lease":
+            return 200, self._grant(json.loads(body)["ttl_ms"])
+        if name.startswith("kv-keep/"):
+            return self._keep(int(name.rpartition("/")[2]))
+        if name.startswith("kv-lease-end/"):
+            return self._end(int(name.rpartition("/")[2]))
+        return 404, {}
+
+    def _range(self, query: dict[str, str]) -> object:
+        after = query.get("after", "")
+        found = [
+            self._items[key]
+            for key in sorted(self._items)
+            if key.startswith(query["prefix"]) and key > after
+        ]
+        return {
+            "items": found[: self._page_count],
+            "has_more": len(found) > self._page_count,
+            "current_rev": self._revision,
+        }
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, object]:
+        if self.faults.compacted:
+            return 410, {}
+        ends_ms = clock.now_ms() + float(query["wait_ms"])
+        while True:
+            events = [
+                each
+                for each in self._events
+                if each["revision"] > int(query["after"])
+                and each["key"].startswith(query["prefix"])
+            ]
+            left_ms = ends_ms - clock.now_ms()
+            if events or left_ms <= 0:
+                return 200, {"events": events, "current_rev": self._revision}
+            try:
+                async with asyncio.timeout(left_ms / 1000):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def _transaction(self, body: dict[str, list]) -> tuple[int, object]:
+        for row in body["expect"]:
+            item = self._items.get(row["key"], {"revision": 0})
+            if item["revision"] != row["revision"]:
+                return 412, {"items": []}
+        for row in body["writes"]:
+            lease = row.get("lease", 0)
+            if lease and lease not in self._leases:
+                return 404, {}
+            self.put(row["key"], base64.b64decode(row["value"]), lease)
+        for key in body["deletes"]:
+            self.remove(key)
+        return 200, {"revision": self._revision}
+
+    def _grant(self, ttl_ms: float) -> object:
+        lease = len(self._leases) + 1
+        self._leases[lease] = (clock.now_ms() + ttl_ms, ttl_ms)
+        return {"lease": lease, "ttl_ms": ttl_ms}
+
+    def _keep(self, lease: int) -> tuple[int, object]:
+        if lease not in self._leases:
+            return 404, {}
+        ttl_ms = self._leases[lease][1]
+        self._leases[lease] = (clock.now_ms() + ttl_ms, ttl_ms)
+        return 200, {"ttl_ms": ttl_ms}
+
+    def _end(self, lease: int) -> tuple[int, object]:
+        if self._leases.pop(lease, None) is None:
+            return 404, {}
+        for key, item in tuple(self._items.items()):
+            if item["lease"] == lease:
+                self.remove(key)
+        return 200, {}
+
+    def _expire(self) -> None:
+        now_ms = clock.now_ms()
+        for lease, (ends_ms, _) in tuple(self._leases.items()):
+            if ends_ms < now_ms:
+                self._end(lease)
--- /dev/null
+++ b/hyssoptack/standins/service.py
@@ -0,0 +1,158 @@
+"""A stand-in of one upstream of a service, speaking the platform's protocol.
+
+It runs on the event loop of the test. How it treats requests is set as fields;
+what it saw is counted, so that a test can tell what ran.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+from hyssoptack.http1 import message
+
+NOT_RUN = b"X-Not-Executed: 1\r\n"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Manners:
+    """How an upstream treats requests.
+
+    Attributes:
+        delay_ms: Time before each answer.
+        shed_count: So many further requests are refused as not run.
+        reset_count: So many further requests run and get a reset.
+        fail_count: So many further requests get a signed 500.
+        twice: Sends every answer twice.
+        unframed: Sends answers without a length and closes.
+        stale_first: Sends an answer to another request first.
+        unsigned: Leaves the signature out.
+        cut: Sends half of the body and closes.
+        never: Answers nothing.
+    """
+
+    delay_ms: float = 0.0
+    shed_count: int = 0
+    reset_count: int = 0
+    fail_count: int = 0
+    twice: bool = False
+    unframed: bool = False
+    stale_first: bool = False
+    unsigned: bool = False
+    cut: bool = False
+    never: bool = False
+
+
+class Service:
+    """One upstream on loopback."""
+
+    def __init__(self, upstream_id: str, body: bytes = b"x" * 16):
+        self.upstream_id = upstream_id
+        self.body = body
+        self.manners = Manners()
+        self.runs: collections.Counter[bytes] = collections.Counter()
+        self.heads: list[bytes] = []
+        self.connection_count = 0
+        self.cancelled_count = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Opens a port on loopback."""
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    def stop(self) -> None:
+        """Closes the port; open connections stay."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connection_count += 1
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.heads.append(head)
+        fields = _fields(head)
+        await reader.readexactly(int(fields.get(b"content-length", b"0")))
+        request_id = fields.get(b"x-request-id", b"")
+        if fields.get(b"x-expected-instance") != self.upstream_id.encode():
+            writer.write(_reply(421, b"Misdirected", b"", request_id, b""))
+            return True
+        if self.manners.shed_count:
+            self.manners.shed_count -= 1
+            writer.write(_reply(503, b"Full", NOT_RUN, request_id, b""))
+            return True
+        self.runs[request_id] += 1
+        if await self._left(reader):
+            self.cancelled_count += 1
+            return False
+        return self._answer(writer, request_id)
+
+    async def _left(self, reader: asyncio.StreamReader) -> bool:
+        """Works for a while; tells whether the caller left meanwhile."""
+        delay_ms = 60_000.0 if self.manners.never else self.manners.delay_ms
+        if not delay_ms:
+            return False
+        try:
+            async with asyncio.timeout(delay_ms / message.MS_PER_S):
+                return not await reader.read(1)
+        except TimeoutError:
+            return False
+
+    def _answer(self, writer: asyncio.StreamWriter, request_id: bytes) -> bool:
+        manners = self.manners
+        signature = b"" if manners.unsigned else self._signature(request_id)
+        reply = _reply(200, b"OK", signature, request_id, self.body)
+        if manners.reset_count:
+            manners.reset_count -= 1
+            writer.transport.abort()
+            return False
+        if manners.fail_count:
+            manners.fail_count -= 1
+            reply = _reply(500, b"Error", signature, request_id, b"failed")
+        if manners.unframed:
+            head = b"HTTP/1.1 200 OK\r\n" + signature + b"\r\n"
+            writer.write(head + self.body)
+            return False
+        if manners.cut:
+            writer.write(reply[: -len(self.body) // 2])
+            return False
+        if manners.stale_first:
+            writer.write(_reply(200, b"OK", signature, b"other", b"stale"))
+        writer.write(reply)
+        if manners.twice:
+            writer.write(reply)
+        return True
+
+    def _signature(self, request_id: bytes) -> bytes:
+        name = self.upstream_id.encode() + b"." + request_id
+        return b"X-Server-Stamp: " + name + b"\r\n"
+
+
+def _fields(head: bytes) -> dict[bytes, bytes]:
+    lines = head.split(b"\r\n")[1:]
+    split = (each.partition(b":") for each in lines if each)
+    return {name.strip().lower(): value.strip() for name, _, value in split}
+
+
+def _reply(
+    status: int, phrase: bytes, extra: bytes, request_id: bytes, body: bytes
+) -> bytes:
+    return (
+        b"HTTP/1.1 %d %s\r\nX-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s"
+        % (status, phrase, request_id, extra, len(body), body)
+    )
