Let few instances read the store and tell their neighbours

Change: the highest rank of a failure domain reads (rendezvous over leased entries), the others hear its views over the product's own links and take over by rank after 1.4 s of silence. Lists carry the store's revision, so an older one never replaces a newer one. Found on the way: a cancelled gateway left the threads of its links running (the test process hung); stop is in a finally now.

--- a/bench/slopes/gossip.py
+++ b/bench/slopes/gossip.py
@@ -78,7 +78,7 @@
         self.revised_ms: dict[int, float] = {}
         self.links = link.Links(
             settings.peer_address,
-            settings.peers,
+            settings.peers.link_idle_ms,
             loop,
             self._on_received,
             lambda *_: None,
--- a/bench/slopes/peer_message.py
+++ b/bench/slopes/peer_message.py
@@ -17,20 +17,13 @@
 from hyssoptack.core import query
 from hyssoptack.peers import codec
 from hyssoptack.peers import link
-from hyssoptack.settings import instance
 
 NEAR = "127.0.0.1:27001"
 FAR = "127.0.0.1:27002"
 HIT_COUNTS = (1, 10, 50, 200, 400)
 BATCHES = (1, 4, 16, 64)
 ROUNDS = 400
-SETTINGS = instance.PeerSettings(
-    period_ms=500.0,
-    fanout_count=4,
-    suspect_after_ms=3_000.0,
-    link_idle_ms=60_000.0,
-    seed_addresses=(),
-)
+LINK_IDLE_MS = 60_000.0
 
 
 def _answer(hit_count: int) -> message.SubAnswer:
@@ -54,7 +47,7 @@
         for each in received.decoded.messages:
             links.send(NEAR, each)
 
-    links = link.Links(FAR, SETTINGS, loop, on_received, lambda *_: None)
+    links = link.Links(FAR, LINK_IDLE_MS, loop, on_received, lambda *_: None)
     links.start()
     print("ready", flush=True)
     await asyncio.Event().wait()
@@ -82,7 +75,7 @@
         if state["left"] <= 0 and waiting:
             waiting.pop().set_result(None)
 
-    links = link.Links(NEAR, SETTINGS, loop, on_received, lambda *_: None)
+    links = link.Links(NEAR, LINK_IDLE_MS, loop, on_received, lambda *_: None)
     links.start()
     walls = []
     cpu_s = 0.0
--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -7,6 +7,7 @@
 from hyssoptack.core import keyspace
 from hyssoptack.core import member
 from hyssoptack.core import query
+from hyssoptack.core import traffic
 
 
 class CallStatus(enum.Enum):
@@ -145,6 +146,28 @@
     parts: dict[str, str]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ViewNotice:
+    """What a reader of the platform's store tells its failure domain.
+
+    Attributes:
+        sender_id: The instance that read.
+        version: The version of the configuration in force there.
+        configuration: That configuration as stored; empty where the receiver
+            has it already.
+        revision: The store's revision that the list of upstreams is of.
+        upstreams: The list; None where it is as in the notice before.
+        digest: Digest of the list.
+    """
+
+    sender_id: str
+    version: int
+    configuration: bytes
+    revision: int
+    upstreams: tuple[traffic.Upstream, ...] | None
+    digest: int
+
+
 Message = (
     SubQuery
     | SubAnswer
@@ -155,4 +178,5 @@
     | Heartbeat
     | ConfigWanted
     | ConfigOffer
+    | ViewNotice
 )
--- a/hyssoptack/entry/daemon.py
+++ b/hyssoptack/entry/daemon.py
@@ -66,7 +66,7 @@
         store_client = store.StoreClient(settings.platform)
         self._links = link.Links(
             settings.peer_address,
-            settings.peers,
+            settings.peers.link_idle_ms,
             self._loop,
             self._on_received,
             self._on_undelivered,
--- a/hyssoptack/gateway/beliefs.py
+++ b/hyssoptack/gateway/beliefs.py
@@ -27,7 +27,8 @@
         pools: Connections to them.
         table: Routes in force.
         config_ms: When the configuration was taken.
-        listed_ms: When the list of upstreams was taken.
+        listed_ms: When the list of upstreams was taken or confirmed.
+        list_revision: The store's revision that the list is of.
         store_back_ms: When the store last returned from an outage.
         on_configuration: Told of each new configuration.
     """
@@ -40,6 +41,7 @@
     )
     config_ms: float = 0.0
     listed_ms: float = 0.0
+    list_revision: int = 0
     upstreams: dict[str, traffic.Upstream] = dataclasses.field(
         default_factory=dict
     )
@@ -83,19 +85,38 @@
         return True
 
     def take_list(
-        self, listed: dict[str, traffic.Upstream], now_ms: float
+        self,
+        listed: dict[str, traffic.Upstream],
+        revision: int,
+        now_ms: float,
+        relayed: bool = False,
     ) -> None:
-        """Replaces the list of upstreams."""
+        """Replaces the list of upstreams, unless this one is older.
+
+        Args:
+            listed: The upstreams by their ids.
+            revision: The store's revision at the time of reading.
+            now_ms: The time now.
+            relayed: Whether a peer sent it, who has kept already what may
+                return.
+        """
+        if revision < self.list_revision:
+            return
         kept = dict(listed)
-        if now_ms - self.store_back_ms <= RETURN_MS:
+        if not relayed and now_ms - self.store_back_ms <= RETURN_MS:
             # What is missing may have lapsed in the outage only.
             kept = self.upstreams | kept
         self._log_changes(kept)
         self.upstreams = kept
-        self.listed_ms = now_ms
+        self.confirm_list(revision, now_ms)
         self.placing.install(kept, now_ms)
         self.pools.keep_only(kept)
 
+    def confirm_list(self, revision: int, now_ms: float) -> None:
+        """Notes that the list still stands at a later revision."""
+        self.list_revision = revision
+        self.listed_ms = now_ms
+
     def _log_changes(self, kept: dict[str, traffic.Upstream]) -> None:
         came = [each for each in kept if each not in self.upstreams]
         went = [each for each in self.upstreams if each not in kept]
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -10,6 +10,7 @@
 from hyssoptack.events import log
 from hyssoptack.gateway import beliefs
 from hyssoptack.gateway import following
+from hyssoptack.gateway import peering
 from hyssoptack.gateway import pool
 from hyssoptack.gateway import serving
 from hyssoptack.http1 import callerside
@@ -19,6 +20,7 @@
 from hyssoptack.policy import budget
 from hyssoptack.policy import callplan
 from hyssoptack.policy import placing
+from hyssoptack.policy import readership
 from hyssoptack.settings import gateway
 
 BACKLOG_COUNT = 1_024
@@ -67,6 +69,12 @@
         self._callers = callerside.Server(handler=self._serving.handle)
         self._probes = callerside.Server(handler=self._answer_probe)
         self._store = keyvalue.Client(settings.store_address, self._pools)
+        self._readers = readership.Readership(
+            settings.instance_id, settings.failure_domain
+        )
+        self._peering = peering.Peering(
+            settings, self._beliefs, self._readers
+        )
         self._stop = asyncio.Event()
         self._said_ready = False
 
@@ -117,25 +125,37 @@
             instance=self._settings.instance_id,
             failure_domain=self._settings.failure_domain,
         )
-        follower = following.Follower(self._beliefs, self._store)
+        self._peering.start()
+        try:
+            await self._serve_until_stopped()
+            await self._finish(listeners)
+        finally:
+            self._peering.stop()
+
+    async def _serve_until_stopped(self) -> None:
+        loop = asyncio.get_running_loop()
+        follower = following.Follower(
+            self._settings, self._beliefs, self._store, self._peering
+        )
         tasks = [
             loop.create_task(each)
             for each in (
                 follower.follow_list(),
                 follower.follow_configuration(),
+                follower.follow_instances(),
+                follower.stay_listed(),
                 self._callers.sweep(),
                 self._probes.sweep(),
                 self._pools.sweep(),
             )
         ]
-        failed = loop.create_task(_first_failure(tasks))
         stopped = loop.create_task(self._stop.wait())
-        await asyncio.wait(
-            (failed, stopped), return_when=asyncio.FIRST_COMPLETED
+        done, _ = await asyncio.wait(
+            (*tasks, stopped), return_when=asyncio.FIRST_COMPLETED
         )
-        if failed.done():
-            failed.result()
-        await self._finish(listeners)
+        for each in done:
+            # A task that fails stops the process; none ends by itself.
+            each.result()
 
     async def _listen(
         self, address: str, server: callerside.Server
@@ -173,12 +193,6 @@
         )
 
 
-async def _first_failure(tasks: list[asyncio.Task[None]]) -> None:
-    done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_EXCEPTION)
-    for each in done:
-        each.result()
-
-
 def run(settings: gateway.GatewaySettings) -> None:
     """Runs a gateway until it is stopped."""
 
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -1,22 +1,33 @@
-"""Keeps the beliefs up to date from the platform's store."""
+"""Keeps the beliefs up to date from the platform's store.
+
+Few instances read; the others hear from them (`policy.readership`).
+"""
 
 import asyncio
 import random
 
 import expression
+import msgspec
 
 from hyssoptack.core import clock
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import beliefs
+from hyssoptack.gateway import peering
 from hyssoptack.http1 import message
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import wire
+from hyssoptack.policy import readership
+from hyssoptack.settings import gateway
 
 LIST_PERIOD_MS = 1_000.0
 """How often the list of upstreams is read. A leaving upstream must get nothing
 more 3 s after it said so; one missed reading still keeps that."""
 
+EXACT_READ_COUNT = 2
+"""Of so many readings one is exact; the others may be a little old, and cost a
+tenth. An old one is told by its revision and changes nothing."""
+
 WATCH_MS = 2_500.0
 """Length of one watch of the configuration. A silent connection is noticed when
 it is over, and a new version has to be in force within 3 s."""
@@ -28,37 +39,93 @@
 
 JITTER_RATIO = 0.15
 
+LEASE_MS = 10_000.0
+"""Length of the lease under which an instance is listed: some cuts shorter than
+this leave it listed, and a dead one costs its neighbours a few messages."""
+
+KEEPS_PER_LEASE_COUNT = 3
+"""Renewals in one lease, so that two may fail."""
+
+PEERS_FIRST_MS = 2_000.0
+"""First reading of the list of instances: after all that start at the same time
+have entered themselves."""
+
+PEERS_PERIOD_MS = 5_000.0
+"""How often a reader reads the list of instances: newcomers read for themselves
+until then."""
+
 
 class Follower:
-    """Tasks that read the store for as long as the instance runs."""
+    """Tasks that follow the store for as long as the instance runs."""
 
-    def __init__(self, believed: beliefs.Beliefs, store: keyvalue.Client):
+    def __init__(
+        self,
+        settings: gateway.GatewaySettings,
+        believed: beliefs.Beliefs,
+        store: keyvalue.Client,
+        peers: peering.Peering,
+    ):
+        self._settings = settings
         self._beliefs = believed
         self._store = store
+        self._peers = peers
+        self._readers = peers.readers
         self._random = random.Random()
         self._lost_since_ms: float | None = None
+        self._read_count = 0
+
+    # The list of upstreams.
 
     async def follow_list(self) -> None:
-        """Reads the list of upstreams time and again."""
+        """Reads the list of upstreams while nobody else does."""
         failure_count = 0
         while True:
-            result = await self._store.list(wire.UPSTREAM_PREFIX)
+            await self._wait_for_turn()
+            exact = self._read_count % EXACT_READ_COUNT == 0
+            self._read_count += 1
+            result = await self._store.list(wire.UPSTREAM_PREFIX, not exact)
             match result:
                 case expression.Result(tag="ok", ok=listing):
                     failure_count = 0
+                    self._readers.read(succeeded=True)
                     self._note_back()
                     self._take_list(listing)
+                    self._peers.tell()
                     await self._pause(LIST_PERIOD_MS)
                 case expression.Result(error=failure):
                     failure_count += 1
+                    self._read_count = 0
+                    self._readers.read(succeeded=False)
                     self._note_lost(failure)
                     await self._pause(_backoff_ms(failure_count))
 
+    async def _wait_for_turn(self) -> None:
+        while wait_ms := self._readers.wait_ms(clock.now_ms()):
+            self._read_count = 0
+            await asyncio.sleep(wait_ms / message.MS_PER_S)
+
+    def _take_list(self, listing: keyvalue.Listing) -> None:
+        listed: dict[str, traffic.Upstream] = {}
+        for item in listing.items:
+            match wire.upstream(item.key, item.value):
+                case expression.Result(tag="ok", ok=upstream):
+                    listed[upstream.upstream_id] = upstream
+                case expression.Result(error=detail):
+                    log.write(log.Event.CONFIG_REFUSED, errors=[detail])
+        self._beliefs.take_list(
+            listed, listing.store_revision, clock.now_ms()
+        )
+
+    # The configuration.
+
     async def follow_configuration(self) -> None:
-        """Reads the configuration, then watches it."""
+        """Reads the configuration, then watches it, while nobody else does."""
         failure_count = 0
         revision: int | None = None
         while True:
+            if self._beliefs.version and self._readers.wait_ms(clock.now_ms()):
+                await self._wait_for_turn()
+                revision = None
             if revision is None:
                 result = await self._read_configuration()
             else:
@@ -109,21 +176,91 @@
 
     def _take_configuration(self, value: bytes, source: str) -> None:
         match wire.configuration(value):
-            case expression.Result(tag="ok", ok=configuration):
+            case expression.Result(tag="ok", ok=offered):
                 now_ms = clock.now_ms()
-                self._beliefs.take_configuration(configuration, source, now_ms)
+                if self._beliefs.take_configuration(offered, source, now_ms):
+                    self._peers.keep_configuration(value)
+                    self._peers.tell()
             case expression.Result(error=detail):
                 log.write(log.Event.CONFIG_REFUSED, errors=[detail])
 
-    def _take_list(self, listing: keyvalue.Listing) -> None:
-        listed: dict[str, traffic.Upstream] = {}
-        for item in listing.items:
-            match wire.upstream(item.key, item.value):
-                case expression.Result(tag="ok", ok=upstream):
-                    listed[upstream.upstream_id] = upstream
-                case expression.Result(error=detail):
-                    log.write(log.Event.CONFIG_REFUSED, errors=[detail])
-        self._beliefs.take_list(listed, clock.now_ms())
+    # The list of instances.
+
+    async def stay_listed(self) -> None:
+        """Keeps the own entry in the list of instances."""
+        lease: int | None = None
+        failure_count = 0
+        while True:
+            if lease is None:
+                lease = await self._enter()
+            elif not await self._renew(lease):
+                lease = None
+                continue
+            failure_count = 0 if lease is not None else failure_count + 1
+            if lease is None:
+                await self._pause(_backoff_ms(failure_count))
+            else:
+                await self._pause(LEASE_MS / KEEPS_PER_LEASE_COUNT)
+
+    async def _enter(self) -> int | None:
+        granted = await self._store.grant(
+            max(LEASE_MS, self._settings.lease_min_ms)
+        )
+        match granted:
+            case expression.Result(tag="ok", ok=lease):
+                key = wire.PEER_PREFIX + self._settings.instance_id
+                written = await self._store.put(key, self._entry(), lease)
+                return lease if written.is_ok() else None
+            case _:
+                return None
+
+    def _entry(self) -> bytes:
+        return msgspec.json.encode(
+            readership.Peer(
+                instance_id=self._settings.instance_id,
+                failure_domain=self._settings.failure_domain,
+                address=self._settings.peer_address,
+            )
+        )
+
+    async def _renew(self, lease: int) -> bool:
+        """Renews a lease; tells whether it may still hold."""
+        match await self._store.keep(lease):
+            case expression.Result(
+                tag="error",
+                error=keyvalue.Failure(trouble=keyvalue.Trouble.NO_LEASE),
+            ):
+                return False
+            case _:
+                # A failed call may have renewed it; the next one will tell.
+                return True
+
+    async def follow_instances(self) -> None:
+        """Reads the list of instances while this one reads for others."""
+        await self._pause(PEERS_FIRST_MS)
+        while True:
+            await self._wait_for_turn()
+            result = await self._store.list(wire.PEER_PREFIX, stale=True)
+            match result:
+                case expression.Result(tag="ok", ok=listing):
+                    self._take_instances(listing.items)
+                    self._peers.tell()
+                case expression.Result(error=failure):
+                    self._note_lost(failure)
+            await self._pause(PEERS_PERIOD_MS)
+
+    def _take_instances(self, items: list[keyvalue.Item]) -> None:
+        peers: dict[str, readership.Peer] = {}
+        for item in items:
+            try:
+                peer = msgspec.json.decode(item.value, type=readership.Peer)
+            except msgspec.DecodeError as error:
+                log.write(log.Event.PEER_UNREADABLE, reason=str(error))
+                continue
+            peers[peer.instance_id] = peer
+        self._readers.install(peers)
+
+    # The store's reachability.
 
     def _note_lost(self, failure: keyvalue.Failure) -> None:
         if self._lost_since_ms is not None:
--- a/hyssoptack/peers/codec.py
+++ b/hyssoptack/peers/codec.py
@@ -25,6 +25,7 @@
     7: message.Heartbeat,
     8: message.ConfigWanted,
     9: message.ConfigOffer,
+    10: message.ViewNotice,
 }
 """Kinds by number. Numbers are never used again for another kind."""
 
--- a/hyssoptack/peers/link.py
+++ b/hyssoptack/peers/link.py
@@ -16,7 +16,6 @@
 from hyssoptack.core import clock
 from hyssoptack.core import message
 from hyssoptack.peers import codec
-from hyssoptack.settings import instance
 
 RECEIVE_WAIT_MS = 200
 SEND_BUFFER_COUNT = 128
@@ -77,13 +76,13 @@
     def __init__(
         self,
         listen_address: str,
-        settings: instance.PeerSettings,
+        link_idle_ms: float,
         loop: asyncio.AbstractEventLoop,
         on_received: OnReceived,
         on_undelivered: OnUndelivered,
     ):
         self.traffic = Traffic()
-        self._settings = settings
+        self._link_idle_ms = link_idle_ms
         self._loop = loop
         self._on_received = on_received
         self._on_undelivered = on_undelivered
@@ -224,7 +223,7 @@
         return link
 
     def _close_idle(self, links: dict[str, _Link]) -> None:
-        horizon_ms = clock.now_ms() - self._settings.link_idle_ms
+        horizon_ms = clock.now_ms() - self._link_idle_ms
         for address in [
             address
             for address, link in links.items()
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -13,6 +13,7 @@
 import expression
 import msgspec
 
+from hyssoptack.core import clock
 from hyssoptack.core import traffic
 from hyssoptack.gateway import pool
 from hyssoptack.http1 import message
@@ -27,7 +28,11 @@
 WATCH_MARGIN_MS = 700.0
 """Added to a watch's own time for the same reasons."""
 
-CONNECTION_LIMIT_COUNT = 4
+LATE_MS = 300.0
+"""An answer handled this long after its timeout was kept waiting by a stop of
+the whole process, not by the network."""
+
+CONNECTION_LIMIT_COUNT = 6
 PAGE_LIMIT_COUNT = 400
 """Most pages of one range: 200,000 items, far over what is kept there."""
 
@@ -226,7 +231,12 @@
         path = f"/hyssoptack/{name}"
         if query:
             path += "?" + urllib.parse.urlencode(query, safe="/")
+        started_ms = clock.now_ms()
         outcome = await self._exchange(method, path, timeout_ms, body)
+        took_ms = clock.now_ms() - started_ms
+        if took_ms > timeout_ms + LATE_MS:
+            # The process was stopped meanwhile: what came is as old as that.
+            outcome = upstreamside.Broken(reason="answer_too_old", sent=True)
         match outcome:
             case message.Reply(status=200):
                 return expression.Ok(outcome.body)
--- /dev/null
+++ b/hyssoptack/policy/readership.py
@@ -0,0 +1,102 @@
+"""Which instances read the platform's store for their failure domain.
+
+The live instances of a domain are ranked by rendezvous hashing. The first one
+reads and tells the others. The others take over one after the other, by rank,
+when they have heard nothing for a while: an instance cut off from its readers,
+or from all peers, so ends up reading for itself. Views need not agree: an
+instance that reads needlessly costs some calls, and stops once it hears a
+higher one.
+"""
+
+import dataclasses
+
+from hyssoptack.policy import ownership
+
+SILENCE_MS = 1_400.0
+"""Silence after which the second instance reads. Readers speak once a second;
+a change has to be known within 3 s."""
+
+SILENCE_STEP_MS = 300.0
+"""Further silence for each rank: time for the one before to read and speak."""
+
+SILENCE_STEPS_COUNT = 3
+"""Ranks beyond this wait no longer, as a change must be known in time."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Peer:
+    """Another instance, as it entered itself.
+
+    Attributes:
+        instance_id: Its name.
+        failure_domain: Where it runs.
+        address: Where it takes peers' messages.
+    """
+
+    instance_id: str
+    failure_domain: str
+    address: str
+
+
+def rank(failure_domain: str, instance_id: str) -> int:
+    """Returns an instance's rank; the highest reads first."""
+    return ownership.rank(f"reader/{failure_domain}", instance_id)
+
+
+class Readership:
+    """One instance's view of who reads."""
+
+    def __init__(self, instance_id: str, failure_domain: str):
+        self._instance_id = instance_id
+        self._failure_domain = failure_domain
+        self._own_rank = rank(failure_domain, instance_id)
+        self._heard_ms = float("-inf")
+        self._failing = False
+        self.peers: dict[str, Peer] = {}
+        self.most_count = 1
+
+    def install(self, peers: dict[str, Peer]) -> None:
+        """Replaces the list of live instances."""
+        self.peers = {
+            name: peer
+            for name, peer in peers.items()
+            if name != self._instance_id
+        }
+        # Entries may lapse while their instances live: shares of what all may
+        # spend together go by the most that were ever seen.
+        self.most_count = max(self.most_count, len(self.peers) + 1)
+
+    def neighbours(self) -> list[Peer]:
+        """Returns the other instances of the own failure domain."""
+        return [
+            each
+            for each in self.peers.values()
+            if each.failure_domain == self._failure_domain
+        ]
+
+    def heard(self, sender_id: str, now_ms: float) -> None:
+        """Notes that another instance reads.
+
+        One of lower rank counts only while the own reading fails: it stops once
+        it hears this instance.
+        """
+        higher = rank(self._failure_domain, sender_id) > self._own_rank
+        if higher or self._failing:
+            self._heard_ms = now_ms
+
+    def read(self, succeeded: bool) -> None:
+        """Notes how the own reading went."""
+        self._failing = not succeeded
+
+    def wait_ms(self, now_ms: float) -> float:
+        """Returns how long to wait before reading; 0 to read now."""
+        due_ms = self._heard_ms + self._silence_ms()
+        return max(0.0, due_ms - now_ms)
+
+    def _silence_ms(self) -> float:
+        higher = sum(
+            rank(self._failure_domain, each.instance_id) > self._own_rank
+            for each in self.neighbours()
+        )
+        steps = min(max(0, higher - 1), SILENCE_STEPS_COUNT)
+        return SILENCE_MS + SILENCE_STEP_MS * steps
