Test the gateway's decisions without a network

Replays of the call plan, placing, routes, record merge (hypothesis), and who reads the store; three gateways that share one reader.

--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -58,22 +58,22 @@
                 crossing_ms=settings.crossing_ms,
             )
         )
-        self._beliefs = beliefs.Beliefs(
+        self.beliefs = beliefs.Beliefs(
             placing=self._placing,
             pools=self._pools,
             on_configuration=self._on_configuration,
         )
         self._serving = serving.Serving(
-            self._beliefs, self._knowledge(), settings.failure_domain
+            self.beliefs, self._knowledge(), settings.failure_domain
         )
         self._callers = callerside.Server(handler=self._serving.handle)
         self._probes = callerside.Server(handler=self._answer_probe)
         self._store = keyvalue.Client(settings.store_address, self._pools)
-        self._readers = readership.Readership(
+        self.readers = readership.Readership(
             settings.instance_id, settings.failure_domain
         )
         self._peering = peering.Peering(
-            settings, self._beliefs, self._readers
+            settings, self.beliefs, self.readers
         )
         self._stop = asyncio.Event()
         self._said_ready = False
@@ -96,7 +96,7 @@
         if exchange.request.path != headers.READINESS_PATH:
             exchange.answer(message.problem(404, "unknown_path"))
             return
-        ready = self._beliefs.complete and not self._stop.is_set()
+        ready = self.beliefs.complete and not self._stop.is_set()
         self._note_ready(ready)
         if ready:
             reply = message.Reply(status=200, headers=(), body=b"")
@@ -135,7 +135,7 @@
     async def _serve_until_stopped(self) -> None:
         loop = asyncio.get_running_loop()
         follower = following.Follower(
-            self._settings, self._beliefs, self._store, self._peering
+            self._settings, self.beliefs, self._store, self._peering
         )
         tasks = [
             loop.create_task(each)
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -39,10 +39,6 @@
 
 JITTER_RATIO = 0.15
 
-LEASE_MS = 10_000.0
-"""Length of the lease under which an instance is listed: some cuts shorter than
-this leave it listed, and a dead one costs its neighbours a few messages."""
-
 KEEPS_PER_LEASE_COUNT = 3
 """Renewals in one lease, so that two may fail."""
 
@@ -73,6 +69,7 @@
         self._random = random.Random()
         self._lost_since_ms: float | None = None
         self._read_count = 0
+        self._lease_ms = max(settings.lease_ms, settings.lease_min_ms)
 
     # The list of upstreams.
 
@@ -200,12 +197,10 @@
             if lease is None:
                 await self._pause(_backoff_ms(failure_count))
             else:
-                await self._pause(LEASE_MS / KEEPS_PER_LEASE_COUNT)
+                await self._pause(self._lease_ms / KEEPS_PER_LEASE_COUNT)
 
     async def _enter(self) -> int | None:
-        granted = await self._store.grant(
-            max(LEASE_MS, self._settings.lease_min_ms)
-        )
+        granted = await self._store.grant(self._lease_ms)
         match granted:
             case expression.Result(tag="ok", ok=lease):
                 key = wire.PEER_PREFIX + self._settings.instance_id
--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -150,6 +150,10 @@
             await self.wait_ready(name)
         return started
 
+    def kill(self, name: str) -> None:
+        """Ends a gateway at once, without a word to anybody."""
+        self._tasks[name].cancel()
+
     async def wait_ready(self, name: str = "gateway-1") -> None:
         """Waits until a gateway asks for callers."""
         async with asyncio.timeout(START_TIMEOUT_S):
--- /dev/null
+++ b/hyssoptack/gateway/peering_test.py
@@ -0,0 +1,72 @@
+"""Gateways of one failure domain share what one of them reads."""
+
+import asyncio
+
+from hyssoptack.gateway import harness
+from hyssoptack.gateway import gateway_test
+
+
+async def _three(site: harness.Site) -> None:
+    await site.add_upstream("i-0", "desk")
+    site.configure(gateway_test.SINGLE)
+    for name in ("g-1", "g-2", "g-3"):
+        await site.start(name)
+    await asyncio.sleep(3.5)
+
+
+def test_one_instance_reads_for_all_and_changes_spread():
+    async def test():
+        async with harness.Site() as site:
+            await _three(site)
+            site.store.calls.clear()
+            await asyncio.sleep(3.0)
+            reads = site.store.calls.count("kv-range")
+            # One reader: about one reading a second, and one of the instances.
+            assert reads <= 5
+            site.configure({**gateway_test.SINGLE, "prefix": "/new/"})
+            await site.add_upstream("i-1", "desk")
+            await asyncio.sleep(1.5)
+            for name, each in site.gateways.items():
+                got = await site.get("/new/x", f"r-{name}", name=name)
+                assert got.status == 200
+                assert len(each.beliefs.upstreams) == 2
+
+    asyncio.run(test())
+
+
+def test_others_read_when_their_reader_is_gone():
+    async def test():
+        async with harness.Site() as site:
+            await _three(site)
+            reader = max(
+                site.gateways,
+                key=lambda name: site.gateways[name].readers.rank,
+            )
+            site.kill(reader)
+            await asyncio.sleep(0.2)
+            site.enter("i-0", "desk", state="draining")
+            site.configure({**gateway_test.SINGLE, "prefix": "/new/"})
+            await asyncio.sleep(2.8)
+            for name, each in site.gateways.items():
+                if name != reader:
+                    assert each.beliefs.version == 6
+                    assert each.beliefs.upstreams["i-0"].draining
+
+    asyncio.run(test())
+
+
+def test_an_instance_is_listed_again_after_its_lease_was_taken_away():
+    async def test():
+        async with harness.Site() as site:
+            await site.add_upstream("i-0", "desk")
+            site.configure(gateway_test.SINGLE)
+            await site.start("g-1", lease_ms=300.0, lease_min_ms=100.0)
+            await asyncio.sleep(0.3)
+            key = "hyssoptack/peers/g-1"
+            assert key in site.store.keys()
+            site.store.end_all_leases()
+            assert key not in site.store.keys()
+            await asyncio.sleep(0.5)
+            assert key in site.store.keys()
+
+    asyncio.run(test())
--- /dev/null
+++ b/hyssoptack/policy/callplan_test.py
@@ -0,0 +1,214 @@
+"""Replays of one request's decisions: what is sent, hedged, given up."""
+
+import dataclasses
+
+from hyssoptack.core import traffic
+from hyssoptack.policy import budget
+from hyssoptack.policy import callplan
+from hyssoptack.policy import placing
+
+GOAL_MS = 100.0
+END_MS = 1_000.0
+
+
+def upstream(name, service="s0", zone="north", slots=3):
+    return traffic.Upstream(
+        upstream_id=name,
+        service=service,
+        address="127.0.0.1:1",
+        failure_domain=zone,
+        slot_count=slots,
+        draining=False,
+        cold_ms=0.0,
+    )
+
+
+def knowledge(*upstreams, tokens=10.0):
+    known = placing.Placing(
+        placing.PlacingSettings(failure_domain="north", crossing_ms=15.0)
+    )
+    known.install({each.upstream_id: each for each in upstreams}, 0.0)
+    return callplan.Knowledge(
+        placing=known, budgets=budget.Book(tokens, tokens), extra_ratio=0.15
+    )
+
+
+def plan(know, target=None, idempotent=True, attempts=2):
+    route = traffic.Route(
+        name="r",
+        host="h",
+        prefix="/",
+        idempotent=idempotent,
+        timeout_ms=END_MS,
+        goal_ms=GOAL_MS,
+        rank=1,
+        max_attempts_count=attempts,
+        target=target or traffic.OneService(service="s0"),
+    )
+    services = target.shards if target else ("s0",)
+    ask = callplan.Ask(
+        route=route, services=services, goal_at_ms=GOAL_MS, ends_at_ms=END_MS
+    )
+    return callplan.CallPlan(ask, know, 0.0)
+
+
+def shards(count, floor_ratio):
+    return traffic.AllShards(
+        shards=tuple(f"s{index}" for index in range(count)),
+        top_count=5,
+        floor_ratio=floor_ratio,
+    )
+
+
+def answered(reply="ok"):
+    return callplan.Outcome(kind=callplan.Kind.ANSWERED, reply=reply)
+
+
+FAILED = callplan.Outcome(kind=callplan.Kind.FAILED, reason="reset")
+SHED = callplan.Outcome(kind=callplan.Kind.SHED, reason="shed_503")
+UNREACHABLE = callplan.Outcome(
+    kind=callplan.Kind.NOT_RUN, reason="connect_timeout", reached=False
+)
+
+
+def sends(commands):
+    return [each for each in commands if isinstance(each, callplan.Send)]
+
+
+def result(commands):
+    ends = [each for each in commands if isinstance(each, callplan.Finish)]
+    return ends[0].result if ends else None
+
+
+def test_the_own_failure_domain_is_called_first():
+    know = knowledge(upstream("far", zone="south"), upstream("near"))
+    (first,) = sends(plan(know).start(0.0))
+    assert first.upstream.upstream_id == "near"
+    assert not first.extra
+
+
+def test_a_slow_call_is_hedged_elsewhere_and_the_loser_cancelled():
+    know = knowledge(upstream("a"), upstream("b"))
+    running = plan(know)
+    (first,) = sends(running.start(0.0))
+    due_ms = running.next_time_ms()
+    assert due_ms < GOAL_MS
+    (second,) = sends(running.on_time(due_ms))
+    assert second.extra == "hedge"
+    assert second.upstream.upstream_id != first.upstream.upstream_id
+    commands = running.on_outcome(second.call_id, answered(), due_ms + 10)
+    assert callplan.Cancel(call_id=first.call_id) in commands
+    assert isinstance(result(commands), callplan.Answer)
+
+
+def test_without_budget_nothing_is_hedged():
+    know = knowledge(upstream("a"), upstream("b"), tokens=0.0)
+    running = plan(know)
+    running.start(0.0)
+    assert not sends(running.on_time(running.next_time_ms()))
+
+
+def test_a_request_that_may_run_once_is_neither_hedged_nor_resent():
+    know = knowledge(upstream("a"), upstream("b"))
+    running = plan(know, idempotent=False)
+    (first,) = sends(running.start(0.0))
+    assert running.next_time_ms() > GOAL_MS
+    end = result(running.on_outcome(first.call_id, FAILED, 5.0))
+    assert isinstance(end, callplan.Fail)
+
+
+def test_a_refused_request_that_may_run_once_goes_to_another():
+    know = knowledge(upstream("a"), upstream("b"))
+    running = plan(know, idempotent=False)
+    (first,) = sends(running.start(0.0))
+    (second,) = sends(running.on_outcome(first.call_id, SHED, 1.0))
+    end = result(running.on_outcome(second.call_id, SHED, 2.0))
+    assert isinstance(end, callplan.Refuse)
+
+
+def test_an_upstream_that_can_not_be_reached_costs_no_attempt():
+    know = knowledge(
+        upstream("a"), upstream("b"), upstream("c"), tokens=1.0
+    )
+    running = plan(know, idempotent=False)
+    (call,) = sends(running.start(0.0))
+    for _ in range(2):
+        (call,) = sends(running.on_outcome(call.call_id, UNREACHABLE, 1.0))
+    assert call.extra == "reroute"
+    end = result(running.on_outcome(call.call_id, UNREACHABLE, 2.0))
+    assert isinstance(end, callplan.Refuse)
+
+
+def test_attempts_end_at_the_routes_limit():
+    names = [upstream(name) for name in "abcd"]
+    running = plan(knowledge(*names), attempts=2)
+    (first,) = sends(running.start(0.0))
+    (second,) = sends(running.on_outcome(first.call_id, FAILED, 1.0))
+    end = result(running.on_outcome(second.call_id, FAILED, 2.0))
+    assert isinstance(end, callplan.Fail)
+
+
+def test_at_the_goal_a_query_answers_with_what_covers_the_floor():
+    know = knowledge(*(upstream(f"u{i}", f"s{i}") for i in range(4)))
+    running = plan(know, shards(4, 0.75))
+    calls = sends(running.start(0.0))
+    for call in calls[:3]:
+        assert result(running.on_outcome(call.call_id, answered(), 20.0)) is None
+    assert running.next_time_ms() <= GOAL_MS
+    end = result(running.on_time(GOAL_MS))
+    assert isinstance(end, callplan.Answer)
+    assert (len(end.replies), end.part_count) == (3, 4)
+
+
+def test_below_the_floor_a_query_waits_on_for_a_late_answer():
+    know = knowledge(*(upstream(f"u{i}", f"s{i}") for i in range(4)))
+    running = plan(know, shards(4, 0.75))
+    calls = sends(running.start(0.0))
+    for call in calls[:2]:
+        running.on_outcome(call.call_id, answered(), 20.0)
+    assert result(running.on_time(GOAL_MS)) is None
+    end = result(running.on_outcome(calls[2].call_id, answered(), 150.0))
+    assert isinstance(end, callplan.Answer)
+
+
+def test_a_floor_out_of_reach_ends_a_query_at_once():
+    know = knowledge(*(upstream(f"u{i}", f"s{i}") for i in range(2)))
+    running = plan(know, shards(4, 0.75))
+    assert isinstance(result(running.start(0.0)), callplan.Fail)
+
+
+def test_no_upstream_at_all_is_a_refusal():
+    end = result(plan(knowledge()).start(0.0))
+    assert end == callplan.Refuse(reason="no_upstream")
+
+
+def test_the_deadline_fails_what_may_still_run():
+    running = plan(knowledge(upstream("a")))
+    running.start(0.0)
+    end = result(running.on_time(END_MS))
+    assert isinstance(end, callplan.Fail)
+    assert end.timed_out
+
+
+def test_abandoning_cancels_every_call():
+    know = knowledge(*(upstream(f"u{i}", f"s{i}") for i in range(4)))
+    running = plan(know, shards(4, 0.75))
+    calls = sends(running.start(0.0))
+    commands = running.abandon(5.0)
+    assert {each.call_id for each in commands} == {c.call_id for c in calls}
+    assert not running.on_outcome(calls[0].call_id, answered(), 6.0)
+
+
+def test_in_flight_counts_return_to_zero():
+    know = knowledge(*(upstream(f"u{i}", f"s{i}") for i in range(4)))
+    running = plan(know, shards(4, 1.0))
+    for call in sends(running.start(0.0))[:2]:
+        running.on_outcome(call.call_id, answered(), 3.0)
+    running.abandon(5.0)
+    standings = know.placing.standings.values()
+    assert all(each.in_flight_count == 0 for each in standings)
+
+
+def test_a_frozen_ask_can_be_replaced_for_replay():
+    ask = plan(knowledge(upstream("a"))).ask
+    assert dataclasses.replace(ask, goal_at_ms=1.0).goal_at_ms == 1.0
--- /dev/null
+++ b/hyssoptack/policy/placing_test.py
@@ -0,0 +1,99 @@
+"""Placing: slow, failing, cold, full and unreachable upstreams."""
+
+import collections
+import dataclasses
+
+from hyssoptack.policy import callplan_test
+from hyssoptack.policy import placing
+
+upstream = callplan_test.upstream
+
+
+def known(*upstreams):
+    made = placing.Placing(
+        placing.PlacingSettings(failure_domain="north", crossing_ms=15.0)
+    )
+    made.install({each.upstream_id: each for each in upstreams}, 0.0)
+    return made
+
+
+def choice(made, now_ms=0.0, tried=()):
+    found = made.choose("r", "s0", frozenset(tried), now_ms)
+    return found.upstream_id if found else None
+
+
+def test_a_slow_upstream_loses_its_calls_and_gets_them_back():
+    made = known(upstream("a"), upstream("b"))
+    for number in range(40):
+        made.answered("r", "b", 20.0, number)
+    for number in range(6):
+        made.answered("r", "a", 170.0, 40.0 + number)
+    assert choice(made, 50.0) == "b"
+    # Later it is tried again: the belief has faded below its neighbour's load.
+    made.sent("b")
+    made.sent("b")
+    assert choice(made, 30_000.0) == "a"
+
+
+def test_one_pause_does_not_drive_calls_into_another_domain():
+    made = known(upstream("near"), upstream("far", zone="south"))
+    for number in range(40):
+        made.answered("r", "near", 20.0, number)
+    made.answered("r", "near", 200.0, 41.0)
+    for number in range(4):
+        made.answered("r", "near", 20.0, 42.0 + number)
+    assert choice(made, 50.0) == "near"
+
+
+def test_a_lasting_slowness_does():
+    made = known(upstream("near"), upstream("far", zone="south"))
+    for number in range(40):
+        made.answered("r", "near", 20.0, number)
+    for number in range(5):
+        made.answered("r", "near", 170.0, 41.0 + number)
+    assert choice(made, 50.0) == "far"
+
+
+def test_an_unreachable_upstream_is_left_alone_and_longer_each_time():
+    made = known(upstream("a"), upstream("b"))
+    assert made.unreachable("a", 0.0)
+    assert not made.unreachable("a", 1.0)
+    assert choice(made, 500.0) == "b"
+    made.unreachable("a", 1_100.0)
+    assert made.standings["a"].ejected_until_ms == 3_100.0
+
+
+def test_where_all_are_unreachable_any_is_tried():
+    made = known(upstream("a"))
+    made.unreachable("a", 0.0)
+    assert choice(made, 1.0) == "a"
+
+
+def test_an_upstream_that_shed_yields_to_others():
+    made = known(upstream("a"), upstream("b"))
+    made.shed("a", 0.0)
+    assert choice(made, 10.0) == "b"
+
+
+def test_draining_and_tried_upstreams_get_nothing():
+    leaving = dataclasses.replace(upstream("a"), draining=True)
+    made = known(leaving, upstream("b"))
+    assert choice(made) == "b"
+    assert choice(made, tried=("b",)) is None
+
+
+def test_calls_spread_over_equals():
+    made = known(upstream("a"), upstream("b"), upstream("c"))
+    counts = collections.Counter()
+    for _ in range(9):
+        name = choice(made)
+        made.sent(name)
+        counts[name] += 1
+    assert set(counts.values()) == {3}
+
+
+def test_what_calls_have_shown_outlives_a_new_list():
+    made = known(upstream("a"), upstream("b"))
+    made.unreachable("a", 0.0)
+    made.install({"a": upstream("a"), "b": upstream("b")}, 10.0)
+    assert choice(made, 20.0) == "b"
--- a/hyssoptack/policy/readership.py
+++ b/hyssoptack/policy/readership.py
@@ -49,7 +49,7 @@
     def __init__(self, instance_id: str, failure_domain: str):
         self._instance_id = instance_id
         self._failure_domain = failure_domain
-        self._own_rank = rank(failure_domain, instance_id)
+        self.rank = rank(failure_domain, instance_id)
         self._heard_ms = float("-inf")
         self._failing = False
         self.peers: dict[str, Peer] = {}
@@ -80,7 +80,7 @@
         One of lower rank counts only while the own reading fails: it stops once
         it hears this instance.
         """
-        higher = rank(self._failure_domain, sender_id) > self._own_rank
+        higher = rank(self._failure_domain, sender_id) > self.rank
         if higher or self._failing:
             self._heard_ms = now_ms
 
@@ -95,7 +95,7 @@
 
     def _silence_ms(self) -> float:
         higher = sum(
-            rank(self._failure_domain, each.instance_id) > self._own_rank
+            rank(self._failure_domain, each.instance_id) > self.rank
             for each in self.neighbours()
         )
         steps = min(max(0, higher - 1), SILENCE_STEPS_COUNT)
--- /dev/null
+++ b/hyssoptack/policy/records_test.py
@@ -0,0 +1,26 @@
+"""The merge of records, against the obvious way."""
+
+import hypothesis
+import hypothesis.strategies
+
+from hyssoptack.policy import records
+
+_bodies = hypothesis.strategies.lists(
+    hypothesis.strategies.binary(max_size=70), max_size=5
+)
+
+
+@hypothesis.given(_bodies, hypothesis.strategies.integers(1, 9))
+def test_the_greatest_records_come_first(bodies, top_count):
+    cut = [
+        body[start : start + 16]
+        for body in bodies
+        for start in range(0, len(body), 16)
+        if len(body[start : start + 16]) == 16
+    ]
+    expected = b"".join(sorted(cut, reverse=True)[:top_count])
+    assert records.greatest(tuple(bodies), top_count) == expected
+
+
+def test_equal_records_all_count():
+    assert records.greatest((b"a" * 16, b"a" * 16), 5) == b"a" * 32
--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -42,6 +42,9 @@
         metrics_address: Where metrics are served; empty for none.
         store_address: The platform's store.
         lease_min_ms: The shortest lease that the store grants.
+        lease_ms: The lease under which this instance is listed. Cuts shorter
+            than it leave it listed; a dead one costs its neighbours a few
+            messages until it ends.
         grace_ms: From a stop signal to the kill.
         drain_ms: How soon a leaving upstream must get nothing more.
         heartbeat_ms: How often upstreams renew their entries.
@@ -61,6 +64,7 @@
     drain_ms: float
     heartbeat_ms: float
     lease_min_ms: float = 1_000.0
+    lease_ms: float = 10_000.0
     peer_address: str = ""
     metrics_address: str = ""
     crossing_ms: float = 15.0
--- a/hyssoptack/standins/kvstore.py
+++ b/hyssoptack/standins/kvstore.py
@@ -45,6 +45,7 @@
         self._items: dict[str, dict[str, object]] = {}
         self._events: list[dict[str, object]] = []
         self._leases: dict[int, tuple[float, float]] = {}
+        self._lease_count = 0
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -184,7 +185,8 @@
         return 200, {"revision": self._revision}
 
     def _grant(self, ttl_ms: float) -> object:
-        lease = len(self._leases) + 1
+        self._lease_count += 1
+        lease = self._lease_count
         self._leases[lease] = (clock.now_ms() + ttl_ms, ttl_ms)
         return {"lease": lease, "ttl_ms": ttl_ms}
 
@@ -203,6 +205,11 @@
                 self.remove(key)
         return 200, {}
 
+    def end_all_leases(self) -> None:
+        """Ends every lease at once, as the store may for those it cuts off."""
+        for lease in tuple(self._leases):
+            self._end(lease)
+
     def _expire(self) -> None:
         now_ms = clock.now_ms()
         for lease, (ends_ms, _) in tuple(self._leases.items()):
