Take changed settings on SIGHUP or by looking at the file

Cause: SIGHUP ended the process, and the settings file may change without one. A bad file is logged and changes nothing.

--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -16,6 +16,7 @@
     STARTED = (1003, "The process has its settings and opens its ports.")
     READY = (1006, "The instance asks for callers, or stops asking.")
     STOPPED = (1007, "The process ends.")
+    RELOADED = (1009, "The settings file was read again.")
     LOGS_DROPPED = (1008, "Log lines were left out: nobody read them in time.")
     INSTANCE_BROKEN = (1002, "A broken invariant stops the process.")
     STOP_ASKED = (1004, "A stop signal came; the second one hurries.")
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -1,8 +1,11 @@
 """The gateway process: opens ports, keeps beliefs, serves, and stops cleanly."""
 
 import asyncio
+import dataclasses
+import os
 import signal
 
+import expression
 import uvloop
 
 from hyssoptack.core import clock
@@ -30,6 +33,22 @@
 """Instances that share a budget's slack, before this one knows its peers: more
 than either user runs (8 and 9), so that the sum stays within the budget."""
 
+START_TOKENS_COUNT = 2.0
+"""Extra calls of a service that a new instance may make before it has served:
+many instances may start at once."""
+
+RESTART_FIELDS = frozenset(
+    (
+        "callers_address",
+        "failure_domain",
+        "instance_id",
+        "metrics_address",
+        "peer_address",
+        "readiness_address",
+    )
+)
+"""Settings that a running instance can't take over."""
+
 SLACK_SHARE_RATIO = 0.7
 """Part of the slack that is used at all; the rest covers counts that differ."""
 
@@ -45,33 +64,41 @@
 
 DRAIN_CHECK_MS = 50.0
 
+SETTINGS_CHECK_S = 2.0
+"""How often the settings file is looked at: it may change without a signal, and
+nothing in it is needed sooner."""
+
 
 class Gateway:
     """One running gateway."""
 
-    def __init__(self, settings: gateway.GatewaySettings):
+    def __init__(self, settings: gateway.GatewaySettings, path: str = ""):
+        """Makes a gateway.
+
+        Args:
+            settings: Its settings.
+            path: The file that they came from; empty where there is none.
+        """
         self._settings = settings
+        self._path = path
         self._pools = pool.Pools(headers.REQUEST_ID)
-        self._placing = placing.Placing(
-            placing.PlacingSettings(
-                failure_domain=settings.failure_domain,
-                crossing_ms=settings.crossing_ms,
-            )
-        )
+        self._placing = placing.Placing(_placing_settings(settings))
         self.beliefs = beliefs.Beliefs(
             placing=self._placing,
             pools=self._pools,
             on_configuration=self._on_configuration,
         )
+        self.readers = readership.Readership(
+            settings.instance_id, settings.failure_domain
+        )
+        self._budgets = budget.Book(0.0, START_TOKENS_COUNT)
+        self._set_budget()
         self._serving = serving.Serving(
             self.beliefs, self._knowledge(), settings.failure_domain
         )
         self._callers = callerside.Server(handler=self._serving.handle)
         self._probes = callerside.Server(handler=self._answer_probe)
         self._store = keyvalue.Client(settings.store_address, self._pools)
-        self.readers = readership.Readership(
-            settings.instance_id, settings.failure_domain
-        )
         self._peering = peering.Peering(
             settings, self.beliefs, self.readers
         )
@@ -79,14 +106,10 @@
         self._said_ready = False
 
     def _knowledge(self) -> callplan.Knowledge:
-        shared = self._settings.budget
-        burst_count = (
-            SLACK_SHARE_RATIO * shared.slack_count / INSTANCES_ASSUMED_COUNT
-        )
         return callplan.Knowledge(
             placing=self._placing,
-            budgets=budget.Book(burst_count, burst_count),
-            extra_ratio=EXTRA_RATIO_SHARE * shared.ratio,
+            budgets=self._budgets,
+            extra_ratio=EXTRA_RATIO_SHARE * self._settings.budget.ratio,
         )
 
     def _on_configuration(self, offered: traffic.Configuration) -> None:
@@ -114,6 +137,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGINT, self.stop)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         listeners = [
             await self._listen(
                 self._settings.readiness_address, self._probes
@@ -144,6 +168,7 @@
                 follower.follow_configuration(),
                 follower.follow_instances(),
                 follower.stay_listed(),
+                self._follow_settings(),
                 self._callers.sweep(),
                 self._probes.sweep(),
                 self._pools.sweep(),
@@ -172,6 +197,50 @@
         log.write(log.Event.STOP_ASKED, running=len(self._serving.running))
         self._stop.set()
 
+    async def _follow_settings(self) -> None:
+        """Reads the settings file again when it has changed."""
+        changed_ns = _changed_ns(self._path)
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            seen_ns = _changed_ns(self._path)
+            if seen_ns != changed_ns:
+                changed_ns = seen_ns
+                self.reload()
+
+    def reload(self) -> None:
+        """Reads the settings file again; a bad one changes nothing."""
+        if not self._path:
+            return
+        match gateway.load(self._path):
+            case expression.Result(tag="ok", ok=settings):
+                self._apply(settings)
+            case expression.Result(error=detail):
+                log.write(log.Event.RELOADED, error=detail, changed=[])
+
+    def _apply(self, settings: gateway.GatewaySettings) -> None:
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(settings, field.name)
+            != getattr(self._settings, field.name)
+        ]
+        # Ports stay as they were opened; they are the platform's to keep.
+        waiting = [name for name in changed if name in RESTART_FIELDS]
+        log.write(log.Event.RELOADED, changed=changed, at_restart=waiting)
+        self._settings = settings
+        self._store.move(settings.store_address)
+        self._placing.settings = _placing_settings(settings)
+        self._set_budget()
+
+    def _set_budget(self) -> None:
+        shared = self._settings.budget
+        instances_count = max(
+            INSTANCES_ASSUMED_COUNT, self.readers.most_count
+        )
+        self._budgets.burst_count = (
+            SLACK_SHARE_RATIO * shared.slack_count / instances_count
+        )
+
     async def _finish(self, listeners: list[asyncio.Server]) -> None:
         """Turns callers away, finishes what is in progress, and ends."""
         started_ms = clock.now_ms()
@@ -193,10 +262,28 @@
         )
 
 
-def run(settings: gateway.GatewaySettings) -> None:
+def _placing_settings(
+    settings: gateway.GatewaySettings,
+) -> placing.PlacingSettings:
+    return placing.PlacingSettings(
+        failure_domain=settings.failure_domain,
+        crossing_ms=settings.crossing_ms,
+    )
+
+
+def _changed_ns(path: str) -> int:
+    """Returns when a file was changed; 0 for one that can't be looked at."""
+    try:
+        return os.stat(path).st_mtime_ns if path else 0
+    except OSError:
+        # Being replaced: the next look finds the new one.
+        return 0
+
+
+def run(settings: gateway.GatewaySettings, path: str) -> None:
     """Runs a gateway until it is stopped."""
 
     async def main() -> None:
-        await Gateway(settings).run()
+        await Gateway(settings, path).run()
 
     uvloop.run(main())
--- a/hyssoptack/gateway/gateway_test.py
+++ b/hyssoptack/gateway/gateway_test.py
@@ -1,7 +1,9 @@
 """A whole gateway between stand-ins: what callers and upstreams see."""
 
 import asyncio
+import dataclasses
 
+import msgspec
 import pytest
 
 from hyssoptack.gateway import harness
@@ -388,3 +390,25 @@
             assert (await late).status == 200
 
     run(test())
+
+
+def test_a_changed_settings_file_is_taken_and_a_bad_one_changes_nothing(
+    tmp_path,
+):
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            running = site.gateways["gateway-1"]
+            path = tmp_path / "settings.yaml"
+            running._path = str(path)
+            settings = site.settings["gateway-1"]
+            changed = dataclasses.replace(settings, crossing_ms=40.0)
+            path.write_bytes(msgspec.json.encode(changed))
+            running.reload()
+            assert running._placing.settings.crossing_ms == 40.0
+            path.write_text("callers_address: nowhere")
+            running.reload()
+            assert running._placing.settings.crossing_ms == 40.0
+            assert (await site.get("/one/x", "r1")).status == 200
+
+    run(test())
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -133,9 +133,14 @@
 
     def __init__(self, address: str, pools: pool.Pools):
         self._pools = pools
+        self.call_count = 0
+        self.move(address)
+
+    def move(self, address: str) -> None:
+        """Calls the store at another address from now on."""
         self._host = address.encode()
         self._store = traffic.Upstream(
-            upstream_id="store",
+            upstream_id=f"store {address}",
             service="store",
             address=address,
             failure_domain="",
@@ -143,7 +148,6 @@
             draining=False,
             cold_ms=0.0,
         )
-        self.call_count = 0
 
     async def list(
         self, prefix: str, stale: bool = False
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -125,7 +125,7 @@
     """Standings of all listed upstreams."""
 
     def __init__(self, settings: PlacingSettings):
-        self._settings = settings
+        self.settings = settings
         self.standings: dict[str, Standing] = {}
         self._by_service: dict[str, list[Standing]] = {}
         self._typical: dict[str, Typical] = {}
@@ -202,8 +202,8 @@
         expected_ms *= 1.0 + 0.5 * own_load + queue / upstream.slot_count
         if standing.shed_until_ms > now_ms:
             expected_ms += SHED_QUIET_MS
-        if upstream.failure_domain != self._settings.failure_domain:
-            expected_ms += self._settings.crossing_ms
+        if upstream.failure_domain != self.settings.failure_domain:
+            expected_ms += self.settings.crossing_ms
         return expected_ms
 
     def slowness(self, standing: Standing, now_ms: float) -> float:
--- a/hyssoptack/scripts/gateway.py
+++ b/hyssoptack/scripts/gateway.py
@@ -26,7 +26,7 @@
     match gateway.load(path):
         case expression.Result(tag="ok", ok=settings):
             writer.open_stdout(settings.instance_id)
-            daemon.run(settings)
+            daemon.run(settings, path)
             writer.flush()
             # Library threads must not hold up the end of a stopped process.
             os._exit(0)
--- a/hyssoptack/standins/service.py
+++ b/hyssoptack/standins/service.py
@@ -77,7 +77,8 @@
             while await self._one(reader, writer):
                 pass
         except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+            # The caller closed the connection, as it may at any time.
+            return
         finally:
             writer.close()
 
