--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -13,6 +13,7 @@
 from hyssoptack.events import log
 from hyssoptack.gateway import beliefs
 from hyssoptack.gateway import following
+from hyssoptack.gateway import metrics
 from hyssoptack.gateway import peering
 from hyssoptack.gateway import pool
 from hyssoptack.gateway import serving
@@ -93,11 +94,16 @@
         )
         self._budgets = budget.Book(0.0, START_TOKENS_COUNT)
         self._set_budget()
+        self._metrics = metrics.Metrics()
         self._serving = serving.Serving(
-            self.beliefs, self._knowledge(), settings.failure_domain
+            self.beliefs,
+            self._knowledge(),
+            settings.failure_domain,
+            self._metrics,
         )
         self._callers = callerside.Server(handler=self._serving.handle)
         self._probes = callerside.Server(handler=self._answer_probe)
+        self._readings = callerside.Server(handler=self._answer_metrics)
         self._store = keyvalue.Client(settings.store_address, self._pools)
         self._peering = peering.Peering(
             settings, self.beliefs, self.readers
@@ -127,6 +133,27 @@
             reply = message.problem(503, "not_ready")
         exchange.answer(reply)
 
+    def _answer_metrics(self, exchange: callerside.Exchange) -> None:
+        now_ms = clock.now_ms()
+        facts = {
+            "version": self.beliefs.version,
+            "version_age_ms": now_ms - self.beliefs.config_ms,
+            "list_age_ms": now_ms - self.beliefs.listed_ms,
+            "upstream_count": len(self.beliefs.upstreams),
+            "running_count": len(self._serving.running),
+            "caller_connection_count": len(self._callers.connections),
+            "opened_connection_count": self._pools.opened_count,
+            "store_call_count": self._store.call_count,
+            "instance_count": len(self.readers.peers) + 1,
+        }
+        for name, value in facts.items():
+            self._metrics.facts.set({"name": name}, value)
+        page = self._metrics.page()
+        page_headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        exchange.answer(
+            message.Reply(status=200, headers=page_headers, body=page)
+        )
+
     def _note_ready(self, ready: bool) -> None:
         if ready != self._said_ready:
             self._said_ready = ready
@@ -144,6 +171,12 @@
             ),
             await self._listen(self._settings.callers_address, self._callers),
         ]
+        if self._settings.metrics_address:
+            listeners.append(
+                await self._listen(
+                    self._settings.metrics_address, self._readings
+                )
+            )
         log.write(
             log.Event.STARTED,
             instance=self._settings.instance_id,
--- a/hyssoptack/gateway/gateway_test.py
+++ b/hyssoptack/gateway/gateway_test.py
@@ -412,3 +412,23 @@
             assert (await site.get("/one/x", "r1")).status == 200
 
     run(test())
+
+
+def test_metrics_count_requests_calls_and_latency():
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 1)
+            await site.get("/one/x", "r1")
+            address = site.settings["gateway-1"].metrics_address
+            got = await harness.send(
+                address, b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n"
+            )
+            page = got.body.decode()
+            assert (
+                'hyssoptack_requests_total{route="route-0",status="200"} 1'
+                in page
+            )
+            assert "hyssoptack_request_ms_bucket" in page
+            assert 'hyssoptack_gateway{name="version"} 3' in page
+
+    run(test())
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -7,6 +7,7 @@
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import beliefs
+from hyssoptack.gateway import metrics
 from hyssoptack.gateway import pool
 from hyssoptack.http1 import callerside
 from hyssoptack.http1 import message
@@ -40,9 +41,11 @@
         believed: beliefs.Beliefs,
         knowledge: callplan.Knowledge,
         failure_domain: str,
+        counted: metrics.Metrics,
     ):
         self._beliefs = believed
         self._knowledge = knowledge
+        self.metrics = counted
         self._failure_domain = failure_domain
         self.running: set[Running] = set()
 
@@ -70,6 +73,7 @@
         reason: str,
     ) -> None:
         wait_ms = RETRY_AFTER_MS if status == 503 else None
+        self.metrics.requests.inc({"route": "", "status": str(status)})
         exchange.answer(message.problem(status, reason, wait_ms))
         log.write(
             log.Event.REQUEST_ENDED,
@@ -111,6 +115,7 @@
     """One call, for the log line of its request."""
 
     upstream_id: str
+    service: str
     sent_ms: float
     extra: str
     outcome: str = "open"
@@ -187,6 +192,7 @@
         call_id = command.call_id
         self._traces[call_id] = _Trace(
             upstream_id=upstream.upstream_id,
+            service=upstream.service,
             sent_ms=self._now_ms,
             extra=command.extra,
         )
@@ -222,6 +228,10 @@
         trace = self._traces[call_id]
         trace.outcome = outcome
         trace.took_ms = clock.now_ms() - trace.sent_ms
+        counted = self._serving.metrics
+        counted.calls.inc({"service": trace.service, "outcome": outcome})
+        if outcome == callplan.Kind.ANSWERED.value:
+            counted.call_ms.observe({"service": trace.service}, trace.took_ms)
 
     def _on_outcome(
         self, call_id: int, outcome: upstreamside.Outcome
@@ -273,6 +283,9 @@
             case callplan.Answer(replies=replies, part_count=part_count):
                 reply = self._answer(replies, part_count)
                 detail = f"{len(replies)}/{part_count}"
+                self._serving.metrics.parts_left_out.add(
+                    {"route": self._route.name}, part_count - len(replies)
+                )
             case callplan.Refuse(reason=detail):
                 reply = message.problem(503, detail, RETRY_AFTER_MS)
             case callplan.Fail(reason=detail, reply=message.Reply() as failure):
@@ -303,6 +316,7 @@
         self._serving.running.discard(self)
         now_ms = clock.now_ms()
         started_ms = self._exchange.request.received_ms
+        self._count(status, now_ms - started_ms)
         log.write(
             log.Event.REQUEST_ENDED,
             request_id=self._facts.request_id.decode("latin-1"),
@@ -317,7 +331,16 @@
             calls=[each.text(started_ms) for each in self._traces.values()],
         )
 
+    def _count(self, status: int, took_ms: float) -> None:
+        counted = self._serving.metrics
+        labels = {"route": self._route.name}
+        counted.requests.inc({**labels, "status": str(status)})
+        counted.request_ms.observe(labels, took_ms)
+
     def _log_extra(self, command: callplan.Send) -> None:
+        self._serving.metrics.extra_calls.inc(
+            {"service": command.upstream.service, "why": command.extra}
+        )
         log.write(
             log.Event.CALL_EXTRA,
             request_id=self._facts.request_id.decode("latin-1"),
