Pass on no promise that an upstream made after running; test adapter and logs

Found by the new tests: a signed 429 or 408 without the upstream's word that it did not run was passed on, and callers would have taken it for "not run". The log writer kept the count of dropped lines to itself until the next line.

--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -59,8 +59,12 @@
         event: Which one.
         **fields: What a reader needs besides; names carry units.
     """
-    message_type = f"hyssoptack:{event.number}:{event.name.lower()}"
-    eliot.log_message(message_type=message_type, **fields)
+    eliot.log_message(message_type=message_type(event), **fields)
+
+
+def message_type(event: Event) -> str:
+    """Returns an event's name on log lines."""
+    return f"hyssoptack:{event.number}:{event.name.lower()}"
 
 
 def open_destination(path: str) -> None:
--- a/hyssoptack/events/writer.py
+++ b/hyssoptack/events/writer.py
@@ -12,12 +12,12 @@
 import eliot
 import msgspec
 
+from hyssoptack.events import log
+
 BUFFER_LIMIT_BYTES = 256 * 1024
 """About 600 lines: some seconds of a busy instance, and a thousandth of its
 memory."""
 
-CHUNK_BYTES = 16 * 1024
-
 _encoder = msgspec.json.Encoder(enc_hook=repr)
 
 
@@ -50,28 +50,35 @@
         while self._lines:
             line = self._lines.popleft()
             self._size_bytes -= len(line)
-            try:
-                written = os.write(self._descriptor, line)
-            except BlockingIOError:
-                written = 0
-            except OSError:
-                # Nobody will ever read this: nothing is left to report it to.
-                self._lines.clear()
-                self._size_bytes = 0
-                return
+            written = self._write_some(line)
             if written < len(line):
                 self._lines.appendleft(line[written:])
                 self._size_bytes += len(line) - written
                 return
-        if self.dropped_count:
-            count, self.dropped_count = self.dropped_count, 0
-            self._add(
-                {
-                    "message_type": "hyssoptack:1008:logs_dropped",
-                    "timestamp": time.time(),
-                    "count": count,
-                }
-            )
+            if not self._lines:
+                self._add_loss()
+
+    def _write_some(self, line: bytes) -> int:
+        """Writes what fits; returns how many bytes are done with."""
+        try:
+            return os.write(self._descriptor, line)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            # Nobody will ever read this: there is nobody to report it to.
+            return len(line)
+
+    def _add_loss(self) -> None:
+        if not self.dropped_count:
+            return
+        count, self.dropped_count = self.dropped_count, 0
+        self._add(
+            {
+                "message_type": log.message_type(log.Event.LOGS_DROPPED),
+                "timestamp": time.time(),
+                "count": count,
+            }
+        )
 
 
 def _slim(message: dict[str, object], instance_id: str) -> dict[str, object]:
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -4,6 +4,7 @@
 import dataclasses
 import os
 import signal
+import traceback
 
 import expression
 import uvloop
@@ -162,6 +163,7 @@
     async def run(self) -> None:
         """Serves until a stop signal, then finishes what is in progress."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(_log_fault)
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -304,6 +306,21 @@
     )
 
 
+def _log_fault(
+    _loop: asyncio.AbstractEventLoop, context: dict[str, object]
+) -> None:
+    """Logs a fault of ours in a callback; other requests go on."""
+    fault = context.get("exception")
+    trace = (
+        "".join(traceback.format_exception(fault))
+        if isinstance(fault, BaseException)
+        else ""
+    )
+    log.write(
+        log.Event.REQUEST_FAULT, detail=context.get("message"), trace=trace
+    )
+
+
 def _changed_ns(path: str) -> int:
     """Returns when a file was changed; 0 for one that can't be looked at."""
     try:
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -103,9 +103,9 @@
         return _failed("encoded_reply")
     if success and not signed:
         return _failed("unsigned_success")
-    if success or 400 <= reply.status < 500 and signed:
-        return callplan.Outcome(kind=callplan.Kind.ANSWERED, reply=reply)
     passable = signed and reply.status not in STATUS_PROMISES
+    if success or (passable and 400 <= reply.status < 500):
+        return callplan.Outcome(kind=callplan.Kind.ANSWERED, reply=reply)
     return callplan.Outcome(
         kind=callplan.Kind.FAILED,
         reply=reply if passable else None,
--- /dev/null
+++ b/hyssoptack/platform/headers_test.py
@@ -0,0 +1,112 @@
+"""What upstreams' replies mean, and what callers and upstreams are sent."""
+
+import pytest
+
+from hyssoptack.http1 import message
+from hyssoptack.platform import headers
+from hyssoptack.policy import callplan
+from hyssoptack.policy import callplan_test
+
+
+def reply(status, *fields):
+    return message.Reply(status=status, headers=fields, body=b"b")
+
+
+SIGNED = (b"X-Server-Stamp", b"s")
+NOT_RUN = (b"X-Not-Executed", b"1")
+
+
+@pytest.mark.parametrize(
+    ("given", "kind"),
+    [
+        (reply(200, SIGNED), callplan.Kind.ANSWERED),
+        (reply(200), callplan.Kind.FAILED),
+        (
+            reply(200, SIGNED, (b"Content-Encoding", b"gzip")),
+            callplan.Kind.FAILED,
+        ),
+        (reply(404, SIGNED), callplan.Kind.ANSWERED),
+        (reply(404), callplan.Kind.FAILED),
+        (reply(500, SIGNED), callplan.Kind.FAILED),
+        (reply(503, NOT_RUN), callplan.Kind.SHED),
+        (reply(429, NOT_RUN), callplan.Kind.SHED),
+        (reply(503, SIGNED), callplan.Kind.FAILED),
+        (reply(421), callplan.Kind.NOT_RUN),
+    ],
+)
+def test_only_an_explicit_word_says_that_nothing_ran(given, kind):
+    assert headers.outcome(given).kind is kind
+
+
+def test_a_failure_is_no_part_of_a_merged_answer():
+    given = reply(404, SIGNED)
+    assert headers.part_outcome(given).kind is callplan.Kind.FAILED
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_a_failure_that_ran_is_not_passed_on_as_a_promise(status):
+    # The caller would take it for "not run".
+    assert headers.outcome(reply(status, SIGNED)).reply is None
+
+
+def request(*fields, target=b"/a?q=1"):
+    return message.Request(
+        method=b"GET",
+        target=target,
+        headers=fields,
+        body=b"",
+        received_ms=0.0,
+        keep_alive=True,
+    )
+
+
+HOST = (b"Host", b"shop.example:80")
+ID = (b"X-Request-Id", b"r1")
+
+
+def test_facts_of_a_request_are_read():
+    facts = headers.caller_facts(
+        request(HOST, ID, (b"X-Request-Deadline", b"250"))
+    )
+    assert facts == headers.CallerFacts(
+        request_id=b"r1", deadline_ms=250.0, host="shop.example"
+    )
+
+
+@pytest.mark.parametrize(
+    "given",
+    [
+        request(HOST),
+        request(HOST, ID, ID),
+        request(ID),
+        request(HOST, HOST, ID),
+        request(HOST, ID, target=b"http://other/"),
+    ],
+)
+def test_ambiguous_requests_are_refused(given):
+    assert isinstance(headers.caller_facts(given), str)
+
+
+def test_a_deadline_that_is_no_number_is_none():
+    facts = headers.caller_facts(
+        request(HOST, ID, (b"X-Request-Deadline", b"soon"))
+    )
+    assert facts.deadline_ms is None
+
+
+def test_a_request_goes_on_without_what_concerns_one_connection():
+    given = request(
+        HOST,
+        ID,
+        (b"Connection", b"close, X-Hop"),
+        (b"X-Hop", b"1"),
+        (b"X-Expected-Instance", b"forged"),
+        (b"X-Keep", b"2"),
+    )
+    data = headers.upstream_request(given, callplan_test.upstream("i-1"), 99.9)
+    assert data.startswith(b"GET /a?q=1 HTTP/1.1\r\n")
+    assert b"X-Request-Deadline: 99\r\n" in data
+    assert b"X-Expected-Instance: i-1\r\n" in data
+    assert b"X-Keep: 2" in data
+    for absent in (b"forged", b"X-Hop", b"close"):
+        assert absent not in data
--- /dev/null
+++ b/hyssoptack/platform/wire_test.py
@@ -0,0 +1,95 @@
+"""Reading the platform's records."""
+
+import json
+
+import pytest
+
+from hyssoptack.core import traffic
+from hyssoptack.platform import wire
+
+ROUTE = {
+    "name": "r",
+    "host": "Shop.Example",
+    "prefix": "/a/",
+    "route_type": "non_idempotent",
+    "timeout_ms": 900,
+    "target_latency_ms": 90,
+    "priority": 2,
+    "max_attempts": 2,
+}
+LIMITS = {
+    "max_header_bytes": 1,
+    "max_body_bytes": 2,
+    "header_timeout_ms": 3,
+    "idle_timeout_ms": 4,
+}
+
+
+def stored(*routes, **changes):
+    body = {"version": 7, "routes": routes, "services": [], "limits": LIMITS}
+    return json.dumps(body | changes).encode()
+
+
+@pytest.mark.parametrize(
+    ("fields", "target"),
+    [
+        ({"service": "one"}, traffic.OneService(service="one")),
+        (
+            {"traffic_split": [{"service": "one", "weight": 3}]},
+            traffic.Split(shares=(traffic.Share(service="one", weight=3),)),
+        ),
+        (
+            {
+                "fanout_services": ["s0", "s1"],
+                "top_k": 5,
+                "min_shard_fraction": 0.5,
+            },
+            traffic.AllShards(
+                shards=("s0", "s1"), top_count=5, floor_ratio=0.5
+            ),
+        ),
+    ],
+)
+def test_each_kind_of_target_is_read(fields, target):
+    found = wire.configuration(stored({**ROUTE, **fields})).ok
+    (route,) = found.routes
+    assert route.target == target
+    assert not route.idempotent
+    assert route.host == "shop.example"
+    assert (found.version, found.limits.max_body_bytes) == (7, 2)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"{}",
+        stored(ROUTE),
+        stored({**ROUTE, "service": 3}),
+        stored(version="x"),
+    ],
+)
+def test_what_is_no_configuration_is_an_error_value(data):
+    assert "unreadable" in wire.configuration(data).error
+
+
+def test_unknown_fields_are_left_out():
+    data = stored({**ROUTE, "service": "one", "new": 1}, newer=True)
+    assert wire.configuration(data).is_ok()
+
+
+def test_an_upstreams_entry_is_read():
+    entry = {
+        "service": "one",
+        "address": "10.0.0.1:80",
+        "zone": "north",
+        "slots": 3,
+        "state": "draining",
+        "warmup_remaining_ms": 40,
+        "sequence": 9,
+    }
+    found = wire.upstream("servers/i-1", json.dumps(entry).encode()).ok
+    assert found.upstream_id == "i-1"
+    assert found.draining
+    assert (found.failure_domain, found.cold_ms) == ("north", 40)
+    assert wire.upstream("servers/i-1", b"[]").is_error()
