--- a/hyssoptack/scripts/main.py
+++ b/hyssoptack/scripts/main.py
@@ -17,6 +17,7 @@
 from hyssoptack.reports import burn as burn_report
 from hyssoptack.reports import fleet
 from hyssoptack.scripts import caller
+from hyssoptack.scripts import explain
 from hyssoptack.settings import catalog as catalog_settings
 from hyssoptack.settings import check
 from hyssoptack.settings import instance
@@ -46,6 +47,7 @@
     report_application,
 ):
     application.command(_each)
+application.command(explain.application)
 
 StoreAddress = typing.Annotated[
     str,
