--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/ruff check --fix --exit-zero hyssoptack bench
 	$(BIN)/ruff format hyssoptack bench
 
-SLOPES := leaf-client peer-message stages plan gossip memory claims charts
+SLOPES := upstream-client peer-message stages plan gossip memory claims charts
 
 .PHONY: proofs measures slopes $(addprefix slopes-,$(SLOPES))
 
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -53,7 +53,7 @@
             _say(f"    {hit['score']:.2f}  {hit['title']}")
         _say(
             f"  coverage {answer['coverage_ratio']}, index version "
-            f"{answer['index_version']}, {answer['leaf_call_count']} leaf "
+            f"{answer['index_version']}, {answer['upstream_call_count']} "
             f"calls of which {answer['extra_call_count']} extra, "
             f"{answer['elapsed_ms']} ms"
         )
@@ -68,11 +68,11 @@
 
 
 def _show_fault(run: fleet.Fleet, deployment: str) -> None:
-    """Kills a leaf that has replicas, and one whole answer goes on."""
+    """Kills an upstream that has replicas, and one whole answer goes on."""
     service = SEARCHES[deployment][0][0]
-    victim = run.leaf_ids(service)[0]
+    victim = run.upstream_ids(service)[0]
     run.kill(victim)
-    _say(f"\nkilled leaf {victim}; ten more searches of {service}:")
+    _say(f"\nkilled upstream {victim}; ten more searches of {service}:")
     url = f"http://{run.balancer}/services/{service}/search"
     body = {"text": SEARCHES[deployment][0][1], "limit": 3}
     coverages = []
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -37,12 +37,12 @@
     Attributes:
         deployment: A folder under deploy/.
         services: Services to run; empty for all.
-        service_ms: Mean time of a leaf's search.
+        service_ms: Mean time of an upstream's search.
         instance_overrides: Laid over each instance's settings.
         port_shift: Added to every port, so that runs do not meet.
         list_lag_ms: How late the instance list is.
         catalog_document: Configuration to use instead of the deployment's; its
-            leaves are then somebody else's to start.
+            upstreams are then somebody else's to start.
         instances: Instances to use instead of the deployment's.
         hedging: Policy for the bench: quantile, none, or fixed:MS.
         admission: Whether admission refuses; off only as a baseline.
@@ -108,8 +108,8 @@
         }
         for service in document["services"].values():
             for shard in service["shards"]:
-                for leaf in shard["leaves"]:
-                    leaf["address"] = self._address(leaf["address"])
+                for upstream in shard["upstreams"]:
+                    upstream["address"] = self._address(upstream["address"])
         return self._keep_catalog(document, source)
 
     def _keep_catalog(
@@ -189,7 +189,7 @@
         """Starts everything, applies the configuration, waits until ready."""
         self._start_platform()
         if self.options.catalog_document is None:
-            self._start_leaves()
+            self._start_upstreams()
         for each in self.instances:
             self.start_instance(each["instance_id"])
         self._wait_for_store()
@@ -237,42 +237,44 @@
             str(self._plan["one_way_between_domains_ms"]),
         )
 
-    def _start_leaves(self) -> None:
+    def _start_upstreams(self) -> None:
         for service in self.catalog.services.values():
             for shard in service.shards:
-                for leaf_id in shard.leaf_ids:
-                    self.start_leaf(leaf_id)
+                for upstream_id in shard.upstream_ids:
+                    self.start_upstream(upstream_id)
 
-    def _shard_of(self, leaf_id: str) -> tuple[catalog.Service, catalog.Shard]:
+    def _shard_of(
+        self, upstream_id: str
+    ) -> tuple[catalog.Service, catalog.Shard]:
         for service in self.catalog.services.values():
             for shard in service.shards:
-                if leaf_id in shard.leaf_ids:
+                if upstream_id in shard.upstream_ids:
                     return service, shard
-        raise FleetError(f"no leaf {leaf_id}")
+        raise FleetError(f"no upstream {upstream_id}")
 
-    def start_leaf(self, leaf_id: str) -> None:
-        """Starts one leaf."""
-        service, shard = self._shard_of(leaf_id)
-        leaf = service.leaves[leaf_id]
+    def start_upstream(self, upstream_id: str) -> None:
+        """Starts one upstream."""
+        service, shard = self._shard_of(upstream_id)
+        upstream = service.upstreams[upstream_id]
         self._run(
-            leaf_id,
-            "hyssoptack.standins.leaf",
-            "--leaf-id",
-            leaf_id,
+            upstream_id,
+            "hyssoptack.standins.upstream",
+            "--upstream-id",
+            upstream_id,
             "--service",
             service.name,
             "--address",
-            leaf.address,
+            upstream.address,
             "--low",
             str(shard.key_range.low),
             "--high",
             str(shard.key_range.high),
             "--slot-count",
-            str(leaf.slot_count),
+            str(upstream.slot_count),
             "--connection-limit-count",
-            str(leaf.connection_limit_count),
+            str(upstream.connection_limit_count),
             "--connect-cost-ms",
-            str(leaf.connect_cost_ms),
+            str(upstream.connect_cost_ms),
             "--service-ms",
             str(self.options.service_ms),
         )
@@ -368,22 +370,22 @@
         """Gets JSON from a stand-in or an operator port."""
         return self.http.request("GET", f"http://{address}{path}").json()
 
-    def behave(self, leaf_id: str, **fields: object) -> None:
-        """Changes a leaf's behaviour."""
-        self.post(self.leaf(leaf_id).address, "/behaviour", fields)
+    def behave(self, upstream_id: str, **fields: object) -> None:
+        """Changes an upstream's behaviour."""
+        self.post(self.upstream(upstream_id).address, "/behaviour", fields)
 
-    def account(self, leaf_id: str, brief: bool = True) -> dict:
-        """Returns what a leaf counted."""
+    def account(self, upstream_id: str, brief: bool = True) -> dict:
+        """Returns what an upstream counted."""
         path = "/account?brief=1" if brief else "/account"
-        return self.get(self.leaf(leaf_id).address, path)
+        return self.get(self.upstream(upstream_id).address, path)
 
-    def leaf(self, leaf_id: str) -> catalog.Leaf:
-        """Returns a leaf's record."""
-        return self._shard_of(leaf_id)[0].leaves[leaf_id]
+    def upstream(self, upstream_id: str) -> catalog.Upstream:
+        """Returns an upstream's record."""
+        return self._shard_of(upstream_id)[0].upstreams[upstream_id]
 
-    def leaf_ids(self, service: str) -> list[str]:
-        """Returns a service's leaves."""
-        return list(self.catalog.services[service].leaves)
+    def upstream_ids(self, service: str) -> list[str]:
+        """Returns a service's upstreams."""
+        return list(self.catalog.services[service].upstreams)
 
     def store_faults(self, **fields: object) -> None:
         """Changes what goes wrong with the store."""
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -66,7 +66,7 @@
     elapsed = [each["elapsed_ms"] for each in answered] or [0.0]
     urgent = [each for each in results if each["class"] == "urgent"]
     urgent_good = [each for each in useful if each["class"] == "urgent"]
-    calls = sum(each["leaf_call_count"] for each in answered)
+    calls = sum(each["upstream_call_count"] for each in answered)
     extra = sum(each["extra_call_count"] for each in answered)
     reasons = collections.Counter(
         each.get("reason", "?") for each in results if each["status"] != 200
@@ -90,34 +90,34 @@
 
 
 def straggle(run: fleet.Fleet) -> None:
-    """Makes one leaf in ten ten times as slow."""
-    for leaf_id in run.leaf_ids(SERVICE)[::10]:
-        run.behave(leaf_id, slow_factor=10.0)
+    """Makes one upstream in ten ten times as slow."""
+    for upstream_id in run.upstream_ids(SERVICE)[::10]:
+        run.behave(upstream_id, slow_factor=10.0)
 
 
 def _unstraggle(run: fleet.Fleet) -> None:
-    for leaf_id in run.leaf_ids(SERVICE)[::10]:
-        run.behave(leaf_id, slow_factor=1.0)
+    for upstream_id in run.upstream_ids(SERVICE)[::10]:
+        run.behave(upstream_id, slow_factor=1.0)
 
 
 def _shed(run: fleet.Fleet) -> None:
-    for leaf_id in run.leaf_ids(SERVICE)[1::10]:
-        run.behave(leaf_id, shed=True)
+    for upstream_id in run.upstream_ids(SERVICE)[1::10]:
+        run.behave(upstream_id, shed=True)
 
 
 def _unshed(run: fleet.Fleet) -> None:
-    for leaf_id in run.leaf_ids(SERVICE)[1::10]:
-        run.behave(leaf_id, shed=False)
+    for upstream_id in run.upstream_ids(SERVICE)[1::10]:
+        run.behave(upstream_id, shed=False)
 
 
 def _lose_replicas(run: fleet.Fleet) -> None:
-    for leaf_id in run.leaf_ids(SERVICE)[2::10]:
-        run.kill(leaf_id)
+    for upstream_id in run.upstream_ids(SERVICE)[2::10]:
+        run.kill(upstream_id)
 
 
 def _restore_replicas(run: fleet.Fleet) -> None:
-    for leaf_id in run.leaf_ids(SERVICE)[2::10]:
-        run.start_leaf(leaf_id)
+    for upstream_id in run.upstream_ids(SERVICE)[2::10]:
+        run.start_upstream(upstream_id)
     time.sleep(3.0)
 
 
@@ -143,7 +143,7 @@
 
 HEALTHY = Scenario(name="healthy", rate=STEADY_PER_S)
 STRAGGLERS = Scenario(
-    name="1 leaf in 10 straggles 10 times",
+    name="1 upstream in 10 straggles 10 times",
     rate=STEADY_PER_S,
     harm=straggle,
     heal=_unstraggle,
@@ -156,13 +156,13 @@
             HEALTHY,
             STRAGGLERS,
             Scenario(
-                name="1 leaf in 10 lost (lying list)",
+                name="1 upstream in 10 lost (lying list)",
                 rate=STEADY_PER_S,
                 harm=_lose_replicas,
                 heal=_restore_replicas,
             ),
             Scenario(
-                name="1 leaf in 10 sheds all",
+                name="1 upstream in 10 sheds all",
                 rate=STEADY_PER_S,
                 harm=_shed,
                 heal=_unshed,
--- a/bench/proofs/actions_test.py
+++ b/bench/proofs/actions_test.py
@@ -1,6 +1,6 @@
 """Actions run at most once, and "not run" is true, whatever fails.
 
-The leaves count every run by idempotency key; each test compares what callers
+The upstreams count runs by idempotency key; each test compares what callers
 were told with those counts.
 """
 
@@ -44,14 +44,14 @@
 
 def _run_counts(run) -> dict[str, int]:
     counts: dict[str, int] = {}
-    for leaf_id in run.leaf_ids(SERVICE):
-        for key, count in run.account(leaf_id)["runs"].items():
+    for upstream_id in run.upstream_ids(SERVICE):
+        for key, count in run.account(upstream_id)["runs"].items():
             counts[key] = counts.get(key, 0) + count
     return counts
 
 
 def _check(run, told: dict[str, list[str]]) -> None:
-    """Compares what was told of each key with the leaves' counts."""
+    """Compares what was told of each key with the upstreams' counts."""
     counts = _run_counts(run)
     for key, answers in told.items():
         assert counts.get(key, 0) <= 1, f"{key} ran {counts[key]} times"
@@ -61,9 +61,9 @@
             assert counts.get(key, 0) == 1, f"{key}: a false 'ran'"
 
 
-def _far_front(run, calls, leaf_id) -> str:
-    """Returns a front in another domain than the leaf's."""
-    domain = run.leaf(leaf_id).failure_domain
+def _far_front(run, calls, upstream_id) -> str:
+    """Returns a front in another domain than the upstream's."""
+    domain = run.upstream(upstream_id).failure_domain
     for each in run.instances:
         if each["failure_domain"] != domain:
             return calls.front(each["instance_id"])
@@ -134,12 +134,12 @@
     assert sum(answers == ["yes"] for answers in told.values()) == 10
 
 
-def test_a_lost_leaf_answer_is_unknown_and_never_sent_again(run, calls):
+def test_a_lost_upstream_answer_is_unknown_and_never_sent_again(run, calls):
     told: dict[str, list[str]] = {}
     for number in range(10):
-        key, subject = f"leaf-lost-{number}", f"Gora {number}"
-        leaf_id = callers.leaf_of(run, SERVICE, subject)
-        run.behave(leaf_id, lose_act_count=1)
+        key, subject = f"upstream-lost-{number}", f"Gora {number}"
+        upstream_id = callers.upstream_of(run, SERVICE, subject)
+        run.behave(upstream_id, lose_act_count=1)
         front = calls.front(run.instances[number % 9]["instance_id"])
         told[key] = [calls.act(front, SERVICE, key, subject).ran()]
         time.sleep(0.1)
@@ -174,10 +174,10 @@
 
 def _freeze_case(run, calls, number: int, moment_s: float) -> tuple[str, str]:
     """Freezes the executor some time after the ask; returns what was told."""
-    leaf_id = run.leaf_ids(SERVICE)[number % 5]
-    subject = callers.subject_on(run, SERVICE, leaf_id, number)
-    owner = callers.owners_of(run, leaf_id, 1)[0]
-    front = _far_front(run, calls, leaf_id)
+    upstream_id = run.upstream_ids(SERVICE)[number % 5]
+    subject = callers.subject_on(run, SERVICE, upstream_id, number)
+    owner = callers.owners_of(run, upstream_id, 1)[0]
+    front = _far_front(run, calls, upstream_id)
     key = f"frozen-{number}"
     run.store_faults(slow_ms=60)
     with concurrent.futures.ThreadPoolExecutor(1) as threads:
@@ -202,8 +202,8 @@
     run.wait_ready([each["instance_id"] for each in run.instances])
     time.sleep(3.0)
     for number, key in enumerate(list(told)):
-        leaf_id = run.leaf_ids(SERVICE)[number % 5]
-        subject = callers.subject_on(run, SERVICE, leaf_id, number)
+        upstream_id = run.upstream_ids(SERVICE)[number % 5]
+        subject = callers.subject_on(run, SERVICE, upstream_id, number)
         front = calls.front("pikine-2")
         told[key].append(calls.act(front, SERVICE, key, subject).ran())
     _check(run, told)
@@ -212,13 +212,13 @@
 @pytest.mark.parametrize("moment_s", [0.02, 0.08, 0.14, 0.2])
 def test_a_killed_executor_leaves_no_double_and_no_lie(run, calls, moment_s):
     number = int(moment_s * 100)
-    leaf_id = run.leaf_ids(SERVICE)[number % 5]
-    subject = callers.subject_on(run, SERVICE, leaf_id, number)
-    owner = callers.owners_of(run, leaf_id, 1)[0]
-    front = _far_front(run, calls, leaf_id)
+    upstream_id = run.upstream_ids(SERVICE)[number % 5]
+    subject = callers.subject_on(run, SERVICE, upstream_id, number)
+    owner = callers.owners_of(run, upstream_id, 1)[0]
+    front = _far_front(run, calls, upstream_id)
     key = f"killed-{number}"
     run.store_faults(slow_ms=60)
-    run.behave(leaf_id, act_ms=60)
+    run.behave(upstream_id, act_ms=60)
     with concurrent.futures.ThreadPoolExecutor(1) as threads:
         asked = threads.submit(calls.act, front, SERVICE, key, subject)
         time.sleep(moment_s)
--- a/bench/proofs/answers_test.py
+++ b/bench/proofs/answers_test.py
@@ -1,7 +1,7 @@
 """One snapshot, true coverage, and to each caller its own whole answer.
 
 A referee computes what every answer must hold: its hits from its ranges and
-version, and its ranges from what the leaves logged for its query.
+version, and its ranges from what the upstreams logged for its query.
 """
 
 import collections
@@ -36,12 +36,12 @@
 
 
 def _logs(run) -> dict[tuple[str, int], list[keyspace.KeyRange]]:
-    """Returns what leaves answered, by query and version."""
+    """Returns what upstreams answered, by query and version."""
     logs = collections.defaultdict(list)
-    for leaf_id in run.leaf_ids(SERVICE):
-        if run.processes[leaf_id].poll() is not None:
+    for upstream_id in run.upstream_ids(SERVICE):
+        if run.processes[upstream_id].poll() is not None:
             continue
-        for query_id, version, low, high in run.account(leaf_id, False)[
+        for query_id, version, low, high in run.account(upstream_id, False)[
             "answered"
         ]:
             logs[(query_id, version)].append(keyspace.KeyRange(low, high))
@@ -96,11 +96,11 @@
 def test_index_versions_roll_under_load(run):
     load = _load(run)
     for version in (2, 3):
-        for leaf_id in run.leaf_ids(SERVICE):
-            run.behave(leaf_id, versions=[version - 1, version])
+        for upstream_id in run.upstream_ids(SERVICE):
+            run.behave(upstream_id, versions=[version - 1, version])
             time.sleep(0.03)
-        for leaf_id in run.leaf_ids(SERVICE):
-            run.behave(leaf_id, versions=[version])
+        for upstream_id in run.upstream_ids(SERVICE):
+            run.behave(upstream_id, versions=[version])
             time.sleep(0.03)
     replies = load.stop()
     counts = _referee(run, replies)
@@ -115,13 +115,13 @@
 
 
 def test_versions_that_no_two_shards_share_are_never_mixed(run):
-    ids = run.leaf_ids(SERVICE)
+    ids = run.upstream_ids(SERVICE)
     load = _load(run)
     for number in range(6):
-        for index, leaf_id in enumerate(ids):
-            run.behave(leaf_id, versions=[3 + (index + number) % 2])
-    for leaf_id in ids:
-        run.behave(leaf_id, versions=[3, 4])
+        for index, upstream_id in enumerate(ids):
+            run.behave(upstream_id, versions=[3 + (index + number) % 2])
+    for upstream_id in ids:
+        run.behave(upstream_id, versions=[3, 4])
     time.sleep(1.0)
     replies = load.stop()
     counts = _referee(run, replies)
@@ -148,18 +148,18 @@
     load = _load(run)
     time.sleep(0.5)
     # Shard 1 changes before shard 2: for a while keys belong to both or none.
-    for leaf_id in shards[0].leaf_ids:
-        run.behave(leaf_id, high=new)
+    for upstream_id in shards[0].upstream_ids:
+        run.behave(upstream_id, high=new)
         time.sleep(0.2)
-    for leaf_id in shards[1].leaf_ids:
-        run.behave(leaf_id, low=new)
+    for upstream_id in shards[1].upstream_ids:
+        run.behave(upstream_id, low=new)
         time.sleep(0.2)
     _apply_boundary(run, new)
     time.sleep(1.0)
-    for leaf_id in shards[0].leaf_ids:
-        run.behave(leaf_id, high=old)
-    for leaf_id in shards[1].leaf_ids:
-        run.behave(leaf_id, low=old)
+    for upstream_id in shards[0].upstream_ids:
+        run.behave(upstream_id, high=old)
+    for upstream_id in shards[1].upstream_ids:
+        run.behave(upstream_id, low=old)
     _apply_boundary(run, old)
     replies = load.stop()
     counts = _referee(run, replies)
@@ -168,10 +168,10 @@
 
 
 def test_stragglers_freezes_and_cuts_mix_up_no_answers(run):
-    ids = run.leaf_ids(SERVICE)
+    ids = run.upstream_ids(SERVICE)
     load = _load(run)
-    for leaf_id in ids[::10]:
-        run.behave(leaf_id, slow_factor=30.0)
+    for upstream_id in ids[::10]:
+        run.behave(upstream_id, slow_factor=30.0)
     time.sleep(1.0)
     run.freeze(ids[4])
     run.cut([("plateau", "pikine")])
@@ -179,8 +179,8 @@
     run.cut([])
     run.thaw(ids[4])
     time.sleep(1.0)
-    for leaf_id in ids[::10]:
-        run.behave(leaf_id, slow_factor=1.0)
+    for upstream_id in ids[::10]:
+        run.behave(upstream_id, slow_factor=1.0)
     replies = load.stop()
     counts = _referee(run, replies)
     print("stragglers, freeze, cut:", counts)
@@ -189,17 +189,17 @@
 
 def test_lost_replicas_cost_no_coverage(run):
     victims = [
-        shard.leaf_ids[0] for shard in run.catalog.services[SERVICE].shards
+        shard.upstream_ids[0] for shard in run.catalog.services[SERVICE].shards
     ]
     load = _load(run)
     time.sleep(0.5)
-    for leaf_id in victims[:5]:
-        run.kill(leaf_id)
+    for upstream_id in victims[:5]:
+        run.kill(upstream_id)
         time.sleep(0.2)
     time.sleep(1.0)
     replies = load.stop()
     counts = _referee(run, replies, dead=tuple(victims[:5]))
     print("lost replicas:", counts)
-    for leaf_id in victims[:5]:
-        run.start_leaf(leaf_id)
+    for upstream_id in victims[:5]:
+        run.start_upstream(upstream_id)
     assert counts["whole"] >= 0.98 * len(replies)
--- a/bench/proofs/callers.py
+++ b/bench/proofs/callers.py
@@ -134,20 +134,22 @@
         return self.replies
 
 
-def leaf_of(run: fleet.Fleet, service: str, subject: str) -> str:
-    """Returns the leaf that an action on a subject goes to."""
+def upstream_of(run: fleet.Fleet, service: str, subject: str) -> str:
+    """Returns the upstream that an action on a subject goes to."""
     key = keyspace.key_of(subject)
     for shard in run.catalog.services[service].shards:
         if shard.key_range.contains(key):
-            return shard.leaf_ids[0]
+            return shard.upstream_ids[0]
     raise AssertionError(f"no shard for {subject}")
 
 
-def owners_of(run: fleet.Fleet, leaf_id: str, owner_count: int) -> list[str]:
-    """Returns the instances that own a leaf."""
+def owners_of(
+    run: fleet.Fleet, upstream_id: str, owner_count: int
+) -> list[str]:
+    """Returns the instances that own an upstream."""
     for service in run.catalog.services.values():
         for column in ownership.columns(service, 40):
-            if leaf_id in column.leaf_ids:
+            if upstream_id in column.upstream_ids:
                 names = tuple(
                     sorted(
                         each["instance_id"]
@@ -158,16 +160,16 @@
                 return list(
                     ownership.owners(column.column_id, names, owner_count)
                 )
-    raise AssertionError(f"no column for {leaf_id}")
+    raise AssertionError(f"no column for {upstream_id}")
 
 
 def subject_on(
-    run: fleet.Fleet, service: str, leaf_id: str, number: int
+    run: fleet.Fleet, service: str, upstream_id: str, number: int
 ) -> str:
-    """Returns a subject whose actions go to a leaf."""
+    """Returns a subject whose actions go to an upstream."""
     for tried in itertools.count():
         subject = f"subject {number}.{tried}"
-        if leaf_of(run, service, subject) == leaf_id:
+        if upstream_of(run, service, subject) == upstream_id:
             return subject
     raise AssertionError
 
--- a/bench/proofs/leaving_test.py
+++ b/bench/proofs/leaving_test.py
@@ -1,4 +1,4 @@
-"""Leaving leaves, planned stops, domains cut off and back again."""
+"""Leaving upstreams, planned stops, domains cut off and back again."""
 
 import pathlib
 import time
@@ -46,8 +46,8 @@
     return refused
 
 
-def test_a_draining_leaf_gets_no_new_work_though_the_list_lags(run):
-    victim = run.leaf_ids(SERVICE)[0]
+def test_a_draining_upstream_gets_no_new_work_though_the_list_lags(run):
+    victim = run.upstream_ids(SERVICE)[0]
     load = callers.Load(run, SERVICE, TEXTS, 8)
     time.sleep(1.0)
     run.behave(victim, draining=True)
@@ -57,13 +57,13 @@
     after = run.account(victim)["new_work_while_draining_count"]
     replies = load.stop()
     run.behave(victim, draining=False)
-    print("draining leaf: new work", before, "then", after - before)
+    print("draining upstream: new work", before, "then", after - before)
     assert after == before
     _check_uncut(replies)
 
 
-def test_only_a_few_calls_reach_a_leaf_that_says_it_leaves(run):
-    victim = run.leaf_ids(SERVICE)[5]
+def test_only_a_few_calls_reach_an_upstream_that_says_it_leaves(run):
+    victim = run.upstream_ids(SERVICE)[5]
     load = callers.Load(run, SERVICE, TEXTS, 8)
     time.sleep(0.5)
     before = run.account(victim)["new_work_while_draining_count"]
@@ -72,7 +72,7 @@
     replies = load.stop()
     count = run.account(victim)["new_work_while_draining_count"] - before
     run.behave(victim, draining=False)
-    print("calls that met a leaf in its first second of leaving:", count)
+    print("calls that met an upstream in its first second of leaving:", count)
     # Its three owners each may have one call on its way.
     assert count <= 6
     _check_uncut(replies)
@@ -123,7 +123,7 @@
     peaks = [_calls_in(run, 0.5) for _ in range(6)]
     replies = load.stop()
     ratio = max(peaks) / steady
-    print("rejoin: leaf calls a search, peak over steady:", round(ratio, 2))
+    print("rejoin: upstream calls a search, peak over steady:", round(ratio, 2))
     good = sum(reply.status == 200 for _, reply in replies)
     print("replies:", len(replies), "answered:", good)
     assert ratio <= 1.5
@@ -131,15 +131,15 @@
 
 
 def _calls_in(run, seconds: float) -> float:
-    """Returns leaf calls for each search over some time."""
+    """Returns upstream calls for each search over some time."""
 
     def totals() -> tuple[int, int]:
-        leaf_calls = searches = 0
+        upstream_calls = searches = 0
         for each in run.instances:
             status = run.status(each["instance_id"])
-            leaf_calls += status["leaf_call_count"]
+            upstream_calls += status["upstream_call_count"]
             searches += status["search_count"]
-        return leaf_calls, searches
+        return upstream_calls, searches
 
     calls_before, searches_before = totals()
     time.sleep(seconds)
@@ -148,9 +148,11 @@
     return (calls_after - calls_before) / searches
 
 
-def test_a_leaf_never_sees_more_connections_or_slots_than_it_has(run):
-    for leaf_id in run.leaf_ids(SERVICE):
-        account = run.account(leaf_id)
-        leaf = run.leaf(leaf_id)
+def test_an_upstream_never_sees_more_connections_or_slots_than_it_has(run):
+    for upstream_id in run.upstream_ids(SERVICE):
+        account = run.account(upstream_id)
+        upstream = run.upstream(upstream_id)
         assert account["over_limit_count"] == 0
-        assert account["connection_peak_count"] <= leaf.connection_limit_count
+        assert (
+            account["connection_peak_count"] <= upstream.connection_limit_count
+        )
--- a/bench/slopes/charts.py
+++ b/bench/slopes/charts.py
@@ -14,7 +14,7 @@
 
 def _sismic_us(count: int) -> float:
     folder = importlib.resources.files("hyssoptack.charts")
-    text = folder.joinpath("leaf.yaml").read_text("utf-8")
+    text = folder.joinpath("upstream.yaml").read_text("utf-8")
     running = interpreter.Interpreter(sismic_io.import_from_yaml(text=text))
     running.execute()
     with fit.Stopwatch() as watch:
@@ -25,7 +25,7 @@
 
 
 def _table_us(count: int) -> float:
-    own = chart.load("leaf")
+    own = chart.load("upstream")
     state = own.initial
     with fit.Stopwatch() as watch:
         for number in range(count):
--- a/bench/slopes/farm.py
+++ b/bench/slopes/farm.py
@@ -1,4 +1,4 @@
-"""Many cheap leaves in one process, for the cost of the side that calls."""
+"""Many cheap upstreams in one process, for the cost of the side that calls."""
 
 import asyncio
 import json
@@ -48,7 +48,7 @@
 
 @application.default
 def main(port: int, count: int, first: int, total: int) -> None:
-    """Serves leaves on consecutive ports until the process ends."""
+    """Serves upstreams on consecutive ports until the process ends."""
     uvloop.run(_serve(port, count, first, total))
 
 
--- a/bench/slopes/farms.py
+++ b/bench/slopes/farms.py
@@ -1,4 +1,4 @@
-"""Starts farms of cheap leaves and describes them as a service."""
+"""Starts farms of cheap upstreams and describes them as a service."""
 
 import subprocess
 import sys
@@ -11,17 +11,17 @@
 
 
 class Farms:
-    """Processes that serve a number of cheap leaves together."""
+    """Processes that serve a number of cheap upstreams together."""
 
-    def __init__(self, leaf_count: int):
-        self.leaf_count = leaf_count
+    def __init__(self, upstream_count: int):
+        self.upstream_count = upstream_count
         self._processes: list[subprocess.Popen] = []
 
     def __enter__(self) -> "Farms":
-        share = -(-self.leaf_count // FARM_COUNT)
-        for first in range(0, self.leaf_count, share):
-            count = min(share, self.leaf_count - first)
-            words = (PORT + first, count, first, self.leaf_count)
+        share = -(-self.upstream_count // FARM_COUNT)
+        for first in range(0, self.upstream_count, share):
+            count = min(share, self.upstream_count - first)
+            words = (PORT + first, count, first, self.upstream_count)
             self._processes.append(
                 subprocess.Popen(
                     [
@@ -42,18 +42,18 @@
             process.kill()
             process.wait()
 
-    def leaves(self) -> list[catalog.Leaf]:
-        """Returns the leaves' records."""
+    def upstreams(self) -> list[catalog.Upstream]:
+        """Returns the upstreams' records."""
         return [
-            catalog.Leaf(
-                leaf_id=f"leaf-{number:04d}",
+            catalog.Upstream(
+                upstream_id=f"upstream-{number:04d}",
                 failure_domain="plateau",
                 address=f"127.0.0.1:{PORT + number}",
                 slot_count=16,
                 connection_limit_count=100,
                 connect_cost_ms=0.0,
             )
-            for number in range(self.leaf_count)
+            for number in range(self.upstream_count)
         ]
 
     def document(self) -> dict:
@@ -62,17 +62,17 @@
         shards = [
             {
                 "shard_id": f"shard-{number:04d}",
-                "low": size * number // self.leaf_count,
-                "high": size * (number + 1) // self.leaf_count,
-                "leaves": [
+                "low": size * number // self.upstream_count,
+                "high": size * (number + 1) // self.upstream_count,
+                "upstreams": [
                     {
-                        "leaf_id": leaf.leaf_id,
-                        "failure_domain": leaf.failure_domain,
-                        "address": leaf.address,
+                        "upstream_id": upstream.upstream_id,
+                        "failure_domain": upstream.failure_domain,
+                        "address": upstream.address,
                     }
                 ],
             }
-            for number, leaf in enumerate(self.leaves())
+            for number, upstream in enumerate(self.upstreams())
         ]
         return {
             "profiles": {
@@ -84,9 +84,9 @@
             },
             "services": {
                 "wide": {
-                    "association": "bench",
+                    "team": "bench",
                     "profile": "wide",
-                    "leaf_defaults": {
+                    "upstream_defaults": {
                         "slot_count": 16,
                         "connection_limit_count": 100,
                         "connect_cost_ms": 0,
--- a/bench/slopes/memory.py
+++ b/bench/slopes/memory.py
@@ -1,4 +1,4 @@
-"""Memory of an instance's knowledge, by leaves, members and open queries."""
+"""Memory of an instance's knowledge, by upstreams, members and open queries."""
 
 import subprocess
 import sys
@@ -9,17 +9,17 @@
 from hyssoptack.policy import membership
 from hyssoptack.policy import queryplan
 
-LEAF_COUNTS = (1_000, 5_000, 11_000, 22_000)
+UPSTREAM_COUNTS = (1_000, 5_000, 11_000, 22_000)
 MEMBER_COUNTS = (100, 400, 1_600, 3_200)
 QUERY_COUNTS = (10, 20, 40, 80)
 
 
-def _leaves(count: int) -> object:
+def _upstreams(count: int) -> object:
     service = example.service(count // 3, 3)
     know = example.knowledge(service)
-    for leaf_id in service.leaves:
-        know.leaf_health.leaves[leaf_id].held_versions = (1, 2)
-        know.router.lanes(service, leaf_id)
+    for upstream_id in service.upstreams:
+        know.upstream_health.upstreams[upstream_id].held_versions = (1, 2)
+        know.router.lanes(service, upstream_id)
     return service, know
 
 
@@ -49,7 +49,7 @@
     return plans
 
 
-_KINDS = {"leaves": _leaves, "members": _members, "queries": _queries}
+_KINDS = {"upstreams": _upstreams, "members": _members, "queries": _queries}
 
 
 def _child(kind: str, count: int) -> None:
@@ -74,7 +74,7 @@
         return
     rows, lines = [], {}
     for kind, counts in (
-        ("leaves", LEAF_COUNTS),
+        ("upstreams", UPSTREAM_COUNTS),
         ("members", MEMBER_COUNTS),
         ("queries", QUERY_COUNTS),
     ):
--- a/bench/slopes/peer_message.py
+++ b/bench/slopes/peer_message.py
@@ -31,9 +31,9 @@
         query.Hit(index, 0.5, f"Baguette, deck oven, curve {index}")
         for index in range(hit_count)
     )
-    reply = message.LeafReply(
+    reply = message.UpstreamReply(
         call_id=1,
-        leaf_id="leaf-0001",
+        upstream_id="upstream-0001",
         status=message.CallStatus.ANSWERED,
         hits=hits,
     )
--- a/bench/slopes/plan.py
+++ b/bench/slopes/plan.py
@@ -1,4 +1,4 @@
-"""Processor time of one query's decisions, without any I/O, by leaves."""
+"""Processor time of one query's decisions, without any I/O, by upstreams."""
 
 import gc
 import statistics
@@ -22,7 +22,7 @@
     replies = [example.answer_to(ask, current) for ask in asks]
     with fit.Stopwatch() as second:
         for reply in replies:
-            know.leaf_health.note(current.name, reply, 1.0)
+            know.upstream_health.note(current.name, reply, 1.0)
             commands = plan.on_reply(reply, 1.0)
             plan.next_time_ms()
     assert isinstance(commands[-1], queryplan.Finish)
@@ -44,9 +44,9 @@
         cpus.append(cpu_ms)
         rows.append(
             {
-                "leaves": size,
+                "upstreams": size,
                 "cpu_ms_a_query": round(cpu_ms, 3),
-                "cpu_us_a_leaf": round(cpu_ms * 1000 / size, 1),
+                "cpu_us_an_upstream": round(cpu_ms * 1000 / size, 1),
             }
         )
     lines = {"cpu ms a query": fit.line(list(SIZES), cpus)}
--- a/bench/slopes/stages.py
+++ b/bench/slopes/stages.py
@@ -1,4 +1,4 @@
-"""A query over 30 to 370 leaves: in one stage, and through peers' relays."""
+"""A query over 30 to 370 upstreams: in one stage, and through peers' relays."""
 
 import concurrent.futures
 import pathlib
@@ -56,7 +56,7 @@
     relays_ms = sum(used.values()) * 1000 / QUERY_COUNT
     return {
         "instances": count,
-        "leaves": size,
+        "upstreams": size,
         "p50_ms": round(fit.quantile(elapsed, 0.5), 1),
         "p99_ms": round(fit.quantile(elapsed, 0.99), 1),
         "coordinator_cpu_ms": round(coordinator_ms, 2),
--- a/bench/slopes/leaf_client.py
+++ b/bench/slopes/upstream_client.py
@@ -1,6 +1,6 @@
-"""Processor time of a leaf call: urllib3 threads, aiohttp, aiohttp on uvloop.
+"""Processor time of an upstream call: urllib3, aiohttp, aiohttp on uvloop.
 
-One process calls 30 to 370 leaves at once, as one query does in one stage.
+One process calls 30 to 370 upstreams at once, as one query does in one stage.
 """
 
 import asyncio
@@ -36,22 +36,24 @@
     )
 
 
-async def _aiohttp_rounds(leaves: list[catalog.Leaf]) -> list[float]:
-    leaf_client = client.LeafClient()
+async def _aiohttp_rounds(upstreams: list[catalog.Upstream]) -> list[float]:
+    upstream_client = client.UpstreamClient()
     walls = []
 
     async def one_round(number: int) -> None:
         sub = _sub(number)
         calls = [
-            leaf_client.search(
-                leaf,
-                message.LeafAsk(
-                    call_id=index, leaf_id=leaf.leaf_id, index_version=0
+            upstream_client.search(
+                upstream,
+                message.UpstreamAsk(
+                    call_id=index,
+                    upstream_id=upstream.upstream_id,
+                    index_version=0,
                 ),
                 sub,
                 5_000.0,
             )
-            for index, leaf in enumerate(leaves)
+            for index, upstream in enumerate(upstreams)
         ]
         replies = await asyncio.gather(*calls)
         answered = message.CallStatus.ANSWERED
@@ -65,16 +67,16 @@
         await one_round(number)
         walls.append((time.perf_counter() - started_s) * 1000)
     walls.append((time.process_time() - cpu_s) * 1000)
-    await leaf_client.close()
+    await upstream_client.close()
     return walls
 
 
-def _urllib3_rounds(leaves: list[catalog.Leaf]) -> list[float]:
-    pool = urllib3.PoolManager(num_pools=len(leaves) + 1, retries=False)
+def _urllib3_rounds(upstreams: list[catalog.Upstream]) -> list[float]:
+    pool = urllib3.PoolManager(num_pools=len(upstreams) + 1, retries=False)
     encoder = msgspec.json.Encoder()
     decoder = msgspec.json.Decoder(client.SearchReply)
 
-    def call(leaf: catalog.Leaf) -> client.SearchReply:
+    def call(upstream: catalog.Upstream) -> client.SearchReply:
         body = client.SearchBody(
             query_id="q",
             service="wide",
@@ -84,18 +86,20 @@
             deadline_ms=5_000.0,
         )
         response = pool.request(
-            "POST", f"http://{leaf.address}/search", body=encoder.encode(body)
+            "POST",
+            f"http://{upstream.address}/search",
+            body=encoder.encode(body),
         )
         return decoder.decode(response.data)
 
     walls = []
-    with concurrent.futures.ThreadPoolExecutor(len(leaves)) as threads:
+    with concurrent.futures.ThreadPoolExecutor(len(upstreams)) as threads:
         for _ in range(WARM_ROUNDS):
-            list(threads.map(call, leaves))
+            list(threads.map(call, upstreams))
         cpu_s = time.process_time()
         for _ in range(ROUNDS):
             started_s = time.perf_counter()
-            list(threads.map(call, leaves))
+            list(threads.map(call, upstreams))
             walls.append((time.perf_counter() - started_s) * 1000)
         walls.append((time.process_time() - cpu_s) * 1000)
     return walls
@@ -105,22 +109,24 @@
     """Measures and prints."""
     ways = {
         "urllib3 in threads": _urllib3_rounds,
-        "aiohttp on asyncio": lambda leaves: asyncio.run(
-            _aiohttp_rounds(leaves)
+        "aiohttp on asyncio": lambda upstreams: asyncio.run(
+            _aiohttp_rounds(upstreams)
+        ),
+        "aiohttp on uvloop": lambda upstreams: uvloop.run(
+            _aiohttp_rounds(upstreams)
         ),
-        "aiohttp on uvloop": lambda leaves: uvloop.run(_aiohttp_rounds(leaves)),
     }
     rows = []
     cpus: dict[str, list[float]] = {way: [] for way in ways}
     for size in SIZES:
         with farms.Farms(size) as farm:
             for way, rounds in ways.items():
-                *walls, cpu_ms = rounds(farm.leaves())
+                *walls, cpu_ms = rounds(farm.upstreams())
                 cpus[way].append(cpu_ms / ROUNDS)
                 rows.append(
                     {
                         "client": way,
-                        "leaves": size,
+                        "upstreams": size,
                         "cpu_us_a_call": round(
                             cpu_ms * 1000 / ROUNDS / size, 1
                         ),
@@ -132,7 +138,7 @@
         f"cpu ms a query, {way}": fit.line(list(SIZES), values)
         for way, values in cpus.items()
     }
-    fit.show("leaf_client", rows, lines)
+    fit.show("upstream_client", rows, lines)
 
 
 if __name__ == "__main__":
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -1,6 +1,6 @@
-"""Records leaf times from real processes, and replays them without any.
+"""Records upstream times from real processes, and replays them without any.
 
-A trace holds, for each leaf, the times that its searches really took. The
+A trace holds, for each upstream, the times that its searches really took. The
 replay runs the product's decisions over them in virtual time, so that its
 outcome is the same every run.
 """
@@ -42,29 +42,29 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Trace:
-    """Recorded times by leaf, in the order of shards and replicas."""
+    """Recorded times by upstream, in the order of shards and replicas."""
 
     name: str
-    leaf_ms: tuple[tuple[float, ...], ...]
+    upstream_ms: tuple[tuple[float, ...], ...]
 
 
 def load(name: str) -> Trace:
     """Reads a trace."""
     document = json.loads((FOLDER / f"{name}.json").read_text("utf-8"))
-    leaf_ms = tuple(tuple(each) for each in document["leaf_ms"])
-    return Trace(name=name, leaf_ms=leaf_ms)
+    upstream_ms = tuple(tuple(each) for each in document["upstream_ms"])
+    return Trace(name=name, upstream_ms=upstream_ms)
 
 
 class Replay:
     """One run of the decisions over a trace, in virtual time."""
 
     def __init__(self, trace: Trace, hedges: hedging.Hedging):
-        self._service = example.service(len(trace.leaf_ms) // 3, 3)
+        self._service = example.service(len(trace.upstream_ms) // 3, 3)
         self._know = example.knowledge(self._service, hedges)
         self._times = {
-            leaf_id: itertools.cycle(times)
-            for leaf_id, times in zip(
-                self._service.leaves, trace.leaf_ms, strict=True
+            upstream_id: itertools.cycle(times)
+            for upstream_id, times in zip(
+                self._service.upstreams, trace.upstream_ms, strict=True
             )
         }
         self._order = itertools.count()
@@ -98,8 +98,8 @@
             self._carry(plan, number, plan.start(now_ms), now_ms)
             return
         if kind == "reply":
-            # Late answers still show how slow the leaf is.
-            self._know.leaf_health.note(self._service.name, body, now_ms)
+            # Late answers still show how slow the upstream is.
+            self._know.upstream_health.note(self._service.name, body, now_ms)
         plan = self._plans.get(number)
         if plan is None:
             return
@@ -113,7 +113,7 @@
         for command in commands:
             match command:
                 case queryplan.Ask():
-                    took_ms = next(self._times[command.lane.leaf_id])
+                    took_ms = next(self._times[command.lane.upstream_id])
                     reply = example.answer_to(
                         command, self._service, service_ms=took_ms
                     )
@@ -132,7 +132,7 @@
             each for each in self._results if isinstance(each, query.Answer)
         ]
         elapsed = sorted(each.elapsed_ms for each in answers)
-        calls = sum(each.leaf_call_count for each in answers)
+        calls = sum(each.upstream_call_count for each in answers)
         extra = sum(each.extra_call_count for each in answers)
         coverage = sum(each.coverage_ratio for each in answers)
         return Outcome(
@@ -159,12 +159,12 @@
         if harm:
             harm(run)
         measures.load(run, measures.STEADY_PER_S)
-        leaf_ms = [
-            run.account(leaf_id)["taken_ms"][:KEEP_COUNT]
-            for leaf_id in run.leaf_ids(measures.SERVICE)
+        upstream_ms = [
+            run.account(upstream_id)["taken_ms"][:KEEP_COUNT]
+            for upstream_id in run.upstream_ids(measures.SERVICE)
         ]
-    # A leaf that was routed around early has few times: repeat what it has.
-    document = {"name": name, "leaf_ms": leaf_ms}
+    # An upstream routed around early has few times: repeat what it has.
+    document = {"name": name, "upstream_ms": upstream_ms}
     FOLDER.mkdir(exist_ok=True)
     (FOLDER / f"{name}.json").write_text(json.dumps(document) + "\n")
 
--- a/hyssoptack/charts/chart_test.py
+++ b/hyssoptack/charts/chart_test.py
@@ -7,7 +7,7 @@
 from hyssoptack.charts import chart
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-NAMES = ("instance", "leaf", "configuration", "action")
+NAMES = ("instance", "upstream", "configuration", "action")
 
 
 @pytest.mark.parametrize("name", NAMES)
@@ -17,12 +17,12 @@
 
 
 def test_an_unknown_event_changes_nothing():
-    assert chart.load("leaf").step("warm", "no such event") == "warm"
+    assert chart.load("upstream").step("warm", "no such event") == "warm"
 
 
 def test_an_unknown_state_is_a_broken_invariant():
     with pytest.raises(chart.BrokenInvariant):
-        chart.load("leaf").step("no such state", "answered")
+        chart.load("upstream").step("no such state", "answered")
 
 
 def test_no_path_leads_an_action_to_send_twice():
--- a/hyssoptack/core/action.py
+++ b/hyssoptack/core/action.py
@@ -46,8 +46,8 @@
         state: Where the claim stands.
         body_digest: Digest of the action's subject and body, to notice a reused
             key.
-        leaf_id: The leaf that the attempt sends to; empty once released.
-        receipt: What the leaf returned, for a claim that is done.
+        upstream_id: The upstream that it is sent to; empty once released.
+        receipt: What the upstream returned, for a claim that is done.
         note: One sentence for a person.
         barred: Requests that were told "not run"; none of them may send.
     """
@@ -55,7 +55,7 @@
     attempt_id: str
     state: ClaimState
     body_digest: str
-    leaf_id: str = ""
+    upstream_id: str = ""
     receipt: str = ""
     note: str = ""
     barred: tuple[str, ...] = ()
@@ -67,7 +67,7 @@
 
     Attributes:
         ran: Whether it ran.
-        receipt: What the leaf returned, when it ran.
+        receipt: What the upstream returned, when it ran.
         refused: Why there is no receipt, when there is none.
         replayed: True when this repeats a recorded outcome.
     """
--- a/hyssoptack/core/catalog.py
+++ b/hyssoptack/core/catalog.py
@@ -1,4 +1,4 @@
-"""The operators' configuration: profiles, services, shards, leaves."""
+"""The operators' configuration: profiles, services, shards, upstreams."""
 
 import dataclasses
 
@@ -14,9 +14,9 @@
         name: What services pick it by.
         deadline_ms: How late an answer may be.
         coverage_floor_ratio: How much coverage is enough.
-        extra_load_ceiling_ratio: Extra leaf calls tolerated for each first
+        extra_load_ceiling_ratio: Extra upstream calls tolerated for each first
             call.
-        hedge_after_ratio: The quantile of a leaf's own latency after which a
+        hedge_after_ratio: The quantile of an upstream's latency after which a
             hedge may go.
         urgency: The class of searches that name none.
         latency_goal_ratio: The share of requests that must be in time, for the
@@ -33,11 +33,11 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Leaf:
+class Upstream:
     """One back end.
 
     Attributes:
-        leaf_id: Its name.
+        upstream_id: Its name.
         failure_domain: Where it runs; only relays of this domain reach it.
         address: `IP:port`.
         slot_count: Requests that it runs at the same time.
@@ -45,7 +45,7 @@
         connect_cost_ms: What a new connection costs.
     """
 
-    leaf_id: str
+    upstream_id: str
     failure_domain: str
     address: str
     slot_count: int
@@ -55,11 +55,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Shard:
-    """A key range of a service, and the leaves that hold it."""
+    """A key range of a service, and the upstreams that hold it."""
 
     shard_id: str
     key_range: keyspace.KeyRange
-    leaf_ids: tuple[str, ...]
+    upstream_ids: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -68,21 +68,21 @@
 
     Attributes:
         name: What callers name it by.
-        association: The customer that it belongs to.
+        team: The customer that it belongs to.
         profile: The name of the profile that it picks.
         accepts_actions: Whether non-idempotent requests are allowed.
         action_retention_ms: How long an idempotency key is remembered.
-        shards: Disjoint key ranges with their leaves.
-        leaves: All leaves of the service by their identifier.
+        shards: Disjoint key ranges with their upstreams.
+        upstreams: All upstreams of the service by their identifier.
     """
 
     name: str
-    association: str
+    team: str
     profile: str
     accepts_actions: bool
     action_retention_ms: int
     shards: tuple[Shard, ...]
-    leaves: dict[str, Leaf]
+    upstreams: dict[str, Upstream]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -99,10 +99,10 @@
     profiles: dict[str, Profile]
     services: dict[str, Service]
 
-    def leaf(self, leaf_id: str) -> Leaf | None:
-        """Finds a leaf of any service, or None."""
+    def upstream(self, upstream_id: str) -> Upstream | None:
+        """Finds an upstream of any service, or None."""
         for service in self.services.values():
-            found = service.leaves.get(leaf_id)
+            found = service.upstreams.get(upstream_id)
             if found is not None:
                 return found
         return None
--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -11,7 +11,7 @@
 
 
 class CallStatus(enum.Enum):
-    """What became of one call to a leaf."""
+    """What became of one call to an upstream."""
 
     ANSWERED = "answered"
     VERSION_MISSING = "version_missing"
@@ -24,46 +24,46 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class LeafAsk:
-    """One leaf to be asked within a sub-query."""
+class UpstreamAsk:
+    """One upstream to be asked within a sub-query."""
 
     call_id: int
-    leaf_id: str
+    upstream_id: str
     index_version: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class LeafReply:
+class UpstreamReply:
     """What became of one ask.
 
     Attributes:
         call_id: The ask that it belongs to.
-        leaf_id: The leaf that was asked.
+        upstream_id: The upstream that was asked.
         status: What became of the call.
         index_version: The version answered at.
-        held_versions: The versions that the leaf holds, when known.
-        key_range: The range that the leaf really answered for.
+        held_versions: The versions that the upstream holds, when known.
+        key_range: The range that the upstream really answered for.
         hits: Its hits.
-        service_ms: From the send to the leaf until its answer.
-        reached_leaf: True when any byte may have gone to the leaf.
-        draining: True when the leaf said with its answer that it leaves.
+        service_ms: From the send to the upstream until its answer.
+        reached_upstream: True when any byte may have gone to the upstream.
+        draining: True when the upstream said with its answer that it leaves.
     """
 
     call_id: int
-    leaf_id: str
+    upstream_id: str
     status: CallStatus
     index_version: int = 0
     held_versions: tuple[int, ...] = ()
     key_range: keyspace.KeyRange | None = None
     hits: tuple[query.Hit, ...] = ()
     service_ms: float = 0.0
-    reached_leaf: bool = False
+    reached_upstream: bool = False
     draining: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SubQuery:
-    """Asks a relay to call leaves on behalf of one query."""
+    """Asks a relay to call upstreams on behalf of one query."""
 
     origin: str
     query_id: str
@@ -72,16 +72,16 @@
     limit_count: int
     urgency: query.Urgency
     remaining_ms: float
-    asks: tuple[LeafAsk, ...]
+    asks: tuple[UpstreamAsk, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SubAnswer:
-    """A batch of leaf replies, sent back to the origin of the query."""
+    """A batch of upstream replies, sent back to the origin of the query."""
 
     origin: str
     query_id: str
-    replies: tuple[LeafReply, ...]
+    replies: tuple[UpstreamReply, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -94,12 +94,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ActionAsk:
-    """Asks an executor to claim and run an action on one leaf."""
+    """Asks an executor to claim and run an action on one upstream."""
 
     origin: str
     request_id: str
     remaining_ms: float
-    leaf_id: str
+    upstream_id: str
     action: action.Action
 
 
@@ -112,10 +112,10 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class LeafNote:
-    """What other owners of a leaf should know of it at once."""
+class UpstreamNote:
+    """What other owners of an upstream should know of it at once."""
 
-    leaf_id: str
+    upstream_id: str
     draining: bool
     observer: str
 
@@ -174,7 +174,7 @@
     | Cancel
     | ActionAsk
     | ActionReply
-    | LeafNote
+    | UpstreamNote
     | Heartbeat
     | ConfigWanted
     | ConfigOffer
--- a/hyssoptack/core/query.py
+++ b/hyssoptack/core/query.py
@@ -1,4 +1,4 @@
-"""Queries, the hits that leaves return, and whole answers."""
+"""Queries, the hits that upstreams return, and whole answers."""
 
 import dataclasses
 import enum
@@ -6,7 +6,7 @@
 from hyssoptack.core import keyspace
 
 ANY_VERSION = 0
-"""Asks a leaf for its newest index version; real versions start at 1."""
+"""Asks an upstream for its newest index version; real versions start at 1."""
 
 
 class Urgency(enum.Enum):
@@ -21,7 +21,7 @@
     """One caller's query, checked.
 
     Attributes:
-        query_id: Unique to this request; every leaf call and answer carries it.
+        query_id: Unique to this request; every call and answer carries it.
         service: The service that is searched.
         text: The words searched for.
         limit_count: The most hits to return.
@@ -57,7 +57,7 @@
         coverage_ratio: The share of the key space that was answered at that
             version.
         ranges: The key ranges behind the coverage.
-        leaf_call_count: All calls made to leaves.
+        upstream_call_count: All calls made to upstreams.
         extra_call_count: Calls beyond the first for each shard: hedges,
             retries, re-asks.
         elapsed_ms: From admission to this answer.
@@ -68,6 +68,6 @@
     index_version: int
     coverage_ratio: float
     ranges: tuple[keyspace.KeyRange, ...]
-    leaf_call_count: int
+    upstream_call_count: int
     extra_call_count: int
     elapsed_ms: float
--- a/hyssoptack/core/refusal.py
+++ b/hyssoptack/core/refusal.py
@@ -5,7 +5,7 @@
 
 
 class Ran(enum.Enum):
-    """Whether a request had its effect on a leaf."""
+    """Whether a request had its effect on an upstream."""
 
     NO = "no"
     YES = "yes"
@@ -24,7 +24,7 @@
     OVERLOADED = "overloaded"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     COVERAGE_BELOW_FLOOR = "coverage_below_floor"
-    LEAF_UNAVAILABLE = "leaf_unavailable"
+    UPSTREAM_UNAVAILABLE = "upstream_unavailable"
     STORE_UNAVAILABLE = "store_unavailable"
     STARTING = "starting"
     OUTCOME_UNKNOWN = "outcome_unknown"
--- a/hyssoptack/entry/actor.py
+++ b/hyssoptack/entry/actor.py
@@ -1,6 +1,6 @@
 """The front's side of non-idempotent requests: finds an executor, settles.
 
-Picks the leaf and an owner of it, and asks that instance to execute. When the
+Picks the upstream and its owner, and asks that instance to execute. When the
 executor does not answer, bars the request in its claim before it says "not
 run", so that this stays true even if the executor goes on later.
 """
@@ -88,12 +88,12 @@
     async def _act(self, asked: action.Action) -> action.Outcome:
         now_ms = clock.now_ms()
         service = self._state.catalog.services[asked.service]
-        leaf = _leaf_for(service, asked)
-        lane = self._lane(service, leaf, now_ms)
+        upstream = _upstream_for(service, asked)
+        lane = self._lane(service, upstream, now_ms)
         if lane is None:
             return claim.not_run(
-                refusal.Reason.LEAF_UNAVAILABLE,
-                f"no way to leaf {leaf.leaf_id} now",
+                refusal.Reason.UPSTREAM_UNAVAILABLE,
+                f"no way to upstream {upstream.upstream_id} now",
             )
         request_id = f"{self._state.incarnation}.r{next(self._numbers)}"
         work_ms = asked.deadline_ms * (1.0 - SETTLE_SHARE_RATIO)
@@ -101,7 +101,7 @@
             origin=self._own_id,
             request_id=request_id,
             remaining_ms=work_ms,
-            leaf_id=leaf.leaf_id,
+            upstream_id=upstream.upstream_id,
             action=asked,
         )
         if lane.instance_id == self._own_id:
@@ -109,17 +109,22 @@
         return await self._ask_peer(lane, ask)
 
     def _lane(
-        self, service: catalog.Service, leaf: catalog.Leaf, now_ms: float
+        self,
+        service: catalog.Service,
+        upstream: catalog.Upstream,
+        now_ms: float,
     ) -> routing.Lane | None:
-        """Finds a way to the one leaf that an action may go to.
+        """Finds a way to the one upstream that an action may go to.
 
-        Ejection is no bar here: there is no other leaf to prefer.
+        Ejection is no bar here: there is no other upstream to prefer.
         """
-        if self._state.leaf_health.is_draining(leaf.leaf_id, now_ms):
+        if self._state.upstream_health.is_draining(
+            upstream.upstream_id, now_ms
+        ):
             return None
-        lanes = self._state.router.lanes(service, leaf.leaf_id)
+        lanes = self._state.router.lanes(service, upstream.upstream_id)
         own = [each for each in lanes if each.instance_id == self._own_id]
-        if own and self._relay.owns(leaf.leaf_id, now_ms):
+        if own and self._relay.owns(upstream.upstream_id, now_ms):
             return own[0]
         remote = [each for each in lanes if each.instance_id != self._own_id]
         return self._random.choice(remote) if remote else None
@@ -195,23 +200,25 @@
         return self._state.catalog.services[service].action_retention_ms
 
 
-def _leaf_for(service: catalog.Service, asked: action.Action) -> catalog.Leaf:
-    """Returns the first leaf of the subject's shard; only it takes actions."""
+def _upstream_for(
+    service: catalog.Service, asked: action.Action
+) -> catalog.Upstream:
+    """Returns the first upstream of a subject's shard: it takes actions."""
     key = keyspace.key_of(asked.subject)
     for shard in service.shards:
         if shard.key_range.contains(key):
-            return service.leaves[shard.leaf_ids[0]]
+            return service.upstreams[shard.upstream_ids[0]]
     raise chart.BrokenInvariant(f"no shard of {service.name} has key {key}")
 
 
 def _unsent() -> action.Outcome:
     return claim.not_run(
-        refusal.Reason.LEAF_UNAVAILABLE, "no executor could be reached"
+        refusal.Reason.UPSTREAM_UNAVAILABLE, "no executor could be reached"
     )
 
 
 def _lost_executor() -> action.Outcome:
     return claim.not_run(
-        refusal.Reason.LEAF_UNAVAILABLE,
+        refusal.Reason.UPSTREAM_UNAVAILABLE,
         "the executor did not answer and can't run the request any more",
     )
--- a/hyssoptack/entry/burn.py
+++ b/hyssoptack/entry/burn.py
@@ -22,7 +22,7 @@
         late_count: Of these, those after the profile's deadline.
         refused: Refusals by reason.
         covered_sum: Sum of coverage ratios of answers.
-        leaf_call_count: Calls to leaves.
+        upstream_call_count: Calls to upstreams.
         extra_call_count: Calls beyond the first of each shard.
         latency: Answers by the index of their latency bound.
     """
@@ -31,7 +31,7 @@
     late_count: int = 0
     refused: dict[str, int] = dataclasses.field(default_factory=dict)
     covered_sum: float = 0.0
-    leaf_call_count: int = 0
+    upstream_call_count: int = 0
     extra_call_count: int = 0
     latency: dict[int, int] = dataclasses.field(default_factory=dict)
 
@@ -70,13 +70,13 @@
     def called(
         self,
         service: str,
-        leaf_call_count: int,
+        upstream_call_count: int,
         extra_call_count: int,
         now_ms: float,
     ) -> None:
-        """Counts the calls that a request made to leaves."""
+        """Counts the calls that a request made to upstreams."""
         found = self._slice(service, now_ms)
-        found.leaf_call_count += leaf_call_count
+        found.upstream_call_count += upstream_call_count
         found.extra_call_count += extra_call_count
 
     def refused(self, service: str, reason: str, now_ms: float) -> None:
@@ -131,7 +131,7 @@
     for reason, count in each.refused.items():
         _count(total.refused, reason, count)
     total.covered_sum += each.covered_sum
-    total.leaf_call_count += each.leaf_call_count
+    total.upstream_call_count += each.upstream_call_count
     total.extra_call_count += each.extra_call_count
     for index, count in each.latency.items():
         _count(total.latency, index, count)
--- a/hyssoptack/entry/coordinator.py
+++ b/hyssoptack/entry/coordinator.py
@@ -189,7 +189,7 @@
         now_ms: float,
     ) -> None:
         """Carries out a plan's commands, one message for each relay."""
-        asks: dict[str, list[message.LeafAsk]] = {}
+        asks: dict[str, list[message.UpstreamAsk]] = {}
         drops: dict[str, list[int]] = {}
         result: Result | None = None
         for command in commands:
@@ -213,11 +213,11 @@
 
     def _note_ask(
         self, running: _Running, ask: queryplan.Ask, now_ms: float
-    ) -> message.LeafAsk:
+    ) -> message.UpstreamAsk:
         running.sent[ask.call_id] = _Sent(lane=ask.lane, sent_ms=now_ms)
-        return message.LeafAsk(
+        return message.UpstreamAsk(
             call_id=ask.call_id,
-            leaf_id=ask.lane.leaf_id,
+            upstream_id=ask.lane.upstream_id,
             index_version=ask.index_version,
         )
 
@@ -236,7 +236,7 @@
         self,
         running: _Running,
         instance_id: str,
-        asks: tuple[message.LeafAsk, ...],
+        asks: tuple[message.UpstreamAsk, ...],
         now_ms: float,
     ) -> None:
         asked = running.plan.query
@@ -261,7 +261,7 @@
         """Returns where the own relay's replies go: never re-entrant."""
         loop = asyncio.get_running_loop()
 
-        def sink(replies: tuple[message.LeafReply, ...]) -> None:
+        def sink(replies: tuple[message.UpstreamReply, ...]) -> None:
             loop.call_soon(self._on_replies, self._own_id, query_id, replies)
 
         return sink
@@ -281,13 +281,13 @@
         self._carry(running, running.plan.on_time(now_ms), now_ms)
 
     def on_sub_answer(self, answer: message.SubAnswer) -> None:
-        """Takes leaf replies from a peer's relay."""
+        """Takes upstream replies from a peer's relay."""
         self._state.awaited.heard(answer.origin)
         now_ms = clock.now_ms()
         service = self._service_of(answer)
         if service:
             for reply in answer.replies:
-                self._state.leaf_health.note(service, reply, now_ms)
+                self._state.upstream_health.note(service, reply, now_ms)
         self._on_replies(answer.origin, answer.query_id, answer.replies)
 
     def _service_of(self, answer: message.SubAnswer) -> str:
@@ -296,7 +296,10 @@
             return running.service.name
         # The query is over; what its late answers show is still of use.
         for name, service in self._state.catalog.services.items():
-            if answer.replies and answer.replies[0].leaf_id in service.leaves:
+            if (
+                answer.replies
+                and answer.replies[0].upstream_id in service.upstreams
+            ):
                 return name
         return ""
 
@@ -304,7 +307,7 @@
         self,
         instance_id: str,
         query_id: str,
-        replies: tuple[message.LeafReply, ...],
+        replies: tuple[message.UpstreamReply, ...],
     ) -> None:
         running = self._running.get(query_id)
         if running is None or running.done.done():
@@ -326,9 +329,9 @@
         """Takes back a sub-query that could not be sent to a peer."""
         self._state.awaited.failed(instance_id)
         replies = tuple(
-            message.LeafReply(
+            message.UpstreamReply(
                 call_id=ask.call_id,
-                leaf_id=ask.leaf_id,
+                upstream_id=ask.upstream_id,
                 status=message.CallStatus.NOT_OWNER,
             )
             for ask in sub.asks
@@ -357,12 +360,12 @@
         )
         self._burn.called(
             asked.service,
-            plan.leaf_call_count,
+            plan.upstream_call_count,
             plan.extra_call_count,
             now_ms,
         )
         labels = {"service": asked.service}
-        self._metrics.leaf_calls.add(labels, plan.leaf_call_count)
+        self._metrics.upstream_calls.add(labels, plan.upstream_call_count)
         self._metrics.extra_calls.add(labels, plan.extra_call_count)
         self._count(asked, profile, result, elapsed_ms)
 
--- a/hyssoptack/entry/daemon.py
+++ b/hyssoptack/entry/daemon.py
@@ -60,7 +60,7 @@
         )
         self._state = state.State(settings, hedges)
         self._config = configuration.Configuration()
-        self._client = client.LeafClient()
+        self._client = client.UpstreamClient()
         self._metrics = metrics.Metrics()
         self._burn = burn.Burn()
         store_client = store.StoreClient(settings.platform)
@@ -74,7 +74,7 @@
         self._relay = relay.Relay(
             settings.relay,
             self._client,
-            self._state.leaf_health,
+            self._state.upstream_health,
             self._on_drain,
         )
         self._coordinator = coordinator.Coordinator(
@@ -225,12 +225,14 @@
         self._links.send(address, body)
         return True
 
-    def _on_drain(self, leaf_id: str) -> None:
-        """Tells the other owners of a leaf that it is leaving."""
-        log.write(log.Event.LEAF_DRAINING, leaf_id=leaf_id)
+    def _on_drain(self, upstream_id: str) -> None:
+        """Tells the other owners of an upstream that it is leaving."""
+        log.write(log.Event.UPSTREAM_DRAINING, upstream_id=upstream_id)
         own = self._settings.instance_id
-        note = message.LeafNote(leaf_id=leaf_id, draining=True, observer=own)
-        for owner in self._state.owners_of(leaf_id) - {own}:
+        note = message.UpstreamNote(
+            upstream_id=upstream_id, draining=True, observer=own
+        )
+        for owner in self._state.owners_of(upstream_id) - {own}:
             self._send_to(owner, note)
 
     def _on_undelivered(self, address: str, body: message.Message) -> None:
@@ -275,9 +277,11 @@
 
     def _on_control_message(self, body: message.Message) -> None:
         match body:
-            case message.LeafNote(leaf_id=leaf_id):
-                if self._state.catalog.leaf(leaf_id) is not None:
-                    self._state.leaf_health.drain_seen(leaf_id, clock.now_ms())
+            case message.UpstreamNote(upstream_id=upstream_id):
+                if self._state.catalog.upstream(upstream_id) is not None:
+                    self._state.upstream_health.drain_seen(
+                        upstream_id, clock.now_ms()
+                    )
             case message.Heartbeat():
                 self._gossip.on_heartbeat(body)
             case message.ConfigWanted():
@@ -286,7 +290,7 @@
                 self._gossip.on_offer(body)
 
     def _sink_to(self, sub: message.SubQuery) -> relay.Sink:
-        def sink(replies: tuple[message.LeafReply, ...]) -> None:
+        def sink(replies: tuple[message.UpstreamReply, ...]) -> None:
             answer = message.SubAnswer(
                 origin=self._settings.instance_id,
                 query_id=sub.query_id,
--- a/hyssoptack/entry/executor.py
+++ b/hyssoptack/entry/executor.py
@@ -1,7 +1,7 @@
 """Executes non-idempotent requests at most once.
 
 Claims the idempotency key in the platform's key-value service before any byte
-goes to the leaf, sends once, and records what became of it. `policy.claim`
+goes to the upstream, sends once, and records what became of it. `policy.claim`
 holds the decisions; here are the calls around them.
 """
 
@@ -45,7 +45,7 @@
         attempt_id: Names it in the claim.
         request_id: The request that it belongs to.
         asked: The action.
-        leaf: Where it goes.
+        upstream: Where it goes.
         digest: Digest of what is asked.
         key: The claim's key in the store.
         ttl_ms: How long the claim is kept.
@@ -58,7 +58,7 @@
     attempt_id: str
     request_id: str
     asked: action.Action
-    leaf: catalog.Leaf
+    upstream: catalog.Upstream
     digest: str
     key: str
     ttl_ms: int
@@ -79,7 +79,7 @@
 
 
 class Executor:
-    """Runs attempts on the leaves that this instance owns."""
+    """Runs attempts on the upstreams that this instance owns."""
 
     def __init__(
         self,
@@ -118,17 +118,17 @@
         """Claims, sends once and records; returns what became of it."""
         now_ms = clock.now_ms()
         service = self._state.catalog.services.get(ask.action.service)
-        leaf = service.leaves.get(ask.leaf_id) if service else None
-        if leaf is None or not self._relay.owns(ask.leaf_id, now_ms):
+        upstream = service.upstreams.get(ask.upstream_id) if service else None
+        if upstream is None or not self._relay.owns(ask.upstream_id, now_ms):
             return claim.not_run(
-                refusal.Reason.LEAF_UNAVAILABLE,
-                f"leaf {ask.leaf_id} is not served from here now",
+                refusal.Reason.UPSTREAM_UNAVAILABLE,
+                f"upstream {ask.upstream_id} is not served from here now",
             )
         attempt = _Attempt(
             attempt_id=f"{self._state.incarnation}.a{next(self._numbers)}",
             request_id=ask.request_id,
             asked=ask.action,
-            leaf=leaf,
+            upstream=upstream,
             digest=claim.digest_of(ask.action),
             key=claim.key_of(ask.action),
             ttl_ms=self._ttl_ms(ask.action.service),
@@ -161,7 +161,10 @@
                     attempt.held = found
                     return None
             wanted = claim.held(
-                found, attempt.attempt_id, attempt.digest, attempt.leaf.leaf_id
+                found,
+                attempt.attempt_id,
+                attempt.digest,
+                attempt.upstream.upstream_id,
             )
             read = await self._write_then_read(attempt, wanted, version)
             if read is None:
@@ -202,11 +205,11 @@
             attempt.take("too_late")
             self._start(self._record_release(attempt, "claimed too late"))
             return claim.not_run(
-                refusal.Reason.LEAF_UNAVAILABLE, "claimed too late to send"
+                refusal.Reason.UPSTREAM_UNAVAILABLE, "claimed too late to send"
             )
         attempt.take("send_started")
         result = await self._relay.act(
-            attempt.leaf, attempt.asked, attempt.attempt_id, expires_ms
+            attempt.upstream, attempt.asked, attempt.attempt_id, expires_ms
         )
         match result:
             case client.Ran(receipt=receipt):
@@ -215,9 +218,11 @@
                 self._start(self._record(attempt, done, receipt, ""))
                 return action.Outcome(ran=refusal.Ran.YES, receipt=receipt)
             case client.DidNotRun(detail=detail):
-                attempt.take("leaf_did_not_run")
+                attempt.take("upstream_did_not_run")
                 self._start(self._record_release(attempt, detail))
-                return claim.not_run(refusal.Reason.LEAF_UNAVAILABLE, detail)
+                return claim.not_run(
+                    refusal.Reason.UPSTREAM_UNAVAILABLE, detail
+                )
             case client.MayHaveRun(detail=detail):
                 attempt.take("answer_lost")
                 lost = action.ClaimState.UNKNOWN
--- a/hyssoptack/entry/metrics.py
+++ b/hyssoptack/entry/metrics.py
@@ -17,13 +17,13 @@
             "Requests by service, kind and result.",
             registry=self.registry,
         )
-        self.leaf_calls = aioprometheus.Counter(
-            "hyssoptack_leaf_calls_total",
+        self.upstream_calls = aioprometheus.Counter(
+            "hyssoptack_upstream_calls_total",
             "Calls made for queries, by service.",
             registry=self.registry,
         )
         self.extra_calls = aioprometheus.Counter(
-            "hyssoptack_extra_leaf_calls_total",
+            "hyssoptack_extra_upstream_calls_total",
             "Calls beyond the first of each shard, by service.",
             registry=self.registry,
         )
--- a/hyssoptack/entry/operations.py
+++ b/hyssoptack/entry/operations.py
@@ -45,10 +45,10 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class LeafStatus:
-    """One leaf as this instance sees it."""
+class UpstreamStatus:
+    """One upstream as this instance sees it."""
 
-    leaf_id: str
+    upstream_id: str
     state: str
     service_ms: float
     held_versions: tuple[int, ...]
@@ -74,14 +74,14 @@
     usable_instances: tuple[str, ...]
     query_count: int
     action_count: int
-    leaf_call_count: int
+    upstream_call_count: int
     search_count: int
     claim_write_count: int
     peer_traffic: link.Traffic
     admission_limits: dict[str, float]
     extra_call_tokens: dict[str, float]
-    leaf_p95_ms: dict[str, float | None]
-    leaves: tuple[LeafStatus, ...]
+    upstream_p95_ms: dict[str, float | None]
+    upstreams: tuple[UpstreamStatus, ...]
 
 
 class Operations:
@@ -166,7 +166,7 @@
             "actions_in_flight": parts.actor.in_flight_count,
             "claim_writes": parts.claims.write_count,
             "watches": parts.follower.watch_count,
-            "leaf_calls_made": parts.relay.call_count,
+            "upstream_calls_made": parts.relay.call_count,
             **dataclasses.asdict(traffic),
         }
         for name, value in facts.items():
@@ -198,7 +198,7 @@
             usable_instances=tuple(sorted(parts.state.usable(now_ms))),
             query_count=parts.coordinator.in_flight_count(),
             action_count=parts.actor.in_flight_count,
-            leaf_call_count=parts.relay.call_count,
+            upstream_call_count=parts.relay.call_count,
             search_count=parts.coordinator.started_count,
             claim_write_count=parts.claims.write_count,
             peer_traffic=parts.links.traffic,
@@ -207,25 +207,25 @@
                 name: round(parts.state.budgets.of(name).token_count, 2)
                 for name in parts.state.catalog.services
             },
-            leaf_p95_ms={
-                name: parts.state.leaf_health.quantile_ms(name, 0.95)
+            upstream_p95_ms={
+                name: parts.state.upstream_health.quantile_ms(name, 0.95)
                 for name in parts.state.catalog.services
             },
-            leaves=self._leaves(now_ms),
+            upstreams=self._upstreams(now_ms),
         )
 
-    def _leaves(self, now_ms: float) -> tuple[LeafStatus, ...]:
-        health = self._parts.state.leaf_health
+    def _upstreams(self, now_ms: float) -> tuple[UpstreamStatus, ...]:
+        health = self._parts.state.upstream_health
         result = []
-        for leaf_id in sorted(health.leaves):
-            view = health.refresh(leaf_id, now_ms)
+        for upstream_id in sorted(health.upstreams):
+            view = health.refresh(upstream_id, now_ms)
             result.append(
-                LeafStatus(
-                    leaf_id=leaf_id,
+                UpstreamStatus(
+                    upstream_id=upstream_id,
                     state=view.state,
                     service_ms=round(view.service_ms, 3),
                     held_versions=view.held_versions or (),
-                    owned=self._parts.relay.owns(leaf_id, now_ms),
+                    owned=self._parts.relay.owns(upstream_id, now_ms),
                 )
             )
         return tuple(result)
--- a/hyssoptack/entry/problem.py
+++ b/hyssoptack/entry/problem.py
@@ -38,7 +38,7 @@
     refusal.Reason.OVERLOADED: 503,
     refusal.Reason.DEADLINE_TOO_SHORT: 503,
     refusal.Reason.COVERAGE_BELOW_FLOOR: 503,
-    refusal.Reason.LEAF_UNAVAILABLE: 503,
+    refusal.Reason.UPSTREAM_UNAVAILABLE: 503,
     refusal.Reason.STORE_UNAVAILABLE: 503,
     refusal.Reason.STARTING: 503,
     refusal.Reason.OUTCOME_UNKNOWN: 504,
@@ -80,7 +80,7 @@
             "covered_ranges": [
                 (each.low, each.high) for each in keyspace.joined(answer.ranges)
             ],
-            "leaf_call_count": answer.leaf_call_count,
+            "upstream_call_count": answer.upstream_call_count,
             "extra_call_count": answer.extra_call_count,
             "elapsed_ms": round(answer.elapsed_ms, 3),
         }
--- a/hyssoptack/entry/state.py
+++ b/hyssoptack/entry/state.py
@@ -51,12 +51,12 @@
         self.lately_heard: collections.deque[member.Member] = collections.deque(
             maxlen=LATELY_COUNT
         )
-        self.leaf_health = health.Health()
+        self.upstream_health = health.Health()
         self.budgets = budget.Book()
-        self.router = routing.Router(settings.instance_id, self.leaf_health)
+        self.router = routing.Router(settings.instance_id, self.upstream_health)
         self.knowledge = queryplan.Knowledge(
             router=self.router,
-            leaf_health=self.leaf_health,
+            upstream_health=self.upstream_health,
             budgets=self.budgets,
             hedges=hedges,
             current_service=lambda name: self.catalog.services.get(name),
@@ -113,11 +113,11 @@
                 return name
         return ""
 
-    def owners_of(self, leaf_id: str) -> set[str]:
-        """Returns the instances that call a leaf."""
+    def owners_of(self, upstream_id: str) -> set[str]:
+        """Returns the instances that call an upstream."""
         for service in self.catalog.services.values():
-            if leaf_id in service.leaves:
-                lanes = self.router.lanes(service, leaf_id)
+            if upstream_id in service.upstreams:
+                lanes = self.router.lanes(service, upstream_id)
                 return {lane.instance_id for lane in lanes}
         return set()
 
@@ -196,7 +196,7 @@
             return
         self._view = view
         self.router.install(view)
-        self._owned = self._leaves_owned(view)
+        self._owned = self._upstreams_owned(view)
         log.write(
             log.Event.VIEW_CHANGED,
             usable_count=len(view.usable),
@@ -207,7 +207,7 @@
     def _members(self) -> list[member.Member]:
         return [each.member for each in self.roster.sightings.values()]
 
-    def _leaves_owned(self, view: routing.View) -> frozenset[str]:
+    def _upstreams_owned(self, view: routing.View) -> frozenset[str]:
         domain = self.settings.failure_domain
         names = {*view.assumed.get(domain, ()), self.settings.instance_id}
         candidates = tuple(sorted(names))
@@ -216,11 +216,11 @@
             for column in ownership.columns(service, view.column_size_count):
                 if column.failure_domain != domain:
                     continue
-                first = service.leaves[column.leaf_ids[0]]
+                first = service.upstreams[column.upstream_ids[0]]
                 count = ownership.owner_count_of(first, view.owner_count)
                 owning = ownership.owners(column.column_id, candidates, count)
                 if self.settings.instance_id in owning:
-                    owned.update(column.leaf_ids)
+                    owned.update(column.upstream_ids)
         return frozenset(owned)
 
     def put_in_force(self, current: catalog.Catalog, now_ms: float) -> None:
--- a/hyssoptack/gateway/beliefs.py
+++ b/hyssoptack/gateway/beliefs.py
@@ -124,9 +124,7 @@
             upstream_id
             for upstream_id, upstream in kept.items()
             if upstream.draining
-            and not getattr(
-                self.upstreams.get(upstream_id), "draining", False
-            )
+            and not getattr(self.upstreams.get(upstream_id), "draining", False)
         ]
         if came or went or drains:
             log.write(
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -1,4 +1,4 @@
-"""The gateway process: opens ports, keeps beliefs, serves, and stops cleanly."""
+"""The gateway process: opens ports, keeps beliefs, serves, stops cleanly."""
 
 import asyncio
 import dataclasses
@@ -106,9 +106,7 @@
         self._probes = callerside.Server(handler=self._answer_probe)
         self._readings = callerside.Server(handler=self._answer_metrics)
         self._store = keyvalue.Client(settings.store_address, self._pools)
-        self._peering = peering.Peering(
-            settings, self.beliefs, self.readers
-        )
+        self._peering = peering.Peering(settings, self.beliefs, self.readers)
         self._stop = asyncio.Event()
         self._said_ready = False
 
@@ -168,9 +166,7 @@
         loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         listeners = [
-            await self._listen(
-                self._settings.readiness_address, self._probes
-            ),
+            await self._listen(self._settings.readiness_address, self._probes),
             await self._listen(self._settings.callers_address, self._callers),
         ]
         if self._settings.metrics_address:
@@ -269,9 +265,7 @@
 
     def _set_budget(self) -> None:
         shared = self._settings.budget
-        instances_count = max(
-            INSTANCES_ASSUMED_COUNT, self.readers.most_count
-        )
+        instances_count = max(INSTANCES_ASSUMED_COUNT, self.readers.most_count)
         self._budgets.burst_count = (
             SLACK_SHARE_RATIO * shared.slack_count / instances_count
         )
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -34,8 +34,8 @@
 
 RETRY_MIN_MS = 100.0
 RETRY_MAX_MS = 800.0
-"""Bounds of the wait after a failed call: short enough to be in force again well
-within 3 s of the store's return, long enough not to press a busy store."""
+"""Bounds of the wait after a failed call: short enough to be in force again
+within 3 s of the return of the store, long enough not to press a busy one."""
 
 JITTER_RATIO = 0.15
 
@@ -109,9 +109,7 @@
                     listed[upstream.upstream_id] = upstream
                 case expression.Result(error=detail):
                     log.write(log.Event.CONFIG_REFUSED, errors=[detail])
-        self._beliefs.take_list(
-            listed, listing.store_revision, clock.now_ms()
-        )
+        self._beliefs.take_list(listed, listing.store_revision, clock.now_ms())
 
     # The configuration.
 
--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -99,7 +99,9 @@
             names.update([route["service"]] if "service" in route else ())
         body = {
             "version": self._version,
-            "routes": [_route(index, each) for index, each in enumerate(routes)],
+            "routes": [
+                _route(index, each) for index, each in enumerate(routes)
+            ],
             "services": [
                 {
                     "name": name,
@@ -165,7 +167,8 @@
         address = self.settings[name].readiness_address
         try:
             got = await send(
-                address, b"GET /hyssoptack/readiness HTTP/1.1\r\nHost: p\r\n\r\n"
+                address,
+                b"GET /hyssoptack/readiness HTTP/1.1\r\nHost: p\r\n\r\n",
             )
         except ConnectionError:
             return 0
@@ -248,7 +251,9 @@
     lines = head.decode("latin-1").split("\r\n")
     headers = {
         name.lower(): value.strip()
-        for name, _, value in (each.partition(":") for each in lines[1:] if each)
+        for name, _, value in (
+            each.partition(":") for each in lines[1:] if each
+        )
     }
     body = await reader.readexactly(int(headers.get("content-length", "0")))
     return Got(status=int(lines[0].split()[1]), headers=headers, body=body)
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -99,9 +99,7 @@
             if isinstance(each, message.ViewNotice):
                 self._take(each)
         if received.decoded.dropped_count:
-            log.write(
-                log.Event.PEER_UNREADABLE, reason=received.decoded.reason
-            )
+            log.write(log.Event.PEER_UNREADABLE, reason=received.decoded.reason)
 
     def _take(self, notice: message.ViewNotice) -> None:
         if notice.configuration and notice.version > self._beliefs.version:
--- a/hyssoptack/gateway/peering_test.py
+++ b/hyssoptack/gateway/peering_test.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from hyssoptack.gateway import harness
 from hyssoptack.gateway import gateway_test
+from hyssoptack.gateway import harness
 
 
 async def _three(site: harness.Site) -> None:
@@ -63,10 +63,10 @@
             await site.start("g-1", lease_ms=300.0, lease_min_ms=100.0)
             await asyncio.sleep(0.3)
             key = "hyssoptack/peers/g-1"
-            assert key in site.store.keys()
+            assert key in site.store.listed()
             site.store.end_all_leases()
-            assert key not in site.store.keys()
+            assert key not in site.store.listed()
             await asyncio.sleep(0.5)
-            assert key in site.store.keys()
+            assert key in site.store.listed()
 
     asyncio.run(test())
--- a/hyssoptack/gateway/pool.py
+++ b/hyssoptack/gateway/pool.py
@@ -136,7 +136,7 @@
         return not self._open_count and not self._waiting
 
     def start(self, job: Job) -> Call:
-        """Starts a call on a kept connection, a new one, or when one is free."""
+        """Starts a call on a kept or a new connection, or once one is free."""
         call = Call(self, job)
         connection = None if job.once else self._take_idle(job.proven)
         if connection is not None:
@@ -273,7 +273,8 @@
 
 def _idle_limit_ms(connection: upstreamside.UpstreamConnection) -> float:
     return min(
-        IDLE_DEFAULT_MS if connection.idle_limit_ms == float("inf")
+        IDLE_DEFAULT_MS
+        if connection.idle_limit_ms == float("inf")
         else connection.idle_limit_ms * IDLE_MARGIN_RATIO,
         30_000.0,
     )
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -233,9 +233,7 @@
         if outcome == callplan.Kind.ANSWERED.value:
             counted.call_ms.observe({"service": trace.service}, trace.took_ms)
 
-    def _on_outcome(
-        self, call_id: int, outcome: upstreamside.Outcome
-    ) -> None:
+    def _on_outcome(self, call_id: int, outcome: upstreamside.Outcome) -> None:
         self._now_ms = clock.now_ms()
         self._calls.pop(call_id, None)
         read = self._read(outcome)
--- a/hyssoptack/http1/callerside.py
+++ b/hyssoptack/http1/callerside.py
@@ -37,7 +37,9 @@
 class Exchange:
     """One request being served; the handler answers it once."""
 
-    def __init__(self, connection: "CallerConnection", request: message.Request):
+    def __init__(
+        self, connection: "CallerConnection", request: message.Request
+    ):
         self.request = request
         self._connection = connection
         self._answered = False
--- a/hyssoptack/peers/codec.py
+++ b/hyssoptack/peers/codec.py
@@ -21,7 +21,7 @@
     3: message.Cancel,
     4: message.ActionAsk,
     5: message.ActionReply,
-    6: message.LeafNote,
+    6: message.UpstreamNote,
     7: message.Heartbeat,
     8: message.ConfigWanted,
     9: message.ConfigOffer,
--- a/hyssoptack/peers/codec_test.py
+++ b/hyssoptack/peers/codec_test.py
@@ -8,7 +8,7 @@
 from hyssoptack.core import query
 from hyssoptack.peers import codec
 
-_NOTE = message.LeafNote(leaf_id="a", draining=True, observer="b")
+_NOTE = message.UpstreamNote(upstream_id="a", draining=True, observer="b")
 
 
 def test_every_kind_has_a_number_and_back():
@@ -25,9 +25,9 @@
 @given(strategies.data())
 def test_a_damaged_frame_never_raises(data):
     hits = (query.Hit(1, 0.5, "Baguette"),)
-    reply = message.LeafReply(
+    reply = message.UpstreamReply(
         call_id=1,
-        leaf_id="a",
+        upstream_id="a",
         status=message.CallStatus.ANSWERED,
         hits=hits,
     )
--- a/hyssoptack/platform/boot.py
+++ b/hyssoptack/platform/boot.py
@@ -6,5 +6,5 @@
 
 
 def settings_path() -> str:
-    """Returns the path of the settings file, or nothing outside the platform."""
+    """Returns the settings file's path, or nothing outside the platform."""
     return os.environ.get(_SETTINGS_VARIABLE, "")
--- a/hyssoptack/platform/follower.py
+++ b/hyssoptack/platform/follower.py
@@ -69,9 +69,9 @@
         now_ms = clock.now_ms()
         self._note_list(False, "")
         self._state.note_listed(listing.members, now_ms)
-        for leaf_id in listing.leaving_leaf_ids:
+        for upstream_id in listing.leaving_upstream_ids:
             # The list may only make us more careful, never less.
-            view = self._state.leaf_health.leaves[leaf_id]
+            view = self._state.upstream_health.upstreams[upstream_id]
             view.take("listed_leaving", now_ms)
 
     async def follow_config(self) -> None:
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -54,7 +54,9 @@
     if not request.target.startswith(b"/"):
         return "target_is_no_path"
     host = hosts[0].decode("latin-1").rpartition(":")
-    name = host[0] if host[2].isdigit() and host[0] else hosts[0].decode("latin-1")
+    name = (
+        host[0] if host[2].isdigit() and host[0] else hosts[0].decode("latin-1")
+    )
     return CallerFacts(
         request_id=ids[0], deadline_ms=_deadline(request), host=name
     )
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -197,9 +197,7 @@
         )
         return _read(result, _CHANGES)
 
-    async def grant(
-        self, ttl_ms: float
-    ) -> expression.Result[int, Failure]:
+    async def grant(self, ttl_ms: float) -> expression.Result[int, Failure]:
         """Takes a lease; returns its number."""
         body = _ENCODER.encode({"ttl_ms": int(ttl_ms)})
         result = await self._call("POST", "kv-lease", {}, body=body)
@@ -301,9 +299,7 @@
             return expression.Error(failure)
 
 
-def _decoded(
-    decoder: msgspec.json.Decoder[T], body: bytes
-) -> T | Failure:
+def _decoded(decoder: msgspec.json.Decoder[T], body: bytes) -> T | Failure:
     try:
         return decoder.decode(body)
     except msgspec.DecodeError as error:
--- a/hyssoptack/platform/members.py
+++ b/hyssoptack/platform/members.py
@@ -20,11 +20,11 @@
 
     Attributes:
         members: Instances, live and leaving.
-        leaving_leaf_ids: Leaves that the platform says are leaving.
+        leaving_upstream_ids: Upstreams that the platform says are leaving.
     """
 
     members: tuple[member.Member, ...] = ()
-    leaving_leaf_ids: tuple[str, ...] = ()
+    leaving_upstream_ids: tuple[str, ...] = ()
 
 
 _DECODER = msgspec.json.Decoder(Listing)
--- a/hyssoptack/platform/wire.py
+++ b/hyssoptack/platform/wire.py
@@ -143,9 +143,7 @@
     )
 
 
-def upstream(
-    key: str, data: bytes
-) -> expression.Result[traffic.Upstream, str]:
+def upstream(key: str, data: bytes) -> expression.Result[traffic.Upstream, str]:
     """Reads one entry of the list of upstreams.
 
     Args:
--- a/hyssoptack/policy/admission.py
+++ b/hyssoptack/policy/admission.py
@@ -2,7 +2,7 @@
 
 The limit grows by about one for each limit's worth of answers in good time and
 shrinks by a fifth on a late or shed one, at most once in a deadline. A refused
-query costs a leaf nothing and is told when to come back.
+query costs an upstream nothing and is told when to come back.
 """
 
 import dataclasses
@@ -12,7 +12,7 @@
 
 SHRINK_RATIO = 0.8
 START_COUNT = 4.0
-"""First limit of a service: a node that joins must not flood its leaves."""
+"""First limit of a service: a node that joins must not flood its upstreams."""
 
 ROOM_RATIO = 0.7
 """Answers later than this part of the deadline shrink the limit: waiting for
@@ -176,7 +176,7 @@
         gate: The gate before.
         urgency: The query's class.
         elapsed_ms: How long it took.
-        good: Whether it was answered in time without a leaf shedding load.
+        good: Whether it was answered in time without an upstream shedding load.
         deadline_ms: Its deadline; the limit shrinks at most once in this time.
         now_ms: The time now.
 
--- a/hyssoptack/policy/admission_test.py
+++ b/hyssoptack/policy/admission_test.py
@@ -72,7 +72,7 @@
 
     The share is of what was sent, or of capacity where more was sent.
 
-    One queue with slots stands for the leaves; a query is useful when it ends
+    One queue with slots stands for all upstreams; a query is useful if it ends
     within its deadline.
     """
     rng = random.Random(9)
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -189,9 +189,7 @@
         """Returns the first calls, one for each part."""
         commands: list[Command] = []
         for part in self._parts:
-            self._know.budgets.earn(
-                part.service, self._know.extra_ratio, 1
-            )
+            self._know.budgets.earn(part.service, self._know.extra_ratio, 1)
             commands.extend(self._send(part, now_ms))
         return commands + self._finish_if_due(now_ms)
 
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -127,9 +127,7 @@
 
 
 def test_an_upstream_that_can_not_be_reached_costs_no_attempt():
-    know = knowledge(
-        upstream("a"), upstream("b"), upstream("c"), tokens=1.0
-    )
+    know = knowledge(upstream("a"), upstream("b"), upstream("c"), tokens=1.0)
     running = plan(know, idempotent=False)
     (call,) = sends(running.start(0.0))
     for _ in range(2):
@@ -153,7 +151,9 @@
     running = plan(know, shards(4, 0.75))
     calls = sends(running.start(0.0))
     for call in calls[:3]:
-        assert result(running.on_outcome(call.call_id, answered(), 20.0)) is None
+        assert (
+            result(running.on_outcome(call.call_id, answered(), 20.0)) is None
+        )
     assert running.next_time_ms() <= GOAL_MS
     end = result(running.on_time(GOAL_MS))
     assert isinstance(end, callplan.Answer)
--- a/hyssoptack/policy/claim.py
+++ b/hyssoptack/policy/claim.py
@@ -101,14 +101,17 @@
 
 
 def held(
-    found: action.Claim | None, attempt_id: str, body_digest: str, leaf_id: str
+    found: action.Claim | None,
+    attempt_id: str,
+    body_digest: str,
+    upstream_id: str,
 ) -> action.Claim:
     """Returns the claim that permits an attempt to send."""
     return action.Claim(
         attempt_id=attempt_id,
         state=action.ClaimState.HELD,
         body_digest=body_digest,
-        leaf_id=leaf_id,
+        upstream_id=upstream_id,
         barred=found.barred if found else (),
     )
 
@@ -157,7 +160,9 @@
         case action.ClaimState.RELEASED:
             note = found.note or "the action was given up before it was sent"
             return not_run(
-                refusal.Reason.LEAF_UNAVAILABLE, note, RETRY_AFTER_PENDING_MS
+                refusal.Reason.UPSTREAM_UNAVAILABLE,
+                note,
+                RETRY_AFTER_PENDING_MS,
             )
         case action.ClaimState.HELD | action.ClaimState.UNKNOWN:
             return unknown("the action was claimed and may have run", True)
@@ -204,7 +209,7 @@
 
 def _given_up() -> action.Outcome:
     return not_run(
-        refusal.Reason.LEAF_UNAVAILABLE, "the request was given up before"
+        refusal.Reason.UPSTREAM_UNAVAILABLE, "the request was given up before"
     )
 
 
--- a/hyssoptack/policy/claim_test.py
+++ b/hyssoptack/policy/claim_test.py
@@ -46,7 +46,7 @@
 
 def test_bars_outlive_a_take_over():
     given_up = claim.released(None, "r1", _DIGEST, "lost")
-    taken = claim.held(given_up, "a2", _DIGEST, "leaf")
+    taken = claim.held(given_up, "a2", _DIGEST, "upstream")
     late = _decide(taken, "r1", "a1")
     assert late.outcome.ran is refusal.Ran.NO
     again = claim.released(taken, "r2", _DIGEST, "lost")
--- a/hyssoptack/policy/example.py
+++ b/hyssoptack/policy/example.py
@@ -24,15 +24,15 @@
 ) -> catalog.Service:
     """Returns a service of equal shards with replicas in some domains."""
     size = keyspace.KEYSPACE_SIZE_COUNT
-    leaves: dict[str, catalog.Leaf] = {}
+    upstreams: dict[str, catalog.Upstream] = {}
     shards = []
     for number in range(shard_count):
         ids = []
         for domain in DOMAINS[:replica_count]:
-            leaf_id = f"{name}-{number:03d}-{domain}"
-            ids.append(leaf_id)
-            leaves[leaf_id] = catalog.Leaf(
-                leaf_id=leaf_id,
+            upstream_id = f"{name}-{number:03d}-{domain}"
+            ids.append(upstream_id)
+            upstreams[upstream_id] = catalog.Upstream(
+                upstream_id=upstream_id,
                 failure_domain=domain,
                 address="127.0.0.1:1",
                 slot_count=3,
@@ -46,17 +46,17 @@
             catalog.Shard(
                 shard_id=f"{name}-{number:03d}",
                 key_range=key_range,
-                leaf_ids=tuple(ids),
+                upstream_ids=tuple(ids),
             )
         )
     return catalog.Service(
         name=name,
-        association="Association",
+        team="Association",
         profile="dawn",
         accepts_actions=False,
         action_retention_ms=60_000,
         shards=tuple(shards),
-        leaves=leaves,
+        upstreams=upstreams,
     )
 
 
@@ -76,8 +76,8 @@
     hedges: hedging.Hedging | None = None,
 ) -> queryplan.Knowledge:
     """Returns what a fresh instance of three domains knows of a service."""
-    leaf_health = health.Health()
-    router = routing.Router(OWN_ID, leaf_health)
+    upstream_health = health.Health()
+    router = routing.Router(OWN_ID, upstream_health)
     members = {
         f"{domain}-{number}": member.Member(
             instance_id=f"{domain}-{number}",
@@ -108,7 +108,7 @@
     services = {current.name: current}
     return queryplan.Knowledge(
         router=router,
-        leaf_health=leaf_health,
+        upstream_health=upstream_health,
         budgets=budget.Book(),
         hedges=hedges or hedging.HedgeAfterQuantile(),
         current_service=services.get,
@@ -133,22 +133,24 @@
     version: int = 1,
     held: tuple[int, ...] = (1,),
     service_ms: float = 5.0,
-) -> message.LeafReply:
-    """Returns a leaf's whole answer to an ask."""
+) -> message.UpstreamReply:
+    """Returns an upstream's whole answer to an ask."""
     shard = next(
-        each for each in current.shards if ask.lane.leaf_id in each.leaf_ids
+        each
+        for each in current.shards
+        if ask.lane.upstream_id in each.upstream_ids
     )
     hit = query.Hit(shard.key_range.low, 1.0, f"{shard.shard_id} [v{version}]")
-    return message.LeafReply(
+    return message.UpstreamReply(
         call_id=ask.call_id,
-        leaf_id=ask.lane.leaf_id,
+        upstream_id=ask.lane.upstream_id,
         status=message.CallStatus.ANSWERED,
         index_version=version,
         held_versions=held,
         key_range=shard.key_range,
         hits=(hit,),
         service_ms=service_ms,
-        reached_leaf=True,
+        reached_upstream=True,
     )
 
 
@@ -157,13 +159,13 @@
     status: message.CallStatus,
     held: tuple[int, ...] = (),
     reached: bool = True,
-) -> message.LeafReply:
+) -> message.UpstreamReply:
     """Returns a reply without an answer."""
-    return message.LeafReply(
+    return message.UpstreamReply(
         call_id=ask.call_id,
-        leaf_id=ask.lane.leaf_id,
+        upstream_id=ask.lane.upstream_id,
         status=status,
         held_versions=held,
-        reached_leaf=reached,
+        reached_upstream=reached,
         service_ms=5.0,
     )
--- a/hyssoptack/policy/health.py
+++ b/hyssoptack/policy/health.py
@@ -1,7 +1,7 @@
-"""What calls have shown about leaves.
+"""What calls have shown about upstreams.
 
-Estimates fade back towards the service's typical figure, so that a leaf that
-was slow is tried again without a separate probe. When most leaves of a service
+Estimates fade back towards the service's typical figure, so that an upstream
+that was slow is tried again without a probe. When most upstreams of a service
 look bad the fault may be ours, and nothing is avoided any more.
 """
 
@@ -15,26 +15,26 @@
 PRIOR_MS = 5.0
 FADE_HALF_LIFE_MS = 10_000.0
 HELD_FRESH_MS = 2_000.0
-"""Versions that a leaf said it holds are believed for this long."""
+"""Versions that an upstream said it holds are believed for this long."""
 
 EJECTION_MS = 2_000.0
 DRAIN_MEMORY_MS = 30_000.0
 STRAGGLER_RATIO = 3.0
-"""A leaf this much slower than typical is a straggler."""
+"""An upstream this much slower than typical is a straggler."""
 
 WINDOW_COUNT = 256
 WINDOW_MIN_COUNT = 20
 
-_CHART = chart.load("leaf")
+_CHART = chart.load("upstream")
 
 
 @dataclasses.dataclass(kw_only=True)
-class LeafView:
-    """What one observer knows of one leaf.
+class UpstreamView:
+    """What one observer knows of one upstream.
 
     Attributes:
-        state: Its state in the leaf chart.
-        service_ms: Smoothed time from a send to the leaf until its answer.
+        state: Its state in the upstream chart.
+        service_ms: Smoothed time from a send to the upstream until its answer.
         seen_ms: When it last answered or failed.
         changed_ms: When its state last changed.
         held_ms: When it said so.
@@ -59,27 +59,29 @@
 
 
 class Health:
-    """Views of leaves, and the recent latencies of each service."""
+    """Views of upstreams, and the recent latencies of each service."""
 
     def __init__(self) -> None:
-        self.leaves: dict[str, LeafView] = collections.defaultdict(LeafView)
+        self.upstreams: dict[str, UpstreamView] = collections.defaultdict(
+            UpstreamView
+        )
         self._windows: dict[str, collections.deque[float]] = {}
         self._typical_ms: dict[str, float] = {}
 
     def note(
-        self, service: str, reply: message.LeafReply, now_ms: float
+        self, service: str, reply: message.UpstreamReply, now_ms: float
     ) -> bool:
         """Takes what a call has shown.
 
         Args:
-            service: The service that the leaf belongs to.
+            service: The service that the upstream belongs to.
             reply: What became of the call.
             now_ms: The time now.
 
         Returns:
-            True when the leaf's state changed.
+            True when the upstream's state changed.
         """
-        view = self.leaves[reply.leaf_id]
+        view = self.upstreams[reply.upstream_id]
         if reply.held_versions:
             view.held_versions = reply.held_versions
             view.held_ms = now_ms
@@ -95,8 +97,8 @@
                 if reply.draining:
                     return view.take("drain_seen", now_ms)
                 return view.take("answered", now_ms)
-            case message.CallStatus.TIMED_OUT if not reply.reached_leaf:
-                # It expired in a queue of ours; the leaf never saw it.
+            case message.CallStatus.TIMED_OUT if not reply.reached_upstream:
+                # It expired in a queue of ours; the upstream never saw it.
                 return False
             case message.CallStatus.FAILED | message.CallStatus.TIMED_OUT:
                 view.seen_ms = now_ms
@@ -110,20 +112,20 @@
                     step_ms = reply.service_ms - view.service_ms
                     view.service_ms += SMOOTHING_RATIO * step_ms
                 return False
-            case message.CallStatus.SHED if reply.reached_leaf:
+            case message.CallStatus.SHED if reply.reached_upstream:
                 return view.take("failed", now_ms)
             case message.CallStatus.DRAINING:
                 return view.take("drain_seen", now_ms)
             case _:
                 return False
 
-    def drain_seen(self, leaf_id: str, now_ms: float) -> bool:
-        """Takes a report that a leaf is draining; tells whether it was news."""
-        return self.leaves[leaf_id].take("drain_seen", now_ms)
+    def drain_seen(self, upstream_id: str, now_ms: float) -> bool:
+        """Takes a report that an upstream drains; tells whether it was news."""
+        return self.upstreams[upstream_id].take("drain_seen", now_ms)
 
-    def refresh(self, leaf_id: str, now_ms: float) -> LeafView:
-        """Returns the view of a leaf after the steps that only time brings."""
-        view = self.leaves[leaf_id]
+    def refresh(self, upstream_id: str, now_ms: float) -> UpstreamView:
+        """Returns an upstream's view after the steps that only time brings."""
+        view = self.upstreams[upstream_id]
         age_ms = now_ms - view.changed_ms
         if view.state == "ejected" and age_ms > EJECTION_MS:
             view.take("probe_due", now_ms)
@@ -132,40 +134,47 @@
         return view
 
     def held_versions(
-        self, leaf_id: str, now_ms: float
+        self, upstream_id: str, now_ms: float
     ) -> tuple[int, ...] | None:
-        """Returns the versions that a leaf lately said it holds, or None."""
-        view = self.leaves.get(leaf_id)
+        """Returns the versions that an upstream lately held, or None."""
+        view = self.upstreams.get(upstream_id)
         if view is None or now_ms - view.held_ms > HELD_FRESH_MS:
             return None
         return view.held_versions
 
-    def expected_ms(self, service: str, leaf_id: str, now_ms: float) -> float:
-        """Returns the expected time of a call to a leaf, faded by age."""
-        view = self.leaves[leaf_id]
+    def expected_ms(
+        self, service: str, upstream_id: str, now_ms: float
+    ) -> float:
+        """Returns the expected time of a call to an upstream, faded by age."""
+        view = self.upstreams[upstream_id]
         typical_ms = self._typical_ms.get(service, PRIOR_MS)
         if not view.seen_ms:
             return typical_ms
         weight = 0.5 ** ((now_ms - view.seen_ms) / FADE_HALF_LIFE_MS)
         return typical_ms + weight * (view.service_ms - typical_ms)
 
-    def is_avoided(self, leaf_id: str, now_ms: float) -> bool:
-        """Tells whether a leaf gets no new work because it failed or drains."""
-        return self.refresh(leaf_id, now_ms).state in ("ejected", "draining")
+    def is_avoided(self, upstream_id: str, now_ms: float) -> bool:
+        """Tells whether an upstream gets no new work: it failed or drains."""
+        return self.refresh(upstream_id, now_ms).state in (
+            "ejected",
+            "draining",
+        )
 
-    def is_draining(self, leaf_id: str, now_ms: float) -> bool:
-        """Tells whether a leaf is leaving."""
-        return self.refresh(leaf_id, now_ms).state == "draining"
+    def is_draining(self, upstream_id: str, now_ms: float) -> bool:
+        """Tells whether an upstream is leaving."""
+        return self.refresh(upstream_id, now_ms).state == "draining"
 
     def quantile_ms(self, service: str, ratio: float) -> float | None:
-        """Returns a quantile of recent leaf latencies; None with too few."""
+        """Returns a quantile of recent latencies; None with too few."""
         window = self._windows.get(service)
         if window is None or len(window) < WINDOW_MIN_COUNT:
             return None
         ordered = sorted(window)
         return ordered[min(len(ordered) - 1, int(ratio * len(ordered)))]
 
-    def _sample(self, service: str, view: LeafView, service_ms: float) -> None:
+    def _sample(
+        self, service: str, view: UpstreamView, service_ms: float
+    ) -> None:
         known_slow = view.service_ms > STRAGGLER_RATIO * self._typical_ms.get(
             service, service_ms
         )
--- a/hyssoptack/policy/membership.py
+++ b/hyssoptack/policy/membership.py
@@ -1,6 +1,6 @@
 """Which instances exist, by the lagging list and by heartbeats.
 
-Three questions have three answers. Who may hold a share of a leaf: everyone
+Three questions have three answers. Who may share an upstream: everyone
 seen within the list's lag, whether or not it is gone (`assumed`). Who gets new
 sub-queries: those that are not leaving and owe no answer for long (`usable`).
 Since when an instance has been known: its share starts only after the lag has
--- a/hyssoptack/policy/merge.py
+++ b/hyssoptack/policy/merge.py
@@ -1,6 +1,6 @@
-"""Merges leaf answers of one version into one answer, with exact coverage.
+"""Merges upstream answers of one version into one answer, with exact coverage.
 
-A key range counts once however many leaves answered for it: later answers give
+A key range counts once however many upstreams answered it: later answers give
 only what is still missing, and only hits whose key lies in the part that was
 taken.
 """
@@ -23,7 +23,7 @@
         self._covered_count = 0
         self._hits: list[query.Hit] = []
 
-    def add(self, reply: message.LeafReply) -> bool:
+    def add(self, reply: message.UpstreamReply) -> bool:
         """Takes an answer.
 
         Returns:
--- a/hyssoptack/policy/ownership.py
+++ b/hyssoptack/policy/ownership.py
@@ -1,9 +1,9 @@
-"""Which instances may call which leaves, and with what share.
+"""Which instances may call which upstreams, and with what share.
 
-Leaves of one failure domain are grouped into columns; the owners of a column
+Upstreams of one failure domain are grouped into columns; the owners of a column
 are the instances that rank highest for it by rendezvous hashing (Thaler and
 Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", section 4). Two
-rules keep a leaf's limit when views differ:
+rules keep an upstream's limit when views differ:
 
 - an instance ranks itself among all instances seen within the list's lag, live
   or gone;
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Share:
-    """What one owner may use of a leaf."""
+    """What one owner may use of an upstream."""
 
     slot_count: int
     connection_count: int
@@ -32,11 +32,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Column:
-    """Leaves of one service in one failure domain that are owned together."""
+    """Upstreams of one service and failure domain that are owned together."""
 
     column_id: str
     failure_domain: str
-    leaf_ids: tuple[str, ...]
+    upstream_ids: tuple[str, ...]
 
 
 def rank(column_id: str, instance_id: str) -> int:
@@ -68,39 +68,42 @@
 def columns(
     service: catalog.Service, column_size_count: int
 ) -> tuple[Column, ...]:
-    """Groups a service's leaves into columns, in the order of its shards."""
+    """Groups a service's upstreams into columns, in the order of its shards."""
     by_domain: dict[str, list[str]] = {}
     for shard in service.shards:
-        for leaf_id in shard.leaf_ids:
+        for upstream_id in shard.upstream_ids:
             by_domain.setdefault(
-                service.leaves[leaf_id].failure_domain, []
-            ).append(leaf_id)
+                service.upstreams[upstream_id].failure_domain, []
+            ).append(upstream_id)
     result = []
-    for failure_domain, leaf_ids in sorted(by_domain.items()):
-        for start in range(0, len(leaf_ids), column_size_count):
+    for failure_domain, upstream_ids in sorted(by_domain.items()):
+        for start in range(0, len(upstream_ids), column_size_count):
             result.append(
                 Column(
                     column_id=f"{service.name}/{failure_domain}/{start}",
                     failure_domain=failure_domain,
-                    leaf_ids=tuple(leaf_ids[start : start + column_size_count]),
+                    upstream_ids=tuple(
+                        upstream_ids[start : start + column_size_count]
+                    ),
                 )
             )
     return tuple(result)
 
 
-def owner_count_of(leaf: catalog.Leaf, owner_count: int) -> int:
-    """Returns a leaf's owners: never more than slots or connections."""
+def owner_count_of(upstream: catalog.Upstream, owner_count: int) -> int:
+    """Returns an upstream's owners: never more than slots or connections."""
     return max(
-        1, min(owner_count, leaf.slot_count, leaf.connection_limit_count)
+        1,
+        min(owner_count, upstream.slot_count, upstream.connection_limit_count),
     )
 
 
-def share_of(leaf: catalog.Leaf, owner_count: int) -> Share:
+def share_of(upstream: catalog.Upstream, owner_count: int) -> Share:
     """Returns an owner's share; all shares stay within the limits."""
-    parts = owner_count_of(leaf, owner_count)
+    parts = owner_count_of(upstream, owner_count)
     return Share(
-        slot_count=leaf.slot_count // parts,
-        connection_count=leaf.connection_limit_count // parts,
+        slot_count=upstream.slot_count // parts,
+        connection_count=upstream.connection_limit_count // parts,
     )
 
 
--- a/hyssoptack/policy/ownership_test.py
+++ b/hyssoptack/policy/ownership_test.py
@@ -8,7 +8,7 @@
 from hyssoptack.policy import ownership
 
 INSTANCE_COUNT = 3_200
-LEAF_COUNT = 22_000
+UPSTREAM_COUNT = 22_000
 DOMAIN_COUNT = 6
 SERVICE_COUNT = 60
 OWNER_COUNT = 24
@@ -19,11 +19,11 @@
 def _columns() -> list[ownership.Column]:
     result = []
     for number in range(SERVICE_COUNT):
-        leaves, shards = {}, []
-        for index in range(LEAF_COUNT // SERVICE_COUNT):
-            leaf_id = f"s{number}-{index}"
-            leaves[leaf_id] = catalog.Leaf(
-                leaf_id=leaf_id,
+        upstreams, shards = {}, []
+        for index in range(UPSTREAM_COUNT // SERVICE_COUNT):
+            upstream_id = f"s{number}-{index}"
+            upstreams[upstream_id] = catalog.Upstream(
+                upstream_id=upstream_id,
                 failure_domain=f"d{index % DOMAIN_COUNT}",
                 address="127.0.0.1:1",
                 slot_count=24,
@@ -32,19 +32,19 @@
             )
             shards.append(
                 catalog.Shard(
-                    shard_id=leaf_id,
+                    shard_id=upstream_id,
                     key_range=keyspace.KeyRange(0, 1),
-                    leaf_ids=(leaf_id,),
+                    upstream_ids=(upstream_id,),
                 )
             )
         service = catalog.Service(
             name=f"s{number}",
-            association="a",
+            team="a",
             profile="p",
             accepts_actions=False,
             action_retention_ms=1_000,
             shards=tuple(shards),
-            leaves=leaves,
+            upstreams=upstreams,
         )
         result.extend(ownership.columns(service, COLUMN_SIZE_COUNT))
     return result
@@ -100,7 +100,7 @@
     assert most == 3
 
 
-def test_the_target_assigns_every_leaf_within_its_limit_and_in_balance():
+def test_the_target_assigns_every_upstream_within_its_limit_and_in_balance():
     domains = _instances()
     load: dict[str, int] = {}
     for column in _columns():
@@ -108,14 +108,14 @@
         owning = ownership.owners(column.column_id, candidates, OWNER_COUNT)
         assert len(set(owning)) == OWNER_COUNT
         for name in owning:
-            load[name] = load.get(name, 0) + len(column.leaf_ids)
+            load[name] = load.get(name, 0) + len(column.upstream_ids)
     mean = sum(load.values()) / INSTANCE_COUNT
-    print("leaves owned, mean", mean, "most", max(load.values()))
+    print("upstreams owned, mean", mean, "most", max(load.values()))
     # Measured 3.2 of the mean: docs/CAPACITY.md says what would lower it.
     assert max(load.values()) <= 3.5 * mean
 
 
-def test_losing_150_instances_moves_few_leaves():
+def test_losing_150_instances_moves_few_upstreams():
     domains = _instances()
     rng = random.Random(5)
     everyone = [name for names in domains.values() for name in names]
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -50,7 +50,7 @@
 that fail part of their calls are then avoided like slow ones."""
 
 COLD_RATIO = 1.6
-"""How much slower an upstream is shortly after its start (users' site files)."""
+"""How much slower an upstream is after its start (users' site files)."""
 
 SHED_QUIET_MS = 150.0
 """An upstream that refused for want of room is left alone for about as long as
@@ -237,7 +237,11 @@
             standing.in_flight_count -= 1
 
     def answered(
-        self, route_name: str, upstream_id: str, elapsed_ms: float, now_ms: float
+        self,
+        route_name: str,
+        upstream_id: str,
+        elapsed_ms: float,
+        now_ms: float,
     ) -> None:
         """Takes the time of an answered call."""
         typical = self.typical(route_name)
@@ -250,7 +254,11 @@
         self._measure(standing, elapsed_ms / typical.median_ms, now_ms)
 
     def outlasted(
-        self, route_name: str, upstream_id: str, elapsed_ms: float, now_ms: float
+        self,
+        route_name: str,
+        upstream_id: str,
+        elapsed_ms: float,
+        now_ms: float,
     ) -> None:
         """Takes a call given up unanswered: it was at least this slow."""
         standing = self.standings.get(upstream_id)
--- a/hyssoptack/policy/queryplan.py
+++ b/hyssoptack/policy/queryplan.py
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ask:
-    """Call a leaf through a relay."""
+    """Call an upstream through a relay."""
 
     call_id: int
     lane: routing.Lane
@@ -67,14 +67,14 @@
 
     Attributes:
         router: Lanes and their scores.
-        leaf_health: What calls have shown about leaves.
+        upstream_health: What calls have shown about upstreams.
         budgets: Tokens for extra calls.
         hedges: When to hedge.
         current_service: Finds a service in the configuration in force now.
     """
 
     router: routing.Router
-    leaf_health: health.Health
+    upstream_health: health.Health
     budgets: budget.Book
     hedges: hedging.Hedging
     current_service: collections.abc.Callable[[str], catalog.Service | None]
@@ -107,7 +107,7 @@
         # Calls in the order they were sent, which is that of their hedges.
         self._unhedged: collections.deque[int] = collections.deque()
         self._next_call_id = 1
-        self.leaf_call_count = 0
+        self.upstream_call_count = 0
         self.extra_call_count = 0
         self._repin_count = 0
         self._replanned = False
@@ -157,7 +157,7 @@
         return commands
 
     def on_reply(
-        self, reply: message.LeafReply, now_ms: float
+        self, reply: message.UpstreamReply, now_ms: float
     ) -> list[Command]:
         """Takes what became of a call.
 
@@ -168,8 +168,8 @@
             return []
         call = state.calls.pop(reply.call_id)
         self._know.router.closed(call.lane)
-        if reply.reached_leaf:
-            self.leaf_call_count += 1
+        if reply.reached_upstream:
+            self.upstream_call_count += 1
         commands = self._take(state, call, reply, now_ms)
         return commands + self._finish_if_done(now_ms)
 
@@ -177,7 +177,7 @@
         self,
         state: shardstate.ShardState,
         call: shardstate.Call,
-        reply: message.LeafReply,
+        reply: message.UpstreamReply,
         now_ms: float,
     ) -> list[Command]:
         state.last_status = reply.status.value
@@ -187,7 +187,7 @@
             case message.CallStatus.ANSWERED:
                 return self._take_answer(state, call, reply, now_ms)
             case message.CallStatus.VERSION_MISSING:
-                state.failed.add(reply.leaf_id)
+                state.failed.add(reply.upstream_id)
                 return self._take_version_missing(state, now_ms)
             case message.CallStatus.NOT_OWNER | message.CallStatus.DRAINING:
                 return self._reroute(state, now_ms)
@@ -195,18 +195,18 @@
                 self.shed_seen = True
                 return self._again(state, reply, now_ms)
             case _:
-                # Whatever relay calls it, this leaf is no way out now.
-                state.failed.add(reply.leaf_id)
+                # Whatever relay calls it, this upstream is no way out now.
+                state.failed.add(reply.upstream_id)
                 return self._again(state, reply, now_ms)
 
     def _again(
         self,
         state: shardstate.ShardState,
-        reply: message.LeafReply,
+        reply: message.UpstreamReply,
         now_ms: float,
     ) -> list[Command]:
-        """Tries another lane; only a call that reached a leaf is paid for."""
-        if reply.reached_leaf:
+        """Tries another lane; only a call that reached one is paid for."""
+        if reply.reached_upstream:
             return self._retry(state, now_ms)
         return self._reroute(state, now_ms)
 
@@ -214,7 +214,7 @@
         self,
         state: shardstate.ShardState,
         call: shardstate.Call,
-        reply: message.LeafReply,
+        reply: message.UpstreamReply,
         now_ms: float,
     ) -> list[Command]:
         if self._merge.index_version == query.ANY_VERSION:
@@ -224,9 +224,9 @@
             self._close(state)
             return self._drop_calls(state)
         if self._merge.index_version in reply.held_versions:
-            # This leaf answered at another version than the pinned one, but
+            # This upstream answered at another version than the pinned one, but
             # holds it as well.
-            state.tried.discard((call.lane.leaf_id, call.lane.instance_id))
+            state.tried.discard((call.lane.upstream_id, call.lane.instance_id))
             return self._paid_ask(state, now_ms)
         return self._take_version_missing(state, now_ms)
 
@@ -255,7 +255,7 @@
     def _reroute(
         self, state: shardstate.ShardState, now_ms: float
     ) -> list[Command]:
-        """Tries another lane for nothing: the leaf saw no call."""
+        """Tries another lane for nothing: the upstream saw no call."""
         state.reroute_count += 1
         if state.calls:
             return []
@@ -299,7 +299,9 @@
         self, state: shardstate.ShardState, call: shardstate.Call, now_ms: float
     ) -> list[Command]:
         state.hedged = True
-        lane = self._lane(state, now_ms, other_leaf_than=call.lane.leaf_id)
+        lane = self._lane(
+            state, now_ms, other_upstream_than=call.lane.upstream_id
+        )
         if lane is None or not self._pays_hedge():
             return []
         self.extra_call_count += 1
@@ -320,7 +322,7 @@
         match self._know.hedges:
             case hedging.HedgeAfterQuantile():
                 ratio = self._profile.hedge_after_ratio
-                quantile = self._know.leaf_health.quantile_ms(
+                quantile = self._know.upstream_health.quantile_ms(
                     self._service.name, ratio
                 )
                 return (
@@ -345,29 +347,29 @@
         self,
         state: shardstate.ShardState,
         now_ms: float,
-        other_leaf_than: str | None = None,
+        other_upstream_than: str | None = None,
     ) -> routing.Lane | None:
         version = self._merge.index_version
         left = tuple(
-            leaf_id
-            for leaf_id in state.shard.leaf_ids
-            if leaf_id not in state.failed
+            upstream_id
+            for upstream_id in state.shard.upstream_ids
+            if upstream_id not in state.failed
         )
         holders = tuple(
             each for each in left if self._may_hold(each, version, now_ms)
         )
-        # What a leaf holds is known from its answers only: if all that are
+        # What an upstream holds is known from its answers only: if all that are
         # left are thought to lack the version, asking is how to find out.
         return self._know.router.best(
             self._service,
             holders or left,
             frozenset(state.tried),
             now_ms,
-            other_leaf_than,
+            other_upstream_than,
         )
 
-    def _may_hold(self, leaf_id: str, version: int, now_ms: float) -> bool:
-        held = self._know.leaf_health.held_versions(leaf_id, now_ms)
+    def _may_hold(self, upstream_id: str, version: int, now_ms: float) -> bool:
+        held = self._know.upstream_health.held_versions(upstream_id, now_ms)
         return version == query.ANY_VERSION or held is None or version in held
 
     def _send(
@@ -376,7 +378,7 @@
         call_id = self._next_call_id
         self._next_call_id += 1
         state.calls[call_id] = shardstate.Call(lane=lane, sent_ms=now_ms)
-        state.tried.add((lane.leaf_id, lane.instance_id))
+        state.tried.add((lane.upstream_id, lane.instance_id))
         self._know.router.opened(lane)
         self._state_of[call_id] = state
         self._unhedged.append(call_id)
@@ -389,7 +391,7 @@
         for call_id, call in state.calls.items():
             self._state_of.pop(call_id, None)
             self._know.router.closed(call.lane)
-            self.leaf_call_count += 1
+            self.upstream_call_count += 1
             commands.append(
                 Drop(call_id=call_id, instance_id=call.lane.instance_id)
             )
@@ -399,10 +401,12 @@
     def _pin(self, now_ms: float) -> int:
         held = {}
         for shard in self._service.shards:
-            for leaf_id in shard.leaf_ids:
-                versions = self._know.leaf_health.held_versions(leaf_id, now_ms)
+            for upstream_id in shard.upstream_ids:
+                versions = self._know.upstream_health.held_versions(
+                    upstream_id, now_ms
+                )
                 if versions is not None:
-                    held[leaf_id] = versions
+                    held[upstream_id] = versions
         return snapshot.choose(self._service.shards, held).index_version
 
     def _finish_if_done(self, now_ms: float) -> list[Command]:
@@ -478,7 +482,7 @@
                 index_version=self._merge.index_version,
                 coverage_ratio=coverage,
                 ranges=self._merge.ranges(),
-                leaf_call_count=self.leaf_call_count,
+                upstream_call_count=self.upstream_call_count,
                 extra_call_count=self.extra_call_count,
                 elapsed_ms=now_ms - self._started_ms,
             )
--- a/hyssoptack/policy/queryplan_test.py
+++ b/hyssoptack/policy/queryplan_test.py
@@ -41,7 +41,7 @@
     plan, commands = _plan(current, example.knowledge(current))
     answer = _result(_reply_all(plan, current, commands))
     assert answer.coverage_ratio == 1.0
-    assert answer.leaf_call_count == 4
+    assert answer.upstream_call_count == 4
     assert answer.extra_call_count == 0
     assert len(answer.hits) == 4
 
@@ -82,24 +82,24 @@
     assert answer.coverage_ratio == 0.5
 
 
-def test_a_leaf_thought_to_lack_the_version_is_asked_if_no_other_is_left():
-    # What a leaf held is known from its answers only; a belief that keeps it
+def test_an_upstream_thought_to_lack_the_version_is_asked_if_no_other_is_left():
+    # What an upstream held is known from its answers; a belief that keeps it
     # from being asked would never be put right.
     current = example.service(2, 1)
     know = example.knowledge(current)
-    leaves = know.leaf_health.leaves
-    leaves[current.shards[0].leaf_ids[0]].held_versions = (2,)
-    leaves[current.shards[1].leaf_ids[0]].held_versions = (1,)
+    upstreams = know.upstream_health.upstreams
+    upstreams[current.shards[0].upstream_ids[0]].held_versions = (2,)
+    upstreams[current.shards[1].upstream_ids[0]].held_versions = (1,)
     plan, commands = _plan(current, know)
     assert len(_asks(commands)) == 2
 
 
-def test_a_failed_leaf_is_left_for_another_one_not_for_another_relay():
+def test_a_failed_upstream_is_left_for_another_one_not_for_another_relay():
     current = example.service(1, 3)
     plan, commands = _plan(current, example.knowledge(current))
     first = _asks(commands)[0]
     again = _asks(plan.on_reply(example.failure_of(first, _FAILED), 5.0))
-    assert again[0].lane.leaf_id != first.lane.leaf_id
+    assert again[0].lane.upstream_id != first.lane.upstream_id
 
 
 def test_a_relay_that_sheds_without_a_call_costs_no_budget():
@@ -126,7 +126,7 @@
     assert extra == 7
 
 
-def test_a_call_that_never_reached_a_leaf_is_moved_for_nothing():
+def test_a_call_that_never_reached_an_upstream_is_moved_for_nothing():
     current = example.service(1, 3)
     know = example.knowledge(current)
     plan, commands = _plan(current, know)
@@ -141,19 +141,19 @@
     current = example.service(1, 3)
     know = example.knowledge(current)
     for number in range(40):
-        reply = message.LeafReply(
+        reply = message.UpstreamReply(
             call_id=number,
-            leaf_id=current.shards[0].leaf_ids[0],
+            upstream_id=current.shards[0].upstream_ids[0],
             status=message.CallStatus.ANSWERED,
             service_ms=5.0,
         )
-        know.leaf_health.note(current.name, reply, 0.0)
+        know.upstream_health.note(current.name, reply, 0.0)
     plan, commands = _plan(current, know)
     first = _asks(commands)[0]
     assert plan.next_time_ms() == 5.0
     hedge = _asks(plan.on_time(6.0))
     assert len(hedge) == 1
-    assert hedge[0].lane.leaf_id != first.lane.leaf_id
+    assert hedge[0].lane.upstream_id != first.lane.upstream_id
     assert _asks(plan.on_time(20.0)) == []
     commands = plan.on_reply(example.answer_to(hedge[0], current), 8.0)
     dropped = [each for each in commands if isinstance(each, queryplan.Drop)]
@@ -188,7 +188,7 @@
     plan, commands = _plan(current, example.knowledge(current))
     first, second = _asks(commands)
     wide = example.answer_to(first, current)
-    wide = message.LeafReply(
+    wide = message.UpstreamReply(
         **{
             **{name: getattr(wide, name) for name in wide.__dataclass_fields__},
             "key_range": type(wide.key_range)(0, 40_000),
@@ -200,7 +200,7 @@
     )
     plan.on_reply(wide, 5.0)
     other = example.answer_to(second, current)
-    other = message.LeafReply(
+    other = message.UpstreamReply(
         **{
             **{
                 name: getattr(other, name)
--- a/hyssoptack/policy/records.py
+++ b/hyssoptack/policy/records.py
@@ -19,8 +19,6 @@
     records = [
         body[start : start + RECORD_BYTES]
         for body in bodies
-        for start in range(
-            0, len(body) - RECORD_BYTES + 1, RECORD_BYTES
-        )
+        for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
     ]
     return b"".join(heapq.nlargest(top_count, records))
--- a/hyssoptack/policy/routing.py
+++ b/hyssoptack/policy/routing.py
@@ -1,7 +1,7 @@
-"""Chooses the lane for a call: a leaf, and a relay that owns it.
+"""Chooses the lane for a call: an upstream, and a relay that owns it.
 
-A lane's score is the leaf's expected time, times how full the lane already is
-from here, plus what the relay adds. Lanes of avoided leaves are left out unless
+A lane's score is the upstream's expected time, times how full the lane is from
+here, plus what the relay adds. Lanes of avoided upstreams are left out unless
 the whole service looks bad.
 """
 
@@ -17,20 +17,20 @@
 REMOTE_PRIOR_MS = 4.0
 LOCAL_PRIOR_MS = 0.5
 CALL_COST_MS = 0.25
-"""Processor time that a relay spends on a call (`bench.slopes.leaf_client`)."""
+"""Processor time of a call at a relay (`bench.slopes.upstream_client`)."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
 class Lane:
-    """One way to a leaf; compared by identity, which is cheap to hash.
+    """One way to an upstream; compared by identity, which is cheap to hash.
 
     Attributes:
-        leaf_id: The leaf.
+        upstream_id: The upstream.
         instance_id: The relay that calls it.
-        slot_count: The relay's share of the leaf's slots.
+        slot_count: The relay's share of the upstream's slots.
     """
 
-    leaf_id: str
+    upstream_id: str
     instance_id: str
     slot_count: int
 
@@ -44,7 +44,7 @@
         assumed: Instances by failure domain that may hold shares.
         usable: Instances that may get new work.
         owner_count: Most owners of a column.
-        column_size_count: Leaves in a column.
+        column_size_count: Upstreams in a column.
     """
 
     catalog: catalog.Catalog
@@ -57,9 +57,9 @@
 class Router:
     """Lanes of the view in force, and what calls have shown about relays."""
 
-    def __init__(self, instance_id: str, leaf_health: health.Health):
+    def __init__(self, instance_id: str, upstream_health: health.Health):
         self._instance_id = instance_id
-        self._health = leaf_health
+        self._health = upstream_health
         self._view: View | None = None
         self._lanes: dict[str, tuple[Lane, ...]] = {}
         self._overhead_ms: dict[str, float] = {}
@@ -73,11 +73,13 @@
         self._view = view
         self._lanes = {}
 
-    def lanes(self, service: catalog.Service, leaf_id: str) -> tuple[Lane, ...]:
-        """Returns every lane to a leaf whose relay is usable."""
-        if leaf_id not in self._lanes:
+    def lanes(
+        self, service: catalog.Service, upstream_id: str
+    ) -> tuple[Lane, ...]:
+        """Returns every lane to an upstream whose relay is usable."""
+        if upstream_id not in self._lanes:
             self._fill(service)
-        return self._lanes.get(leaf_id, ())
+        return self._lanes.get(upstream_id, ())
 
     def _fill(self, service: catalog.Service) -> None:
         view = self._view
@@ -85,16 +87,16 @@
             return
         for column in ownership.columns(service, view.column_size_count):
             candidates = view.assumed.get(column.failure_domain, ())
-            first = service.leaves[column.leaf_ids[0]]
+            first = service.upstreams[column.upstream_ids[0]]
             count = ownership.owner_count_of(first, view.owner_count)
             owning = ownership.owners(column.column_id, candidates, count)
-            for leaf_id in column.leaf_ids:
+            for upstream_id in column.upstream_ids:
                 share = ownership.share_of(
-                    service.leaves[leaf_id], view.owner_count
+                    service.upstreams[upstream_id], view.owner_count
                 )
-                self._lanes[leaf_id] = tuple(
+                self._lanes[upstream_id] = tuple(
                     Lane(
-                        leaf_id=leaf_id,
+                        upstream_id=upstream_id,
                         instance_id=each,
                         slot_count=share.slot_count,
                     )
@@ -105,29 +107,31 @@
     def best(
         self,
         service: catalog.Service,
-        leaf_ids: tuple[str, ...],
+        upstream_ids: tuple[str, ...],
         tried: frozenset[tuple[str, str]],
         now_ms: float,
-        other_leaf_than: str | None = None,
+        other_upstream_than: str | None = None,
     ) -> Lane | None:
         """Returns the lane with the lowest score.
 
         Args:
             service: The service that is called.
-            leaf_ids: The leaves that would do.
-            tried: Lanes, as (leaf, instance), that this call has used already.
+            upstream_ids: The upstreams that would do.
+            tried: Lanes, as (upstream, instance), that this call has used.
             now_ms: The time now.
-            other_leaf_than: A leaf to leave out, for hedges.
+            other_upstream_than: An upstream to leave out, for hedges.
 
         Returns:
             The lane, or None when there is none left.
         """
-        left = tuple(each for each in leaf_ids if each != other_leaf_than)
+        left = tuple(
+            each for each in upstream_ids if each != other_upstream_than
+        )
         well = tuple(
             each for each in left if not self._health.is_avoided(each, now_ms)
         )
         found = self._lowest(service, well, tried, now_ms)
-        if found is not None or other_leaf_than is not None:
+        if found is not None or other_upstream_than is not None:
             return found
         # Where all look bad the fault may be ours; only leaving ones are out.
         staying = tuple(
@@ -138,17 +142,19 @@
     def _lowest(
         self,
         service: catalog.Service,
-        leaf_ids: tuple[str, ...],
+        upstream_ids: tuple[str, ...],
         tried: frozenset[tuple[str, str]],
         now_ms: float,
     ) -> Lane | None:
         """Returns the untried lane with the lowest score."""
         best: Lane | None = None
         best_score = float("inf")
-        for leaf_id in leaf_ids:
-            service_ms = self._health.expected_ms(service.name, leaf_id, now_ms)
-            for lane in self.lanes(service, leaf_id):
-                if (lane.leaf_id, lane.instance_id) in tried:
+        for upstream_id in upstream_ids:
+            service_ms = self._health.expected_ms(
+                service.name, upstream_id, now_ms
+            )
+            for lane in self.lanes(service, upstream_id):
+                if (lane.upstream_id, lane.instance_id) in tried:
                     continue
                 score = self._score(lane, service_ms)
                 if score < best_score:
@@ -159,8 +165,8 @@
         waiting = self._lane_load.get(lane, 0)
         fullness = (waiting + 1) / max(1, lane.slot_count)
         relay_ms = CALL_COST_MS * self._relay_load.get(lane.instance_id, 0)
-        leaf_ms = service_ms * max(1.0, fullness)
-        return leaf_ms + relay_ms + self.overhead_ms(lane.instance_id)
+        upstream_ms = service_ms * max(1.0, fullness)
+        return upstream_ms + relay_ms + self.overhead_ms(lane.instance_id)
 
     def opened(self, lane: Lane) -> None:
         """Notes a call sent on a lane."""
@@ -175,7 +181,7 @@
         self._relay_load[lane.instance_id] -= 1
 
     def overhead_ms(self, instance_id: str) -> float:
-        """Returns what a relay is expected to add to a leaf's own time."""
+        """Returns what a relay is expected to add to an upstream's own time."""
         local = instance_id == self._instance_id
         prior = LOCAL_PRIOR_MS if local else REMOTE_PRIOR_MS
         return self._overhead_ms.get(instance_id, prior)
--- a/hyssoptack/policy/shardstate.py
+++ b/hyssoptack/policy/shardstate.py
@@ -30,7 +30,7 @@
 
     def status_text(self) -> str:
         """Says how its last call ended, for refusals."""
-        waited = ",".join(call.lane.leaf_id for call in self.calls.values())
+        waited = ",".join(call.lane.upstream_id for call in self.calls.values())
         return f"waits-for-{waited}" if waited else self.last_status
 
     def is_open(self) -> bool:
--- a/hyssoptack/policy/snapshot.py
+++ b/hyssoptack/policy/snapshot.py
@@ -23,18 +23,18 @@
 
     Args:
         shards: The shards that the query needs.
-        held: Versions by leaf, for the leaves that have told.
-        lost: Leaves that can't be asked.
+        held: Versions by upstream, for the upstreams that have told.
+        lost: Upstreams that can't be asked.
 
     Returns:
-        The choice; `query.ANY_VERSION` when no leaf has told anything yet.
+        The choice; `query.ANY_VERSION` when no upstream has told anything yet.
     """
     versions = {
         version
         for shard in shards
-        for leaf_id in shard.leaf_ids
-        if leaf_id not in lost
-        for version in held.get(leaf_id, ())
+        for upstream_id in shard.upstream_ids
+        if upstream_id not in lost
+        for version in held.get(upstream_id, ())
     }
     best = Choice(index_version=query.ANY_VERSION, reachable_count=-1)
     for version in sorted(versions, reverse=True):
@@ -54,11 +54,11 @@
     held: dict[str, tuple[int, ...]],
     lost: frozenset[str],
 ) -> bool:
-    """Tells whether a leaf of a shard holds a version or has not told."""
-    for leaf_id in shard.leaf_ids:
-        if leaf_id in lost:
+    """Tells whether an upstream of a shard holds a version or has not told."""
+    for upstream_id in shard.upstream_ids:
+        if upstream_id in lost:
             continue
-        versions = held.get(leaf_id)
+        versions = held.get(upstream_id)
         if versions is None or version in versions:
             return True
     return False
--- a/hyssoptack/policy/snapshot_test.py
+++ b/hyssoptack/policy/snapshot_test.py
@@ -7,7 +7,7 @@
 
 def _held(current, *versions):
     return {
-        shard.leaf_ids[0]: each
+        shard.upstream_ids[0]: each
         for shard, each in zip(current.shards, versions, strict=True)
     }
 
@@ -29,17 +29,17 @@
     assert snapshot.choose(current.shards, held).index_version == 1
 
 
-def test_a_leaf_that_has_not_told_may_hold_it():
+def test_an_upstream_that_has_not_told_may_hold_it():
     current = example.service(2, 1)
-    held = {current.shards[0].leaf_ids[0]: (3,)}
+    held = {current.shards[0].upstream_ids[0]: (3,)}
     choice = snapshot.choose(current.shards, held)
     assert choice.index_version == 3
     assert choice.reachable_count == 65_536
 
 
-def test_lost_leaves_do_not_count():
+def test_lost_upstreams_do_not_count():
     current = example.service(1, 2)
-    first, second = current.shards[0].leaf_ids
+    first, second = current.shards[0].upstream_ids
     held = {first: (2,), second: (1,)}
     choice = snapshot.choose(current.shards, held, frozenset({first}))
     assert choice.index_version == 1
--- a/hyssoptack/relay/__init__.py
+++ b/hyssoptack/relay/__init__.py
@@ -1,1 +1,1 @@
-"""Leaf connections: slots, queues, deadlines and cancellation."""
+"""Upstream connections: slots, queues, deadlines and cancellation."""
--- a/hyssoptack/relay/client.py
+++ b/hyssoptack/relay/client.py
@@ -1,7 +1,7 @@
-"""Calls to leaves over HTTP, by aiohttp.
+"""Calls to upstreams over HTTP, by aiohttp.
 
 The house style names urllib3, which can't be cancelled in flight and needs
-a thread a call; docs/design/0001-leaf-client.md has the measurement.
+a thread a call; docs/design/0001-upstream-client.md has the measurement.
 """
 
 import dataclasses
@@ -16,7 +16,7 @@
 from hyssoptack.core import message
 from hyssoptack.core import query
 
-STATE_HEADER = "Leaf-State"
+STATE_HEADER = "Upstream-State"
 DRAINING = "draining"
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -27,7 +27,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SearchBody:
-    """What a leaf is asked, as JSON."""
+    """What an upstream is asked, as JSON."""
 
     query_id: str
     service: str
@@ -39,7 +39,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SearchReply:
-    """What a leaf answers, as JSON; also its body when it lacks a version."""
+    """What an upstream answers, as JSON; also when it lacks a version."""
 
     query_id: str = ""
     version: int = 0
@@ -51,7 +51,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ActBody:
-    """A non-idempotent request to a leaf, as JSON."""
+    """A non-idempotent request to an upstream, as JSON."""
 
     key: str
     attempt_id: str
@@ -61,21 +61,21 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ActReply:
-    """What a leaf answers to a non-idempotent request, as JSON."""
+    """What an upstream answers to a non-idempotent request, as JSON."""
 
     receipt: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ran:
-    """The leaf ran the action and returned a receipt."""
+    """The upstream ran the action and returned a receipt."""
 
     receipt: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class DidNotRun:
-    """The leaf certainly did not run the action."""
+    """The upstream certainly did not run the action."""
 
     detail: str
     draining: bool = False
@@ -83,7 +83,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class MayHaveRun:
-    """Bytes went to the leaf and no answer came back."""
+    """Bytes went to the upstream and no answer came back."""
 
     detail: str
 
@@ -95,8 +95,8 @@
 _ACT_DECODER = msgspec.json.Decoder(ActReply)
 
 
-class LeafClient:
-    """Owns the connections from this instance to its leaves."""
+class UpstreamClient:
+    """Owns the connections from this instance to its upstreams."""
 
     def __init__(self) -> None:
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=60.0)
@@ -110,15 +110,15 @@
 
     async def search(
         self,
-        leaf: catalog.Leaf,
-        ask: message.LeafAsk,
+        upstream: catalog.Upstream,
+        ask: message.UpstreamAsk,
         sub: message.SubQuery,
         remaining_ms: float,
-    ) -> message.LeafReply:
-        """Asks one leaf.
+    ) -> message.UpstreamReply:
+        """Asks one upstream.
 
         Args:
-            leaf: The leaf.
+            upstream: The upstream.
             ask: What is asked of it.
             sub: The sub-query that the ask belongs to.
             remaining_ms: Time left for the call.
@@ -138,7 +138,7 @@
         reached = True
         try:
             async with self._session.post(
-                f"http://{leaf.address}/search",
+                f"http://{upstream.address}/search",
                 data=_ENCODER.encode(body),
                 timeout=_timeout(remaining_ms),
             ) as response:
@@ -155,24 +155,24 @@
             status = message.CallStatus.FAILED
         except (aiohttp.ClientError, OSError):
             status = message.CallStatus.FAILED
-        return message.LeafReply(
+        return message.UpstreamReply(
             call_id=ask.call_id,
-            leaf_id=ask.leaf_id,
+            upstream_id=ask.upstream_id,
             status=status,
             service_ms=clock.now_ms() - sent_ms,
-            reached_leaf=reached,
+            reached_upstream=reached,
         )
 
     async def act(
         self,
-        leaf: catalog.Leaf,
+        upstream: catalog.Upstream,
         asked: action.Action,
         attempt_id: str,
         remaining_ms: float,
     ) -> ActResult:
         """Sends a non-idempotent request once.
 
-        Only a failure to connect, or the leaf's own refusal before running,
+        Only a failure to connect, or the upstream's own refusal before running,
         counts as not run.
         """
         body = ActBody(
@@ -183,16 +183,16 @@
         )
         try:
             async with self._session.post(
-                f"http://{leaf.address}/act",
+                f"http://{upstream.address}/act",
                 data=_ENCODER.encode(body),
                 timeout=_timeout(remaining_ms),
             ) as response:
                 raw = await response.read()
                 return _read_act(response, raw)
         except aiohttp.ClientConnectorError as error:
-            return DidNotRun(detail=f"no connection to the leaf: {error}")
+            return DidNotRun(detail=f"no connection to the upstream: {error}")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            return MayHaveRun(detail=f"no answer from the leaf: {error!r}")
+            return MayHaveRun(detail=f"no answer from the upstream: {error!r}")
 
 
 def _timeout(remaining_ms: float) -> aiohttp.ClientTimeout:
@@ -203,20 +203,20 @@
 
 
 def _read_search(
-    ask: message.LeafAsk,
+    ask: message.UpstreamAsk,
     http_status: int,
     state: str,
     raw: bytes,
     elapsed_ms: float,
     query_id: str,
-) -> message.LeafReply:
-    """Reads a leaf's answer; one that belongs to another query is a failure."""
-    failed = message.LeafReply(
+) -> message.UpstreamReply:
+    """Reads an upstream's answer; one to another query is a failure."""
+    failed = message.UpstreamReply(
         call_id=ask.call_id,
-        leaf_id=ask.leaf_id,
+        upstream_id=ask.upstream_id,
         status=message.CallStatus.FAILED,
         service_ms=elapsed_ms,
-        reached_leaf=True,
+        reached_upstream=True,
     )
     if http_status == STATUS_UNAVAILABLE:
         draining = state == DRAINING
@@ -224,7 +224,7 @@
             message.CallStatus.DRAINING if draining else message.CallStatus.SHED
         )
         return dataclasses.replace(
-            failed, status=status, reached_leaf=not draining
+            failed, status=status, reached_upstream=not draining
         )
     if http_status not in (STATUS_OK, STATUS_CONFLICT):
         return failed
@@ -240,16 +240,16 @@
             status=message.CallStatus.VERSION_MISSING,
             held_versions=body.held,
         )
-    return message.LeafReply(
+    return message.UpstreamReply(
         call_id=ask.call_id,
-        leaf_id=ask.leaf_id,
+        upstream_id=ask.upstream_id,
         status=message.CallStatus.ANSWERED,
         index_version=body.version,
         held_versions=body.held,
         key_range=keyspace.KeyRange(body.low, body.high),
         hits=tuple(query.Hit(*each) for each in body.hits),
         service_ms=elapsed_ms,
-        reached_leaf=True,
+        reached_upstream=True,
         draining=state == DRAINING,
     )
 
@@ -257,10 +257,12 @@
 def _read_act(response: aiohttp.ClientResponse, raw: bytes) -> ActResult:
     draining = response.headers.get(STATE_HEADER, "") == DRAINING
     if response.status == STATUS_UNAVAILABLE:
-        return DidNotRun(detail="the leaf shed the request", draining=draining)
+        return DidNotRun(
+            detail="the upstream shed the request", draining=draining
+        )
     if response.status != STATUS_OK:
-        return MayHaveRun(detail=f"the leaf answered {response.status}")
+        return MayHaveRun(detail=f"the upstream answered {response.status}")
     try:
         return Ran(receipt=_ACT_DECODER.decode(raw).receipt)
     except msgspec.DecodeError:
-        return MayHaveRun(detail="the leaf's answer can't be read")
+        return MayHaveRun(detail="the upstream's answer can't be read")
--- a/hyssoptack/relay/lane.py
+++ b/hyssoptack/relay/lane.py
@@ -1,4 +1,4 @@
-"""The queue in front of one leaf: its share of slots, urgent calls first."""
+"""The queue before one upstream: its share of slots, urgent calls first."""
 
 import asyncio
 import collections.abc
@@ -43,7 +43,7 @@
 
 
 class Lane:
-    """One leaf's slots as far as this relay owns them."""
+    """One upstream's slots as far as this relay owns them."""
 
     def __init__(self, slot_count: int, queue_limit_count: int):
         self.slot_count = slot_count
--- a/hyssoptack/relay/lane_test.py
+++ b/hyssoptack/relay/lane_test.py
@@ -1,4 +1,4 @@
-"""Tests of a leaf's queue and slots."""
+"""Tests of an upstream's queue and slots."""
 
 import asyncio
 
--- a/hyssoptack/relay/relay.py
+++ b/hyssoptack/relay/relay.py
@@ -1,4 +1,4 @@
-"""Calls the leaves that this instance owns, for itself and for its peers."""
+"""Calls the upstreams that this instance owns, for itself and for its peers."""
 
 import asyncio
 import collections.abc
@@ -18,7 +18,7 @@
 DEADLINE_MARGIN_MS = 2.0
 """A relay gives up this much before the asker does, so that it still hears."""
 
-Sink = collections.abc.Callable[[tuple[message.LeafReply, ...]], None]
+Sink = collections.abc.Callable[[tuple[message.UpstreamReply, ...]], None]
 DrainSink = collections.abc.Callable[[str], None]
 
 
@@ -28,23 +28,23 @@
 
     sink: Sink
     open_count: int
-    ready: list[message.LeafReply] = dataclasses.field(default_factory=list)
+    ready: list[message.UpstreamReply] = dataclasses.field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
 
 
 class Relay:
-    """Owns leaf connections and slots; runs on the event loop's thread."""
+    """Owns upstream connections and slots; runs on the event loop's thread."""
 
     def __init__(
         self,
         settings: instance.RelaySettings,
-        leaf_client: client.LeafClient,
-        leaf_health: health.Health,
+        upstream_client: client.UpstreamClient,
+        upstream_health: health.Health,
         on_drain: DrainSink,
     ):
         self._settings = settings
-        self._client = leaf_client
-        self._health = leaf_health
+        self._client = upstream_client
+        self._health = upstream_health
         self._on_drain = on_drain
         self._catalog = catalog.EMPTY
         self._owned: frozenset[str] = frozenset()
@@ -60,11 +60,11 @@
         owned: frozenset[str],
         until_ms: float,
     ) -> None:
-        """Puts a configuration and the owned leaves in force.
+        """Puts a configuration and the owned upstreams in force.
 
         Args:
             current: The configuration.
-            owned: The leaves that this instance may call.
+            owned: The upstreams that this instance may call.
             until_ms: When that ends unless it is installed again: a process
                 that was stopped must not go on with an old view.
         """
@@ -77,17 +77,17 @@
         return len(self._jobs) + self._action_count
 
     def lanes(self) -> dict[str, lane.Lane]:
-        """Returns the lanes by leaf, for the operator port."""
+        """Returns the lanes by upstream, for the operator port."""
         return self._lanes
 
-    def _lane(self, leaf: catalog.Leaf) -> lane.Lane:
-        share = ownership.share_of(leaf, self._settings.owner_count)
-        found = self._lanes.get(leaf.leaf_id)
+    def _lane(self, upstream: catalog.Upstream) -> lane.Lane:
+        share = ownership.share_of(upstream, self._settings.owner_count)
+        found = self._lanes.get(upstream.upstream_id)
         if found is None:
             found = lane.Lane(
                 share.slot_count, self._settings.queue_limit_count
             )
-            self._lanes[leaf.leaf_id] = found
+            self._lanes[upstream.upstream_id] = found
         found.slot_count = share.slot_count
         return found
 
@@ -115,7 +115,7 @@
     def _submit(
         self,
         sub: message.SubQuery,
-        ask: message.LeafAsk,
+        ask: message.UpstreamAsk,
         batch: _Batch,
         now_ms: float,
         expires_ms: float,
@@ -124,39 +124,43 @@
         if refused is not None:
             self._deliver(batch, refused)
             return
-        leaf = self._catalog.services[sub.service].leaves[ask.leaf_id]
+        upstream = self._catalog.services[sub.service].upstreams[
+            ask.upstream_id
+        ]
         job = lane.Job(
             query_id=sub.query_id,
             call_id=ask.call_id,
             urgency=sub.urgency,
             expires_ms=expires_ms,
-            run=lambda: self._run(sub, ask, leaf, batch, expires_ms),
+            run=lambda: self._run(sub, ask, upstream, batch, expires_ms),
             give_up=lambda status: self._give_up(sub, ask, batch, status),
         )
         self._jobs[(sub.query_id, ask.call_id)] = job
-        service_ms = self._health.expected_ms(sub.service, ask.leaf_id, now_ms)
-        if not self._lane(leaf).submit(job, now_ms, service_ms):
+        service_ms = self._health.expected_ms(
+            sub.service, ask.upstream_id, now_ms
+        )
+        if not self._lane(upstream).submit(job, now_ms, service_ms):
             del self._jobs[(sub.query_id, ask.call_id)]
             shed = _reply_without_call(ask, message.CallStatus.SHED)
             self._deliver(batch, shed)
 
     def _refusal(
-        self, service: str, ask: message.LeafAsk, now_ms: float
-    ) -> message.LeafReply | None:
-        """Returns why a leaf is not called from here, or None."""
+        self, service: str, ask: message.UpstreamAsk, now_ms: float
+    ) -> message.UpstreamReply | None:
+        """Returns why an upstream is not called from here, or None."""
         known = self._catalog.services.get(service)
-        if known is None or ask.leaf_id not in known.leaves:
+        if known is None or ask.upstream_id not in known.upstreams:
             return _reply_without_call(ask, message.CallStatus.NOT_OWNER)
-        if not self.owns(ask.leaf_id, now_ms):
+        if not self.owns(ask.upstream_id, now_ms):
             return _reply_without_call(ask, message.CallStatus.NOT_OWNER)
-        if self._health.is_draining(ask.leaf_id, now_ms):
+        if self._health.is_draining(ask.upstream_id, now_ms):
             return _reply_without_call(ask, message.CallStatus.DRAINING)
         return None
 
     def _give_up(
         self,
         sub: message.SubQuery,
-        ask: message.LeafAsk,
+        ask: message.UpstreamAsk,
         batch: _Batch,
         status: message.CallStatus,
     ) -> None:
@@ -166,8 +170,8 @@
     async def _run(
         self,
         sub: message.SubQuery,
-        ask: message.LeafAsk,
-        leaf: catalog.Leaf,
+        ask: message.UpstreamAsk,
+        upstream: catalog.Upstream,
         batch: _Batch,
         expires_ms: float,
     ) -> None:
@@ -176,17 +180,17 @@
         self._jobs[(sub.query_id, ask.call_id)].started = True
         try:
             reply = await self._client.search(
-                leaf, ask, sub, expires_ms - started_ms
+                upstream, ask, sub, expires_ms - started_ms
             )
         except asyncio.CancelledError:
-            # The asker has moved on. What the leaf took so far still counts
+            # The asker has moved on. What the upstream took so far still counts
             # as a sign of how slow it is.
-            reply = message.LeafReply(
+            reply = message.UpstreamReply(
                 call_id=ask.call_id,
-                leaf_id=ask.leaf_id,
+                upstream_id=ask.upstream_id,
                 status=message.CallStatus.CANCELLED,
                 service_ms=clock.now_ms() - started_ms,
-                reached_leaf=True,
+                reached_upstream=True,
             )
         finally:
             now_ms = clock.now_ms()
@@ -195,13 +199,13 @@
         self._deliver(batch, reply)
 
     def _learn(
-        self, service: str, reply: message.LeafReply, now_ms: float
+        self, service: str, reply: message.UpstreamReply, now_ms: float
     ) -> None:
         changed = self._health.note(service, reply, now_ms)
-        if changed and self._health.is_draining(reply.leaf_id, now_ms):
-            self._on_drain(reply.leaf_id)
+        if changed and self._health.is_draining(reply.upstream_id, now_ms):
+            self._on_drain(reply.upstream_id)
 
-    def _deliver(self, batch: _Batch, reply: message.LeafReply) -> None:
+    def _deliver(self, batch: _Batch, reply: message.UpstreamReply) -> None:
         batch.ready.append(reply)
         batch.open_count -= 1
         if batch.open_count <= 0:
@@ -222,15 +226,15 @@
 
     async def act(
         self,
-        leaf: catalog.Leaf,
+        upstream: catalog.Upstream,
         asked: action.Action,
         attempt_id: str,
         expires_ms: float,
     ) -> client.ActResult:
-        """Sends a non-idempotent request through the leaf's lane, once.
+        """Sends a non-idempotent request through the upstream's lane, once.
 
         Args:
-            leaf: The leaf.
+            upstream: The upstream.
             asked: The action, whose claim the caller holds.
             attempt_id: The attempt that holds the claim.
             expires_ms: After this time nothing is sent any more.
@@ -249,7 +253,7 @@
                 done.set_result(late)
                 return
             result = await self._client.act(
-                leaf, asked, attempt_id, expires_ms - now_ms
+                upstream, asked, attempt_id, expires_ms - now_ms
             )
             done.set_result(result)
 
@@ -265,9 +269,9 @@
             give_up=give_up,
         )
         now_ms = clock.now_ms()
-        view = self._health.refresh(leaf.leaf_id, now_ms)
-        if not self._lane(leaf).submit(job, now_ms, view.service_ms):
-            return client.DidNotRun(detail="the leaf's slots are taken")
+        view = self._health.refresh(upstream.upstream_id, now_ms)
+        if not self._lane(upstream).submit(job, now_ms, view.service_ms):
+            return client.DidNotRun(detail="the upstream's slots are taken")
         self._action_count += 1
         try:
             result = await done
@@ -275,20 +279,22 @@
             self._action_count -= 1
         match result:
             case client.DidNotRun(draining=True):
-                if self._health.drain_seen(leaf.leaf_id, clock.now_ms()):
-                    self._on_drain(leaf.leaf_id)
+                if self._health.drain_seen(
+                    upstream.upstream_id, clock.now_ms()
+                ):
+                    self._on_drain(upstream.upstream_id)
             case _:
                 pass
         return result
 
-    def owns(self, leaf_id: str, now_ms: float) -> bool:
-        """Tells whether this instance may call a leaf now."""
-        return leaf_id in self._owned and now_ms < self._owned_until_ms
+    def owns(self, upstream_id: str, now_ms: float) -> bool:
+        """Tells whether this instance may call an upstream now."""
+        return upstream_id in self._owned and now_ms < self._owned_until_ms
 
 
 def _reply_without_call(
-    ask: message.LeafAsk, status: message.CallStatus
-) -> message.LeafReply:
-    return message.LeafReply(
-        call_id=ask.call_id, leaf_id=ask.leaf_id, status=status
+    ask: message.UpstreamAsk, status: message.CallStatus
+) -> message.UpstreamReply:
+    return message.UpstreamReply(
+        call_id=ask.call_id, upstream_id=ask.upstream_id, status=status
     )
--- a/hyssoptack/reports/burn.py
+++ b/hyssoptack/reports/burn.py
@@ -88,7 +88,7 @@
     refused_count = sum(each.refused.values())
     request_count = each.answered_count + refused_count
     in_time = each.answered_count - each.late_count
-    first_count = each.leaf_call_count - each.extra_call_count
+    first_count = each.upstream_call_count - each.extra_call_count
     in_time_ratio = in_time / request_count if request_count else 1.0
     allowed = max(1.0 - profile.latency_goal_ratio, 1e-9)
     extra_ratio = each.extra_call_count / first_count if first_count > 0 else 0
--- a/hyssoptack/reports/story.py
+++ b/hyssoptack/reports/story.py
@@ -73,9 +73,7 @@
         what the serving instance believed.
     """
     own = [
-        each
-        for each in entries
-        if each.fields.get("request_id") == request_id
+        each for each in entries if each.fields.get("request_id") == request_id
     ]
     if not own:
         return []
--- a/hyssoptack/reports/story_test.py
+++ b/hyssoptack/reports/story_test.py
@@ -18,8 +18,8 @@
 LINES = [
     line(9.0, "config_in_force", revision=3),
     line(9.5, "config_in_force", instance="g-2", revision=3),
-    line(10.0, "request_ended", prefix="  1.0 g-1 ", request_id="r1", status=504,
-         calls=["i-1 first +0 90 cancelled"]),
+    line(10.0, "request_ended", prefix=" 1.0 g-1 ", request_id="r1",
+         status=504, calls=["i-1 first +0 90 cancelled"]),
     line(8.0, "config_in_force", revision=2),
     line(9.9, "call_extra", request_id="r1", why="hedge"),
     line(11.0, "config_in_force", revision=4),
--- a/hyssoptack/scripts/main.py
+++ b/hyssoptack/scripts/main.py
@@ -35,14 +35,14 @@
 config_application = cyclopts.App(
     name="config", help="Check, compare, apply and follow the configuration."
 )
-leaf_application = cyclopts.App(
-    name="leaf", help="What instances see of leaves."
+upstream_application = cyclopts.App(
+    name="upstream", help="What instances see of upstreams."
 )
 instance_application = cyclopts.App(name="instance", help="The instances.")
 report_application = cyclopts.App(name="report", help="Reports for operators.")
 for _each in (
     config_application,
-    leaf_application,
+    upstream_application,
     instance_application,
     report_application,
 ):
@@ -174,7 +174,9 @@
     counts = {
         "profiles": len(current.profiles),
         "services": len(current.services),
-        "leaves": sum(len(each.leaves) for each in current.services.values()),
+        "upstreams": sum(
+            len(each.upstreams) for each in current.services.values()
+        ),
         "largest_part_bytes": max(
             len(text.encode()) for text in parts.values()
         ),
@@ -298,23 +300,23 @@
         )
 
 
-@leaf_application.command(name="list")
-def leaf_list(*, members: MembersAddress, as_json: AsJson = False) -> None:
-    """Show the state of each leaf as the instances see it."""
+@upstream_application.command(name="list")
+def upstream_list(*, members: MembersAddress, as_json: AsJson = False) -> None:
+    """Show the state of each upstream as the instances see it."""
     seen: dict[str, dict[str, str]] = {}
     for each in fleet.read(_members(members), "/status"):
-        for leaf in (each.document or {}).get("leaves", ()):
-            states = seen.setdefault(leaf["leaf_id"], {})
-            states[each.member.instance_id] = leaf["state"]
+        for upstream in (each.document or {}).get("upstreams", ()):
+            states = seen.setdefault(upstream["upstream_id"], {})
+            states[each.member.instance_id] = upstream["state"]
     if as_json:
         print(json.dumps(seen))
         return
-    for leaf_id, states in sorted(seen.items()):
+    for upstream_id, states in sorted(seen.items()):
         counts: dict[str, int] = {}
         for state in states.values():
             counts[state] = counts.get(state, 0) + 1
         shown = ", ".join(f"{name} {count}" for name, count in counts.items())
-        print(f"{leaf_id:<34}{shown}")
+        print(f"{upstream_id:<34}{shown}")
 
 
 @instance_application.command(name="list")
--- a/hyssoptack/settings/catalog.py
+++ b/hyssoptack/settings/catalog.py
@@ -43,11 +43,11 @@
     return result
 
 
-def _leaf(
+def _upstream(
     fields: check.Fields, defaults: dict[str, typing.Any]
-) -> catalog.Leaf:
-    result = catalog.Leaf(
-        leaf_id=fields.text("leaf_id"),
+) -> catalog.Upstream:
+    result = catalog.Upstream(
+        upstream_id=fields.text("upstream_id"),
         failure_domain=fields.text("failure_domain"),
         address=fields.address("address"),
         slot_count=fields.count(
@@ -67,7 +67,7 @@
     return result
 
 
-def _leaf_defaults(fields: check.Fields) -> dict[str, typing.Any]:
+def _upstream_defaults(fields: check.Fields) -> dict[str, typing.Any]:
     result = {
         "slot_count": fields.count("slot_count", 1, 10_000),
         "connection_limit_count": fields.count(
@@ -81,25 +81,27 @@
 
 def _shard(
     fields: check.Fields, defaults: dict[str, typing.Any]
-) -> tuple[catalog.Shard, list[catalog.Leaf]]:
+) -> tuple[catalog.Shard, list[catalog.Upstream]]:
     low = fields.count("low", 0, keyspace.KEYSPACE_SIZE_COUNT - 1)
     high = fields.count("high", 1, keyspace.KEYSPACE_SIZE_COUNT)
     if high <= low:
         fields.error("high", high, "a key above low")
-    leaves = [_leaf(each, defaults) for each in fields.listed("leaves")]
+    upstreams = [
+        _upstream(each, defaults) for each in fields.listed("upstreams")
+    ]
     shard = catalog.Shard(
         shard_id=fields.text("shard_id"),
         key_range=keyspace.KeyRange(low, high),
-        leaf_ids=tuple(leaf.leaf_id for leaf in leaves),
+        upstream_ids=tuple(upstream.upstream_id for upstream in upstreams),
     )
     fields.finish()
-    return shard, leaves
+    return shard, upstreams
 
 
 def _check_shards(
     fields: check.Fields,
     shards: list[catalog.Shard],
-    leaves: list[catalog.Leaf],
+    upstreams: list[catalog.Upstream],
 ) -> None:
     """Reports overlaps, gaps, and names that stand twice."""
     ranges = sorted(shard.key_range for shard in shards)
@@ -116,27 +118,29 @@
         fields.error(
             "shards", position, f"ranges up to {keyspace.KEYSPACE_SIZE_COUNT}"
         )
-    names = [leaf.leaf_id for leaf in leaves]
+    names = [upstream.upstream_id for upstream in upstreams]
     for name in sorted({name for name in names if names.count(name) > 1}):
-        fields.error("shards", name, "each leaf_id once")
+        fields.error("shards", name, "each upstream_id once")
 
 
 def _service(name: str, fields: check.Fields) -> catalog.Service:
-    defaults = _leaf_defaults(fields.sub("leaf_defaults", required=True))
+    defaults = _upstream_defaults(
+        fields.sub("upstream_defaults", required=True)
+    )
     pairs = [_shard(each, defaults) for each in fields.listed("shards")]
     shards = [shard for shard, _ in pairs]
-    leaves = [leaf for _, group in pairs for leaf in group]
-    _check_shards(fields, shards, leaves)
+    upstreams = [upstream for _, group in pairs for upstream in group]
+    _check_shards(fields, shards, upstreams)
     result = catalog.Service(
         name=name,
-        association=fields.text("association"),
+        team=fields.text("team"),
         profile=fields.text("profile"),
         accepts_actions=fields.flag("accepts_actions", False),
         action_retention_ms=fields.count(
             "action_retention_ms", 1_000, 30 * _DAY_MS, _DAY_MS
         ),
         shards=tuple(shards),
-        leaves={leaf.leaf_id: leaf for leaf in leaves},
+        upstreams={upstream.upstream_id: upstream for upstream in upstreams},
     )
     fields.finish()
     return result
--- a/hyssoptack/settings/instance.py
+++ b/hyssoptack/settings/instance.py
@@ -74,14 +74,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RelaySettings:
-    """Leaf connections.
+    """Upstream connections.
 
     Attributes:
-        owner_count: Most instances of a failure domain that share one leaf.
-        column_size_count: Leaves that are owned together.
+        owner_count: Most instances of a failure domain that share one upstream.
+        column_size_count: Upstreams that are owned together.
         flush_ms: How long finished replies wait for company before they are
             sent.
-        queue_limit_count: Most calls that wait for one leaf.
+        queue_limit_count: Most calls that wait for one upstream.
         claim_max_age_ms: A claim older than this is never sent.
     """
 
--- a/hyssoptack/settings/settings_test.py
+++ b/hyssoptack/settings/settings_test.py
@@ -27,7 +27,7 @@
     assert not errors
     current, _ = catalog.assemble(1, parts, str(path))
     assert len(current.services) == 4
-    assert sum(len(each.leaves) for each in current.services.values()) == 83
+    assert sum(len(each.upstreams) for each in current.services.values()) == 83
 
 
 def test_good_instance_settings():
--- a/hyssoptack/standins/kvstore.py
+++ b/hyssoptack/standins/kvstore.py
@@ -84,7 +84,7 @@
         self._items.pop(key, None)
         self._note({"key": key, "revision": self._revision, "removed": True})
 
-    def keys(self) -> list[str]:
+    def listed(self) -> list[str]:
         """Returns the keys that are there."""
         return sorted(self._items)
 
--- a/hyssoptack/standins/load.py
+++ b/hyssoptack/standins/load.py
@@ -29,7 +29,7 @@
             for name in (
                 "coverage_ratio",
                 "extra_call_count",
-                "leaf_call_count",
+                "upstream_call_count",
                 "reason",
                 "retry_after_ms",
             ):
--- a/hyssoptack/standins/members.py
+++ b/hyssoptack/standins/members.py
@@ -32,7 +32,7 @@
     outage: bool = False
     cut_domains: list[str] = dataclasses.field(default_factory=list)
     lag_ms: float = 1_000.0
-    leaving_leaf_ids: list[str] = dataclasses.field(default_factory=list)
+    leaving_upstream_ids: list[str] = dataclasses.field(default_factory=list)
 
 
 class Members:
@@ -119,7 +119,7 @@
         ]
         listing = {
             "members": members,
-            "leaving_leaf_ids": self._faults.leaving_leaf_ids,
+            "leaving_upstream_ids": self._faults.leaving_upstream_ids,
         }
         text = json.dumps(listing, sort_keys=True)
         etag = hashlib.sha256(text.encode()).hexdigest()[:16]
--- a/hyssoptack/standins/records.py
+++ b/hyssoptack/standins/records.py
@@ -1,4 +1,4 @@
-"""What the stand-in leaves hold: oven programmes, lesson slots and the like.
+"""What the stand-in upstreams hold: oven programmes, lesson slots and the like.
 
 Records are made from the service's name, the key range and the index version
 alone, so a referee can compute what any answer must hold.
--- a/hyssoptack/standins/service.py
+++ b/hyssoptack/standins/service.py
@@ -25,7 +25,7 @@
         twice: Sends every answer twice.
         unframed: Sends answers without a length and closes.
         stale_first: Sends an answer to another request first.
-        unsigned: Leaves the signature out.
+        unsigned: Upstreams the signature out.
         cut: Sends half of the body and closes.
         never: Answers nothing.
     """
@@ -58,9 +58,7 @@
 
     async def start(self) -> None:
         """Opens a port on loopback."""
-        self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0
-        )
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
--- a/hyssoptack/standins/leaf.py
+++ b/hyssoptack/standins/upstream.py
@@ -1,4 +1,4 @@
-"""A stand-in leaf: slots, connections, versions, faults on demand."""
+"""A stand-in upstream: slots, connections, versions, faults on demand."""
 
 import asyncio
 import dataclasses
@@ -18,7 +18,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class Behaviour:
-    """How the leaf behaves now; a POST to /behaviour changes any field.
+    """How the upstream behaves now; a POST to /behaviour changes any field.
 
     Attributes:
         low: First key of its range.
@@ -68,19 +68,19 @@
     )
 
 
-class Leaf:
-    """The leaf's handlers and state."""
+class Upstream:
+    """The upstream's handlers and state."""
 
     def __init__(
         self,
-        leaf_id: str,
+        upstream_id: str,
         service: str,
         slot_count: int,
         connection_limit_count: int,
         connect_cost_ms: float,
         behaviour: Behaviour,
     ):
-        self._leaf_id = leaf_id
+        self._upstream_id = upstream_id
         self._service = service
         self._connection_limit_count = connection_limit_count
         self._connect_cost_ms = connect_cost_ms
@@ -90,7 +90,7 @@
         self._running_count = 0
         self._waiting_count = 0
         self._greeted: weakref.WeakSet = weakref.WeakSet()
-        self._random = random.Random(leaf_id)
+        self._random = random.Random(upstream_id)
         application = web.Application()
         application.router.add_post("/search", self._search)
         application.router.add_post("/act", self._act)
@@ -103,7 +103,7 @@
 
     def _headers(self) -> dict[str, str]:
         if self._behaviour.draining:
-            return {"Leaf-State": "draining"}
+            return {"Upstream-State": "draining"}
         return {}
 
     async def _greet(self, request: web.Request) -> bool:
@@ -209,7 +209,7 @@
         if self._behaviour.lose_act_count > 0:
             self._behaviour.lose_act_count -= 1
             return standin_web.lose(request)
-        receipt = f"{self._leaf_id}/{key}/{runs[key]}"
+        receipt = f"{self._upstream_id}/{key}/{runs[key]}"
         return standin_web.answer({"receipt": receipt}, **self._headers())
 
     async def _change(self, request: web.Request) -> web.Response:
@@ -230,13 +230,13 @@
         return standin_web.answer({"well": well}, 200 if well else 503)
 
 
-application = cyclopts.App(name="hyssoptack-standin-leaf")
+application = cyclopts.App(name="hyssoptack-standin-upstream")
 
 
 @application.default
 def main(
     *,
-    leaf_id: str,
+    upstream_id: str,
     service: str,
     address: str,
     low: int,
@@ -247,19 +247,19 @@
     service_ms: float = 2.0,
     version: int = 1,
 ) -> None:
-    """Serves one leaf until the process ends."""
+    """Serves one upstream until the process ends."""
     behaviour = Behaviour(
         low=low, high=high, versions=[version], service_ms=service_ms
     )
-    leaf = Leaf(
-        leaf_id,
+    upstream = Upstream(
+        upstream_id,
         service,
         slot_count,
         connection_limit_count,
         connect_cost_ms,
         behaviour,
     )
-    standin_web.run([(leaf.runner, address)])
+    standin_web.run([(upstream.runner, address)])
 
 
 if __name__ == "__main__":
