Ask an upstream that refused once more, and avoid those that refuse often

A refused request has not run, so the same upstream may be asked again: the number of upstreams that a request is sent to stays the route's.

--- a/bench/proofs/front_test.py
+++ b/bench/proofs/front_test.py
@@ -161,7 +161,7 @@
                 inner,
                 max_size=4,
             ),
-            max_upstreams=6,
+            max_leaves=6,
         ).map(lambda value: json.dumps(value).encode()),
     )
 )
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -33,6 +33,10 @@
 HEDGE_KEEP_COUNT = 1.0
 """Tokens that hedges leave for retries after failures."""
 
+RESEND_LIMIT_COUNT = 2
+"""Calls to upstreams that refused before, for each part: one for each of the
+two that the users' routes allow."""
+
 END_MARGIN_MS = 10.0
 """Kept back from the caller's deadline to write the answer and carry it."""
 
@@ -154,7 +158,9 @@
     service: str
     calls: dict[int, _Call] = dataclasses.field(default_factory=dict)
     tried: set[str] = dataclasses.field(default_factory=set)
-    attempt_count: int = 0
+    sent_to: set[str] = dataclasses.field(default_factory=set)
+    shed_by: list[str] = dataclasses.field(default_factory=list)
+    resend_count: int = 0
     reply: object = None
     failure: object = None
     lost: bool = False
@@ -164,6 +170,15 @@
     def is_open(self) -> bool:
         return self.reply is None and not self.lost
 
+    def refused_by(self, upstream_id: str) -> None:
+        """Notes an upstream that has not run it and may be asked again."""
+        self.shed_by.append(upstream_id)
+
+    def unreached(self, upstream_id: str) -> None:
+        """Notes an upstream that saw nothing of the last call."""
+        if not self.resend_count:
+            self.sent_to.discard(upstream_id)
+
 
 class CallPlan:
     """One request's decisions."""
@@ -189,7 +204,9 @@
         """Returns the first calls, one for each part."""
         commands: list[Command] = []
         for part in self._parts:
-            self._know.budgets.earn(part.service, self._know.extra_ratio, 1)
+            self._know.budgets.earn(
+                part.service, self._know.extra_ratio, 1
+            )
             commands.extend(self._send(part, now_ms))
         return commands + self._finish_if_due(now_ms)
 
@@ -231,7 +248,7 @@
         part = call.part
         part.calls.pop(call_id, None)
         part.last_reason = outcome.reason or outcome.kind.value
-        commands = self._take(part, outcome, now_ms)
+        commands = self._take(part, call.upstream_id, outcome, now_ms)
         return commands + self._finish_if_due(now_ms)
 
     def abandon(self, now_ms: float) -> list[Command]:
@@ -263,7 +280,7 @@
                 know.failed(call.upstream_id, now_ms)
 
     def _take(
-        self, part: _Part, outcome: Outcome, now_ms: float
+        self, part: _Part, upstream_id: str, outcome: Outcome, now_ms: float
     ) -> list[Command]:
         if not part.is_open():
             return []
@@ -281,35 +298,65 @@
                 return self._again(part, "retry", now_ms)
             case Kind.NOT_RUN if not outcome.reached:
                 # Nothing was sent: it is no attempt, and costs no budget.
-                part.attempt_count -= 1
+                part.unreached(upstream_id)
                 return [] if part.calls else self._send(part, now_ms, "reroute")
             case Kind.SHED | Kind.NOT_RUN:
+                if outcome.kind is Kind.SHED:
+                    part.refused_by(upstream_id)
                 return self._again(part, outcome.kind.value, now_ms)
 
     def _again(self, part: _Part, why: str, now_ms: float) -> list[Command]:
         """Sends a part once more, unless a call is out or none may be."""
         if part.calls:
             return []
-        if part.attempt_count >= self.ask.route.max_attempts_count:
+        upstream = self._next_upstream(part, now_ms)
+        if upstream is None:
             part.lost = True
             return []
         if not self._know.budgets.spend(part.service):
             part.lost = True
             part.last_reason = "no_retry_budget"
             return []
-        return self._send(part, now_ms, why)
+        return self._send_to(part, upstream, now_ms, why)
+
+    def _next_upstream(
+        self, part: _Part, now_ms: float
+    ) -> traffic.Upstream | None:
+        """Returns whom to send a part to once more, if the route allows it.
+
+        When it was sent to as many upstreams as may be, one of them that
+        refused is asked again: it has not run the request.
+        """
+        if len(part.sent_to) < self.ask.route.max_attempts_count:
+            return self._choose(part, now_ms)
+        if not part.shed_by or part.resend_count >= RESEND_LIMIT_COUNT:
+            return None
+        part.resend_count += 1
+        return self._know.placing.listed(part.shed_by.pop(0))
+
+    def _choose(self, part: _Part, now_ms: float) -> traffic.Upstream | None:
+        return self._know.placing.choose(
+            self.ask.route.name, part.service, frozenset(part.tried), now_ms
+        )
 
     # Calls.
 
     def _send(
         self, part: _Part, now_ms: float, extra: str = ""
     ) -> list[Command]:
-        upstream = self._know.placing.choose(
-            self.ask.route.name, part.service, frozenset(part.tried), now_ms
-        )
+        upstream = self._choose(part, now_ms)
         if upstream is None:
             part.lost = not part.calls
             return []
+        return self._send_to(part, upstream, now_ms, extra)
+
+    def _send_to(
+        self,
+        part: _Part,
+        upstream: traffic.Upstream,
+        now_ms: float,
+        extra: str,
+    ) -> list[Command]:
         call_id = self._next_call_id
         self._next_call_id += 1
         call = _Call(
@@ -317,7 +364,7 @@
         )
         part.calls[call_id] = self._calls[call_id] = call
         part.tried.add(upstream.upstream_id)
-        part.attempt_count += 1
+        part.sent_to.add(upstream.upstream_id)
         self.extra_count += bool(extra)
         self._know.placing.sent(upstream.upstream_id)
         return [Send(call_id=call_id, upstream=upstream, extra=extra)]
@@ -328,7 +375,7 @@
             and part.is_open()
             and not part.hedged
             and len(part.calls) == 1
-            and part.attempt_count < self.ask.route.max_attempts_count
+            and len(part.sent_to) < self.ask.route.max_attempts_count
         )
 
     def _hedge(self, part: _Part, now_ms: float) -> list[Command]:
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -122,8 +122,32 @@
     running = plan(know, idempotent=False)
     (first,) = sends(running.start(0.0))
     (second,) = sends(running.on_outcome(first.call_id, SHED, 1.0))
-    end = result(running.on_outcome(second.call_id, SHED, 2.0))
+    assert second.upstream != first.upstream
+
+
+def test_after_all_refused_the_first_is_asked_again_and_no_third_ever():
+    know = knowledge(upstream("a"), upstream("b"), upstream("c"))
+    running = plan(know, idempotent=False)
+    (call,) = sends(running.start(0.0))
+    asked = [call.upstream.upstream_id]
+    end = None
+    while end is None:
+        commands = running.on_outcome(call.call_id, SHED, 1.0)
+        end = result(commands)
+        for call in sends(commands):
+            asked.append(call.upstream.upstream_id)
     assert isinstance(end, callplan.Refuse)
+    assert len(set(asked)) == 2
+    assert len(asked) == 2 + callplan.RESEND_LIMIT_COUNT
+
+
+def test_resending_ends_with_the_budget():
+    know = knowledge(upstream("a"), upstream("b"), tokens=1.0)
+    running = plan(know, idempotent=False)
+    (first,) = sends(running.start(0.0))
+    (second,) = sends(running.on_outcome(first.call_id, SHED, 1.0))
+    end = result(running.on_outcome(second.call_id, SHED, 2.0))
+    assert end == callplan.Refuse(reason="no_retry_budget")
 
 
 def test_an_upstream_that_can_not_be_reached_costs_no_attempt():
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -56,6 +56,10 @@
 """An upstream that refused for want of room is left alone for about as long as
 its queue takes to clear: 18 calls on 3 slots of 10 to 30 ms."""
 
+SHED_SLOWNESS_RATIO = 3.0
+"""A refused call counts as one that took this many times the usual: an upstream
+that refuses time and again is then worth avoiding across failure domains."""
+
 WINDOW_COUNT = 128
 WINDOW_STEP_COUNT = 16
 
@@ -222,6 +226,13 @@
         weight = 0.5 ** (age_ms / FADE_HALF_LIFE_MS)
         return 1.0 + weight * (standing.slowness_ratio - 1.0)
 
+    def listed(self, upstream_id: str) -> traffic.Upstream | None:
+        """Returns an upstream that is listed and does not leave."""
+        standing = self.standings.get(upstream_id)
+        if standing is None or standing.upstream.draining:
+            return None
+        return standing.upstream
+
     # What calls show.
 
     def sent(self, upstream_id: str) -> None:
@@ -292,12 +303,16 @@
         standing = self.standings.get(upstream_id)
         if standing is not None:
             standing.shed_until_ms = now_ms + SHED_QUIET_MS
+            self._blend(standing, SHED_SLOWNESS_RATIO, now_ms)
 
     def _measure(self, standing: Standing, ratio: float, now_ms: float) -> None:
         if ratio > SLOW_RATIO:
             if now_ms - standing.slow_ms < PAUSE_MS:
                 return
             standing.slow_ms = now_ms
+        self._blend(standing, ratio, now_ms)
+
+    def _blend(self, standing: Standing, ratio: float, now_ms: float) -> None:
         faded = self.slowness(standing, now_ms)
         seen = min(SLOWNESS_MAX_RATIO, ratio)
         standing.slowness_ratio = faded + SMOOTHING_RATIO * (seen - faded)
--- a/hyssoptack/policy/placing_test.py
+++ b/hyssoptack/policy/placing_test.py
@@ -106,3 +106,12 @@
     made.unreachable("a", 0.0)
     made.install({"a": upstream("a"), "b": upstream("b")}, 10.0)
     assert choice(made, 20.0) == "b"
+
+
+def test_an_upstream_that_refuses_time_and_again_is_avoided():
+    made = known(upstream("near"), upstream("far", zone="south"))
+    for number in range(40):
+        made.answered("r", "near", 20.0, number)
+    for number in range(20):
+        made.shed("near", 100.0 + 10.0 * number)
+    assert choice(made, 300.0 + placing.SHED_QUIET_MS) == "far"
