--- a/bench/slopes/claims.py
+++ b/bench/slopes/claims.py
@@ -13,7 +13,7 @@
 from bench import fleet
 from bench.proofs import callers
 from bench.slopes import fit
-from hyssoptack.platform import store
+from hyssoptack.revisions import store
 from hyssoptack.settings import instance
 
 RATES = (10, 20, 40, 80)
--- a/bench/slopes/gossip.py
+++ b/bench/slopes/gossip.py
@@ -21,8 +21,8 @@
 from hyssoptack.entry import state
 from hyssoptack.peers import gossip
 from hyssoptack.peers import link
-from hyssoptack.platform import configuration
 from hyssoptack.policy import hedging
+from hyssoptack.revisions import configuration
 from hyssoptack.settings import catalog as catalog_settings
 from hyssoptack.settings import instance
 
--- a/conftest.py
+++ b/conftest.py
@@ -16,6 +16,7 @@
 
 
 def pytest_collection_modifyitems(items):
+    """Marks the known red tests, so that they do not fail the run."""
     known = _known()
     for item in items:
         if item.nodeid in known:
@@ -25,5 +26,6 @@
 
 
 def pytest_terminal_summary(terminalreporter):
+    """Prints the known red tests after each run."""
     for name, rest in _known().items():
         terminalreporter.write_line(f"known red: {name} | {rest}")
--- a/hyssoptack/entry/claims.py
+++ b/hyssoptack/entry/claims.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from hyssoptack.core import action
-from hyssoptack.platform import store
+from hyssoptack.revisions import store
 
 _DECODER = msgspec.json.Decoder(action.Claim)
 _ENCODER = msgspec.json.Encoder()
--- a/hyssoptack/entry/daemon.py
+++ b/hyssoptack/entry/daemon.py
@@ -24,14 +24,14 @@
 from hyssoptack.events import log
 from hyssoptack.peers import gossip
 from hyssoptack.peers import link
-from hyssoptack.platform import configuration
-from hyssoptack.platform import follower
-from hyssoptack.platform import members
-from hyssoptack.platform import store
 from hyssoptack.policy import admission
 from hyssoptack.policy import hedging
 from hyssoptack.relay import client
 from hyssoptack.relay import relay
+from hyssoptack.revisions import configuration
+from hyssoptack.revisions import follower
+from hyssoptack.revisions import members
+from hyssoptack.revisions import store
 from hyssoptack.settings import instance
 
 MS_PER_S = 1000.0
--- a/hyssoptack/entry/executor.py
+++ b/hyssoptack/entry/executor.py
@@ -22,10 +22,10 @@
 from hyssoptack.entry import claims
 from hyssoptack.entry import state
 from hyssoptack.events import log
-from hyssoptack.platform import store
 from hyssoptack.policy import claim
 from hyssoptack.relay import client
 from hyssoptack.relay import relay
+from hyssoptack.revisions import store
 
 MS_PER_S = 1000.0
 CLAIM_TRY_COUNT = 6
--- a/hyssoptack/entry/operations.py
+++ b/hyssoptack/entry/operations.py
@@ -16,9 +16,9 @@
 from hyssoptack.entry import problem
 from hyssoptack.entry import state
 from hyssoptack.peers import link
-from hyssoptack.platform import configuration
-from hyssoptack.platform import follower
 from hyssoptack.relay import relay
+from hyssoptack.revisions import configuration
+from hyssoptack.revisions import follower
 
 THREAD_COUNT = 4
 TEXT_TYPE = "text/plain; charset=utf-8"
--- a/hyssoptack/peers/gossip.py
+++ b/hyssoptack/peers/gossip.py
@@ -16,7 +16,7 @@
 from hyssoptack.core import member
 from hyssoptack.core import message
 from hyssoptack.entry import state
-from hyssoptack.platform import configuration
+from hyssoptack.revisions import configuration
 
 MS_PER_S = 1000.0
 FRESH_COUNT = 6
--- a/hyssoptack/platform/__init__.py
+++ b/hyssoptack/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform's key-value service and instance list."""
+"""The adapter: everything that knows the users' platform by its names."""
--- /dev/null
+++ b/hyssoptack/policy/callpart.py
@@ -0,0 +1,56 @@
+"""The state of one part of a request: a shard, or the only service."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(kw_only=True)
+class Call:
+    """One call that is out."""
+
+    upstream_id: str
+    sent_ms: float
+    part: "Part"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Part:
+    """What has been done for one service that a request goes to.
+
+    Attributes:
+        service: The service.
+        calls: The calls that are out, by number.
+        tried: Upstreams that were chosen; no other call goes there by choice.
+        sent_to: Upstreams that may have seen the request.
+        shed_by: Upstreams that refused it and may be asked again.
+        resend_count: Calls to upstreams that refused before.
+        reply: The answer, once there is one.
+        failure: An upstream's own failure, to be passed on.
+        lost: Whether it was given up.
+        hedged: Whether its hedge was decided on.
+        last_reason: What was last seen, for the caller and the log.
+    """
+
+    service: str
+    calls: dict[int, Call] = dataclasses.field(default_factory=dict)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    sent_to: set[str] = dataclasses.field(default_factory=set)
+    shed_by: list[str] = dataclasses.field(default_factory=list)
+    resend_count: int = 0
+    reply: object = None
+    failure: object = None
+    lost: bool = False
+    hedged: bool = False
+    last_reason: str = "no_upstream"
+
+    def is_open(self) -> bool:
+        """Whether an answer is still wanted."""
+        return self.reply is None and not self.lost
+
+    def refused_by(self, upstream_id: str) -> None:
+        """Notes an upstream that has not run it and may be asked again."""
+        self.shed_by.append(upstream_id)
+
+    def unreached(self, upstream_id: str) -> None:
+        """Notes an upstream that saw nothing of the last call."""
+        if not self.resend_count:
+            self.sent_to.discard(upstream_id)
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -14,6 +14,7 @@
 
 from hyssoptack.core import traffic
 from hyssoptack.policy import budget
+from hyssoptack.policy import callpart
 from hyssoptack.policy import placing
 
 HEDGE_QUANTILE_RATIO = 0.97
@@ -146,48 +147,14 @@
     extra_ratio: float
 
 
-@dataclasses.dataclass(kw_only=True)
-class _Call:
-    upstream_id: str
-    sent_ms: float
-    part: "_Part"
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Part:
-    service: str
-    calls: dict[int, _Call] = dataclasses.field(default_factory=dict)
-    tried: set[str] = dataclasses.field(default_factory=set)
-    sent_to: set[str] = dataclasses.field(default_factory=set)
-    shed_by: list[str] = dataclasses.field(default_factory=list)
-    resend_count: int = 0
-    reply: object = None
-    failure: object = None
-    lost: bool = False
-    hedged: bool = False
-    last_reason: str = "no_upstream"
-
-    def is_open(self) -> bool:
-        return self.reply is None and not self.lost
-
-    def refused_by(self, upstream_id: str) -> None:
-        """Notes an upstream that has not run it and may be asked again."""
-        self.shed_by.append(upstream_id)
-
-    def unreached(self, upstream_id: str) -> None:
-        """Notes an upstream that saw nothing of the last call."""
-        if not self.resend_count:
-            self.sent_to.discard(upstream_id)
-
-
 class CallPlan:
     """One request's decisions."""
 
     def __init__(self, ask: Ask, knowledge: Knowledge, now_ms: float):
         self.ask = ask
         self._know = knowledge
-        self._parts = [_Part(service=each) for each in ask.services]
-        self._calls: dict[int, _Call] = {}
+        self._parts = [callpart.Part(service=each) for each in ask.services]
+        self._calls: dict[int, callpart.Call] = {}
         self._next_call_id = 1
         self._may_have_run = False
         self.finished = False
@@ -204,9 +171,7 @@
         """Returns the first calls, one for each part."""
         commands: list[Command] = []
         for part in self._parts:
-            self._know.budgets.earn(
-                part.service, self._know.extra_ratio, 1
-            )
+            self._know.budgets.earn(part.service, self._know.extra_ratio, 1)
             commands.extend(self._send(part, now_ms))
         return commands + self._finish_if_due(now_ms)
 
@@ -263,7 +228,9 @@
 
     # Outcomes of calls.
 
-    def _learn(self, call: _Call, outcome: Outcome, now_ms: float) -> None:
+    def _learn(
+        self, call: callpart.Call, outcome: Outcome, now_ms: float
+    ) -> None:
         know = self._know.placing
         match outcome.kind:
             case Kind.ANSWERED:
@@ -280,7 +247,11 @@
                 know.failed(call.upstream_id, now_ms)
 
     def _take(
-        self, part: _Part, upstream_id: str, outcome: Outcome, now_ms: float
+        self,
+        part: callpart.Part,
+        upstream_id: str,
+        outcome: Outcome,
+        now_ms: float,
     ) -> list[Command]:
         if not part.is_open():
             return []
@@ -305,7 +276,9 @@
                     part.refused_by(upstream_id)
                 return self._again(part, outcome.kind.value, now_ms)
 
-    def _again(self, part: _Part, why: str, now_ms: float) -> list[Command]:
+    def _again(
+        self, part: callpart.Part, why: str, now_ms: float
+    ) -> list[Command]:
         """Sends a part once more, unless a call is out or none may be."""
         if part.calls:
             return []
@@ -320,7 +293,7 @@
         return self._send_to(part, upstream, now_ms, why)
 
     def _next_upstream(
-        self, part: _Part, now_ms: float
+        self, part: callpart.Part, now_ms: float
     ) -> traffic.Upstream | None:
         """Returns whom to send a part to once more, if the route allows it.
 
@@ -334,7 +307,9 @@
         part.resend_count += 1
         return self._know.placing.listed(part.shed_by.pop(0))
 
-    def _choose(self, part: _Part, now_ms: float) -> traffic.Upstream | None:
+    def _choose(
+        self, part: callpart.Part, now_ms: float
+    ) -> traffic.Upstream | None:
         return self._know.placing.choose(
             self.ask.route.name, part.service, frozenset(part.tried), now_ms
         )
@@ -342,7 +317,7 @@
     # Calls.
 
     def _send(
-        self, part: _Part, now_ms: float, extra: str = ""
+        self, part: callpart.Part, now_ms: float, extra: str = ""
     ) -> list[Command]:
         upstream = self._choose(part, now_ms)
         if upstream is None:
@@ -352,14 +327,14 @@
 
     def _send_to(
         self,
-        part: _Part,
+        part: callpart.Part,
         upstream: traffic.Upstream,
         now_ms: float,
         extra: str,
     ) -> list[Command]:
         call_id = self._next_call_id
         self._next_call_id += 1
-        call = _Call(
+        call = callpart.Call(
             upstream_id=upstream.upstream_id, sent_ms=now_ms, part=part
         )
         part.calls[call_id] = self._calls[call_id] = call
@@ -369,7 +344,7 @@
         self._know.placing.sent(upstream.upstream_id)
         return [Send(call_id=call_id, upstream=upstream, extra=extra)]
 
-    def _may_hedge(self, part: _Part) -> bool:
+    def _may_hedge(self, part: callpart.Part) -> bool:
         return (
             self.ask.route.idempotent
             and part.is_open()
@@ -378,7 +353,7 @@
             and len(part.sent_to) < self.ask.route.max_attempts_count
         )
 
-    def _hedge(self, part: _Part, now_ms: float) -> list[Command]:
+    def _hedge(self, part: callpart.Part, now_ms: float) -> list[Command]:
         part.hedged = True
         if not self._know.budgets.spend(part.service, HEDGE_KEEP_COUNT):
             return []
@@ -394,7 +369,7 @@
             slow_ms = min(slow_ms, HEDGE_LATEST_RATIO * to_goal_ms)
         return max(HEDGE_FLOOR_MS, slow_ms)
 
-    def _cancel_part(self, part: _Part, now_ms: float) -> list[Command]:
+    def _cancel_part(self, part: callpart.Part, now_ms: float) -> list[Command]:
         commands: list[Command] = []
         for call_id, call in part.calls.items():
             self._calls.pop(call_id, None)
--- /dev/null
+++ b/hyssoptack/revisions/__init__.py
@@ -0,0 +1,1 @@
+"""The chain of configuration revisions of the product's own interface."""
--- a/hyssoptack/platform/change.py
+++ b/hyssoptack/revisions/change.py
@@ -13,9 +13,9 @@
 import expression
 
 from hyssoptack.core import catalog
-from hyssoptack.platform import configuration
-from hyssoptack.platform import store
 from hyssoptack.policy import revision
+from hyssoptack.revisions import configuration
+from hyssoptack.revisions import store
 from hyssoptack.settings import catalog as catalog_settings
 
 TRAIL_COUNT = 20
--- a/hyssoptack/platform/configuration_test.py
+++ b/hyssoptack/revisions/configuration_test.py
@@ -1,7 +1,7 @@
 """Tests of taking configuration offers: only upwards, only whole."""
 
 from hyssoptack.core import catalog
-from hyssoptack.platform import configuration
+from hyssoptack.revisions import configuration
 from hyssoptack.settings import catalog as catalog_settings
 
 _PROFILE = "{profiles: {p: {deadline_ms: %d, coverage_floor_ratio: 0.5, "
--- a/hyssoptack/platform/follower.py
+++ b/hyssoptack/revisions/follower.py
@@ -15,11 +15,11 @@
 from hyssoptack.core import clock
 from hyssoptack.entry import state
 from hyssoptack.events import log
-from hyssoptack.platform import configuration
-from hyssoptack.platform import members
-from hyssoptack.platform import store
 from hyssoptack.policy import membership
 from hyssoptack.policy import ownership
+from hyssoptack.revisions import configuration
+from hyssoptack.revisions import members
+from hyssoptack.revisions import store
 
 MS_PER_S = 1000.0
 RETRY_MIN_MS = 100.0
--- a/hyssoptack/scripts/main.py
+++ b/hyssoptack/scripts/main.py
@@ -11,11 +11,11 @@
 
 from hyssoptack.core import catalog
 from hyssoptack.core import member
-from hyssoptack.platform import change
-from hyssoptack.platform import members as members_client
-from hyssoptack.platform import store
 from hyssoptack.reports import burn as burn_report
 from hyssoptack.reports import fleet
+from hyssoptack.revisions import change
+from hyssoptack.revisions import members as members_client
+from hyssoptack.revisions import store
 from hyssoptack.scripts import caller
 from hyssoptack.scripts import explain
 from hyssoptack.settings import catalog as catalog_settings
