--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -168,6 +168,19 @@
     digest: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SlowNotice:
+    """Upstreams whose calls take long, as one instance has measured them.
+
+    Attributes:
+        sender_id: The instance that measured.
+        slowness_ratios: Times that calls take, over the usual, by upstream.
+    """
+
+    sender_id: str
+    slowness_ratios: dict[str, float]
+
+
 Message = (
     SubQuery
     | SubAnswer
@@ -179,4 +192,5 @@
     | ConfigWanted
     | ConfigOffer
     | ViewNotice
+    | SlowNotice
 )
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -200,6 +200,7 @@
                 follower.follow_instances(),
                 follower.stay_listed(),
                 self._follow_settings(),
+                self._peering.tell_slow(),
                 self._callers.sweep(),
                 self._probes.sweep(),
                 self._pools.sweep(),
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -23,6 +23,11 @@
 """Every so many notices the list is sent again unasked, for those who missed
 it: some 10 s, in which they read for themselves."""
 
+SLOW_PERIOD_S = 0.5
+"""How often slow upstreams are told of. With 26 instances in a failure domain
+each sees an upstream too seldom to learn of it alone while it is slow (5 to
+10 s); 25 messages in this time cost it about 7 ms of processor a second."""
+
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -91,13 +96,30 @@
             self._told[peer.address] = (self._beliefs.version, digest)
             self._links.send(peer.address, notice)
 
+    async def tell_slow(self) -> None:
+        """Tells neighbours of slow upstreams, for as long as it runs."""
+        while True:
+            await asyncio.sleep(SLOW_PERIOD_S)
+            ratios = self._beliefs.placing.slow(clock.now_ms())
+            if not ratios or self._links is None:
+                continue
+            notice = message.SlowNotice(
+                sender_id=self._settings.instance_id, slowness_ratios=ratios
+            )
+            for peer in self.readers.neighbours():
+                self._links.send(peer.address, notice)
+
     def _on_undelivered(self, address: str, body: message.Message) -> None:
         self._told.pop(address, None)
 
     def _on_received(self, received: link.Received) -> None:
         for each in received.decoded.messages:
-            if isinstance(each, message.ViewNotice):
-                self._take(each)
+            match each:
+                case message.ViewNotice():
+                    self._take(each)
+                case message.SlowNotice(slowness_ratios=slowness_ratios):
+                    now_ms = clock.now_ms()
+                    self._beliefs.placing.told(slowness_ratios, now_ms)
         if received.decoded.dropped_count:
             log.write(log.Event.PEER_UNREADABLE, reason=received.decoded.reason)
 
--- a/hyssoptack/peers/codec.py
+++ b/hyssoptack/peers/codec.py
@@ -26,6 +26,7 @@
     8: message.ConfigWanted,
     9: message.ConfigOffer,
     10: message.ViewNotice,
+    11: message.SlowNotice,
 }
 """Kinds by number. Numbers are never used again for another kind."""
 
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -60,6 +60,20 @@
 """A refused call counts as one that took this many times the usual: an upstream
 that refuses time and again is then worth avoiding across failure domains."""
 
+TELL_RATIO = 2.0
+"""Neighbours are told of upstreams that are this slow or worse: below it they
+would not choose otherwise, as crossing costs as much."""
+
+TELL_FRESH_MS = 600.0
+"""A measure older than about one round of telling is not told again."""
+
+OWN_FRESH_MS = 300.0
+"""An own measure this fresh is not changed by what a neighbour says."""
+
+TOLD_WEIGHT_RATIO = 0.7
+"""Weight of a neighbour's measure: it has seen several slow calls, but may have
+seen a pause."""
+
 WINDOW_COUNT = 128
 WINDOW_STEP_COUNT = 16
 
@@ -92,6 +106,7 @@
         ejected_until_ms: No calls before this time.
         shed_until_ms: Lately had no room; others are preferred until then.
         slow_ms: When a slow call last counted.
+        told_ms: When a neighbour's measure was last taken.
     """
 
     upstream: traffic.Upstream
@@ -103,6 +118,7 @@
     ejected_until_ms: float = 0.0
     shed_until_ms: float = 0.0
     slow_ms: float = float("-inf")
+    told_ms: float = float("-inf")
 
 
 class Typical:
@@ -222,7 +238,7 @@
 
     def slowness(self, standing: Standing, now_ms: float) -> float:
         """Returns an upstream's slowness, faded by the age of its last call."""
-        age_ms = now_ms - standing.measured_ms
+        age_ms = now_ms - max(standing.measured_ms, standing.told_ms)
         weight = 0.5 ** (age_ms / FADE_HALF_LIFE_MS)
         return 1.0 + weight * (standing.slowness_ratio - 1.0)
 
@@ -233,6 +249,38 @@
             return None
         return standing.upstream
 
+    def slow(self, now_ms: float) -> dict[str, float]:
+        """Returns the slownesses that neighbours should know of.
+
+        Only what this instance lately measured itself: what it was told would
+        else go round for ever.
+        """
+        return {
+            upstream_id: round(ratio, 2)
+            for upstream_id, standing in self.standings.items()
+            if now_ms - standing.measured_ms < TELL_FRESH_MS
+            and (ratio := self.slowness(standing, now_ms)) > TELL_RATIO
+        }
+
+    def told(self, slowness_ratios: dict[str, float], now_ms: float) -> None:
+        """Takes slownesses that a neighbour has measured.
+
+        An own measure that is as fresh counts more.
+        """
+        for upstream_id, ratio in slowness_ratios.items():
+            standing = self.standings.get(upstream_id)
+            if standing is None:
+                continue
+            if now_ms - standing.measured_ms < OWN_FRESH_MS:
+                continue
+            faded = self.slowness(standing, now_ms)
+            seen = min(SLOWNESS_MAX_RATIO, ratio)
+            if seen > faded:
+                standing.slowness_ratio = faded + TOLD_WEIGHT_RATIO * (
+                    seen - faded
+                )
+                standing.told_ms = now_ms
+
     # What calls show.
 
     def sent(self, upstream_id: str) -> None:
--- a/hyssoptack/policy/placing_test.py
+++ b/hyssoptack/policy/placing_test.py
@@ -115,3 +115,26 @@
     for number in range(20):
         made.shed("near", 100.0 + 10.0 * number)
     assert choice(made, 300.0 + placing.SHED_QUIET_MS) == "far"
+
+
+def test_a_neighbours_measure_moves_calls_that_know_no_better():
+    made = known(upstream("near"), upstream("far", zone="south"))
+    made.answered("r", "near", 20.0, 0.0)
+    made.told({"near": 6.0}, 100.0)
+    # Its own measure is as fresh, and says otherwise.
+    assert choice(made, 100.0) == "near"
+    made.told({"near": 6.0, "unknown": 6.0}, 1_000.0)
+    assert choice(made, 1_000.0) == "far"
+    assert choice(made, 9_000.0) == "near"
+
+
+def test_only_own_and_fresh_measures_are_told():
+    made = known(upstream("a"), upstream("b"))
+    for number in range(40):
+        made.answered("r", "b", 20.0, number)
+    for number in range(4):
+        made.answered("r", "a", 170.0, 40.0 + 250.0 * number)
+    assert set(made.slow(800.0)) == {"a"}
+    assert not made.slow(3_000.0)
+    made.told({"b": 6.0}, 3_000.0)
+    assert not made.slow(3_000.0)
