Refuse before sending when too few shards can be reached; name the lost part

Cause: in an incident a cut failure domain sent the reachable shards' calls of queries whose floor was out of reach, and answered 502; nothing need have run. Measured: new tests failed before and pass.

--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -163,16 +163,26 @@
         self._hedge_after_ms = self._hedge_delay(now_ms)
         match ask.route.target:
             case traffic.AllShards(floor_ratio=floor_ratio):
-                self._floor_ratio = floor_ratio
+                self._floor_count = floor_ratio * len(self._parts)
             case _:
-                self._floor_ratio = 1.0
+                self._floor_count = 1.0
 
     def start(self, now_ms: float) -> list[Command]:
-        """Returns the first calls, one for each part."""
+        """Returns the first calls, one for each part.
+
+        Nothing is sent where the floor is out of reach from the start: the
+        caller is then told that nothing ran.
+        """
+        chosen = [(part, self._choose(part, now_ms)) for part in self._parts]
+        for part, upstream in chosen:
+            part.lost = upstream is None
+        if self._reachable_count() < self._floor_count:
+            return self._finish(now_ms, timed_out=False)
         commands: list[Command] = []
-        for part in self._parts:
-            self._know.budgets.earn(part.service, self._know.extra_ratio, 1)
-            commands.extend(self._send(part, now_ms))
+        for part, upstream in chosen:
+            if upstream is not None:
+                self._know.budgets.earn(part.service, self._know.extra_ratio, 1)
+                commands.extend(self._send_to(part, upstream, now_ms, ""))
         return commands + self._finish_if_due(now_ms)
 
     def next_time_ms(self) -> float:
@@ -392,24 +402,21 @@
 
     # The end.
 
-    def _covered_ratio(self) -> float:
-        answered = sum(part.reply is not None for part in self._parts)
-        return answered / len(self._parts)
+    def _answered_count(self) -> int:
+        return sum(part.reply is not None for part in self._parts)
+
+    def _reachable_count(self) -> int:
+        return sum(not part.lost for part in self._parts)
 
     def _covers_floor(self) -> bool:
-        answered = sum(part.reply is not None for part in self._parts)
-        # Counted in parts: 0.89 of 10 shards are 9.
-        return answered > 0 and answered >= self._floor_ratio * len(self._parts)
+        answered = self._answered_count()
+        return answered > 0 and answered >= self._floor_count
 
     def _finish_if_due(self, now_ms: float) -> list[Command]:
         if self.finished:
             return []
         open_count = sum(part.is_open() for part in self._parts)
-        answered = sum(part.reply is not None for part in self._parts)
-        reachable = answered + open_count
-        if reachable < self._floor_ratio * len(self._parts):
-            return self._finish(now_ms, timed_out=False)
-        if not open_count:
+        if not open_count or self._reachable_count() < self._floor_count:
             return self._finish(now_ms, timed_out=False)
         if self._covers_floor() and now_ms >= self.ask.goal_at_ms:
             return self._finish(now_ms, timed_out=False)
@@ -430,9 +437,9 @@
                 part.reply for part in self._parts if part.reply is not None
             )
             return Answer(replies=replies, part_count=len(self._parts))
-        worst = next(
-            (part for part in self._parts if part.reply is None), self._parts[0]
-        )
+        unanswered = [part for part in self._parts if part.reply is None]
+        lost = [part for part in unanswered if part.lost]
+        worst = (lost or unanswered)[0]
         reason = "deadline" if timed_out else worst.last_reason
         if self._may_have_run or out:
             reply = worst.failure if len(self._parts) == 1 else None
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -195,10 +195,28 @@
     assert isinstance(end, callplan.Answer)
 
 
-def test_a_floor_out_of_reach_ends_a_query_at_once():
+def test_a_floor_out_of_reach_ends_a_query_before_anything_is_sent():
     know = knowledge(*(upstream(f"u{i}", f"s{i}") for i in range(2)))
+    commands = plan(know, shards(4, 0.75)).start(0.0)
+    assert result(commands) == callplan.Refuse(reason="no_upstream")
+    assert not sends(commands)
+
+
+def test_a_floor_lost_on_the_way_ends_a_query_at_once():
+    know = knowledge(*(upstream(f"u{i}", f"s{i}") for i in range(4)))
     running = plan(know, shards(4, 0.75))
-    assert isinstance(result(running.start(0.0)), callplan.Fail)
+    calls = sends(running.start(0.0))
+    assert result(running.on_outcome(calls[0].call_id, FAILED, 5.0)) is None
+    end = result(running.on_outcome(calls[1].call_id, FAILED, 6.0))
+    assert isinstance(end, callplan.Fail)
+
+
+def test_a_failure_names_the_part_that_was_lost_not_one_still_open():
+    know = knowledge(*(upstream(f"u{i}", f"s{i}") for i in range(4)))
+    running = plan(know, shards(4, 1.0))
+    calls = sends(running.start(0.0))
+    end = result(running.on_outcome(calls[3].call_id, FAILED, 5.0))
+    assert end.reason == "reset"
 
 
 def test_no_upstream_at_all_is_a_refusal():
