--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -307,11 +307,13 @@
     ) -> traffic.Upstream | None:
         """Returns whom to send a part to once more, if the route allows it.
 
-        When it was sent to as many upstreams as may be, one of them that
+        When there is no other, or it was sent to as many as may be, one that
         refused is asked again: it has not run the request.
         """
         if len(part.sent_to) < self.ask.route.max_attempts_count:
-            return self._choose(part, now_ms)
+            other = self._choose(part, now_ms)
+            if other is not None:
+                return other
         if not part.shed_by or part.resend_count >= RESEND_LIMIT_COUNT:
             return None
         part.resend_count += 1
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -141,6 +141,15 @@
     assert len(asked) == 2 + callplan.RESEND_LIMIT_COUNT
 
 
+def test_the_only_upstream_is_asked_again_after_it_refused():
+    running = plan(knowledge(upstream("a")))
+    (first,) = sends(running.start(0.0))
+    (second,) = sends(running.on_outcome(first.call_id, SHED, 1.0))
+    assert second.upstream == first.upstream
+    end = result(running.on_outcome(second.call_id, answered(), 9.0))
+    assert isinstance(end, callplan.Answer)
+
+
 def test_resending_ends_with_the_budget():
     know = knowledge(upstream("a"), upstream("b"), tokens=1.0)
     running = plan(know, idempotent=False)
