Share the budget's slack by the instances that are really there

Cause: the share was set once, for 12 instances; 78 of them could have spent 890 extra calls of a slack of 196. Measured: the new test failed before (21 x 3.38 of 58), passes now.

--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -39,6 +39,10 @@
 """Extra calls of a service that a new instance may make before it has served:
 many instances may start at once."""
 
+BURST_MIN_COUNT = 2.0
+"""Extra calls saved up at the least, however many instances share the slack: a
+hedge needs two tokens, of which it leaves one for a retry."""
+
 RESTART_FIELDS = frozenset(
     (
         "callers_address",
@@ -190,7 +194,11 @@
     async def _serve_until_stopped(self) -> None:
         loop = asyncio.get_running_loop()
         follower = following.Follower(
-            self._settings, self.beliefs, self._store, self._peering
+            self._settings,
+            self.beliefs,
+            self._store,
+            self._peering,
+            self._set_budget,
         )
         tasks = [
             loop.create_task(each)
@@ -265,11 +273,11 @@
         self._set_budget()
 
     def _set_budget(self) -> None:
+        """Gives this instance its share of the slack that all have together."""
         shared = self._settings.budget
         instances_count = max(INSTANCES_ASSUMED_COUNT, self.readers.most_count)
-        self._budgets.burst_count = (
-            SLACK_SHARE_RATIO * shared.slack_count / instances_count
-        )
+        share_count = SLACK_SHARE_RATIO * shared.slack_count / instances_count
+        self._budgets.burst_count = max(BURST_MIN_COUNT, share_count)
 
     async def _finish(self, listeners: list[asyncio.Server]) -> None:
         """Turns callers away, finishes what is in progress, and ends."""
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections.abc
 import random
 
 import expression
@@ -60,11 +61,13 @@
         believed: beliefs.Beliefs,
         store: keyvalue.Client,
         peers: peering.Peering,
+        on_instances: collections.abc.Callable[[], None],
     ):
         self._settings = settings
         self._beliefs = believed
         self._store = store
         self._peers = peers
+        self._on_instances = on_instances
         self._readers = peers.readers
         self._random = random.Random()
         self._lost_since_ms: float | None = None
@@ -252,6 +255,7 @@
                 continue
             peers[peer.instance_id] = peer
         self._readers.install(peers)
+        self._on_instances()
 
     # The store's reachability.
 
--- a/hyssoptack/gateway/peering_test.py
+++ b/hyssoptack/gateway/peering_test.py
@@ -1,6 +1,7 @@
 """Gateways of one failure domain share what one of them reads."""
 
 import asyncio
+import json
 
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
@@ -70,3 +71,26 @@
             assert key in site.store.listed()
 
     asyncio.run(test())
+
+
+def test_the_shares_of_all_instances_stay_within_the_slack():
+    async def test():
+        async with harness.Site() as site:
+            await site.add_upstream("i-0", "desk")
+            site.configure(gateway_test.SINGLE)
+            for number in range(20):
+                entry = {
+                    "instance_id": f"other-{number}",
+                    "failure_domain": "south",
+                    "address": "127.0.0.1:1",
+                }
+                key = f"hyssoptack/peers/other-{number}"
+                site.store.put(key, json.dumps(entry).encode())
+            running = await site.start("g-1")
+            async with asyncio.timeout(5.0):
+                while running.readers.most_count < 21:
+                    await asyncio.sleep(0.05)
+            slack_count = site.settings["g-1"].budget.slack_count
+            assert 21 * running._budgets.burst_count <= slack_count
+
+    asyncio.run(test())
