Limit connections by the instances that share an upstream; log early refusals

Cause: the limits were fixed ratios for 3 or 4 instances a failure domain; 26 of them could have held 369 connections where 71 are accepted. What callers sent that could not be read was refused without a log line. Settings and a store call that nothing used are gone.

--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -39,6 +39,7 @@
     ACTION_UNRECORDED = (6002, "An action's outcome could not be recorded.")
     REQUEST_ENDED = (6101, "A caller's request came to its end.")
     CALL_EXTRA = (6102, "A request is sent to one more upstream.")
+    REQUEST_UNREADABLE = (6103, "A request was refused before it was read.")
     REQUEST_FAULT = (7001, "A request met a fault of ours.")
 
     @property
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -24,6 +24,7 @@
 from hyssoptack.platform import keyvalue
 from hyssoptack.policy import budget
 from hyssoptack.policy import callplan
+from hyssoptack.policy import connections
 from hyssoptack.policy import placing
 from hyssoptack.policy import readership
 from hyssoptack.settings import gateway
@@ -106,7 +107,9 @@
             settings.failure_domain,
             self._metrics,
         )
-        self._callers = callerside.Server(handler=self._serving.handle)
+        self._callers = callerside.Server(
+            handler=self._serving.handle, on_refused=serving.log_refusal
+        )
         self._probes = callerside.Server(handler=self._answer_probe)
         self._readings = callerside.Server(handler=self._answer_metrics)
         self._store = keyvalue.Client(settings.store_address, self._pools)
@@ -198,7 +201,7 @@
             self.beliefs,
             self._store,
             self._peering,
-            self._set_budget,
+            self._on_instances,
         )
         tasks = [
             loop.create_task(each)
@@ -272,6 +275,15 @@
         self._placing.settings = _placing_settings(settings)
         self._set_budget()
 
+    def _on_instances(self) -> None:
+        """Takes a new list of instances: shares go by their number."""
+        own_count = len(self.readers.neighbours()) + 1
+        self._serving.crowd = connections.Crowd(
+            own_count=own_count,
+            other_count=len(self.readers.peers) + 1 - own_count,
+        )
+        self._set_budget()
+
     def _set_budget(self) -> None:
         """Gives this instance its share of the slack that all have together."""
         shared = self._settings.budget
--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -139,8 +139,6 @@
                 ratio=0.2, window_ms=10_000.0, slack_count=58.0
             ),
             grace_ms=6_000.0,
-            drain_ms=3_000.0,
-            heartbeat_ms=1_200.0,
         )
         settings = dataclasses.replace(settings, **changes)
         started = daemon.Gateway(settings)
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import http
 
 from hyssoptack.core import clock
 from hyssoptack.core import traffic
@@ -14,6 +15,7 @@
 from hyssoptack.http1 import upstreamside
 from hyssoptack.platform import headers
 from hyssoptack.policy import callplan
+from hyssoptack.policy import connections
 from hyssoptack.policy import records
 from hyssoptack.policy import routetable
 
@@ -25,12 +27,10 @@
 """When a refused caller may come back: about as long as a full queue of an
 upstream takes to clear."""
 
-CONNECTIONS_OWN_RATIO = 0.2
-"""Share of an upstream's connections that one instance of its own failure
-domain may use: 3 to 4 instances are there, and others come for hedges."""
 
-CONNECTIONS_OTHER_RATIO = 0.07
-"""The same for an instance of another failure domain."""
+def log_refusal(status: int, reason: str) -> None:
+    """Logs a request that was refused before its id was known."""
+    log.write(log.Event.REQUEST_UNREADABLE, status=status, reason=reason)
 
 
 class Serving:
@@ -47,21 +47,25 @@
         self._knowledge = knowledge
         self.metrics = counted
         self._failure_domain = failure_domain
+        self.crowd = connections.Crowd()
         self.running: set[Running] = set()
 
     def handle(self, exchange: callerside.Exchange) -> None:
         """Serves one request."""
         facts = headers.caller_facts(exchange.request)
         if isinstance(facts, str):
-            exchange.answer(message.problem(400, facts))
+            exchange.answer(message.problem(http.HTTPStatus.BAD_REQUEST, facts))
+            log_refusal(http.HTTPStatus.BAD_REQUEST, facts)
             return
         path = exchange.request.path.decode("latin-1")
         found = self._beliefs.table.find(facts.host, path)
         match found:
             case routetable.Miss.NOT_CONFIGURED:
-                self._refuse(exchange, facts, 503, found.value)
+                status = http.HTTPStatus.SERVICE_UNAVAILABLE
+                self._refuse(exchange, facts, status, found.value)
             case routetable.Miss.NO_ROUTE:
-                self._refuse(exchange, facts, 404, found.value)
+                status = http.HTTPStatus.NOT_FOUND
+                self._refuse(exchange, facts, status, found.value)
             case routetable.Found():
                 Running(self, exchange, facts, found).start()
 
@@ -72,7 +76,8 @@
         status: int,
         reason: str,
     ) -> None:
-        wait_ms = RETRY_AFTER_MS if status == 503 else None
+        comes_back = status == http.HTTPStatus.SERVICE_UNAVAILABLE
+        wait_ms = RETRY_AFTER_MS if comes_back else None
         self.metrics.requests.inc({"route": "", "status": str(status)})
         exchange.answer(message.problem(status, reason, wait_ms))
         log.write(
@@ -105,9 +110,11 @@
         )
         if service is None:
             return 1
-        own = upstream.failure_domain == self._failure_domain
-        ratio = CONNECTIONS_OWN_RATIO if own else CONNECTIONS_OTHER_RATIO
-        return max(2, round(ratio * service.max_connections_count))
+        return connections.limit_count(
+            service.max_connections_count,
+            upstream.failure_domain == self._failure_domain,
+            self.crowd,
+        )
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -285,11 +292,17 @@
                     {"route": self._route.name}, part_count - len(replies)
                 )
             case callplan.Refuse(reason=detail):
-                reply = message.problem(503, detail, RETRY_AFTER_MS)
+                status = http.HTTPStatus.SERVICE_UNAVAILABLE
+                reply = message.problem(status, detail, RETRY_AFTER_MS)
             case callplan.Fail(reason=detail, reply=message.Reply() as failure):
                 reply = headers.single_reply(failure)
             case callplan.Fail(reason=detail, timed_out=timed_out):
-                reply = message.problem(504 if timed_out else 502, detail)
+                status = (
+                    http.HTTPStatus.GATEWAY_TIMEOUT
+                    if timed_out
+                    else http.HTTPStatus.BAD_GATEWAY
+                )
+                reply = message.problem(status, detail)
         self._exchange.answer(reply)
         self._end(reply.status, detail)
 
--- a/hyssoptack/http1/callerside.py
+++ b/hyssoptack/http1/callerside.py
@@ -45,11 +45,6 @@
         self._answered = False
         self.on_left: collections.abc.Callable[[], None] | None = None
 
-    @property
-    def open(self) -> bool:
-        """Whether the caller still waits for the answer."""
-        return not self._answered and not self._connection.lost
-
     def answer(self, reply: message.Reply) -> None:
         """Writes the answer; a second one, or one to nobody, is dropped."""
         if self._answered:
@@ -77,9 +72,11 @@
         limits: Limits in force; replaced with the configuration.
         connections: All open connections.
         closing: Whether connections are closed after their next answer.
+        on_refused: Told of status and reason when input can't be taken.
     """
 
     handler: Handler
+    on_refused: collections.abc.Callable[[int, str], None] | None = None
     limits: traffic.Limits = dataclasses.field(default_factory=traffic.Limits)
     connections: set["CallerConnection"] = dataclasses.field(
         default_factory=set
@@ -262,6 +259,8 @@
         """Answers what can't be read, and ends the connection."""
         if self._ending:
             return
+        if self._server.on_refused is not None:
+            self._server.on_refused(status, reason)
         if self._current is None:
             reply = message.problem(status, reason)
             self._write(message.reply_bytes(reply, keep_alive=False))
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -36,9 +36,6 @@
 PAGE_LIMIT_COUNT = 400
 """Most pages of one range: 200,000 items, far over what is kept there."""
 
-ABSENT_REVISION = 0
-"""The revision of a key that does not exist, in a write's conditions."""
-
 
 class Trouble(enum.Enum):
     """Why a call brought nothing."""
@@ -207,10 +204,6 @@
         """Renews a lease."""
         return await self._call("POST", f"kv-keep/{lease}", {})
 
-    async def end(self, lease: int) -> expression.Result[bytes, Failure]:
-        """Ends a lease; its keys go."""
-        return await self._call("DELETE", f"kv-lease-end/{lease}", {})
-
     async def put(
         self, key: str, value: bytes, lease: int
     ) -> expression.Result[bytes, Failure]:
--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -46,8 +46,6 @@
             than it leave it listed; a dead one costs its neighbours a few
             messages until it ends.
         grace_ms: From a stop signal to the kill.
-        drain_ms: How soon a leaving upstream must get nothing more.
-        heartbeat_ms: How often upstreams renew their entries.
         budget: The budget for extra calls.
         crossing_ratio: What a call into another failure domain must gain to
             be worth its network price, as a multiple of what calls of its
@@ -63,8 +61,6 @@
     store_address: str
     budget: BudgetSettings
     grace_ms: float
-    drain_ms: float
-    heartbeat_ms: float
     lease_min_ms: float = 1_000.0
     lease_ms: float = 10_000.0
     peer_address: str = ""
@@ -118,7 +114,6 @@
         )
     positive = {
         "grace_ms": settings.grace_ms,
-        "drain_ms": settings.drain_ms,
         "lease_ms": settings.lease_ms,
         "budget.window_ms": settings.budget.window_ms,
     }
