--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -17,15 +17,18 @@
 class BudgetSettings:
     """The budget for extra calls that all instances share.
 
+    The defaults are for a platform that names no budget: a tenth, as the users'
+    profiles allowed at the least, and nothing besides.
+
     Attributes:
         ratio: Extra calls allowed for each request for a service.
         window_ms: The span over which they are counted.
         slack_count: Extra calls allowed besides, in one span.
     """
 
-    ratio: float
-    window_ms: float
-    slack_count: float
+    ratio: float = 0.1
+    window_ms: float = 10_000.0
+    slack_count: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -60,7 +63,7 @@
     readiness_address: str
     store_address: str
     budget: BudgetSettings
-    grace_ms: float
+    grace_ms: float = 6_000.0
     lease_min_ms: float = 1_000.0
     lease_ms: float = 10_000.0
     peer_address: str = ""
--- /dev/null
+++ b/hyssoptack/settings/gateway_test.py
@@ -0,0 +1,65 @@
+"""Settings of a gateway: JSON or YAML, defaults, and clear errors."""
+
+import json
+
+import pytest
+
+from hyssoptack.settings import gateway
+
+LEAST = {
+    "instance_id": "g-1",
+    "failure_domain": "north",
+    "failure_domains": {"north": "wales"},
+    "callers_address": "127.0.0.1:1",
+    "readiness_address": "127.0.0.1:2",
+    "store_address": "127.0.0.1:3",
+    "budget": {},
+}
+
+
+def parse(**changes):
+    return gateway.parse(json.dumps(LEAST | changes).encode())
+
+
+def test_the_least_settings_have_defaults_for_the_rest():
+    settings = parse().ok
+    assert settings.grace_ms == 6_000.0
+    assert settings.budget.ratio == 0.1
+
+
+def test_figures_may_be_fractions():
+    # The platform gives seconds; the template makes 6.5 into 6.5e3.
+    data = json.dumps(LEAST).encode()[:-1] + b', "grace_ms": 6.5e3}'
+    assert gateway.parse(data).ok.grace_ms == 6_500.0
+
+
+def test_yaml_is_read_as_well():
+    data = b"""
+instance_id: g-1
+failure_domain: north
+failure_domains: {north: wales}
+callers_address: 127.0.0.1:1
+readiness_address: 127.0.0.1:2
+store_address: 127.0.0.1:3
+budget: {ratio: 0.2}
+"""
+    assert gateway.parse(data).ok.budget.ratio == 0.2
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"callers_address": "nowhere"}, "callers_address"),
+        ({"failure_domain": "south"}, "failure_domain"),
+        ({"grace_ms": 0}, "grace_ms"),
+        ({"grace_ms": "long"}, "grace_ms"),
+        ({"budget": {"ratio": -1}}, "budget.ratio"),
+    ],
+)
+def test_a_bad_value_is_named(changes, named):
+    assert named in parse(**changes).error
+
+
+def test_a_missing_file_is_an_error_value(tmp_path):
+    path = str(tmp_path / "none.yaml")
+    assert path in gateway.load(path).error
