Clear what an executor owes once it has answered

Cause: Actor._ask_peer noted an awaited answer and never took the note back; only a heartbeat of that very peer did. With suspect_after_ms of 3 s and gossip to random peers, a front avoided the only owner of an upstream 3 s after it had asked it, which both known red tests of actions saw: view_changed lines came 3.0 s after the first asks in three instances. Ruled out: late heartbeats as such (usable counts fell only for instances that had been asked).

--- a/hyssoptack/entry/actor.py
+++ b/hyssoptack/entry/actor.py
@@ -139,6 +139,8 @@
             if not self._send_to(lane.instance_id, ask):
                 return _unsent()
             outcome = await asyncio.wait_for(done, ask.remaining_ms / MS_PER_S)
+            if outcome is not None:
+                self._state.awaited.heard(lane.instance_id)
             return outcome if outcome is not None else _unsent()
         except TimeoutError:
             return await self._settle(ask)
