Decide for one part of a query without looking at all others

Cause: after each outcome a plan counted all its parts three times and looked for the next hedge among all of them: the work of a query grew with the square of its shards, and was over half of the gateway's own processor time at 36.

Now the counts are kept, and calls that wait for their hedge stand in a queue in order of time. Outcomes and commands moved to policy/callcommand.py; unused CallPlan.upstream_of, extra_count and Part.refused_by are gone.

New test: function calls a part with 360 parts over those with 36, at most 1.1; failed before (grew with the count).

--- a/hyssoptack/entry/actor_test.py
+++ b/hyssoptack/entry/actor_test.py
@@ -51,9 +51,7 @@
 
     async def run() -> action.Outcome:
         def send_to(_instance_id: str, ask: message.ActionAsk) -> bool:
-            reply = message.ActionReply(
-                request_id=ask.request_id, outcome=done
-            )
+            reply = message.ActionReply(request_id=ask.request_id, outcome=done)
             asyncio.get_running_loop().call_soon(acting.on_reply, reply)
             return True
 
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -14,6 +14,7 @@
 from hyssoptack.http1 import message
 from hyssoptack.http1 import upstreamside
 from hyssoptack.platform import headers
+from hyssoptack.policy import callcommand
 from hyssoptack.policy import callplan
 from hyssoptack.policy import connections
 from hyssoptack.policy import records
@@ -182,19 +183,19 @@
         self._exchange.on_left = self._left
         self._carry(self._plan.start(self._now_ms))
 
-    def _carry(self, commands: list[callplan.Command]) -> None:
+    def _carry(self, commands: list[callcommand.Command]) -> None:
         for command in commands:
             match command:
-                case callplan.Send():
+                case callcommand.Send():
                     self._send(command)
-                case callplan.Cancel(call_id=call_id):
+                case callcommand.Cancel(call_id=call_id):
                     self._cancel(call_id)
-                case callplan.Finish(result=result):
+                case callcommand.Finish(result=result):
                     self._finish(result)
         if not self._plan.finished:
             self._arm()
 
-    def _send(self, command: callplan.Send) -> None:
+    def _send(self, command: callcommand.Send) -> None:
         upstream = command.upstream
         call_id = command.call_id
         self._traces[call_id] = _Trace(
@@ -237,7 +238,7 @@
         trace.took_ms = clock.now_ms() - trace.sent_ms
         counted = self._serving.metrics
         counted.calls.inc({"service": trace.service, "outcome": outcome})
-        if outcome == callplan.Kind.ANSWERED.value:
+        if outcome == callcommand.Kind.ANSWERED.value:
             counted.call_ms.observe({"service": trace.service}, trace.took_ms)
 
     def _on_outcome(self, call_id: int, outcome: upstreamside.Outcome) -> None:
@@ -249,15 +250,15 @@
             self._log_unreachable(call_id, read)
         self._carry(self._plan.on_outcome(call_id, read, self._now_ms))
 
-    def _read(self, outcome: upstreamside.Outcome) -> callplan.Outcome:
+    def _read(self, outcome: upstreamside.Outcome) -> callcommand.Outcome:
         match outcome:
             case upstreamside.Broken(reason=reason, sent=False):
-                return callplan.Outcome(
-                    kind=callplan.Kind.NOT_RUN, reason=reason, reached=False
+                return callcommand.Outcome(
+                    kind=callcommand.Kind.NOT_RUN, reason=reason, reached=False
                 )
             case upstreamside.Broken(reason=reason):
-                return callplan.Outcome(
-                    kind=callplan.Kind.FAILED, reason=reason
+                return callcommand.Outcome(
+                    kind=callcommand.Kind.FAILED, reason=reason
                 )
             case message.Reply() if isinstance(
                 self._route.target, traffic.AllShards
@@ -283,20 +284,22 @@
         self._carry(self._plan.abandon(self._now_ms))
         self._end(0, "caller_left")
 
-    def _finish(self, result: callplan.Result) -> None:
+    def _finish(self, result: callcommand.Result) -> None:
         match result:
-            case callplan.Answer(replies=replies, part_count=part_count):
+            case callcommand.Answer(replies=replies, part_count=part_count):
                 reply = self._answer(replies, part_count)
                 detail = f"{len(replies)}/{part_count}"
                 self._serving.metrics.parts_left_out.add(
                     {"route": self._route.name}, part_count - len(replies)
                 )
-            case callplan.Refuse(reason=detail):
+            case callcommand.Refuse(reason=detail):
                 status = http.HTTPStatus.SERVICE_UNAVAILABLE
                 reply = message.problem(status, detail, RETRY_AFTER_MS)
-            case callplan.Fail(reason=detail, reply=message.Reply() as failure):
+            case callcommand.Fail(
+                reason=detail, reply=message.Reply() as failure
+            ):
                 reply = headers.single_reply(failure)
-            case callplan.Fail(reason=detail, timed_out=timed_out):
+            case callcommand.Fail(reason=detail, timed_out=timed_out):
                 status = (
                     http.HTTPStatus.GATEWAY_TIMEOUT
                     if timed_out
@@ -348,7 +351,7 @@
         counted.requests.inc({**labels, "status": str(status)})
         counted.request_ms.observe(labels, took_ms)
 
-    def _log_extra(self, command: callplan.Send) -> None:
+    def _log_extra(self, command: callcommand.Send) -> None:
         self._serving.metrics.extra_calls.inc(
             {"service": command.upstream.service, "why": command.extra}
         )
@@ -361,7 +364,7 @@
             after_ms=round(self._now_ms - self._exchange.request.received_ms),
         )
 
-    def _log_unreachable(self, call_id: int, read: callplan.Outcome) -> None:
+    def _log_unreachable(self, call_id: int, read: callcommand.Outcome) -> None:
         log.write(
             log.Event.UPSTREAM_UNREACHABLE,
             request_id=self._facts.request_id.decode("latin-1"),
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -7,7 +7,7 @@
 
 from hyssoptack.core import traffic
 from hyssoptack.http1 import message
-from hyssoptack.policy import callplan
+from hyssoptack.policy import callcommand
 
 READINESS_PATH = b"/hyssoptack/readiness"
 REQUEST_ID = b"x-request-id"
@@ -81,7 +81,7 @@
     )
 
 
-def outcome(reply: message.Reply) -> callplan.Outcome:
+def outcome(reply: message.Reply) -> callcommand.Outcome:
     """Reads what an upstream's reply says about the request.
 
     Args:
@@ -92,12 +92,14 @@
         upstream's at its address, says that the request has not run.
     """
     if reply.status == STATUS_MISDIRECTED:
-        return callplan.Outcome(
-            kind=callplan.Kind.NOT_RUN, reply=reply, reason="other_upstream"
+        return callcommand.Outcome(
+            kind=callcommand.Kind.NOT_RUN, reply=reply, reason="other_upstream"
         )
     if reply.value(_NOT_RUN):
-        return callplan.Outcome(
-            kind=callplan.Kind.SHED, reply=reply, reason=f"shed_{reply.status}"
+        return callcommand.Outcome(
+            kind=callcommand.Kind.SHED,
+            reply=reply,
+            reason=f"shed_{reply.status}",
         )
     signed = bool(reply.value(_SIGNATURE))
     success = 200 <= reply.status < 300
@@ -107,27 +109,27 @@
         return _failed("unsigned_success")
     passable = signed and reply.status not in STATUS_PROMISES
     if success or (passable and 400 <= reply.status < 500):
-        return callplan.Outcome(kind=callplan.Kind.ANSWERED, reply=reply)
-    return callplan.Outcome(
-        kind=callplan.Kind.FAILED,
+        return callcommand.Outcome(kind=callcommand.Kind.ANSWERED, reply=reply)
+    return callcommand.Outcome(
+        kind=callcommand.Kind.FAILED,
         reply=reply if passable else None,
         reason=f"status_{reply.status}",
     )
 
 
-def part_outcome(reply: message.Reply) -> callplan.Outcome:
+def part_outcome(reply: message.Reply) -> callcommand.Outcome:
     """Reads a reply that is to be part of a merged answer.
 
     A failure is no part, even where it would do as an answer of its own.
     """
     read = outcome(reply)
-    if read.kind is callplan.Kind.ANSWERED and reply.status != 200:
+    if read.kind is callcommand.Kind.ANSWERED and reply.status != 200:
         return _failed(f"status_{reply.status}")
     return read
 
 
-def _failed(reason: str) -> callplan.Outcome:
-    return callplan.Outcome(kind=callplan.Kind.FAILED, reason=reason)
+def _failed(reason: str) -> callcommand.Outcome:
+    return callcommand.Outcome(kind=callcommand.Kind.FAILED, reason=reason)
 
 
 def single_reply(reply: message.Reply) -> message.Reply:
--- /dev/null
+++ b/hyssoptack/policy/callcommand.py
@@ -0,0 +1,88 @@
+"""What a request's plan is told of its calls, and what it asks for.
+
+The runner feeds outcomes in and carries commands out (`policy.callplan`).
+"""
+
+import dataclasses
+import enum
+
+from hyssoptack.core import traffic
+
+
+class Kind(enum.Enum):
+    """What a call's outcome says about the request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    SHED = "shed"
+    FAILED = "failed"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What became of a call.
+
+    Attributes:
+        kind: What it says about the request.
+        reply: The upstream's reply, if a whole one came.
+        reason: What was seen, for logs.
+        reached: Whether the upstream may have seen the request.
+    """
+
+    kind: Kind
+    reply: object = None
+    reason: str = ""
+    reached: bool = True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Send:
+    """Call an upstream; `extra` says why it is not the part's first call."""
+
+    call_id: int
+    upstream: traffic.Upstream
+    extra: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cancel:
+    """Give up a call."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answer:
+    """Answer with these replies, in the order of their parts."""
+
+    replies: tuple[object, ...]
+    part_count: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Refuse:
+    """Nothing ran, and nothing will; the caller may come back."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fail:
+    """It may have run; `reply` is an upstream's failure to pass on, if any."""
+
+    reason: str
+    timed_out: bool
+    reply: object = None
+
+
+Result = Answer | Refuse | Fail
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Finish:
+    """The request's end."""
+
+    result: Result
+
+
+Command = Send | Cancel | Finish
--- a/hyssoptack/policy/callpart.py
+++ b/hyssoptack/policy/callpart.py
@@ -1,4 +1,4 @@
-"""The state of one part of a request: a shard, or the only service."""
+"""The state of a request's parts: its shards, or its only service."""
 
 import dataclasses
 
@@ -7,6 +7,7 @@
 class Call:
     """One call that is out."""
 
+    call_id: int
     upstream_id: str
     sent_ms: float
     part: "Part"
@@ -46,11 +47,37 @@
         """Whether an answer is still wanted."""
         return self.reply is None and not self.lost
 
-    def refused_by(self, upstream_id: str) -> None:
-        """Notes an upstream that has not run it and may be asked again."""
-        self.shed_by.append(upstream_id)
-
     def unreached(self, upstream_id: str) -> None:
         """Notes an upstream that saw nothing of the last call."""
         if not self.resend_count:
             self.sent_to.discard(upstream_id)
+
+
+class Parts:
+    """All parts of a request, with counts that cost no look at each of them."""
+
+    def __init__(self, services: tuple[str, ...]):
+        self.all = [Part(service=each) for each in services]
+        self.answered_count = 0
+        self.lost_count = 0
+
+    @property
+    def open_count(self) -> int:
+        """Parts that an answer is still wanted for."""
+        return len(self.all) - self.answered_count - self.lost_count
+
+    @property
+    def reachable_count(self) -> int:
+        """Parts that are answered or may still be."""
+        return len(self.all) - self.lost_count
+
+    def answer(self, part: Part, reply: object) -> None:
+        """Takes the answer of an open part."""
+        part.reply = reply
+        self.answered_count += 1
+
+    def lose(self, part: Part) -> None:
+        """Gives an open part up."""
+        if part.is_open():
+            part.lost = True
+            self.lost_count += 1
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -9,11 +9,12 @@
 budget and counts towards the route's attempts.
 """
 
+import collections
 import dataclasses
-import enum
 
 from hyssoptack.core import traffic
 from hyssoptack.policy import budget
+from hyssoptack.policy import callcommand
 from hyssoptack.policy import callpart
 from hyssoptack.policy import placing
 
@@ -42,85 +43,6 @@
 """Kept back from the caller's deadline to write the answer and carry it."""
 
 
-class Kind(enum.Enum):
-    """What a call's outcome says about the request."""
-
-    ANSWERED = "answered"
-    NOT_RUN = "not_run"
-    SHED = "shed"
-    FAILED = "failed"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Outcome:
-    """What became of a call.
-
-    Attributes:
-        kind: What it says about the request.
-        reply: The upstream's reply, if a whole one came.
-        reason: What was seen, for logs.
-        reached: Whether the upstream may have seen the request.
-    """
-
-    kind: Kind
-    reply: object = None
-    reason: str = ""
-    reached: bool = True
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Send:
-    """Call an upstream; `extra` says why it is not the part's first call."""
-
-    call_id: int
-    upstream: traffic.Upstream
-    extra: str = ""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Cancel:
-    """Give up a call."""
-
-    call_id: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Answer:
-    """Answer with these replies, in the order of their parts."""
-
-    replies: tuple[object, ...]
-    part_count: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Refuse:
-    """Nothing ran, and nothing will; the caller may come back."""
-
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Fail:
-    """It may have run; `reply` is an upstream's failure to pass on, if any."""
-
-    reason: str
-    timed_out: bool
-    reply: object = None
-
-
-Result = Answer | Refuse | Fail
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Finish:
-    """The request's end."""
-
-    result: Result
-
-
-Command = Send | Cancel | Finish
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ask:
     """One request, as the plan needs it.
@@ -153,32 +75,35 @@
     def __init__(self, ask: Ask, knowledge: Knowledge, now_ms: float):
         self.ask = ask
         self._know = knowledge
-        self._parts = [callpart.Part(service=each) for each in ask.services]
+        self._parts = callpart.Parts(ask.services)
         self._calls: dict[int, callpart.Call] = {}
         self._next_call_id = 1
         self._may_have_run = False
         self.finished = False
-        self.extra_count = 0
+        self._unhedged: collections.deque[callpart.Call] = collections.deque()
         self._ends_ms = max(now_ms, ask.ends_at_ms - END_MARGIN_MS)
         self._hedge_after_ms = self._hedge_delay(now_ms)
         match ask.route.target:
             case traffic.AllShards(floor_ratio=floor_ratio):
-                self._floor_count = floor_ratio * len(self._parts)
+                self._floor_count = floor_ratio * len(self._parts.all)
             case _:
                 self._floor_count = 1.0
 
-    def start(self, now_ms: float) -> list[Command]:
+    def start(self, now_ms: float) -> list[callcommand.Command]:
         """Returns the first calls, one for each part.
 
         Nothing is sent where the floor is out of reach from the start: the
         caller is then told that nothing ran.
         """
-        chosen = [(part, self._choose(part, now_ms)) for part in self._parts]
+        chosen = [
+            (part, self._choose(part, now_ms)) for part in self._parts.all
+        ]
         for part, upstream in chosen:
-            part.lost = upstream is None
-        if self._reachable_count() < self._floor_count:
+            if upstream is None:
+                self._parts.lose(part)
+        if self._parts.reachable_count < self._floor_count:
             return self._finish(now_ms, timed_out=False)
-        commands: list[Command] = []
+        commands: list[callcommand.Command] = []
         for part, upstream in chosen:
             if upstream is not None:
                 self._know.budgets.earn(part.service, self._know.extra_ratio, 1)
@@ -187,31 +112,41 @@
 
     def next_time_ms(self) -> float:
         """Returns when `on_time` should be called next."""
-        times = [self._ends_ms]
+        next_ms = self._ends_ms
         if self._covers_floor():
-            times.append(self.ask.goal_at_ms)
-        for part in self._parts:
-            if self._may_hedge(part):
-                call = next(iter(part.calls.values()))
-                times.append(call.sent_ms + self._hedge_after_ms)
-        return min(times)
-
-    def on_time(self, now_ms: float) -> list[Command]:
+            next_ms = min(next_ms, self.ask.goal_at_ms)
+        call = self._next_unhedged()
+        if call is not None:
+            next_ms = min(next_ms, call.sent_ms + self._hedge_after_ms)
+        return next_ms
+
+    def on_time(self, now_ms: float) -> list[callcommand.Command]:
         """Returns what time alone brings: hedges, or the end."""
         if self.finished:
             return []
-        commands: list[Command] = []
-        for part in self._parts:
-            if not self._may_hedge(part):
-                continue
-            call = next(iter(part.calls.values()))
-            if now_ms >= call.sent_ms + self._hedge_after_ms:
-                commands.extend(self._hedge(part, now_ms))
+        commands: list[callcommand.Command] = []
+        while call := self._next_unhedged():
+            if now_ms < call.sent_ms + self._hedge_after_ms:
+                break
+            self._unhedged.popleft()
+            commands.extend(self._hedge(call.part, now_ms))
         return commands + self._finish_if_due(now_ms)
 
+    def _next_unhedged(self) -> callpart.Call | None:
+        """Returns the oldest call that may be hedged, if there is one.
+
+        All calls of a request wait for the same time, so they stand in order.
+        """
+        while self._unhedged:
+            call = self._unhedged[0]
+            if call.call_id in call.part.calls and self._may_hedge(call.part):
+                return call
+            self._unhedged.popleft()
+        return None
+
     def on_outcome(
-        self, call_id: int, outcome: Outcome, now_ms: float
-    ) -> list[Command]:
+        self, call_id: int, outcome: callcommand.Outcome, now_ms: float
+    ) -> list[callcommand.Command]:
         """Takes what became of a call; an unknown call changes nothing."""
         call = self._calls.pop(call_id, None)
         if call is None:
@@ -226,78 +161,73 @@
         commands = self._take(part, call.upstream_id, outcome, now_ms)
         return commands + self._finish_if_due(now_ms)
 
-    def abandon(self, now_ms: float) -> list[Command]:
+    def abandon(self, now_ms: float) -> list[callcommand.Command]:
         """Gives everything up: the caller has left."""
         self.finished = True
         return self._cancel_all(now_ms)
 
-    def upstream_of(self, call_id: int) -> str:
-        """Returns the upstream of an open call, or nothing."""
-        call = self._calls.get(call_id)
-        return call.upstream_id if call else ""
-
     # Outcomes of calls.
 
     def _learn(
-        self, call: callpart.Call, outcome: Outcome, now_ms: float
+        self, call: callpart.Call, outcome: callcommand.Outcome, now_ms: float
     ) -> None:
         know = self._know.placing
         match outcome.kind:
-            case Kind.ANSWERED:
+            case callcommand.Kind.ANSWERED:
                 elapsed_ms = now_ms - call.sent_ms
                 name = self.ask.route.name
                 know.answered(name, call.upstream_id, elapsed_ms, now_ms)
-            case Kind.SHED:
+            case callcommand.Kind.SHED:
                 know.shed(call.upstream_id, now_ms)
-            case Kind.NOT_RUN if not outcome.reached:
+            case callcommand.Kind.NOT_RUN if not outcome.reached:
                 know.unreachable(call.upstream_id, now_ms)
-            case Kind.NOT_RUN:
+            case callcommand.Kind.NOT_RUN:
                 know.failed(call.upstream_id, now_ms)
-            case Kind.FAILED:
+            case callcommand.Kind.FAILED:
                 know.failed(call.upstream_id, now_ms)
 
     def _take(
         self,
         part: callpart.Part,
         upstream_id: str,
-        outcome: Outcome,
+        outcome: callcommand.Outcome,
         now_ms: float,
-    ) -> list[Command]:
+    ) -> list[callcommand.Command]:
         if not part.is_open():
             return []
         match outcome.kind:
-            case Kind.ANSWERED:
-                part.reply = outcome.reply
+            case callcommand.Kind.ANSWERED:
+                self._parts.answer(part, outcome.reply)
                 self._may_have_run = True
                 return self._cancel_part(part, now_ms)
-            case Kind.FAILED:
+            case callcommand.Kind.FAILED:
                 self._may_have_run = True
                 part.failure = outcome.reply or part.failure
                 if not self.ask.route.idempotent:
-                    part.lost = True
+                    self._parts.lose(part)
                     return []
                 return self._again(part, "retry", now_ms)
-            case Kind.NOT_RUN if not outcome.reached:
+            case callcommand.Kind.NOT_RUN if not outcome.reached:
                 # Nothing was sent: it is no attempt, and costs no budget.
                 part.unreached(upstream_id)
                 return [] if part.calls else self._send(part, now_ms, "reroute")
-            case Kind.SHED | Kind.NOT_RUN:
-                if outcome.kind is Kind.SHED:
-                    part.refused_by(upstream_id)
+            case callcommand.Kind.SHED | callcommand.Kind.NOT_RUN:
+                if outcome.kind is callcommand.Kind.SHED:
+                    part.shed_by.append(upstream_id)
                 return self._again(part, outcome.kind.value, now_ms)
 
     def _again(
         self, part: callpart.Part, why: str, now_ms: float
-    ) -> list[Command]:
+    ) -> list[callcommand.Command]:
         """Sends a part once more, unless a call is out or none may be."""
         if part.calls:
             return []
         upstream = self._next_upstream(part, now_ms)
         if upstream is None:
-            part.lost = True
+            self._parts.lose(part)
             return []
         if not self._know.budgets.spend(part.service):
-            part.lost = True
+            self._parts.lose(part)
             part.last_reason = "no_retry_budget"
             return []
         return self._send_to(part, upstream, now_ms, why)
@@ -330,10 +260,11 @@
 
     def _send(
         self, part: callpart.Part, now_ms: float, extra: str = ""
-    ) -> list[Command]:
+    ) -> list[callcommand.Command]:
         upstream = self._choose(part, now_ms)
         if upstream is None:
-            part.lost = not part.calls
+            if not part.calls:
+                self._parts.lose(part)
             return []
         return self._send_to(part, upstream, now_ms, extra)
 
@@ -343,18 +274,23 @@
         upstream: traffic.Upstream,
         now_ms: float,
         extra: str,
-    ) -> list[Command]:
+    ) -> list[callcommand.Command]:
         call_id = self._next_call_id
         self._next_call_id += 1
         call = callpart.Call(
-            upstream_id=upstream.upstream_id, sent_ms=now_ms, part=part
+            call_id=call_id,
+            upstream_id=upstream.upstream_id,
+            sent_ms=now_ms,
+            part=part,
         )
         part.calls[call_id] = self._calls[call_id] = call
         part.tried.add(upstream.upstream_id)
         part.sent_to.add(upstream.upstream_id)
-        self.extra_count += bool(extra)
+        self._unhedged.append(call)
         self._know.placing.sent(upstream.upstream_id)
-        return [Send(call_id=call_id, upstream=upstream, extra=extra)]
+        return [
+            callcommand.Send(call_id=call_id, upstream=upstream, extra=extra)
+        ]
 
     def _may_hedge(self, part: callpart.Part) -> bool:
         return (
@@ -365,7 +301,9 @@
             and len(part.sent_to) < self.ask.route.max_attempts_count
         )
 
-    def _hedge(self, part: callpart.Part, now_ms: float) -> list[Command]:
+    def _hedge(
+        self, part: callpart.Part, now_ms: float
+    ) -> list[callcommand.Command]:
         part.hedged = True
         if not self._know.budgets.spend(part.service, HEDGE_KEEP_COUNT):
             return []
@@ -381,8 +319,10 @@
             slow_ms = min(slow_ms, HEDGE_LATEST_RATIO * to_goal_ms)
         return max(HEDGE_FLOOR_MS, slow_ms)
 
-    def _cancel_part(self, part: callpart.Part, now_ms: float) -> list[Command]:
-        commands: list[Command] = []
+    def _cancel_part(
+        self, part: callpart.Part, now_ms: float
+    ) -> list[callcommand.Command]:
+        commands: list[callcommand.Command] = []
         for call_id, call in part.calls.items():
             self._calls.pop(call_id, None)
             self._know.placing.ended(call.upstream_id)
@@ -392,33 +332,27 @@
                 now_ms - call.sent_ms,
                 now_ms,
             )
-            commands.append(Cancel(call_id=call_id))
+            commands.append(callcommand.Cancel(call_id=call_id))
         part.calls.clear()
         return commands
 
-    def _cancel_all(self, now_ms: float) -> list[Command]:
-        commands: list[Command] = []
-        for part in self._parts:
+    def _cancel_all(self, now_ms: float) -> list[callcommand.Command]:
+        commands: list[callcommand.Command] = []
+        for part in self._parts.all:
             commands.extend(self._cancel_part(part, now_ms))
         return commands
 
     # The end.
 
-    def _answered_count(self) -> int:
-        return sum(part.reply is not None for part in self._parts)
-
-    def _reachable_count(self) -> int:
-        return sum(not part.lost for part in self._parts)
-
     def _covers_floor(self) -> bool:
-        answered = self._answered_count()
-        return answered > 0 and answered >= self._floor_count
+        answered_count = self._parts.answered_count
+        return answered_count > 0 and answered_count >= self._floor_count
 
-    def _finish_if_due(self, now_ms: float) -> list[Command]:
+    def _finish_if_due(self, now_ms: float) -> list[callcommand.Command]:
         if self.finished:
             return []
-        open_count = sum(part.is_open() for part in self._parts)
-        if not open_count or self._reachable_count() < self._floor_count:
+        reachable_count = self._parts.reachable_count
+        if not self._parts.open_count or reachable_count < self._floor_count:
             return self._finish(now_ms, timed_out=False)
         if self._covers_floor() and now_ms >= self.ask.goal_at_ms:
             return self._finish(now_ms, timed_out=False)
@@ -426,24 +360,30 @@
             return self._finish(now_ms, timed_out=True)
         return []
 
-    def _finish(self, now_ms: float, timed_out: bool) -> list[Command]:
+    def _finish(
+        self, now_ms: float, timed_out: bool
+    ) -> list[callcommand.Command]:
         self.finished = True
         # A call that is still out may run at any moment.
         out = bool(self._calls)
         result = self._result(timed_out, out)
-        return [*self._cancel_all(now_ms), Finish(result=result)]
+        return [*self._cancel_all(now_ms), callcommand.Finish(result=result)]
 
-    def _result(self, timed_out: bool, out: bool) -> Result:
+    def _result(self, timed_out: bool, out: bool) -> callcommand.Result:
         if self._covers_floor():
             replies = tuple(
-                part.reply for part in self._parts if part.reply is not None
+                part.reply for part in self._parts.all if part.reply is not None
+            )
+            return callcommand.Answer(
+                replies=replies, part_count=len(self._parts.all)
             )
-            return Answer(replies=replies, part_count=len(self._parts))
-        unanswered = [part for part in self._parts if part.reply is None]
+        unanswered = [part for part in self._parts.all if part.reply is None]
         lost = [part for part in unanswered if part.lost]
         worst = (lost or unanswered)[0]
         reason = "deadline" if timed_out else worst.last_reason
         if self._may_have_run or out:
-            reply = worst.failure if len(self._parts) == 1 else None
-            return Fail(reason=reason, timed_out=timed_out, reply=reply)
-        return Refuse(reason=reason)
+            reply = worst.failure if len(self._parts.all) == 1 else None
+            return callcommand.Fail(
+                reason=reason, timed_out=timed_out, reply=reply
+            )
+        return callcommand.Refuse(reason=reason)
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -1,9 +1,11 @@
 """Replays of one request's decisions: what is sent, hedged, given up."""
 
 import dataclasses
+import sys
 
 from hyssoptack.core import traffic
 from hyssoptack.policy import budget
+from hyssoptack.policy import callcommand
 from hyssoptack.policy import callplan
 from hyssoptack.policy import placing
 
@@ -61,22 +63,22 @@
 
 
 def answered(reply="ok"):
-    return callplan.Outcome(kind=callplan.Kind.ANSWERED, reply=reply)
+    return callcommand.Outcome(kind=callcommand.Kind.ANSWERED, reply=reply)
 
 
-FAILED = callplan.Outcome(kind=callplan.Kind.FAILED, reason="reset")
-SHED = callplan.Outcome(kind=callplan.Kind.SHED, reason="shed_503")
-UNREACHABLE = callplan.Outcome(
-    kind=callplan.Kind.NOT_RUN, reason="connect_timeout", reached=False
+FAILED = callcommand.Outcome(kind=callcommand.Kind.FAILED, reason="reset")
+SHED = callcommand.Outcome(kind=callcommand.Kind.SHED, reason="shed_503")
+UNREACHABLE = callcommand.Outcome(
+    kind=callcommand.Kind.NOT_RUN, reason="connect_timeout", reached=False
 )
 
 
 def sends(commands):
-    return [each for each in commands if isinstance(each, callplan.Send)]
+    return [each for each in commands if isinstance(each, callcommand.Send)]
 
 
 def result(commands):
-    ends = [each for each in commands if isinstance(each, callplan.Finish)]
+    ends = [each for each in commands if isinstance(each, callcommand.Finish)]
     return ends[0].result if ends else None
 
 
@@ -97,8 +99,8 @@
     assert second.extra == "hedge"
     assert second.upstream.upstream_id != first.upstream.upstream_id
     commands = running.on_outcome(second.call_id, answered(), due_ms + 10)
-    assert callplan.Cancel(call_id=first.call_id) in commands
-    assert isinstance(result(commands), callplan.Answer)
+    assert callcommand.Cancel(call_id=first.call_id) in commands
+    assert isinstance(result(commands), callcommand.Answer)
 
 
 def test_without_budget_nothing_is_hedged():
@@ -114,7 +116,7 @@
     (first,) = sends(running.start(0.0))
     assert running.next_time_ms() > GOAL_MS
     end = result(running.on_outcome(first.call_id, FAILED, 5.0))
-    assert isinstance(end, callplan.Fail)
+    assert isinstance(end, callcommand.Fail)
 
 
 def test_a_refused_request_that_may_run_once_goes_to_another():
@@ -136,7 +138,7 @@
         end = result(commands)
         for call in sends(commands):
             asked.append(call.upstream.upstream_id)
-    assert isinstance(end, callplan.Refuse)
+    assert isinstance(end, callcommand.Refuse)
     assert len(set(asked)) == 2
     assert len(asked) == 2 + callplan.RESEND_LIMIT_COUNT
 
@@ -147,7 +149,7 @@
     (second,) = sends(running.on_outcome(first.call_id, SHED, 1.0))
     assert second.upstream == first.upstream
     end = result(running.on_outcome(second.call_id, answered(), 9.0))
-    assert isinstance(end, callplan.Answer)
+    assert isinstance(end, callcommand.Answer)
 
 
 def test_resending_ends_with_the_budget():
@@ -156,7 +158,7 @@
     (first,) = sends(running.start(0.0))
     (second,) = sends(running.on_outcome(first.call_id, SHED, 1.0))
     end = result(running.on_outcome(second.call_id, SHED, 2.0))
-    assert end == callplan.Refuse(reason="no_retry_budget")
+    assert end == callcommand.Refuse(reason="no_retry_budget")
 
 
 def test_an_upstream_that_can_not_be_reached_costs_no_attempt():
@@ -167,7 +169,7 @@
         (call,) = sends(running.on_outcome(call.call_id, UNREACHABLE, 1.0))
     assert call.extra == "reroute"
     end = result(running.on_outcome(call.call_id, UNREACHABLE, 2.0))
-    assert isinstance(end, callplan.Refuse)
+    assert isinstance(end, callcommand.Refuse)
 
 
 def test_attempts_end_at_the_routes_limit():
@@ -176,7 +178,7 @@
     (first,) = sends(running.start(0.0))
     (second,) = sends(running.on_outcome(first.call_id, FAILED, 1.0))
     end = result(running.on_outcome(second.call_id, FAILED, 2.0))
-    assert isinstance(end, callplan.Fail)
+    assert isinstance(end, callcommand.Fail)
 
 
 def test_at_the_goal_a_query_answers_with_what_covers_the_floor():
@@ -189,7 +191,7 @@
         )
     assert running.next_time_ms() <= GOAL_MS
     end = result(running.on_time(GOAL_MS))
-    assert isinstance(end, callplan.Answer)
+    assert isinstance(end, callcommand.Answer)
     assert (len(end.replies), end.part_count) == (3, 4)
 
 
@@ -201,13 +203,13 @@
         running.on_outcome(call.call_id, answered(), 20.0)
     assert result(running.on_time(GOAL_MS)) is None
     end = result(running.on_outcome(calls[2].call_id, answered(), 150.0))
-    assert isinstance(end, callplan.Answer)
+    assert isinstance(end, callcommand.Answer)
 
 
 def test_a_floor_out_of_reach_ends_a_query_before_anything_is_sent():
     know = knowledge(*(upstream(f"u{i}", f"s{i}") for i in range(2)))
     commands = plan(know, shards(4, 0.75)).start(0.0)
-    assert result(commands) == callplan.Refuse(reason="no_upstream")
+    assert result(commands) == callcommand.Refuse(reason="no_upstream")
     assert not sends(commands)
 
 
@@ -217,7 +219,7 @@
     calls = sends(running.start(0.0))
     assert result(running.on_outcome(calls[0].call_id, FAILED, 5.0)) is None
     end = result(running.on_outcome(calls[1].call_id, FAILED, 6.0))
-    assert isinstance(end, callplan.Fail)
+    assert isinstance(end, callcommand.Fail)
 
 
 def test_a_failure_names_the_part_that_was_lost_not_one_still_open():
@@ -230,14 +232,14 @@
 
 def test_no_upstream_at_all_is_a_refusal():
     end = result(plan(knowledge()).start(0.0))
-    assert end == callplan.Refuse(reason="no_upstream")
+    assert end == callcommand.Refuse(reason="no_upstream")
 
 
 def test_the_deadline_fails_what_may_still_run():
     running = plan(knowledge(upstream("a")))
     running.start(0.0)
     end = result(running.on_time(END_MS))
-    assert isinstance(end, callplan.Fail)
+    assert isinstance(end, callcommand.Fail)
     assert end.timed_out
 
 
@@ -263,3 +265,25 @@
 def test_a_frozen_ask_can_be_replaced_for_replay():
     ask = plan(knowledge(upstream("a"))).ask
     assert dataclasses.replace(ask, goal_at_ms=1.0).goal_at_ms == 1.0
+
+
+def _work_count(part_count):
+    """Returns the function calls that one whole query takes."""
+    know = knowledge(*(upstream(f"u{i}", f"s{i}") for i in range(part_count)))
+    counted = 0
+
+    def count(_frame, event, _arg):
+        nonlocal counted
+        counted += event in ("call", "c_call")
+
+    sys.setprofile(count)
+    running = plan(know, shards(part_count, 0.9))
+    for call in sends(running.start(0.0)):
+        running.on_outcome(call.call_id, answered(), 20.0)
+        running.next_time_ms()
+    sys.setprofile(None)
+    return counted
+
+
+def test_a_part_costs_the_same_among_many_as_among_few():
+    assert _work_count(360) / 360 < 1.1 * _work_count(36) / 36
