Neighbours tell single slow calls, so that they add up

Cause: instances told each other a smoothed slowness, which a receiver took only if it was higher than its own: two neighbours that had each seen one slow call knew no more together than alone. With 62 instances each sees an upstream seldom.

Now the newest slow call of each upstream is told with its age, and counts like an own one, once for each pause of 200 ms. An upstream is cold by the time at which its entry said so, not anew with each list.

--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -198,17 +198,30 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SlowCall:
+    """One slow call as an instance has measured it.
+
+    Attributes:
+        ratio: Its time over what calls of its route usually take.
+        age_ms: How long ago it ended, when the message was made.
+    """
+
+    ratio: float
+    age_ms: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SlowNotice:
-    """Upstreams whose calls take long, as one instance has measured them.
+    """Upstreams that an instance has lately seen to be slow.
 
     Attributes:
         sender_id: The instance that measured.
-        slowness_ratios: Times that calls take, over the usual, by upstream.
+        slow_calls: The newest slow call of each, by upstream.
     """
 
     sender_id: str
-    slowness_ratios: dict[str, float]
+    slow_calls: dict[str, SlowCall]
 
 
 Message = (
--- a/hyssoptack/peers/codec.py
+++ b/hyssoptack/peers/codec.py
@@ -37,12 +37,12 @@
     7: message.Heartbeat,
     8: message.ConfigWanted,
     9: message.ConfigOffer,
-    11: message.SlowNotice,
     12: message.ViewNotice,
+    13: message.SlowNotice,
     14: message.ViewWanted,
 }
-"""Kinds by number. Numbers are never used again for another kind: 10 was a
-notice with a whole list."""
+"""Kinds by number. Numbers are never used again for another kind: 10 and 11
+were notices with whole lists."""
 
 _NUMBERS = {kind: number for number, kind in KINDS.items()}
 _ENCODER = msgspec.msgpack.Encoder()
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 
+from hyssoptack.core import message
 from hyssoptack.core import traffic
 
 PRIOR_MS = 15.0
@@ -60,19 +61,8 @@
 """A refused call counts as one that took this many times the usual: an upstream
 that refuses time and again is then worth avoiding across failure domains."""
 
-TELL_RATIO = 2.0
-"""Neighbours are told of upstreams that are this slow or worse: below it they
-would not choose otherwise, as crossing costs as much."""
-
 TELL_FRESH_MS = 600.0
-"""A measure older than about one round of telling is not told again."""
-
-OWN_FRESH_MS = 300.0
-"""An own measure this fresh is not changed by what a neighbour says."""
-
-TOLD_WEIGHT_RATIO = 0.7
-"""Weight of a neighbour's measure: it has seen several slow calls, but may have
-seen a pause."""
+"""A slow call is told for about one round of telling; twice does no harm."""
 
 WINDOW_COUNT = 128
 WINDOW_STEP_COUNT = 16
@@ -92,25 +82,34 @@
     crossing_ratio: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Seen:
+    """One slow call: how many times the usual it took, and when it ended."""
+
+    ratio: float
+    end_ms: float
+
+
 @dataclasses.dataclass(kw_only=True)
 class Standing:
     """What is known of one upstream.
 
     Attributes:
         upstream: The entry that lists it.
-        listed_ms: When the entry was taken.
+        cold_until_ms: When it stops being slow after its start.
         slowness_ratio: Smoothed time of its calls over the typical one.
         measured_ms: When a call last told something.
         in_flight_count: Calls of this instance that are out.
         failure_count: Failures to connect in a row.
         ejected_until_ms: No calls before this time.
         shed_until_ms: Lately had no room; others are preferred until then.
-        slow_ms: When a slow call last counted.
-        told_ms: When a neighbour's measure was last taken.
+        slow_ms: When a slow call that counted last ended, here or elsewhere.
+        quick_ms: When an own call last was quick.
+        own_slow: The last slow call of this instance, for neighbours.
     """
 
     upstream: traffic.Upstream
-    listed_ms: float
+    cold_until_ms: float = 0.0
     slowness_ratio: float = 1.0
     measured_ms: float = 0.0
     in_flight_count: int = 0
@@ -118,7 +117,8 @@
     ejected_until_ms: float = 0.0
     shed_until_ms: float = 0.0
     slow_ms: float = float("-inf")
-    told_ms: float = float("-inf")
+    quick_ms: float = float("-inf")
+    own_slow: "_Seen | None" = None
 
 
 class Typical:
@@ -170,9 +170,11 @@
         for upstream_id, upstream in upstreams.items():
             standing = known.get(upstream_id)
             if standing is None:
-                standing = Standing(upstream=upstream, listed_ms=now_ms)
+                standing = Standing(upstream=upstream)
+                standing.cold_until_ms = now_ms + upstream.cold_ms
+            elif upstream.cold_ms != standing.upstream.cold_ms:
+                standing.cold_until_ms = now_ms + upstream.cold_ms
             standing.upstream = upstream
-            standing.listed_ms = now_ms
             self.standings[upstream_id] = standing
             listed = self._by_service.setdefault(upstream.service, [])
             listed.append(standing)
@@ -223,9 +225,8 @@
         self, standing: Standing, typical_ms: float, now_ms: float
     ) -> float:
         upstream = standing.upstream
-        cold = upstream.cold_ms > now_ms - standing.listed_ms
         expected_ms = typical_ms * self.slowness(standing, now_ms)
-        if cold:
+        if standing.cold_until_ms > now_ms:
             expected_ms *= COLD_RATIO
         queue = max(0, standing.in_flight_count + 1 - upstream.slot_count)
         own_load = standing.in_flight_count / upstream.slot_count
@@ -238,7 +239,7 @@
 
     def slowness(self, standing: Standing, now_ms: float) -> float:
         """Returns an upstream's slowness, faded by the age of its last call."""
-        age_ms = now_ms - max(standing.measured_ms, standing.told_ms)
+        age_ms = now_ms - standing.measured_ms
         weight = 0.5 ** (age_ms / FADE_HALF_LIFE_MS)
         return 1.0 + weight * (standing.slowness_ratio - 1.0)
 
@@ -249,37 +250,35 @@
             return None
         return standing.upstream
 
-    def slow(self, now_ms: float) -> dict[str, float]:
-        """Returns the slownesses that neighbours should know of.
+    def slow_calls(self, now_ms: float) -> dict[str, message.SlowCall]:
+        """Returns the slow calls that neighbours should know of.
 
-        Only what this instance lately measured itself: what it was told would
-        else go round for ever.
+        Only this instance's own: what it was told would else go round for ever.
         """
         return {
-            upstream_id: round(ratio, 2)
+            upstream_id: message.SlowCall(
+                ratio=round(seen.ratio, 1), age_ms=round(now_ms - seen.end_ms)
+            )
             for upstream_id, standing in self.standings.items()
-            if now_ms - standing.measured_ms < TELL_FRESH_MS
-            and (ratio := self.slowness(standing, now_ms)) > TELL_RATIO
+            if (seen := standing.own_slow) is not None
+            and now_ms - seen.end_ms < TELL_FRESH_MS
         }
 
-    def told(self, slowness_ratios: dict[str, float], now_ms: float) -> None:
-        """Takes slownesses that a neighbour has measured.
+    def told(
+        self, slow_calls: dict[str, message.SlowCall], now_ms: float
+    ) -> None:
+        """Takes a neighbour's slow calls as if they were its own.
 
-        An own measure that is as fresh counts more.
+        With many instances each sees an upstream seldom: two slow calls show a
+        slow upstream rather than a pause, whoever made them.
         """
-        for upstream_id, ratio in slowness_ratios.items():
+        for upstream_id, call in slow_calls.items():
             standing = self.standings.get(upstream_id)
             if standing is None:
                 continue
-            if now_ms - standing.measured_ms < OWN_FRESH_MS:
-                continue
-            faded = self.slowness(standing, now_ms)
-            seen = min(SLOWNESS_MAX_RATIO, ratio)
-            if seen > faded:
-                standing.slowness_ratio = faded + TOLD_WEIGHT_RATIO * (
-                    seen - faded
-                )
-                standing.told_ms = now_ms
+            end_ms = now_ms - call.age_ms
+            if standing.quick_ms < end_ms:
+                self._note_slow(standing, call.ratio, end_ms, now_ms)
 
     # What calls show.
 
@@ -354,10 +353,20 @@
             self._blend(standing, SHED_SLOWNESS_RATIO, now_ms)
 
     def _measure(self, standing: Standing, ratio: float, now_ms: float) -> None:
-        if ratio > SLOW_RATIO:
-            if now_ms - standing.slow_ms < PAUSE_MS:
-                return
-            standing.slow_ms = now_ms
+        if ratio <= SLOW_RATIO:
+            standing.quick_ms = now_ms
+            self._blend(standing, ratio, now_ms)
+            return
+        standing.own_slow = _Seen(ratio=ratio, end_ms=now_ms)
+        self._note_slow(standing, ratio, now_ms, now_ms)
+
+    def _note_slow(
+        self, standing: Standing, ratio: float, end_ms: float, now_ms: float
+    ) -> None:
+        """Takes a slow call, unless the same pause may have delayed it."""
+        if abs(end_ms - standing.slow_ms) < PAUSE_MS:
+            return
+        standing.slow_ms = max(standing.slow_ms, end_ms)
         self._blend(standing, ratio, now_ms)
 
     def _blend(self, standing: Standing, ratio: float, now_ms: float) -> None:
