Read the store at the pace at which changes must be heeded

Cause: readings were paced for 3 s bounds; grown sites have 5 s. Each reading of 125 to 280 upstreams is three to six priced calls.

Periods, watches and silences now follow from the bounds in the settings (policy/readership.pace); for 3 s they are as before.

--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -36,7 +36,7 @@
 """Instances that share a budget's slack, before this one knows its peers: more
 than either user runs (8 and 9), so that the sum stays within the budget."""
 
-START_TOKENS_COUNT = 1.0
+START_TOKENS_COUNT = 2.0
 """Extra calls of a service that a new instance may make before it has served:
 many instances may start at once, whose predecessors have spent theirs."""
 
@@ -56,9 +56,9 @@
 )
 """Settings that a running instance can't take over."""
 
-SLACK_SHARE_RATIO = 0.85
+SLACK_SHARE_RATIO = 0.8
 """Part of the slack that is used at all; the rest covers instances that start
-anew with their first token. What all buckets hold together, and what they earn
+anew with their first tokens. What all buckets hold together, and what they earn
 in a window, so stays below the slack and the ratio of that window."""
 
 EXTRA_RATIO_SHARE = 0.9
@@ -99,7 +99,9 @@
             on_configuration=self._on_configuration,
         )
         self.readers = readership.Readership(
-            settings.instance_id, settings.failure_domain
+            settings.instance_id,
+            settings.failure_domain,
+            readership.pace(settings.belief_bound_ms),
         )
         self._budgets = budget.Book(0.0, START_TOKENS_COUNT)
         self._set_budget()
@@ -275,6 +277,7 @@
         log.write(log.Event.RELOADED, changed=changed, at_restart=waiting)
         self._settings = settings
         self._store.move(settings.store_address)
+        self.readers.pace = readership.pace(settings.belief_bound_ms)
         self._placing.settings = _placing_settings(settings)
         self._set_budget()
 
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -21,10 +21,6 @@
 from hyssoptack.policy import readership
 from hyssoptack.settings import gateway
 
-LIST_PERIOD_MS = 1_000.0
-"""How often the list of upstreams is read. A leaving upstream must get nothing
-more 3 s after it said so; one missed reading still keeps that."""
-
 EXACT_READ_COUNT = 2
 """Of so many readings one is exact; the others may be a little old, and cost a
 tenth. An old one is told by its revision and changes nothing."""
@@ -37,10 +33,6 @@
 GRACE_SLACK_MS = 10.0
 """Put behind the grace's end, so that the reading falls after it."""
 
-WATCH_MS = 2_500.0
-"""Length of one watch of the configuration. A silent connection is noticed when
-it is over, and a new version has to be in force within 3 s."""
-
 RETRY_MIN_MS = 100.0
 RETRY_MAX_MS = 800.0
 """Bounds of the wait after a failed call: short enough to be in force again
@@ -111,10 +103,11 @@
         """Returns when to read again: no later than the grace's end."""
         grace_ms = self._beliefs.store_back_ms + beliefs.RETURN_MS - now_ms
         if grace_ms <= 0:
-            return LIST_PERIOD_MS
+            return self._readers.pace.list_period_ms
         # The next reading has to be an exact one.
         self._read_count = 0
-        return min(LIST_PERIOD_MS, grace_ms + GRACE_SLACK_MS)
+        period_ms = self._readers.pace.list_period_ms
+        return min(period_ms, grace_ms + GRACE_SLACK_MS)
 
     async def _wait_for_turn(self) -> None:
         while wait_ms := self._readers.wait_ms(clock.now_ms()):
@@ -173,7 +166,7 @@
         self, revision: int
     ) -> expression.Result[int, keyvalue.Failure]:
         result = await self._store.watch(
-            wire.CONFIGURATION_KEY, revision, WATCH_MS
+            wire.CONFIGURATION_KEY, revision, self._readers.pace.watch_ms
         )
         return result.map(
             lambda found: self._take_items(
--- a/hyssoptack/gateway/following_test.py
+++ b/hyssoptack/gateway/following_test.py
@@ -20,7 +20,8 @@
     believed = beliefs.Beliefs(
         placing=placed, pools=pool.Pools(b""), on_configuration=lambda _: None
     )
-    peers = types.SimpleNamespace(readers=readership.Readership("g", "north"))
+    readers = readership.Readership("g", "north", readership.pace(3_000.0))
+    peers = types.SimpleNamespace(readers=readers)
     made = following.Follower(settings, believed, None, peers, lambda: None)
     now_ms = clock.now_ms()
     listed = {"a": callplan_test.upstream("a")}
@@ -56,4 +57,4 @@
     believed.store_back_ms = 1_000.0
     ends_ms = 1_000.0 + beliefs.RETURN_MS
     assert made._list_pause_ms(ends_ms - 300.0) <= 310.0
-    assert made._list_pause_ms(ends_ms + 1.0) == following.LIST_PERIOD_MS
+    assert made._list_pause_ms(ends_ms + 1.0) == 1_000.0
--- a/hyssoptack/policy/readership.py
+++ b/hyssoptack/policy/readership.py
@@ -12,17 +12,65 @@
 
 from hyssoptack.policy import ownership
 
-SILENCE_MS = 1_400.0
-"""Silence after which the second instance reads. Readers speak once a second;
-a change has to be known within 3 s."""
+LIST_PERIOD_RATIO = 1 / 3
+"""How often the list of upstreams is read, as a part of the time in which a
+change has to be heeded: one missed reading still keeps that."""
 
-SILENCE_STEP_MS = 300.0
+WATCH_SLACK_MS = 500.0
+"""Kept back from that time by a watch of the configuration: a silent connection
+is noticed when the watch is over, and another reading must still be in time."""
+
+SILENCE_RATIO = 1.4 * LIST_PERIOD_RATIO
+"""Silence after which the second instance reads. Readers speak once a period,
+which varies by 15 parts in 100."""
+
+SILENCE_STEP_RATIO = 0.1
 """Further silence for each rank: time for the one before to read and speak."""
 
+BOUND_MIN_MS = 1_000.0
+BOUND_MAX_MS = 6_000.0
+"""Bounds on that time itself: a slower pace would save hardly any calls, and
+what is believed would grow old."""
+
 SILENCE_STEPS_COUNT = 3
 """Ranks beyond this wait no longer, as a change must be known in time."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Pace:
+    """How often the store is read and neighbours are told.
+
+    Attributes:
+        list_period_ms: Between two readings of the list of upstreams.
+        watch_ms: Length of one watch of the configuration.
+        silence_ms: After it the second instance reads for itself.
+        silence_step_ms: Further silence for each rank behind it.
+    """
+
+    list_period_ms: float
+    watch_ms: float
+    silence_ms: float
+    silence_step_ms: float
+
+
+def pace(bound_ms: float) -> Pace:
+    """Returns the pace by which changes are heeded in time.
+
+    Args:
+        bound_ms: The time in which they have to be: 3 and 5 s at the users'.
+
+    Returns:
+        The slowest pace that keeps it.
+    """
+    bound_ms = min(BOUND_MAX_MS, max(BOUND_MIN_MS, bound_ms))
+    return Pace(
+        list_period_ms=LIST_PERIOD_RATIO * bound_ms,
+        watch_ms=bound_ms - WATCH_SLACK_MS,
+        silence_ms=SILENCE_RATIO * bound_ms,
+        silence_step_ms=SILENCE_STEP_RATIO * bound_ms,
+    )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Peer:
     """Another instance, as it entered itself.
@@ -46,7 +94,8 @@
 class Readership:
     """One instance's view of who reads."""
 
-    def __init__(self, instance_id: str, failure_domain: str):
+    def __init__(self, instance_id: str, failure_domain: str, own_pace: Pace):
+        self.pace = own_pace
         self._instance_id = instance_id
         self._failure_domain = failure_domain
         self.rank = rank(failure_domain, instance_id)
@@ -99,4 +148,4 @@
             for each in self.neighbours()
         )
         steps = min(max(0, higher - 1), SILENCE_STEPS_COUNT)
-        return SILENCE_MS + SILENCE_STEP_MS * steps
+        return self.pace.silence_ms + self.pace.silence_step_ms * steps
--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -49,6 +49,9 @@
             than it leave it listed; a dead one costs its neighbours a few
             messages until it ends.
         grace_ms: From a stop signal to the kill.
+        leaving_bound_ms: After it an upstream that said that it leaves must
+            get nothing more.
+        configuration_bound_ms: After it a new configuration must be in force.
         budget: The budget for extra calls.
         crossing_ratio: What a call into another failure domain must gain to
             be worth its network price, as a multiple of what calls of its
@@ -64,12 +67,19 @@
     store_address: str
     budget: BudgetSettings
     grace_ms: float = 6_000.0
+    leaving_bound_ms: float = 3_000.0
+    configuration_bound_ms: float = 3_000.0
     lease_min_ms: float = 1_000.0
     lease_ms: float = 10_000.0
     peer_address: str = ""
     metrics_address: str = ""
     crossing_ratio: float = 1.5
 
+    @property
+    def belief_bound_ms(self) -> float:
+        """The time in which any change in the store has to be heeded."""
+        return min(self.leaving_bound_ms, self.configuration_bound_ms)
+
 
 def load(path: str) -> expression.Result[GatewaySettings, str]:
     """Reads and checks a settings file.
@@ -117,6 +127,8 @@
         )
     positive = {
         "grace_ms": settings.grace_ms,
+        "leaving_bound_ms": settings.leaving_bound_ms,
+        "configuration_bound_ms": settings.configuration_bound_ms,
         "lease_ms": settings.lease_ms,
         "budget.window_ms": settings.budget.window_ms,
     }
