Tell quick calls to suspects too; a call that lost to its hedge is slow

Cause: the same slow upstreams were chosen for seconds on (seen in the calls of requests). A call given up since its hedge answered first had lasted about twice the usual, which counted as a quick call and cleared the suspicion.

Now a call given up counts as one that took twice as long as it was waited for; quick calls to upstreams under suspicion are told as well, so that a pause is forgotten by all at once; who sees most upstreams slow tells nobody, since the fault is then likely its own.

--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -199,8 +199,8 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class SlowCall:
-    """One slow call as an instance has measured it.
+class SeenCall:
+    """One call to an upstream as an instance has measured it.
 
     Attributes:
         ratio: Its time over what calls of its route usually take.
@@ -212,16 +212,16 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class SlowNotice:
-    """Upstreams that an instance has lately seen to be slow.
+class CallNotice:
+    """Calls to upstreams that are slow, or were lately.
 
     Attributes:
         sender_id: The instance that measured.
-        slow_calls: The newest slow call of each, by upstream.
+        seen_calls: The newest such call of each, by upstream.
     """
 
     sender_id: str
-    slow_calls: dict[str, SlowCall]
+    seen_calls: dict[str, SeenCall]
 
 
 Message = (
@@ -236,5 +236,5 @@
     | ConfigOffer
     | ViewNotice
     | ViewWanted
-    | SlowNotice
+    | CallNotice
 )
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -114,11 +114,11 @@
         """Tells neighbours of slow upstreams, for as long as it runs."""
         while True:
             await asyncio.sleep(SLOW_PERIOD_S)
-            calls = self._beliefs.placing.slow_calls(clock.now_ms())
+            calls = self._beliefs.placing.seen_calls(clock.now_ms())
             if not calls or self._links is None:
                 continue
-            notice = message.SlowNotice(
-                sender_id=self._settings.instance_id, slow_calls=calls
+            notice = message.CallNotice(
+                sender_id=self._settings.instance_id, seen_calls=calls
             )
             peers = self.readers.neighbours()
             count = min(len(peers), SLOW_PEERS_COUNT)
@@ -135,8 +135,8 @@
                     self._take(each)
                 case message.ViewWanted():
                     self._answer_wanted(each)
-                case message.SlowNotice(slow_calls=slow_calls):
-                    self._beliefs.placing.told(slow_calls, clock.now_ms())
+                case message.CallNotice(seen_calls=seen_calls):
+                    self._beliefs.placing.told(seen_calls, clock.now_ms())
         if received.decoded.dropped_count:
             log.write(log.Event.PEER_UNREADABLE, reason=received.decoded.reason)
 
--- a/hyssoptack/peers/codec.py
+++ b/hyssoptack/peers/codec.py
@@ -38,7 +38,7 @@
     8: message.ConfigWanted,
     9: message.ConfigOffer,
     12: message.ViewNotice,
-    13: message.SlowNotice,
+    13: message.CallNotice,
     14: message.ViewWanted,
 }
 """Kinds by number. Numbers are never used again for another kind: 10 and 11
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -61,8 +61,20 @@
 """A refused call counts as one that took this many times the usual: an upstream
 that refuses time and again is then worth avoiding across failure domains."""
 
+OUTLASTED_RATIO = 2.0
+"""A call given up unanswered counts as one that took this many times as long as
+it was waited for: half of those that last so long last longer still."""
+
 TELL_FRESH_MS = 600.0
-"""A slow call is told for about one round of telling; twice does no harm."""
+"""A call is told for about one round of telling; twice does no harm."""
+
+SUSPECT_RATIO = 1.3
+"""Of an upstream that looks this slow quick calls are told as well: a pause is
+then forgotten by all at once, and so is a slow spell that has ended."""
+
+OWN_FAULT_RATIO = 0.5
+"""Where more than this part of the upstreams called of late looks slow, the
+fault is more likely this instance's own, and nothing is told."""
 
 WINDOW_COUNT = 128
 WINDOW_STEP_COUNT = 16
@@ -84,7 +96,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Seen:
-    """One slow call: how many times the usual it took, and when it ended."""
+    """One call: how many times the usual it took, and when it ended."""
 
     ratio: float
     end_ms: float
@@ -105,7 +117,7 @@
         shed_until_ms: Lately had no room; others are preferred until then.
         slow_ms: When a slow call that counted last ended, here or elsewhere.
         quick_ms: When an own call last was quick.
-        own_slow: The last slow call of this instance, for neighbours.
+        own_call: The last own call that neighbours should know of.
     """
 
     upstream: traffic.Upstream
@@ -118,7 +130,7 @@
     shed_until_ms: float = 0.0
     slow_ms: float = float("-inf")
     quick_ms: float = float("-inf")
-    own_slow: "_Seen | None" = None
+    own_call: "_Seen | None" = None
 
 
 class Typical:
@@ -250,35 +262,41 @@
             return None
         return standing.upstream
 
-    def slow_calls(self, now_ms: float) -> dict[str, message.SlowCall]:
-        """Returns the slow calls that neighbours should know of.
+    def seen_calls(self, now_ms: float) -> dict[str, message.SeenCall]:
+        """Returns the calls that neighbours should know of.
 
         Only this instance's own: what it was told would else go round for ever.
         """
-        return {
-            upstream_id: message.SlowCall(
+        fresh = {
+            upstream_id: standing.own_call
+            for upstream_id, standing in self.standings.items()
+            if now_ms - standing.measured_ms < TELL_FRESH_MS
+        }
+        news = {
+            upstream_id: message.SeenCall(
                 ratio=round(seen.ratio, 1), age_ms=round(now_ms - seen.end_ms)
             )
-            for upstream_id, standing in self.standings.items()
-            if (seen := standing.own_slow) is not None
-            and now_ms - seen.end_ms < TELL_FRESH_MS
+            for upstream_id, seen in fresh.items()
+            if seen is not None and now_ms - seen.end_ms < TELL_FRESH_MS
         }
+        slow_count = sum(each.ratio > SLOW_RATIO for each in news.values())
+        if slow_count > max(1, OWN_FAULT_RATIO * len(fresh)):
+            return {}
+        return news
 
     def told(
-        self, slow_calls: dict[str, message.SlowCall], now_ms: float
+        self, seen_calls: dict[str, message.SeenCall], now_ms: float
     ) -> None:
-        """Takes a neighbour's slow calls as if they were its own.
+        """Takes a neighbour's calls as if they were its own.
 
         With many instances each sees an upstream seldom: two slow calls show a
         slow upstream rather than a pause, whoever made them.
         """
-        for upstream_id, call in slow_calls.items():
+        for upstream_id, call in seen_calls.items():
             standing = self.standings.get(upstream_id)
-            if standing is None:
-                continue
-            end_ms = now_ms - call.age_ms
-            if standing.quick_ms < end_ms:
-                self._note_slow(standing, call.ratio, end_ms, now_ms)
+            if standing is not None:
+                end_ms = now_ms - call.age_ms
+                self._take(standing, call.ratio, end_ms, now_ms)
 
     # What calls show.
 
@@ -318,13 +336,13 @@
         elapsed_ms: float,
         now_ms: float,
     ) -> None:
-        """Takes a call given up unanswered: it was at least this slow."""
+        """Takes a call given up unanswered; too early, it shows nothing."""
         standing = self.standings.get(upstream_id)
         typical_ms = self.typical(route_name).median_ms
         if standing is None or not typical_ms:
             return
-        ratio = elapsed_ms / typical_ms
-        if ratio > self.slowness(standing, now_ms):
+        ratio = OUTLASTED_RATIO * elapsed_ms / typical_ms
+        if ratio > SLOW_RATIO:
             self._measure(standing, ratio, now_ms)
 
     def failed(self, upstream_id: str, now_ms: float) -> None:
@@ -353,18 +371,23 @@
             self._blend(standing, SHED_SLOWNESS_RATIO, now_ms)
 
     def _measure(self, standing: Standing, ratio: float, now_ms: float) -> None:
-        if ratio <= SLOW_RATIO:
-            standing.quick_ms = now_ms
-            self._blend(standing, ratio, now_ms)
-            return
-        standing.own_slow = _Seen(ratio=ratio, end_ms=now_ms)
-        self._note_slow(standing, ratio, now_ms, now_ms)
+        """Takes an own call; keeps for neighbours what they should know."""
+        suspect = self.slowness(standing, now_ms) > SUSPECT_RATIO
+        if suspect or ratio > SLOW_RATIO:
+            standing.own_call = _Seen(ratio=ratio, end_ms=now_ms)
+        self._take(standing, ratio, now_ms, now_ms)
 
-    def _note_slow(
+    def _take(
         self, standing: Standing, ratio: float, end_ms: float, now_ms: float
     ) -> None:
-        """Takes a slow call, unless the same pause may have delayed it."""
-        if abs(end_ms - standing.slow_ms) < PAUSE_MS:
+        """Takes a call of whoever's that ended at a time."""
+        if ratio <= SLOW_RATIO:
+            standing.quick_ms = max(standing.quick_ms, end_ms)
+            self._blend(standing, ratio, now_ms)
+            return
+        paused = abs(end_ms - standing.slow_ms) < PAUSE_MS
+        if paused or end_ms < standing.quick_ms:
+            # Counted already, or over since.
             return
         standing.slow_ms = max(standing.slow_ms, end_ms)
         self._blend(standing, ratio, now_ms)
--- a/hyssoptack/policy/placing_test.py
+++ b/hyssoptack/policy/placing_test.py
@@ -118,17 +118,17 @@
     assert choice(made, 300.0 + placing.SHED_QUIET_MS) == "far"
 
 
-def slow_call(ratio=6.0, age_ms=0.0):
-    return message.SlowCall(ratio=ratio, age_ms=age_ms)
+def seen_call(ratio=6.0, age_ms=0.0):
+    return message.SeenCall(ratio=ratio, age_ms=age_ms)
 
 
-def test_slow_calls_of_two_neighbours_add_up():
+def test_seen_calls_of_two_neighbours_add_up():
     # Neither has seen the upstream twice; together they know enough.
     made = known(upstream("near"), upstream("far", zone="south"))
     made.answered("r", "near", 20.0, 0.0)
-    made.told({"near": slow_call(), "unknown": slow_call()}, 1_000.0)
+    made.told({"near": seen_call(), "unknown": seen_call()}, 1_000.0)
     assert choice(made, 1_000.0) == "near"
-    made.told({"near": slow_call()}, 1_300.0)
+    made.told({"near": seen_call()}, 1_300.0)
     assert choice(made, 1_300.0) == "far"
     assert choice(made, 9_000.0) == "near"
 
@@ -137,7 +137,7 @@
     made = known(upstream("near"), upstream("far", zone="south"))
     made.answered("r", "near", 20.0, 0.0)
     for late_ms in (0.0, 150.0, 300.0, 450.0):
-        told = {"near": slow_call(age_ms=late_ms + 50.0)}
+        told = {"near": seen_call(age_ms=late_ms + 50.0)}
         made.told(told, 1_000.0 + late_ms)
     assert choice(made, 1_500.0) == "near"
 
@@ -146,20 +146,59 @@
     made = known(upstream("near"), upstream("far", zone="south"))
     for number in range(4):
         made.answered("r", "near", 20.0, 300.0 * number)
-        made.told({"near": slow_call(age_ms=100.0)}, 300.0 * number + 50.0)
+        made.told({"near": seen_call(age_ms=100.0)}, 300.0 * number + 50.0)
     assert choice(made, 1_000.0) == "near"
 
 
-def test_only_own_and_fresh_slow_calls_are_told():
-    made = known(upstream("a"), upstream("b"))
-    for number in range(40):
-        made.answered("r", "b", 20.0, number)
-    made.answered("r", "a", 170.0, 600.0)
-    assert set(made.slow_calls(800.0)) == {"a"}
-    assert made.slow_calls(800.0)["a"].age_ms == 200.0
-    assert not made.slow_calls(3_000.0)
-    made.told({"b": slow_call()}, 3_000.0)
-    assert not made.slow_calls(3_000.0)
+def busy():
+    """An instance that has lately called five upstreams, all quick."""
+    names = "abcde"
+    made = known(*(upstream(name) for name in names))
+    for number in range(50):
+        made.answered("r", names[number % 5], 20.0, 550.0 + number)
+    return made
+
+
+def test_only_own_and_fresh_calls_are_told():
+    made = busy()
+    made.answered("r", "a", 170.0, 700.0)
+    assert set(made.seen_calls(800.0)) == {"a"}
+    assert made.seen_calls(800.0)["a"].age_ms == 100.0
+    assert not made.seen_calls(3_000.0)
+    made.told({"b": seen_call()}, 3_000.0)
+    assert not made.seen_calls(3_000.0)
+
+
+def test_who_sees_most_upstreams_slow_tells_nobody():
+    made = busy()
+    for name in "abc":
+        made.answered("r", name, 170.0, 700.0)
+    assert not made.seen_calls(800.0)
+
+
+def test_quick_calls_to_a_suspect_are_told_and_end_the_suspicion():
+    teller = busy()
+    teller.answered("r", "a", 170.0, 700.0)
+    teller.answered("r", "a", 20.0, 1_000.0)
+    news = teller.seen_calls(1_050.0)
+    assert news["a"].ratio <= placing.SLOW_RATIO
+    made = known(upstream("a"), upstream("far", zone="south"))
+    for when_ms in (0.0, 300.0, 600.0):
+        made.told({"a": seen_call()}, when_ms)
+    assert choice(made, 700.0) == "far"
+    for when_ms in (1_100.0, 1_300.0, 1_500.0):
+        made.told(news, when_ms)
+    assert choice(made, 1_500.0) == "a"
+
+
+def test_a_call_that_lost_to_its_hedge_is_no_quick_call():
+    # Waited for twice as long as usual: it may well have taken four times that.
+    made = known(upstream("near"), upstream("far", zone="south"))
+    for number in range(20):
+        made.answered("r", "far", 20.0, number)
+    for when_ms in (300.0, 600.0, 900.0):
+        made.outlasted("r", "near", 40.0, when_ms)
+    assert choice(made, 900.0) == "far"
 
 
 def test_a_list_read_again_does_not_make_an_upstream_cold_again():
