Count calls in bulk and write a request's head once

Cause: a profile of a query over 36 shards: counting each call by the metrics library took a fifth of the gateway's time, filtering the same headers for each call a tenth. An instance of 0.5 core has 40 ms for an urgent query.

Calls are counted in plain numbers and handed to the library when its page is read; the part of a request's head that all its calls share is made once.

--- a/hyssoptack/gateway/metrics.py
+++ b/hyssoptack/gateway/metrics.py
@@ -1,5 +1,7 @@
 """Counters and histograms of a gateway, by aioprometheus."""
 
+import collections
+
 import aioprometheus
 
 LATENCY_BUCKETS_MS = [
@@ -7,10 +9,19 @@
 ]  # fmt: skip
 
 
+WAITING_LIMIT_COUNT = 4_000
+"""Calls that wait to be counted at the most, where nobody reads the page: about
+100 queries over 36 shards, 0.4 MB."""
+
+
 class Metrics:
     """The collectors of one gateway; updated on its event loop."""
 
     def __init__(self) -> None:
+        self._calls: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._call_ms: list[tuple[str, float]] = []
         self._registry = aioprometheus.Registry()
         self.requests = self._counter(
             "hyssoptack_requests_total",
@@ -50,7 +61,35 @@
             name, doc, buckets=LATENCY_BUCKETS_MS, registry=self._registry
         )
 
+    def note_call(
+        self, service: str, outcome: str, answered_ms: float | None
+    ) -> None:
+        """Counts a call; it shows on the next page.
+
+        A query makes dozens of calls while its caller waits, and the library
+        takes some 40 us to count one: a fifth of what a call costs besides.
+
+        Args:
+            service: The service called.
+            outcome: What became of the call.
+            answered_ms: How long it took, if it was answered.
+        """
+        self._calls[service, outcome] += 1
+        if answered_ms is not None:
+            self._call_ms.append((service, answered_ms))
+            if len(self._call_ms) >= WAITING_LIMIT_COUNT:
+                self._count_calls()
+
+    def _count_calls(self) -> None:
+        for (service, outcome), count in self._calls.items():
+            self.calls.add({"service": service, "outcome": outcome}, count)
+        self._calls.clear()
+        for service, answered_ms in self._call_ms:
+            self.call_ms.observe({"service": service}, answered_ms)
+        self._call_ms.clear()
+
     def page(self) -> bytes:
         """Returns the page of metrics as text."""
+        self._count_calls()
         content, _ = aioprometheus.render(self._registry, ["text/plain"])
         return content
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -173,6 +173,7 @@
         self._plan = callplan.CallPlan(
             self._ask, serving.knowledge, self._now_ms
         )
+        self._common = headers.forwarded(exchange.request)
         self._calls: dict[int, pool.Call] = {}
         self._traces: dict[int, _Trace] = {}
         self._timer: asyncio.TimerHandle | None = None
@@ -222,9 +223,7 @@
 
     def _data(self, upstream: traffic.Upstream) -> bytes:
         remaining_ms = self._deadline_at_ms - clock.now_ms()
-        return headers.upstream_request(
-            self._exchange.request, upstream, remaining_ms
-        )
+        return headers.upstream_request(self._common, upstream, remaining_ms)
 
     def _cancel(self, call_id: int) -> None:
         call = self._calls.pop(call_id, None)
@@ -236,10 +235,10 @@
         trace = self._traces[call_id]
         trace.outcome = outcome
         trace.took_ms = clock.now_ms() - trace.sent_ms
-        counted = self._serving.metrics
-        counted.calls.inc({"service": trace.service, "outcome": outcome})
-        if outcome == callcommand.Kind.ANSWERED.value:
-            counted.call_ms.observe({"service": trace.service}, trace.took_ms)
+        answered = outcome == callcommand.Kind.ANSWERED.value
+        self._serving.metrics.note_call(
+            trace.service, outcome, trace.took_ms if answered else None
+        )
 
     def _on_outcome(self, call_id: int, outcome: upstreamside.Outcome) -> None:
         self._now_ms = clock.now_ms()
--- a/hyssoptack/http1/message.py
+++ b/hyssoptack/http1/message.py
@@ -108,11 +108,18 @@
     method: bytes, target: bytes, headers: list[Header], body: bytes
 ) -> bytes:
     """Returns a request as it goes on the wire."""
+    return request_head(method, target, headers, len(body)) + b"\r\n" + body
+
+
+def request_head(
+    method: bytes, target: bytes, headers: list[Header], body_bytes: int
+) -> bytes:
+    """Returns a request's head without the empty line that ends it."""
     lines = [b"%s %s HTTP/1.1" % (method, target)]
     lines.extend(b"%s: %s" % each for each in headers)
-    if body or method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    if body_bytes or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % body_bytes)
+    return b"\r\n".join(lines) + b"\r\n"
 
 
 def reply_bytes(reply: Reply, keep_alive: bool, to_head: bool = False) -> bytes:
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -69,15 +69,39 @@
         return None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Forwarded:
+    """What all calls of one request have in common on the wire.
+
+    Attributes:
+        head: Its head, but for the headers that differ from call to call.
+        body: Its body.
+    """
+
+    head: bytes
+    body: bytes
+
+
+def forwarded(request: message.Request) -> Forwarded:
+    """Returns what goes to each upstream that a request is sent to."""
+    head = message.request_head(
+        request.method,
+        request.target,
+        message.passed_on(request.headers, _OWN_HEADERS),
+        len(request.body),
+    )
+    return Forwarded(head=head, body=request.body)
+
+
 def upstream_request(
-    request: message.Request, upstream: traffic.Upstream, remaining_ms: float
+    common: Forwarded, upstream: traffic.Upstream, remaining_ms: float
 ) -> bytes:
-    """Returns the request as it goes to an upstream."""
-    headers = message.passed_on(request.headers, _OWN_HEADERS)
-    headers.append((b"X-Request-Deadline", b"%d" % max(1, remaining_ms)))
-    headers.append((b"X-Expected-Instance", upstream.upstream_id.encode()))
-    return message.request_bytes(
-        request.method, request.target, headers, request.body
+    """Returns a request as it goes to one upstream."""
+    return b"%sX-Request-Deadline: %d\r\nX-Expected-Instance: %s\r\n\r\n%s" % (
+        common.head,
+        max(1, remaining_ms),
+        upstream.upstream_id.encode(),
+        common.body,
     )
 
 
--- a/hyssoptack/platform/headers_test.py
+++ b/hyssoptack/platform/headers_test.py
@@ -103,7 +103,9 @@
         (b"X-Expected-Instance", b"forged"),
         (b"X-Keep", b"2"),
     )
-    data = headers.upstream_request(given, callplan_test.upstream("i-1"), 99.9)
+    data = headers.upstream_request(
+        headers.forwarded(given), callplan_test.upstream("i-1"), 99.9
+    )
     assert data.startswith(b"GET /a?q=1 HTTP/1.1\r\n")
     assert b"X-Request-Deadline: 99\r\n" in data
     assert b"X-Expected-Instance: i-1\r\n" in data
