--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -22,9 +22,9 @@
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
 from hyssoptack.platform import keyvalue
-from hyssoptack.policy import budget
 from hyssoptack.policy import callplan
 from hyssoptack.policy import connections
+from hyssoptack.policy import extrawindow
 from hyssoptack.policy import placing
 from hyssoptack.policy import readership
 from hyssoptack.settings import gateway
@@ -36,13 +36,9 @@
 """Instances that share a budget's slack, before this one knows its peers: more
 than either user runs (8 and 9), so that the sum stays within the budget."""
 
-START_TOKENS_COUNT = 2.0
-"""Extra calls of a service that a new instance may make before it has served:
-many instances may start at once, whose predecessors have spent theirs."""
-
-BURST_MIN_COUNT = 1.0
-"""Extra calls saved up at the least, however many instances share the slack:
-less than a token buys nothing."""
+START_COUNT = 2.0
+"""Extra calls of a service that a new instance may make at once: many instances
+may start at the same time, whose predecessors have spent theirs."""
 
 RESTART_FIELDS = frozenset(
     (
@@ -58,12 +54,11 @@
 
 SLACK_SHARE_RATIO = 0.8
 """Part of the slack that is used at all; the rest covers instances that start
-anew with their first tokens. What all buckets hold together, and what they earn
-in a window, so stays below the slack and the ratio of that window."""
+anew with their first extra calls."""
 
 EXTRA_RATIO_SHARE = 0.9
-"""Part of the budget's ratio that is earned: a call just inside a window may
-have been earned just before it."""
+"""Part of the budget's ratio that is used: the instances' fullest windows
+differ (`policy.extrawindow`)."""
 
 TURN_AWAY_MS = 2_600.0
 """From a stop signal until idle connections are closed: the balancer takes two
@@ -103,8 +98,9 @@
             settings.failure_domain,
             readership.pace(settings.belief_bound_ms),
         )
-        self._budgets = budget.Book(0.0, START_TOKENS_COUNT)
-        self._set_budget()
+        self._extra_calls = extrawindow.Book(
+            self._budget_share(), clock.now_ms()
+        )
         self._metrics = metrics.Metrics()
         self._serving = serving.Serving(
             self.beliefs,
@@ -125,8 +121,7 @@
     def _knowledge(self) -> callplan.Knowledge:
         return callplan.Knowledge(
             placing=self._placing,
-            budgets=self._budgets,
-            extra_ratio=EXTRA_RATIO_SHARE * self._settings.budget.ratio,
+            extra_calls=self._extra_calls,
         )
 
     def _on_configuration(self, offered: traffic.Configuration) -> None:
@@ -279,7 +274,7 @@
         self._store.move(settings.store_address)
         self.readers.pace = readership.pace(settings.belief_bound_ms)
         self._placing.settings = _placing_settings(settings)
-        self._set_budget()
+        self._extra_calls.share = self._budget_share()
 
     def _on_instances(self) -> None:
         """Takes a new list of instances: shares go by their number."""
@@ -288,14 +283,19 @@
             own_count=own_count,
             other_count=len(self.readers.peers) + 1 - own_count,
         )
-        self._set_budget()
+        self._extra_calls.share = self._budget_share()
 
-    def _set_budget(self) -> None:
-        """Gives this instance its share of the slack that all have together."""
+    def _budget_share(self) -> extrawindow.Share:
+        """Returns this instance's part of what all have together."""
         shared = self._settings.budget
         instances_count = max(INSTANCES_ASSUMED_COUNT, self.readers.most_count)
-        share_count = SLACK_SHARE_RATIO * shared.slack_count / instances_count
-        self._budgets.burst_count = max(BURST_MIN_COUNT, share_count)
+        slack_count = SLACK_SHARE_RATIO * shared.slack_count / instances_count
+        return extrawindow.Share(
+            ratio=EXTRA_RATIO_SHARE * shared.ratio,
+            slack_count=slack_count,
+            start_count=min(START_COUNT, slack_count),
+            window_ms=shared.window_ms,
+        )
 
     async def _finish(self, listeners: list[asyncio.Server]) -> None:
         """Turns callers away, finishes what is in progress, and ends."""
--- a/hyssoptack/gateway/peering_test.py
+++ b/hyssoptack/gateway/peering_test.py
@@ -91,6 +91,6 @@
                 while running.readers.most_count < 21:
                     await asyncio.sleep(0.05)
             slack_count = site.settings["g-1"].budget.slack_count
-            assert 21 * running._budgets.burst_count <= slack_count
+            assert 21 * running._extra_calls.share.slack_count <= slack_count
 
     asyncio.run(test())
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -13,9 +13,9 @@
 import dataclasses
 
 from hyssoptack.core import traffic
-from hyssoptack.policy import budget
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import callpart
+from hyssoptack.policy import extrawindow
 from hyssoptack.policy import placing
 
 HEDGE_QUANTILE_RATIO = 0.97
@@ -68,8 +68,7 @@
     """What all plans of an instance draw on."""
 
     placing: placing.Placing
-    budgets: budget.Book
-    extra_ratio: float
+    extra_calls: extrawindow.Book
 
 
 class CallPlan:
@@ -109,7 +108,7 @@
         commands: list[callcommand.Command] = []
         for part, upstream in chosen:
             if upstream is not None:
-                self._know.budgets.earn(part.service, self._know.extra_ratio, 1)
+                self._know.extra_calls.note_request(part.service, now_ms)
                 commands.extend(self._send_to(part, upstream, now_ms, ""))
         return commands + self._finish_if_due(now_ms)
 
@@ -229,7 +228,7 @@
         if upstream is None:
             self._parts.lose(part)
             return []
-        if not self._know.budgets.spend(part.service):
+        if not self._know.extra_calls.spend(part.service, now_ms):
             self._parts.lose(part)
             part.last_reason = "no_retry_budget"
             return []
@@ -309,7 +308,7 @@
     ) -> list[callcommand.Command]:
         part.hedged = True
         keep_count = 0.0 if self._floor_at_risk() else HEDGE_KEEP_COUNT
-        if not self._know.budgets.spend(part.service, keep_count):
+        if not self._know.extra_calls.spend(part.service, now_ms, keep_count):
             return []
         return self._send(part, now_ms, "hedge")
 
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -4,9 +4,9 @@
 import sys
 
 from hyssoptack.core import traffic
-from hyssoptack.policy import budget
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import callplan
+from hyssoptack.policy import extrawindow
 from hyssoptack.policy import placing
 
 GOAL_MS = 100.0
@@ -30,8 +30,11 @@
         placing.PlacingSettings(failure_domain="north", crossing_ratio=1.5)
     )
     known.install({each.upstream_id: each for each in upstreams}, 0.0)
+    share = extrawindow.Share(
+        ratio=0.15, slack_count=tokens, start_count=tokens, window_ms=10_000.0
+    )
     return callplan.Knowledge(
-        placing=known, budgets=budget.Book(tokens, tokens), extra_ratio=0.15
+        placing=known, extra_calls=extrawindow.Book(share, 0.0)
     )
 
 
