Tell neighbours of refusals, and avoid upstreams that refuse like failing ones

Cause: each refusal costs an extra call of a scarce budget; others learned of it only from calls of their own.

--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -57,9 +57,10 @@
 """An upstream that refused for want of room is left alone for about as long as
 its queue takes to clear: 18 calls on 3 slots of 10 to 30 ms."""
 
-SHED_SLOWNESS_RATIO = 3.0
-"""A refused call counts as one that took this many times the usual: an upstream
-that refuses time and again is then worth avoiding across failure domains."""
+SHED_SLOWNESS_RATIO = 6.0
+"""A refused call counts as one that took this many times the usual, here and at
+neighbours: an upstream that refuses time and again is worth avoiding across
+failure domains, as each refusal costs an extra call of a scarce budget."""
 
 OUTLASTED_RATIO = 2.0
 """A call given up unanswered counts as one that took this many times as long as
@@ -96,10 +97,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Seen:
-    """One call: how many times the usual it took, and when it ended."""
+    """One call: how many times the usual it took, and when it ended.
+
+    `refused` tells one that the upstream itself refused: no fault of ours.
+    """
 
     ratio: float
     end_ms: float
+    refused: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -273,16 +278,22 @@
             if now_ms - standing.measured_ms < TELL_FRESH_MS
         }
         news = {
-            upstream_id: message.SeenCall(
-                ratio=round(seen.ratio, 1), age_ms=round(now_ms - seen.end_ms)
-            )
+            upstream_id: seen
             for upstream_id, seen in fresh.items()
             if seen is not None and now_ms - seen.end_ms < TELL_FRESH_MS
         }
-        slow_count = sum(each.ratio > SLOW_RATIO for each in news.values())
+        slow_count = sum(
+            each.ratio > SLOW_RATIO and not each.refused
+            for each in news.values()
+        )
         if slow_count > max(1, OWN_FAULT_RATIO * len(fresh)):
             return {}
-        return news
+        return {
+            upstream_id: message.SeenCall(
+                ratio=round(seen.ratio, 1), age_ms=round(now_ms - seen.end_ms)
+            )
+            for upstream_id, seen in news.items()
+        }
 
     def told(
         self, seen_calls: dict[str, message.SeenCall], now_ms: float
@@ -368,6 +379,9 @@
         standing = self.standings.get(upstream_id)
         if standing is not None:
             standing.shed_until_ms = now_ms + SHED_QUIET_MS
+            standing.own_call = _Seen(
+                ratio=SHED_SLOWNESS_RATIO, end_ms=now_ms, refused=True
+            )
             self._blend(standing, SHED_SLOWNESS_RATIO, now_ms)
 
     def _measure(self, standing: Standing, ratio: float, now_ms: float) -> None:
--- a/hyssoptack/policy/placing_test.py
+++ b/hyssoptack/policy/placing_test.py
@@ -191,6 +191,15 @@
     assert choice(made, 1_500.0) == "a"
 
 
+def test_neighbours_avoid_an_upstream_that_refuses():
+    teller = busy()
+    made = known(upstream("a"), upstream("far", zone="south"))
+    for when_ms in (700.0, 1_000.0, 1_300.0):
+        teller.shed("a", when_ms)
+        made.told(teller.seen_calls(when_ms), when_ms)
+    assert choice(made, 1_300.0) == "far"
+
+
 def test_a_call_that_lost_to_its_hedge_is_no_quick_call():
     # Waited for twice as long as usual: it may well have taken four times that.
     made = known(upstream("near"), upstream("far", zone="south"))
