A fault soak of our own: real gateways, faults from outside

soak/: a seed draws faults that come in series and overlap: links delayed, reset, silenced or losing answers by a loopback proxy; gateways paused, killed, stopped and started; a store that is down, silent, loses answers or its history; configurations, replaced and spoilt upstreams. Callers keep connections, and some leave. A referee checks what callers got against what upstreams ran.

--- a/hyssoptack/standins/service.py
+++ b/hyssoptack/standins/service.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import dataclasses
 
 from hyssoptack.http1 import message
@@ -54,6 +55,7 @@
         self.connection_count = 0
         self.cancelled_count = 0
         self.address = ""
+        self.on_run: collections.abc.Callable[[bytes], None] = lambda _: None
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -96,6 +98,7 @@
             writer.write(_reply(503, b"Full", NOT_RUN, request_id, b""))
             return True
         self.runs[request_id] += 1
+        self.on_run(request_id)
         if await self._left(reader):
             self.cancelled_count += 1
             return False
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,165 @@
+"""What goes wrong in a run, and when: all of it follows from the seed.
+
+Faults overlap, and come in series: a run is worth little where one trouble is
+over before the next begins.
+"""
+
+import dataclasses
+import enum
+import random
+
+MEAN_GAP_MS = 450.0
+"""Between two faults; most last longer, so that some two to four overlap."""
+
+PAUSE_RANGE_MS = (300.0, 2_500.0)
+DOWN_RANGE_MS = (100.0, 1_500.0)
+LINK_RANGE_MS = (300.0, 3_000.0)
+DELAY_RANGE_MS = (20.0, 400.0)
+
+
+class Manner(enum.Enum):
+    """How a link treats its connections."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    RESET = "reset"
+    SILENT = "silent"
+    ANSWERS_LOST = "answers_lost"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Link:
+    """A link is harmed.
+
+    Attributes:
+        name: A gateway's, for its way to the store, or a service's, for the
+            way of all gateways to its first upstream.
+        manner: How connections are treated.
+        for_ms: How long.
+        delay_ms: Added to each chunk where the manner is a delay.
+    """
+
+    name: str
+    manner: Manner
+    for_ms: float
+    delay_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StoreOut:
+    """The store answers nobody, or with 503, or loses the answers of writes."""
+
+    how: str
+    for_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Pause:
+    """A gateway is stopped and goes on (SIGSTOP, SIGCONT)."""
+
+    gateway: str
+    for_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Restart:
+    """A gateway is killed, or asked to stop, and starts again."""
+
+    gateway: str
+    planned: bool
+    down_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reload:
+    """A gateway gets SIGHUP."""
+
+    gateway: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Configure:
+    """The operator writes a configuration: one route goes elsewhere."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Replace:
+    """An upstream of a service leaves, with a word or without; one comes."""
+
+    service: str
+    drains: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Spoil:
+    """An upstream treats its next requests badly (see `service.Manners`)."""
+
+    service: str
+    how: str
+    count: int
+
+
+Fault = Link | StoreOut | Pause | Restart | Reload | Configure | Replace | Spoil
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Timed:
+    """A fault and the time since the start at which it comes."""
+
+    at_ms: float
+    fault: Fault
+
+
+def plan(
+    seed: int,
+    length_ms: float,
+    gateways: tuple[str, ...],
+    services: tuple[str, ...],
+) -> tuple[Timed, ...]:
+    """Draws the faults of a run."""
+    dice = random.Random(seed)
+    timed = []
+    at_ms = 500.0
+    while at_ms < length_ms:
+        fault = _draw(dice, gateways, services)
+        timed.append(Timed(at_ms=at_ms, fault=fault))
+        at_ms += dice.expovariate(1.0 / MEAN_GAP_MS)
+    return tuple(timed)
+
+
+def _draw(
+    dice: random.Random, gateways: tuple[str, ...], services: tuple[str, ...]
+) -> Fault:
+    gateway = dice.choice(gateways)
+    service = dice.choice(services)
+    kinds = ("link", "store", "pause", "restart", "reload", "configure")
+    match dice.choice((*kinds, "link", "configure", "replace", "spoil")):
+        case "link":
+            return Link(
+                name=dice.choice((gateway, service)),
+                manner=dice.choice(tuple(Manner)[1:]),
+                for_ms=dice.uniform(*LINK_RANGE_MS),
+                delay_ms=dice.uniform(*DELAY_RANGE_MS),
+            )
+        case "store":
+            how = dice.choice(("down", "silent", "lose_writes", "compacted"))
+            return StoreOut(how=how, for_ms=dice.uniform(*LINK_RANGE_MS))
+        case "pause":
+            return Pause(gateway=gateway, for_ms=dice.uniform(*PAUSE_RANGE_MS))
+        case "restart":
+            return Restart(
+                gateway=gateway,
+                planned=dice.random() < 0.6,
+                down_ms=dice.uniform(*DOWN_RANGE_MS),
+            )
+        case "reload":
+            return Reload(gateway=gateway)
+        case "replace":
+            return Replace(service=service, drains=dice.random() < 0.7)
+        case "spoil":
+            how = dice.choice(
+                ("shed_count", "reset_count", "fail_count", "twice", "cut")
+            )
+            return Spoil(service=service, how=how, count=dice.randint(1, 8))
+        case _:
+            return Configure()
--- /dev/null
+++ b/soak/main.py
@@ -0,0 +1,60 @@
+"""`python -m soak.main`: plays runs, seed after seed, and prints what broke."""
+
+import asyncio
+import pathlib
+import sys
+import tempfile
+
+import cyclopts
+
+from soak import play
+
+application = cyclopts.App(name="soak")
+
+
+@application.default
+def main(
+    *,
+    first_seed: int = 1,
+    seeds: int = 1,
+    seconds: float = 20.0,
+    gateways: int = 4,
+    callers: int = 16,
+    folder: str = "",
+) -> None:
+    """Plays runs one after the other.
+
+    Args:
+        first_seed: The first seed; the others follow it.
+        seeds: How many runs.
+        seconds: Until the last fault of each begins; calm follows.
+        gateways: Processes of the product.
+        callers: Callers at a time.
+        folder: Keeps settings and logs; a temporary one else.
+    """
+    failed = []
+    for seed in range(first_seed, first_seed + seeds):
+        base = pathlib.Path(folder or tempfile.mkdtemp(prefix="soak-"))
+        run_folder = base / f"seed-{seed}"
+        run_folder.mkdir(parents=True, exist_ok=True)
+        settings = play.Settings(
+            seed=seed,
+            length_ms=seconds * 1000.0,
+            gateway_count=gateways,
+            caller_count=callers,
+            folder=run_folder,
+        )
+        report = asyncio.run(play.Play(settings).run())
+        total = sum(report.counts.values())
+        print(f"seed {seed}: {total} requests, {len(report.broken)} broken")
+        for line in report.broken[:12]:
+            print(f"  {line}")
+        if report.broken:
+            failed.append(seed)
+            print(f"  logs: {run_folder}")
+    print(f"{seeds} runs, failed: {failed or 'none'}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    application()
--- /dev/null
+++ b/soak/play.py
@@ -0,0 +1,251 @@
+"""Plays one run: starts gateways as processes and carries the faults out."""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import signal
+import sys
+
+from hyssoptack.core import clock
+from hyssoptack.gateway import harness
+from soak import callers
+from soak import faults
+from soak import referee
+from soak import world
+
+MS_PER_S = 1000.0
+GRACE_MS = 6_000.0
+KILL_AFTER_S = 8.0
+START_LIMIT_S = 30.0
+SETTLE_CALM_MS = 3_500.0
+"""From the last fault's end to where recovery is judged: beliefs are read
+again within 3 s."""
+
+CALM_MS = 2_500.0
+"""For so long callers ask on, to see what is served again."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Settings:
+    """One run.
+
+    Attributes:
+        seed: Everything drawn follows from it.
+        length_ms: Until the last fault begins.
+        gateway_count: Processes of the product.
+        caller_count: Callers at a time.
+        folder: Where settings and logs go.
+    """
+
+    seed: int
+    length_ms: float
+    gateway_count: int
+    caller_count: int
+    folder: pathlib.Path
+
+
+class Play:
+    """One run in progress."""
+
+    def __init__(self, settings: Settings):
+        self._settings = settings
+        self._world = world.World(settings.seed)
+        self._processes: dict[str, asyncio.subprocess.Process] = {}
+        self._addresses: dict[str, dict[str, str]] = {}
+        self._busy: set[str] = set()
+        self._harms: list[referee.Harm] = []
+        self._stops: list[referee.Harm] = []
+        self._ended: list[str] = []
+        self._started_ms = 0.0
+
+    async def run(self) -> referee.Report:
+        """Plays the run and returns what it came to."""
+        await self._world.start()
+        names = [f"g-{n}" for n in range(self._settings.gateway_count)]
+        try:
+            for name in names:
+                await self._prepare(name)
+                await self._launch(name)
+            await asyncio.gather(*(self._wait_ready(each) for each in names))
+            return await self._play(tuple(names))
+        finally:
+            for process in self._processes.values():
+                if process.returncode is None:
+                    process.send_signal(signal.SIGCONT)
+                    process.kill()
+                await process.wait()
+            self._world.stop()
+            # Tasks of connections see their ends before the loop goes.
+            await asyncio.sleep(0.3)
+
+    async def _play(self, names: tuple[str, ...]) -> referee.Report:
+        settings = self._settings
+        self._started_ms = clock.now_ms()
+        planned = faults.plan(
+            settings.seed, settings.length_ms, names, world.SERVICES
+        )
+        entrances = {n: self._addresses[n]["callers_address"] for n in names}
+        asking = [
+            callers.Caller(number, settings.seed, entrances)
+            for number in range(settings.caller_count)
+        ]
+        over = asyncio.Event()
+        tasks = [asyncio.create_task(each.ask_until(over)) for each in asking]
+        await asyncio.gather(*(self._carry_out(each) for each in planned))
+        calm_ms = clock.now_ms() + SETTLE_CALM_MS
+        await asyncio.sleep((SETTLE_CALM_MS + CALM_MS) / MS_PER_S)
+        over.set()
+        await asyncio.gather(*tasks)
+        # What was cut off may still run for a moment.
+        await asyncio.sleep(1.0)
+        judge = referee.Referee(self._world, self._harms, self._stops, calm_ms)
+        report = judge.judge([each for one in asking for each in one.asked])
+        broken = (*report.broken, *self._ended)
+        return referee.Report(broken=broken, counts=report.counts)
+
+    # Processes.
+
+    async def _prepare(self, name: str) -> None:
+        ports = ("callers", "readiness", "peer", "metrics")
+        addresses = {
+            f"{each}_address": f"127.0.0.1:{harness.free_port()}"
+            for each in ports
+        }
+        address = await self._world.link(name, self._world.store.address)
+        self._addresses[name] = addresses
+        document = {
+            "instance_id": name,
+            "failure_domain": f"zone-{int(name[2:]) % 2}",
+            "failure_domains": {"zone-0": "r", "zone-1": "r"},
+            "store_address": address,
+            "grace_ms": GRACE_MS,
+            "budget": {"ratio": 0.2, "slack_count": 60, "window_ms": 10_000},
+            **addresses,
+        }
+        path = self._settings.folder / f"{name}.yaml"
+        path.write_text(json.dumps(document), "utf-8")
+
+    async def _launch(self, name: str) -> None:
+        folder = self._settings.folder
+        with (folder / f"{name}.log").open("ab") as log_file:
+            self._processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "hyssoptack.scripts.gateway",
+                str(folder / f"{name}.yaml"),
+                stdout=log_file,
+                stderr=log_file,
+            )
+
+    async def _wait_ready(self, name: str) -> None:
+        address = self._addresses[name]["readiness_address"]
+        request = b"GET /hyssoptack/readiness HTTP/1.1\r\nHost: p\r\n\r\n"
+        async with asyncio.timeout(START_LIMIT_S):
+            while True:
+                try:
+                    if (await harness.send(address, request)).status == 200:
+                        return
+                except OSError:
+                    # It does not listen yet.
+                    pass
+                await asyncio.sleep(0.05)
+
+    def _signal(self, name: str, number: signal.Signals) -> None:
+        """Signals a process that this run started and that still runs."""
+        process = self._processes[name]
+        if process.returncode is None:
+            process.send_signal(number)
+        elif name not in self._busy:
+            self._ended.append(f"ended by itself: {name}")
+
+    # Faults.
+
+    async def _carry_out(self, timed: faults.Timed) -> None:
+        due_ms = self._started_ms + timed.at_ms
+        await asyncio.sleep(max(0.0, due_ms - clock.now_ms()) / MS_PER_S)
+        match timed.fault:
+            case faults.Link():
+                await self._harm_link(timed.fault)
+            case faults.StoreOut():
+                await self._harm_store(timed.fault)
+            case faults.Pause():
+                await self._pause(timed.fault)
+            case faults.Restart():
+                await self._restart(timed.fault)
+            case faults.Reload(gateway=gateway):
+                self._signal(gateway, signal.SIGHUP)
+            case faults.Configure():
+                self._world.configure()
+            case faults.Replace(service=service, drains=drains):
+                await self._world.replace(service, drains)
+            case faults.Spoil(service=service, how=how, count=count):
+                await self._spoil(service, how, count)
+
+    def _note_harm(self, gateway: str, start_ms: float) -> referee.Harm:
+        harm = referee.Harm(
+            gateway=gateway, start_ms=start_ms, end_ms=clock.now_ms()
+        )
+        self._harms.append(harm)
+        return harm
+
+    async def _harm_link(self, fault: faults.Link) -> None:
+        name = fault.name
+        if name not in self._addresses:
+            name = self._world.of_service(name)[0].upstream_id
+        start_ms = clock.now_ms()
+        link = self._world.links[name]
+        link.harm(fault.manner, fault.delay_ms)
+        await asyncio.sleep(fault.for_ms / MS_PER_S)
+        link.harm(faults.Manner.PASS)
+        self._note_harm(name if name in self._addresses else "", start_ms)
+
+    async def _harm_store(self, fault: faults.StoreOut) -> None:
+        start_ms = clock.now_ms()
+        setattr(self._world.store.faults, fault.how, True)
+        await asyncio.sleep(fault.for_ms / MS_PER_S)
+        setattr(self._world.store.faults, fault.how, False)
+        self._note_harm("", start_ms)
+
+    async def _pause(self, fault: faults.Pause) -> None:
+        if fault.gateway in self._busy:
+            return
+        start_ms = clock.now_ms()
+        self._signal(fault.gateway, signal.SIGSTOP)
+        await asyncio.sleep(fault.for_ms / MS_PER_S)
+        self._signal(fault.gateway, signal.SIGCONT)
+        self._note_harm(fault.gateway, start_ms)
+
+    async def _restart(self, fault: faults.Restart) -> None:
+        name = fault.gateway
+        if name in self._busy:
+            return
+        self._busy.add(name)
+        start_ms = clock.now_ms()
+        number = signal.SIGTERM if fault.planned else signal.SIGKILL
+        self._signal(name, number)
+        try:
+            async with asyncio.timeout(KILL_AFTER_S):
+                await self._processes[name].wait()
+        except TimeoutError:
+            self._signal(name, signal.SIGCONT)
+            self._signal(name, signal.SIGKILL)
+            await self._processes[name].wait()
+        stop = self._note_harm(name, start_ms)
+        if fault.planned:
+            self._stops.append(stop)
+        await asyncio.sleep(fault.down_ms / MS_PER_S)
+        await self._launch(name)
+        await self._wait_ready(name)
+        self._note_harm(name, start_ms)
+        self._busy.discard(name)
+
+    async def _spoil(self, service: str, how: str, count: int) -> None:
+        start_ms = clock.now_ms()
+        manners = self._world.of_service(service)[0].manners
+        lasting = how in ("twice", "cut")
+        setattr(manners, how, True if lasting else count)
+        if lasting:
+            await asyncio.sleep(1.0)
+            setattr(manners, how, False)
+            self._note_harm("", start_ms)
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,195 @@
+"""What stands around the gateways: store, upstreams, configurations, links."""
+
+import asyncio
+import dataclasses
+import json
+import random
+
+from hyssoptack.core import clock
+from hyssoptack.standins import kvstore
+from hyssoptack.standins import service
+from soak import faults
+from soak import proxy
+
+HOST = "soak.example"
+SHARD_COUNT = 6
+SINGLE, ONCE, ALL = "/single/", "/once/", "/all/"
+MOVED = "/moved/"
+TOP_COUNT = 4
+FLOOR_RATIO = 0.6
+UPSTREAM_MS = (2.0, 25.0)
+LEAVE_MS = 6_000.0
+"""From an upstream's word that it leaves to its end: longer than the gateways
+have to heed it."""
+
+SHARDS = tuple(f"shard-{number}" for number in range(SHARD_COUNT))
+DESKS = ("desk-a", "desk-b")
+SERVICES = (*SHARDS, *DESKS)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Run:
+    """One run of a request at an upstream."""
+
+    at_ms: float
+    upstream_id: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Version:
+    """A configuration as it was written, for the referee."""
+
+    at_ms: float
+    number: int
+    moved_to: str
+
+
+class Upstream(service.Service):
+    """A stand-in whose runs are kept with their times."""
+
+    def __init__(self, world: "World", upstream_id: str, service_name: str):
+        dice = random.Random(upstream_id)
+        records = b"".join(dice.randbytes(16) for _ in range(5))
+        super().__init__(upstream_id, records)
+        self.service_name = service_name
+        self.on_run = lambda request_id: world.note_run(
+            request_id.decode(),
+            Run(
+                at_ms=clock.now_ms(),
+                upstream_id=upstream_id,
+                service=service_name,
+            ),
+        )
+        self.manners.delay_ms = dice.uniform(*UPSTREAM_MS)
+
+
+class World:
+    """All stand-ins of one run, in the soak's own process."""
+
+    def __init__(self, seed: int) -> None:
+        self.store = kvstore.Store()
+        self.upstreams: dict[str, Upstream] = {}
+        self.links: dict[str, proxy.Proxy] = {}
+        self.runs: dict[str, list[Run]] = {}
+        self.versions: list[Version] = []
+        self.left_ms: dict[str, float] = {}
+        self._dice = random.Random(seed)
+        self._counts: dict[str, int] = {}
+
+    async def start(self) -> None:
+        """Starts the store and two upstreams of each service."""
+        await self.store.start()
+        for name in SERVICES:
+            for _ in range(2):
+                await self.add_upstream(name)
+        self.configure()
+
+    def stop(self) -> None:
+        """Closes all ports."""
+        for each in (*self.links.values(), *self.upstreams.values()):
+            each.stop()
+        self.store.stop()
+
+    def note_run(self, request_id: str, run: Run) -> None:
+        """Keeps a run for the referee."""
+        self.runs.setdefault(request_id, []).append(run)
+
+    async def link(self, name: str, target: str) -> str:
+        """Puts a proxy before a target; returns the proxy's address."""
+        made = self.links[name] = proxy.Proxy(target)
+        await made.start()
+        return made.address
+
+    async def add_upstream(self, service_name: str) -> str:
+        """Starts an upstream behind a link and lists it."""
+        number = self._counts.get(service_name, 0)
+        self._counts[service_name] = number + 1
+        upstream_id = f"i-{service_name}-{number}"
+        added = Upstream(self, upstream_id, service_name)
+        await added.start()
+        self.upstreams[upstream_id] = added
+        address = await self.link(upstream_id, added.address)
+        self._enter(upstream_id, address, "ready")
+        return upstream_id
+
+    def _enter(self, upstream_id: str, address: str, state: str) -> None:
+        entry = {
+            "service": self.upstreams[upstream_id].service_name,
+            "address": address,
+            "zone": f"zone-{len(upstream_id) % 2}",
+            "version": "v1",
+            "slots": 3,
+            "state": state,
+            "warmup_remaining_ms": 0,
+            "sequence": 1,
+        }
+        self.store.put(f"servers/{upstream_id}", json.dumps(entry).encode())
+
+    def of_service(self, service_name: str) -> list[Upstream]:
+        """Returns the upstreams of a service that have not left."""
+        return [
+            each
+            for name, each in self.upstreams.items()
+            if each.service_name == service_name and name not in self.left_ms
+        ]
+
+    async def replace(self, service_name: str, drains: bool) -> None:
+        """Lets a new upstream come, then the oldest one leave."""
+        oldest = self.of_service(service_name)[0].upstream_id
+        await self.add_upstream(service_name)
+        self.left_ms[oldest] = clock.now_ms()
+        if drains:
+            self._enter(oldest, self.links[oldest].address, "draining")
+            await asyncio.sleep(LEAVE_MS / 1000.0)
+        self.store.remove(f"servers/{oldest}")
+        if not drains:
+            await asyncio.sleep(LEAVE_MS / 1000.0)
+        self.links[oldest].harm(faults.Manner.RESET)
+
+    def configure(self) -> None:
+        """Writes a configuration that sends one route elsewhere."""
+        last = self.versions[-1] if self.versions else None
+        moved_to = DESKS[1] if last and last.moved_to == DESKS[0] else DESKS[0]
+        number = (last.number if last else 0) + self._dice.randint(1, 9)
+        self.versions.append(
+            Version(at_ms=clock.now_ms(), number=number, moved_to=moved_to)
+        )
+        body = {
+            "version": number,
+            "routes": [
+                _route(SINGLE, service=DESKS[0]),
+                _route(MOVED, service=moved_to),
+                _route(ONCE, service=DESKS[1], route_type="non_idempotent"),
+                _route(
+                    ALL,
+                    fanout_services=list(SHARDS),
+                    top_k=TOP_COUNT,
+                    min_shard_fraction=FLOOR_RATIO,
+                ),
+            ],
+            "services": [
+                {"name": name, "max_connections": 60} for name in SERVICES
+            ],
+            "limits": {
+                "max_header_bytes": 4096,
+                "max_body_bytes": 4096,
+                "header_timeout_ms": 1000,
+                "idle_timeout_ms": 4000,
+            },
+        }
+        self.store.put("op/config", json.dumps(body).encode())
+
+
+def _route(prefix: str, **fields: object) -> dict[str, object]:
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "prefix": prefix,
+        "route_type": "idempotent",
+        "timeout_ms": 1_500,
+        "target_latency_ms": 200,
+        "priority": 1,
+        "max_attempts": 2,
+        **fields,
+    }
