Tell all instances of all instances

Cause: only readers of the store read the list of instances. Ruled out: the window's arithmetic (property test over several instances).

Readers now tell their failure domain after each reading, at most 32 neighbours a time. Until the list is known an instance takes two extra calls of the slack. New test: three gateways of which one reads all know all; failed before.

--- a/hyssoptack/core/member.py
+++ b/hyssoptack/core/member.py
@@ -23,3 +23,18 @@
     peer_address: str
     operator_address: str
     leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Peer:
+    """Another instance, as it entered itself.
+
+    Attributes:
+        instance_id: Its name.
+        failure_domain: Where it runs.
+        address: Where it takes peers' messages.
+    """
+
+    instance_id: str
+    failure_domain: str
+    address: str
--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -198,6 +198,21 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class InstancesNotice:
+    """The live instances, as a reader of the platform's store found them.
+
+    Attributes:
+        sender_id: The instance that read.
+        neighbours: Those of the own failure domain.
+        total_count: All of them, in all failure domains.
+    """
+
+    sender_id: str
+    neighbours: tuple[member.Peer, ...]
+    total_count: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SeenCall:
     """One call to an upstream as an instance has measured it.
@@ -236,5 +251,6 @@
     | ConfigOffer
     | ViewNotice
     | ViewWanted
+    | InstancesNotice
     | CallNotice
 )
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -32,9 +32,9 @@
 BACKLOG_COUNT = 1_024
 """Connections that may wait to be accepted: a burst of all callers at once."""
 
-INSTANCES_ASSUMED_COUNT = 12
-"""Instances that share a budget's slack, before this one knows its peers: more
-than either user runs (8 and 9), so that the sum stays within the budget."""
+INSTANCES_LEAST_COUNT = 12
+"""An instance takes no more of the budget's slack than if there were so many:
+one whose view is small may be cut off from the others."""
 
 START_COUNT = 2.0
 """Extra calls of a service that a new instance may make at once: many instances
@@ -114,7 +114,9 @@
         self._probes = callerside.Server(handler=self._answer_probe)
         self._readings = callerside.Server(handler=self._answer_metrics)
         self._store = keyvalue.Client(settings.store_address, self._pools)
-        self._peering = peering.Peering(settings, self.beliefs, self.readers)
+        self._peering = peering.Peering(
+            settings, self.beliefs, self.readers, self._on_instances
+        )
         self._stop = asyncio.Event()
         self._said_ready = False
 
@@ -150,7 +152,7 @@
             "caller_connection_count": len(self._callers.connections),
             "opened_connection_count": self._pools.opened_count,
             "store_call_count": self._store.call_count,
-            "instance_count": len(self.readers.peers) + 1,
+            "instance_count": self.readers.total_count,
         }
         for name, value in facts.items():
             self._metrics.facts.set({"name": name}, value)
@@ -281,15 +283,18 @@
         own_count = len(self.readers.neighbours()) + 1
         self._serving.crowd = connections.Crowd(
             own_count=own_count,
-            other_count=len(self.readers.peers) + 1 - own_count,
+            other_count=max(0, self.readers.total_count - own_count),
         )
         self._extra_calls.share = self._budget_share()
 
     def _budget_share(self) -> extrawindow.Share:
         """Returns this instance's part of what all have together."""
         shared = self._settings.budget
-        instances_count = max(INSTANCES_ASSUMED_COUNT, self.readers.most_count)
+        known_count = self.readers.most_count
+        instances_count = max(INSTANCES_LEAST_COUNT, known_count)
         slack_count = SLACK_SHARE_RATIO * shared.slack_count / instances_count
+        if not known_count:
+            slack_count = min(START_COUNT, slack_count)
         return extrawindow.Share(
             ratio=EXTRA_RATIO_SHARE * shared.ratio,
             slack_count=slack_count,
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from hyssoptack.core import clock
+from hyssoptack.core import member
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import beliefs
@@ -18,7 +19,6 @@
 from hyssoptack.http1 import message
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import wire
-from hyssoptack.policy import readership
 from hyssoptack.settings import gateway
 
 EXACT_READ_COUNT = 2
@@ -224,7 +224,7 @@
 
     def _entry(self) -> bytes:
         return msgspec.json.encode(
-            readership.Peer(
+            member.Peer(
                 instance_id=self._settings.instance_id,
                 failure_domain=self._settings.failure_domain,
                 address=self._settings.peer_address,
@@ -258,16 +258,21 @@
             await self._pause(PEERS_PERIOD_MS)
 
     def _take_instances(self, items: list[keyvalue.Item]) -> None:
-        peers: dict[str, readership.Peer] = {}
+        peers: list[member.Peer] = []
         for item in items:
             try:
-                peer = msgspec.json.decode(item.value, type=readership.Peer)
+                peer = msgspec.json.decode(item.value, type=member.Peer)
             except msgspec.DecodeError as error:
                 log.write(log.Event.PEER_UNREADABLE, reason=str(error))
                 continue
-            peers[peer.instance_id] = peer
-        self._readers.install(peers)
+            peers.append(peer)
+        domain = self._settings.failure_domain
+        neighbours = tuple(
+            each for each in peers if each.failure_domain == domain
+        )
+        self._readers.install(neighbours, len(peers))
         self._on_instances()
+        self._peers.tell_instances(neighbours, len(peers))
 
     # The store's reachability.
 
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -1,12 +1,14 @@
 """Tells neighbours what was read from the store, and takes what they read."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import random
 
 import expression
 
 from hyssoptack.core import clock
+from hyssoptack.core import member
 from hyssoptack.core import message
 from hyssoptack.events import log
 from hyssoptack.gateway import beliefs
@@ -29,6 +31,10 @@
 """Most neighbours that are told each time, chosen at random: what one round
 costs stays the same however many instances a failure domain has."""
 
+INSTANCES_PEERS_COUNT = 32
+"""The same for the list of instances, each time that it was read (5 s): what a
+neighbour misses, it hears a few rounds later."""
+
 
 class Peering:
     """The links of one instance, and the views that travel over them."""
@@ -38,10 +44,12 @@
         settings: gateway.GatewaySettings,
         believed: beliefs.Beliefs,
         readers: readership.Readership,
+        on_instances: collections.abc.Callable[[], None],
     ):
         self._settings = settings
         self._beliefs = believed
         self.readers = readers
+        self._on_instances = on_instances
         self._told: dict[str, _Told] = {}
         self._history = listing.History()
         self._configuration = b""
@@ -110,6 +118,25 @@
             b"" if fresh else self._configuration,
         )
 
+    def tell_instances(
+        self, neighbours: tuple[member.Peer, ...], total_count: int
+    ) -> None:
+        """Tells neighbours who else there is: only readers read that list."""
+        if self._links is None:
+            return
+        notice = message.InstancesNotice(
+            sender_id=self._settings.instance_id,
+            neighbours=neighbours,
+            total_count=total_count,
+        )
+        for peer in self._some(INSTANCES_PEERS_COUNT):
+            self._links.send(peer.address, notice)
+
+    def _some(self, most_count: int) -> list[member.Peer]:
+        """Returns at most so many neighbours, chosen at random."""
+        peers = self.readers.neighbours()
+        return self._random.sample(peers, min(len(peers), most_count))
+
     async def tell_slow(self) -> None:
         """Tells neighbours of slow upstreams, for as long as it runs."""
         while True:
@@ -120,9 +147,7 @@
             notice = message.CallNotice(
                 sender_id=self._settings.instance_id, seen_calls=calls
             )
-            peers = self.readers.neighbours()
-            count = min(len(peers), SLOW_PEERS_COUNT)
-            for peer in self._random.sample(peers, count):
+            for peer in self._some(SLOW_PEERS_COUNT):
                 self._links.send(peer.address, notice)
 
     def _on_undelivered(self, address: str, body: message.Message) -> None:
@@ -133,6 +158,9 @@
             match each:
                 case message.ViewNotice():
                     self._take(each)
+                case message.InstancesNotice():
+                    self.readers.install(each.neighbours, each.total_count)
+                    self._on_instances()
                 case message.ViewWanted():
                     self._answer_wanted(each)
                 case message.CallNotice(seen_calls=seen_calls):
--- a/hyssoptack/gateway/peering_test.py
+++ b/hyssoptack/gateway/peering_test.py
@@ -94,3 +94,17 @@
             assert 21 * running._extra_calls.share.slack_count <= slack_count
 
     asyncio.run(test())
+
+
+def test_those_who_never_read_know_all_instances_too():
+    # Else they take the share of a small site, and tell nobody what is slow.
+    async def test():
+        async with harness.Site() as site:
+            await _three(site)
+            async with asyncio.timeout(5.0):
+                for each in site.gateways.values():
+                    while each.readers.total_count != 3:
+                        await asyncio.sleep(0.05)
+                    assert len(each.readers.neighbours()) == 2
+
+    asyncio.run(test())
--- a/hyssoptack/peers/codec.py
+++ b/hyssoptack/peers/codec.py
@@ -40,6 +40,7 @@
     12: message.ViewNotice,
     13: message.CallNotice,
     14: message.ViewWanted,
+    15: message.InstancesNotice,
 }
 """Kinds by number. Numbers are never used again for another kind: 10 and 11
 were notices with whole lists."""
--- a/hyssoptack/policy/readership.py
+++ b/hyssoptack/policy/readership.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 
+from hyssoptack.core import member
 from hyssoptack.policy import ownership
 
 LIST_PERIOD_RATIO = 1 / 3
@@ -71,21 +72,6 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Peer:
-    """Another instance, as it entered itself.
-
-    Attributes:
-        instance_id: Its name.
-        failure_domain: Where it runs.
-        address: Where it takes peers' messages.
-    """
-
-    instance_id: str
-    failure_domain: str
-    address: str
-
-
 def rank(failure_domain: str, instance_id: str) -> int:
     """Returns an instance's rank; the highest reads first."""
     return ownership.rank(f"reader/{failure_domain}", instance_id)
@@ -101,27 +87,30 @@
         self.rank = rank(failure_domain, instance_id)
         self._heard_ms = float("-inf")
         self._failing = False
-        self.peers: dict[str, Peer] = {}
-        self.most_count = 1
-
-    def install(self, peers: dict[str, Peer]) -> None:
-        """Replaces the list of live instances."""
-        self.peers = {
-            name: peer
-            for name, peer in peers.items()
-            if name != self._instance_id
-        }
+        self._neighbours: tuple[member.Peer, ...] = ()
+        self.total_count = 0
+        self.most_count = 0
+
+    def install(
+        self, neighbours: tuple[member.Peer, ...], total_count: int
+    ) -> None:
+        """Replaces the list of live instances.
+
+        Args:
+            neighbours: Those of the own failure domain.
+            total_count: All of them; 0 would mean that none is known.
+        """
+        self._neighbours = tuple(
+            each for each in neighbours if each.instance_id != self._instance_id
+        )
+        self.total_count = total_count
         # Entries may lapse while their instances live: shares of what all may
         # spend together go by the most that were ever seen.
-        self.most_count = max(self.most_count, len(self.peers) + 1)
+        self.most_count = max(self.most_count, total_count)
 
-    def neighbours(self) -> list[Peer]:
+    def neighbours(self) -> tuple[member.Peer, ...]:
         """Returns the other instances of the own failure domain."""
-        return [
-            each
-            for each in self.peers.values()
-            if each.failure_domain == self._failure_domain
-        ]
+        return self._neighbours
 
     def heard(self, sender_id: str, now_ms: float) -> None:
         """Notes that another instance reads.
@@ -145,7 +134,7 @@
     def _silence_ms(self) -> float:
         higher = sum(
             rank(self._failure_domain, each.instance_id) > self.rank
-            for each in self.neighbours()
+            for each in self._neighbours
         )
         steps = min(max(0, higher - 1), SILENCE_STEPS_COUNT)
         return self.pace.silence_ms + self.pace.silence_step_ms * steps
--- a/hyssoptack/policy/readership_test.py
+++ b/hyssoptack/policy/readership_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hyssoptack.core import member
 from hyssoptack.policy import readership
 
 NAMES = ("g1", "g2", "g3", "g4")
@@ -9,19 +10,19 @@
 
 
 def members(names=NAMES):
-    peers = {
-        name: readership.Peer(
+    peers = tuple(
+        member.Peer(
             instance_id=name, failure_domain="north", address=f"{name}:1"
         )
         for name in names
-    }
+    )
     ranked = sorted(
         names, key=lambda each: readership.rank("north", each), reverse=True
     )
     made = []
     for name in ranked:
         each = readership.Readership(name, "north", PACE)
-        each.install(peers)
+        each.install(peers, len(peers))
         made.append((name, each))
     return made
 
@@ -55,7 +56,7 @@
 
 def test_shares_go_by_the_most_instances_ever_seen():
     (_, each), *_ = members()
-    each.install({})
+    each.install((), 0)
     assert each.most_count == len(NAMES)
 
 
