--- a/Makefile
+++ b/Makefile
@@ -19,17 +19,24 @@
 	$(BIN)/python -m pytest
 
 lint: setup
-	$(BIN)/ruff check hyssoptack bench conftest.py
-	$(BIN)/ruff format --check hyssoptack bench conftest.py
+	$(BIN)/ruff check hyssoptack bench soak conftest.py
+	$(BIN)/ruff format --check hyssoptack bench soak conftest.py
 
 format: setup
-	$(BIN)/ruff check --fix --exit-zero hyssoptack bench
-	$(BIN)/ruff format hyssoptack bench
+	$(BIN)/ruff check --fix --exit-zero hyssoptack bench soak
+	$(BIN)/ruff format hyssoptack bench soak
 
 SLOPES := upstream-client peer-message stages plan gossip memory claims charts
 
 .PHONY: proofs measures slopes $(addprefix slopes-,$(SLOPES))
 
+SOAK_SEEDS ?= 50
+SOAK_FIRST ?= 1
+
+.PHONY: soak
+soak: setup
+	$(BIN)/python -m soak.main --first-seed $(SOAK_FIRST) --seeds $(SOAK_SEEDS)
+
 proofs: setup
 	$(BIN)/python -m pytest bench/proofs -rP
 
--- a/soak/main.py
+++ b/soak/main.py
@@ -1,6 +1,5 @@
 """`python -m soak.main`: plays runs, seed after seed, and prints what broke."""
 
-import asyncio
 import pathlib
 import sys
 import tempfile
@@ -44,7 +43,7 @@
             caller_count=callers,
             folder=run_folder,
         )
-        report = asyncio.run(play.Play(settings).run())
+        report = play.run(settings)
         total = sum(report.counts.values())
         print(f"seed {seed}: {total} requests, {len(report.broken)} broken")
         for line in report.broken[:12]:
--- a/soak/play.py
+++ b/soak/play.py
@@ -249,3 +249,12 @@
             await asyncio.sleep(1.0)
             setattr(manners, how, False)
             self._note_harm("", start_ms)
+
+
+def run(settings: Settings) -> referee.Report:
+    """Plays one run on an event loop of its own."""
+
+    async def main() -> referee.Report:
+        return await Play(settings).run()
+
+    return asyncio.run(main())
--- /dev/null
+++ b/soak/soak_test.py
@@ -0,0 +1,113 @@
+"""Short seeded runs of the soak; a test of the referee itself."""
+
+import pathlib
+
+import pytest
+
+from hyssoptack.gateway import harness
+from soak import callers
+from soak import faults
+from soak import play
+from soak import referee
+from soak import world
+
+FAILED_SEEDS: tuple[int, ...] = ()
+"""Seeds that ever failed by a fault of the product, each with its cause."""
+
+
+@pytest.mark.parametrize("seed", (11, *FAILED_SEEDS))
+def test_a_short_run_breaks_no_promise(seed, tmp_path):
+    settings = play.Settings(
+        seed=seed,
+        length_ms=5_000.0,
+        gateway_count=3,
+        caller_count=10,
+        folder=pathlib.Path(tmp_path),
+    )
+    report = play.run(settings)
+    assert not report.broken
+    assert sum(report.counts.values()) > 300
+
+
+def test_a_seed_always_gives_the_same_faults():
+    names = ("g-0", "g-1")
+    planned = faults.plan(7, 20_000.0, names, world.SERVICES)
+    assert planned == faults.plan(7, 20_000.0, names, world.SERVICES)
+    assert planned != faults.plan(8, 20_000.0, names, world.SERVICES)
+    assert len({type(each.fault) for each in planned}) >= 5
+
+
+def _asked(path, status=200, headers=None, body=b"", sent_ms=10_000.0):
+    return callers.Asked(
+        request_id="r1",
+        gateway="g-0",
+        path=path,
+        sent_ms=sent_ms,
+        ended_ms=sent_ms + 20.0,
+        ended="answered",
+        got=harness.Got(status=status, headers=headers or {}, body=body),
+    )
+
+
+def _run(service, at_ms=10_010.0):
+    name = f"i-{service}-0"
+    return world.Run(at_ms=at_ms, upstream_id=name, service=service)
+
+
+def _broken(asked, runs=(), harms=(), left_ms=None, versions=()):
+    seen = world.World(1)
+    for name in world.SERVICES:
+        upstream_id = f"i-{name}-0"
+        seen.upstreams[upstream_id] = world.Upstream(seen, upstream_id, name)
+    seen.runs["r1"] = list(runs)
+    seen.left_ms = left_ms or {}
+    seen.versions = list(versions)
+    judge = referee.Referee(seen, list(harms), [], 0.0)
+    lines = judge.judge([asked]).broken
+    return [each for each in lines if not each.startswith("not recovered")]
+
+
+_DESK = world.DESKS[1]
+
+
+@pytest.mark.parametrize(
+    ("asked", "found"),
+    [
+        (_asked(world.ONCE, status=502), {"runs": [_run(_DESK)] * 2}),
+        (_asked(world.ONCE, status=503), {"runs": [_run(_DESK)]}),
+        (_asked(world.ONCE, status=404), {}),
+        (_asked(world.ONCE, status=502), {"runs": [_run(world.DESKS[0])]}),
+        (_asked(world.ONCE, headers={"x-server-stamp": "i-desk-b-0.r2"}), {}),
+        (_asked(world.ONCE, headers={"x-server-stamp": "i-desk-b-0.r1"}), {}),
+        (_asked(world.ALL, headers={"x-part-stamps": "i-shard-0-0.r1"}), {}),
+        (
+            _asked(world.ONCE, status=502),
+            {"runs": [_run(_DESK)], "left_ms": {"i-desk-b-0": 1_000.0}},
+        ),
+    ],
+)
+def test_the_referee_sees_what_is_broken(asked, found):
+    assert _broken(asked, **found)
+
+
+def test_the_referee_lets_pass_what_is_right():
+    assert not _broken(_asked(world.ONCE, status=502), runs=[_run(_DESK)])
+    assert not _broken(_asked(world.ONCE, status=503))
+    # A gateway that was harmed a second before may not know who leaves.
+    harm = referee.Harm(gateway="g-0", start_ms=8_000.0, end_ms=9_000.0)
+    assert not _broken(
+        _asked(world.ONCE, status=502),
+        runs=[_run(_DESK)],
+        harms=[harm],
+        left_ms={"i-desk-b-0": 1_000.0},
+    )
+
+
+def test_the_referee_sees_an_older_configuration():
+    versions = (
+        world.Version(at_ms=0.0, number=1, moved_to=world.DESKS[0]),
+        world.Version(at_ms=2_000.0, number=4, moved_to=world.DESKS[1]),
+    )
+    asked = _asked(world.MOVED, status=502)
+    assert _broken(asked, runs=[_run(world.DESKS[0])], versions=versions)
+    assert not _broken(asked, runs=[_run(world.DESKS[1])], versions=versions)
