Hedge no sooner than half of the time to the goal

Cause: on calm seconds of the grown sites 60 in 100 hedges lost to the first call, most within 10 ms of being sent: the quantile of a route's calls comes long before its goal asks for a second one. They spent what calls that fail needed (no_retry_budget, connection_reset without a retry).

--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -32,6 +32,12 @@
 """Hedge at this share of the time to the goal at the latest, so that the second
 call has time to answer."""
 
+HEDGE_SOONEST_RATIO = 0.5
+"""Nor hedge before this share of the time to the goal: an answer that is in
+time sooner is worth no more, and in most cases the first call answers within
+10 ms of the earlier hedge (60 in 100 on the grown sites' calm seconds), which
+then has spent what a call that fails needs."""
+
 HEDGE_KEEP_COUNT = 1.0
 """Tokens that a hedge leaves where the answer can do without it: for retries
 after failures, and for queries that would miss their floor. One that can't do
@@ -327,6 +333,7 @@
             slow_ms = HEDGE_DEFAULT_RATIO * self.ask.route.goal_ms
         if to_goal_ms:
             slow_ms = min(slow_ms, HEDGE_LATEST_RATIO * to_goal_ms)
+            slow_ms = max(slow_ms, HEDGE_SOONEST_RATIO * to_goal_ms)
         return max(HEDGE_FLOOR_MS, slow_ms)
 
     def _cancel_part(
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -106,6 +106,15 @@
     assert isinstance(result(commands), callcommand.Answer)
 
 
+def test_quick_routes_hedge_no_sooner_than_the_goal_asks_for():
+    know = knowledge(upstream("a"), upstream("b"))
+    for number in range(100):
+        know.placing.answered("r", "a", 5.0, number)
+    running = plan(know)
+    running.start(0.0)
+    assert running.next_time_ms() >= callplan.HEDGE_SOONEST_RATIO * GOAL_MS
+
+
 def test_without_budget_nothing_is_hedged():
     know = knowledge(upstream("a"), upstream("b"), tokens=0.0)
     running = plan(know)
