Split what had grown large; one rule for growing waits

policy/querycommand.py holds what a query's plan asks for, bench/controls.py what tests ask of a fleet, policy/backoff.py the wait that following and revisions each had of their own.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -16,6 +16,7 @@
 import urllib3
 import yaml
 
+from bench import controls
 from hyssoptack.core import catalog
 from hyssoptack.settings import catalog as catalog_settings
 
@@ -26,10 +27,6 @@
 STOP_LIMIT_S = 20.0
 
 
-class FleetError(Exception):
-    """The fleet could not be brought to where a run needs it."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Options:
     """What differs between runs.
@@ -60,7 +57,7 @@
     admission: bool = True
 
 
-class Fleet:
+class Fleet(controls.Controls):
     """The processes of one run."""
 
     def __init__(self, options: Options, run_folder: pathlib.Path):
@@ -119,7 +116,7 @@
         self.catalog_path.write_text(text, "utf-8")
         parts, errors = catalog_settings.split(text, str(source))
         if errors:
-            raise FleetError(str(errors[0]))
+            raise controls.FleetError(str(errors[0]))
         return catalog_settings.assemble(0, parts, str(source))[0]
 
     def _port(self, offset: int) -> str:
@@ -250,7 +247,7 @@
             for shard in service.shards:
                 if upstream_id in shard.upstream_ids:
                     return service, shard
-        raise FleetError(f"no upstream {upstream_id}")
+        raise controls.FleetError(f"no upstream {upstream_id}")
 
     def start_upstream(self, upstream_id: str) -> None:
         """Starts one upstream."""
@@ -327,7 +324,7 @@
             check=False,
         )
         if check and done.returncode:
-            raise FleetError(f"{words}: {done.stdout}{done.stderr}")
+            raise controls.FleetError(f"{words}: {done.stdout}{done.stderr}")
         return done
 
     # Harm.
@@ -337,7 +334,7 @@
         for each in self.instances:
             if each["instance_id"] == instance_id:
                 return each
-        raise FleetError(f"no instance {instance_id}")
+        raise controls.FleetError(f"no instance {instance_id}")
 
     def kill(self, name: str) -> None:
         """Ends a process at once."""
@@ -357,57 +354,6 @@
         self.processes[name].send_signal(signal.SIGTERM)
         return self.processes[name].wait(STOP_LIMIT_S)
 
-    def post(self, address: str, path: str, body: dict) -> dict:
-        """Posts JSON to a stand-in."""
-        response = self.http.request(
-            "POST", f"http://{address}{path}", json=body
-        )
-        if response.status != 200:
-            raise FleetError(f"{address}{path}: {response.data!r}")
-        return response.json()
-
-    def get(self, address: str, path: str) -> dict:
-        """Gets JSON from a stand-in or an operator port."""
-        return self.http.request("GET", f"http://{address}{path}").json()
-
-    def behave(self, upstream_id: str, **fields: object) -> None:
-        """Changes an upstream's behaviour."""
-        self.post(self.upstream(upstream_id).address, "/behaviour", fields)
-
-    def account(self, upstream_id: str, brief: bool = True) -> dict:
-        """Returns what an upstream counted."""
-        path = "/account?brief=1" if brief else "/account"
-        return self.get(self.upstream(upstream_id).address, path)
-
-    def upstream(self, upstream_id: str) -> catalog.Upstream:
-        """Returns an upstream's record."""
-        return self._shard_of(upstream_id)[0].upstreams[upstream_id]
-
-    def upstream_ids(self, service: str) -> list[str]:
-        """Returns a service's upstreams."""
-        return list(self.catalog.services[service].upstreams)
-
-    def store_faults(self, **fields: object) -> None:
-        """Changes what goes wrong with the store."""
-        self.post(self.store_address(self.domains[0]), "/faults", fields)
-
-    def members_faults(self, **fields: object) -> None:
-        """Changes what goes wrong with the instance list."""
-        self.post(self.members_address(self.domains[0]), "/faults", fields)
-
-    def cut(self, pairs: list[tuple[str, str]]) -> None:
-        """Cuts pairs of domains off from each other; no others."""
-        self.post(
-            self.wan_address(),
-            "/faults",
-            {"cut": [list(each) for each in pairs]},
-        )
-
-    def status(self, instance_id: str) -> dict:
-        """Returns an instance's status page."""
-        address = self.instance(instance_id)["operator_address"]
-        return self.get(address, "/status")
-
     # Waiting and the end.
 
     def _wait_for_store(self) -> None:
@@ -436,7 +382,7 @@
             self.wait_for(lambda name=each: self.is_ready(name), each)
             if self.processes[each].poll() is not None:
                 # Another run's process answers on this port.
-                raise FleetError(f"{each} ended, yet its port answers")
+                raise controls.FleetError(f"{each} ended, yet its port answers")
         if "balancer" in self.processes:
             # The balancer probes five times a second.
             time.sleep(0.6)
@@ -448,7 +394,7 @@
         started_s = time.monotonic()
         while not condition():
             if time.monotonic() - started_s > limit_s:
-                raise FleetError(f"{what}: not within {limit_s} s")
+                raise controls.FleetError(f"{what}: not within {limit_s} s")
             time.sleep(0.05)
         return time.monotonic() - started_s
 
--- a/bench/slopes/plan.py
+++ b/bench/slopes/plan.py
@@ -5,6 +5,7 @@
 
 from bench.slopes import fit
 from hyssoptack.policy import example
+from hyssoptack.policy import querycommand
 from hyssoptack.policy import queryplan
 
 SIZES = (30, 90, 185, 370)
@@ -18,14 +19,14 @@
             example.asked(number=number), example.profile(), current, know, 0.0
         )
         commands = plan.start(0.0)
-    asks = [each for each in commands if isinstance(each, queryplan.Ask)]
+    asks = [each for each in commands if isinstance(each, querycommand.Ask)]
     replies = [example.answer_to(ask, current) for ask in asks]
     with fit.Stopwatch() as second:
         for reply in replies:
             know.upstream_health.note(current.name, reply, 1.0)
             commands = plan.on_reply(reply, 1.0)
             plan.next_time_ms()
-    assert isinstance(commands[-1], queryplan.Finish)
+    assert isinstance(commands[-1], querycommand.Finish)
     return first.cpu_ms + second.cpu_ms
 
 
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -19,6 +19,7 @@
 from hyssoptack.core import refusal
 from hyssoptack.policy import example
 from hyssoptack.policy import hedging
+from hyssoptack.policy import querycommand
 from hyssoptack.policy import queryplan
 
 FOLDER = fleet.ROOT / "traces"
@@ -112,14 +113,14 @@
     def _carry(self, plan, number: int, commands, now_ms: float) -> None:
         for command in commands:
             match command:
-                case queryplan.Ask():
+                case querycommand.Ask():
                     took_ms = next(self._times[command.lane.upstream_id])
                     reply = example.answer_to(
                         command, self._service, service_ms=took_ms
                     )
                     at_ms = now_ms + took_ms + HOP_MS
                     self._push(at_ms, "reply", number, reply)
-                case queryplan.Finish(result=result):
+                case querycommand.Finish(result=result):
                     self._results.append(result)
                     del self._plans[number]
                     return
--- a/hyssoptack/entry/coordinator.py
+++ b/hyssoptack/entry/coordinator.py
@@ -16,6 +16,7 @@
 from hyssoptack.entry import state
 from hyssoptack.events import log
 from hyssoptack.policy import admission
+from hyssoptack.policy import querycommand
 from hyssoptack.policy import queryplan
 from hyssoptack.policy import routing
 from hyssoptack.relay import relay
@@ -185,7 +186,7 @@
     def _carry(
         self,
         running: _Running,
-        commands: list[queryplan.Command],
+        commands: list[querycommand.Command],
         now_ms: float,
     ) -> None:
         """Carries out a plan's commands, one message for each relay."""
@@ -194,13 +195,15 @@
         result: Result | None = None
         for command in commands:
             match command:
-                case queryplan.Ask(lane=lane):
+                case querycommand.Ask(lane=lane):
                     group = asks.setdefault(lane.instance_id, [])
                     group.append(self._note_ask(running, command, now_ms))
-                case queryplan.Drop(call_id=call_id, instance_id=instance_id):
+                case querycommand.Drop(
+                    call_id=call_id, instance_id=instance_id
+                ):
                     running.sent.pop(call_id, None)
                     drops.setdefault(instance_id, []).append(call_id)
-                case queryplan.Finish(result=finished):
+                case querycommand.Finish(result=finished):
                     result = finished
         for instance_id, call_ids in drops.items():
             self._send_cancel(running, instance_id, tuple(call_ids))
@@ -212,7 +215,7 @@
             self._arm(running, now_ms)
 
     def _note_ask(
-        self, running: _Running, ask: queryplan.Ask, now_ms: float
+        self, running: _Running, ask: querycommand.Ask, now_ms: float
     ) -> message.UpstreamAsk:
         running.sent[ask.call_id] = _Sent(lane=ask.lane, sent_ms=now_ms)
         return message.UpstreamAsk(
@@ -313,7 +316,7 @@
         if running is None or running.done.done():
             return
         now_ms = clock.now_ms()
-        commands: list[queryplan.Command] = []
+        commands: list[querycommand.Command] = []
         for reply in replies:
             sent = running.sent.get(reply.call_id)
             if sent is None or sent.lane.instance_id != instance_id:
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -19,6 +19,7 @@
 from hyssoptack.http1 import message
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import wire
+from hyssoptack.policy import backoff
 from hyssoptack.settings import gateway
 
 EXACT_READ_COUNT = 2
@@ -33,10 +34,9 @@
 GRACE_SLACK_MS = 10.0
 """Put behind the grace's end, so that the reading falls after it."""
 
-RETRY_MIN_MS = 100.0
-RETRY_MAX_MS = 800.0
-"""Bounds of the wait after a failed call: short enough to be in force again
-within 3 s of the return of the store, long enough not to press a busy one."""
+RETRY = backoff.Backoff(min_ms=100.0, max_ms=800.0)
+"""Waits after failed calls: short enough to be in force again within 3 s of the
+return of the store, long enough not to press a busy one."""
 
 JITTER_RATIO = 0.15
 
@@ -99,7 +99,7 @@
                     self._read_count = 0
                     self._readers.read(succeeded=False)
                     self._note_lost(failure)
-                    await self._pause(_backoff_ms(failure_count))
+                    await self._pause(RETRY.wait_ms(failure_count))
 
     def _list_pause_ms(self, now_ms: float) -> float:
         """Returns when to read again: no later than the grace's end."""
@@ -147,12 +147,12 @@
                     if not self._beliefs.version:
                         # Nothing was written yet: look again soon.
                         revision = None
-                        await self._pause(RETRY_MIN_MS)
+                        await self._pause(RETRY.min_ms)
                 case expression.Result(error=failure):
                     failure_count += 1
                     revision = None
                     self._note_lost(failure)
-                    await self._pause(_backoff_ms(failure_count))
+                    await self._pause(RETRY.wait_ms(failure_count))
 
     async def _read_configuration(
         self,
@@ -208,7 +208,7 @@
                 continue
             failure_count = 0 if lease is not None else failure_count + 1
             if lease is None:
-                await self._pause(_backoff_ms(failure_count))
+                await self._pause(RETRY.wait_ms(failure_count))
             else:
                 await self._pause(self._lease_ms / KEEPS_PER_LEASE_COUNT)
 
@@ -307,7 +307,3 @@
     async def _pause(self, period_ms: float) -> None:
         jitter = self._random.uniform(1 - JITTER_RATIO, 1 + JITTER_RATIO)
         await asyncio.sleep(period_ms * jitter / message.MS_PER_S)
-
-
-def _backoff_ms(failure_count: int) -> float:
-    return min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** min(failure_count, 6))
--- a/hyssoptack/policy/example.py
+++ b/hyssoptack/policy/example.py
@@ -12,6 +12,7 @@
 from hyssoptack.policy import budget
 from hyssoptack.policy import health
 from hyssoptack.policy import hedging
+from hyssoptack.policy import querycommand
 from hyssoptack.policy import queryplan
 from hyssoptack.policy import routing
 
@@ -128,7 +129,7 @@
 
 
 def answer_to(
-    ask: queryplan.Ask,
+    ask: querycommand.Ask,
     current: catalog.Service,
     version: int = 1,
     held: tuple[int, ...] = (1,),
@@ -155,7 +156,7 @@
 
 
 def failure_of(
-    ask: queryplan.Ask,
+    ask: querycommand.Ask,
     status: message.CallStatus,
     held: tuple[int, ...] = (),
     reached: bool = True,
--- a/hyssoptack/policy/hedging.py
+++ b/hyssoptack/policy/hedging.py
@@ -1,6 +1,10 @@
 """When to send a second call for a shard: the product's way, and baselines."""
 
 import dataclasses
+import math
+
+FLOOR_MS = 1.0
+"""No hedge sooner: timers fire that late."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -21,3 +25,21 @@
 
 
 Hedging = HedgeAfterQuantile | HedgeAfterDelay | NoHedge
+
+
+def delay_ms(hedges: Hedging, quantile_ms: float | None) -> float:
+    """Returns how long a call is waited for before it is hedged.
+
+    Args:
+        hedges: The policy.
+        quantile_ms: The profile's quantile of recent calls; None with too few.
+    """
+    match hedges:
+        case HedgeAfterQuantile():
+            if quantile_ms is None:
+                return math.inf
+            return max(FLOOR_MS, quantile_ms)
+        case HedgeAfterDelay(delay_ms=fixed_ms):
+            return fixed_ms
+        case NoHedge():
+            return math.inf
--- a/hyssoptack/policy/queryplan.py
+++ b/hyssoptack/policy/queryplan.py
@@ -8,7 +8,6 @@
 import collections
 import collections.abc
 import dataclasses
-import math
 
 from hyssoptack.core import catalog
 from hyssoptack.core import keyspace
@@ -19,6 +18,7 @@
 from hyssoptack.policy import health
 from hyssoptack.policy import hedging
 from hyssoptack.policy import merge
+from hyssoptack.policy import querycommand
 from hyssoptack.policy import routing
 from hyssoptack.policy import shardstate
 from hyssoptack.policy import snapshot
@@ -29,36 +29,7 @@
 REROUTE_LIMIT_COUNT = 3
 REPIN_LIMIT_COUNT = 2
 HEDGE_KEEP_COUNT = 2.0
-HEDGE_FLOOR_MS = 1.0
 RETRY_AFTER_COVERAGE_MS = 500
-MISSING_SHOWN_COUNT = 12
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Ask:
-    """Call an upstream through a relay."""
-
-    call_id: int
-    lane: routing.Lane
-    index_version: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Drop:
-    """Cancel a call whose answer is no longer wanted."""
-
-    call_id: int
-    instance_id: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Finish:
-    """The final answer to the caller."""
-
-    result: query.Answer | refusal.Refusal
-
-
-Command = Ask | Drop | Finish
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -115,12 +86,14 @@
         self._merge = merge.Merge(self._pin(now_ms), asked.limit_count)
         self._hedge_after_ms = self._hedge_delay()
 
-    def start(self, now_ms: float) -> list[Command]:
+    def start(self, now_ms: float) -> list[querycommand.Command]:
         """Returns the first calls, one for each shard."""
-        commands: list[Command] = []
+        commands: list[querycommand.Command] = []
         for state in self._states:
             commands.extend(self._ask(state, now_ms))
-        asked_count = sum(isinstance(each, Ask) for each in commands)
+        asked_count = sum(
+            isinstance(each, querycommand.Ask) for each in commands
+        )
         ceiling = self._profile.extra_load_ceiling_ratio
         self._know.budgets.earn(self._service.name, ceiling, asked_count)
         return commands + self._finish_if_done(now_ms)
@@ -142,13 +115,13 @@
             self._unhedged.popleft()
         return None
 
-    def on_time(self, now_ms: float) -> list[Command]:
+    def on_time(self, now_ms: float) -> list[querycommand.Command]:
         """Returns what time alone brings: hedges, or the final answer."""
         if self._finished:
             return []
         if now_ms >= self.ends_ms:
             return self._finish(now_ms)
-        commands: list[Command] = []
+        commands: list[querycommand.Command] = []
         while (call := self._next_unhedged()) is not None:
             if now_ms < call.sent_ms + self._hedge_after_ms:
                 break
@@ -158,7 +131,7 @@
 
     def on_reply(
         self, reply: message.UpstreamReply, now_ms: float
-    ) -> list[Command]:
+    ) -> list[querycommand.Command]:
         """Takes what became of a call.
 
         Replies to calls that are no longer open change nothing.
@@ -179,7 +152,7 @@
         call: shardstate.Call,
         reply: message.UpstreamReply,
         now_ms: float,
-    ) -> list[Command]:
+    ) -> list[querycommand.Command]:
         state.last_status = reply.status.value
         if not state.is_open():
             return []
@@ -204,7 +177,7 @@
         state: shardstate.ShardState,
         reply: message.UpstreamReply,
         now_ms: float,
-    ) -> list[Command]:
+    ) -> list[querycommand.Command]:
         """Tries another lane; only a call that reached one is paid for."""
         if reply.reached_upstream:
             return self._retry(state, now_ms)
@@ -216,7 +189,7 @@
         call: shardstate.Call,
         reply: message.UpstreamReply,
         now_ms: float,
-    ) -> list[Command]:
+    ) -> list[querycommand.Command]:
         if self._merge.index_version == query.ANY_VERSION:
             self._merge.index_version = reply.index_version
         if self._merge.add(reply):
@@ -232,18 +205,18 @@
 
     def _take_version_missing(
         self, state: shardstate.ShardState, now_ms: float
-    ) -> list[Command]:
+    ) -> list[querycommand.Command]:
         version = self._pin(now_ms)
         changes = version not in (self._merge.index_version, query.ANY_VERSION)
         if changes and self._repin_count < REPIN_LIMIT_COUNT:
             return self._repin(version, now_ms)
         return self._retry(state, now_ms)
 
-    def _repin(self, version: int, now_ms: float) -> list[Command]:
+    def _repin(self, version: int, now_ms: float) -> list[querycommand.Command]:
         """Starts over at a version that covers more; keeps nothing."""
         self._repin_count += 1
         self._merge = merge.Merge(version, self.query.limit_count)
-        commands: list[Command] = []
+        commands: list[querycommand.Command] = []
         for state in self._states:
             commands.extend(self._drop_calls(state))
             self._reopen(state)
@@ -254,7 +227,7 @@
 
     def _reroute(
         self, state: shardstate.ShardState, now_ms: float
-    ) -> list[Command]:
+    ) -> list[querycommand.Command]:
         """Tries another lane for nothing: the upstream saw no call."""
         state.reroute_count += 1
         if state.calls:
@@ -265,7 +238,7 @@
 
     def _retry(
         self, state: shardstate.ShardState, now_ms: float
-    ) -> list[Command]:
+    ) -> list[querycommand.Command]:
         """Tries another lane, paid, unless a call is still in flight."""
         if state.calls:
             return []
@@ -275,7 +248,7 @@
         self._open_count -= 1
         self._open_key_count -= state.key_count()
 
-    def _lose(self, state: shardstate.ShardState) -> list[Command]:
+    def _lose(self, state: shardstate.ShardState) -> list[querycommand.Command]:
         """Gives a shard up."""
         state.lost = True
         self._close(state)
@@ -289,7 +262,7 @@
 
     def _paid_ask(
         self, state: shardstate.ShardState, now_ms: float
-    ) -> list[Command]:
+    ) -> list[querycommand.Command]:
         if not self._know.budgets.spend(self._service.name):
             return self._lose(state)
         self.extra_call_count += 1
@@ -297,7 +270,7 @@
 
     def _hedge(
         self, state: shardstate.ShardState, call: shardstate.Call, now_ms: float
-    ) -> list[Command]:
+    ) -> list[querycommand.Command]:
         state.hedged = True
         lane = self._lane(
             state, now_ms, other_upstream_than=call.lane.upstream_id
@@ -319,25 +292,14 @@
                 return False
 
     def _hedge_delay(self) -> float:
-        match self._know.hedges:
-            case hedging.HedgeAfterQuantile():
-                ratio = self._profile.hedge_after_ratio
-                quantile = self._know.upstream_health.quantile_ms(
-                    self._service.name, ratio
-                )
-                return (
-                    math.inf
-                    if quantile is None
-                    else max(HEDGE_FLOOR_MS, quantile)
-                )
-            case hedging.HedgeAfterDelay(delay_ms=delay_ms):
-                return delay_ms
-            case hedging.NoHedge():
-                return math.inf
+        quantile_ms = self._know.upstream_health.quantile_ms(
+            self._service.name, self._profile.hedge_after_ratio
+        )
+        return hedging.delay_ms(self._know.hedges, quantile_ms)
 
     def _ask(
         self, state: shardstate.ShardState, now_ms: float
-    ) -> list[Command]:
+    ) -> list[querycommand.Command]:
         lane = self._lane(state, now_ms)
         if lane is None:
             return self._lose(state)
@@ -374,7 +336,7 @@
 
     def _send(
         self, state: shardstate.ShardState, lane: routing.Lane, now_ms: float
-    ) -> Ask:
+    ) -> querycommand.Ask:
         call_id = self._next_call_id
         self._next_call_id += 1
         state.calls[call_id] = shardstate.Call(lane=lane, sent_ms=now_ms)
@@ -382,18 +344,22 @@
         self._know.router.opened(lane)
         self._state_of[call_id] = state
         self._unhedged.append(call_id)
-        return Ask(
+        return querycommand.Ask(
             call_id=call_id, lane=lane, index_version=self._merge.index_version
         )
 
-    def _drop_calls(self, state: shardstate.ShardState) -> list[Command]:
-        commands: list[Command] = []
+    def _drop_calls(
+        self, state: shardstate.ShardState
+    ) -> list[querycommand.Command]:
+        commands: list[querycommand.Command] = []
         for call_id, call in state.calls.items():
             self._state_of.pop(call_id, None)
             self._know.router.closed(call.lane)
             self.upstream_call_count += 1
             commands.append(
-                Drop(call_id=call_id, instance_id=call.lane.instance_id)
+                querycommand.Drop(
+                    call_id=call_id, instance_id=call.lane.instance_id
+                )
             )
         state.calls.clear()
         return commands
@@ -409,7 +375,7 @@
                     held[upstream_id] = versions
         return snapshot.choose(self._service.shards, held).index_version
 
-    def _finish_if_done(self, now_ms: float) -> list[Command]:
+    def _finish_if_done(self, now_ms: float) -> list[querycommand.Command]:
         """Finishes once nothing is open, or once the floor is out of reach."""
         if self._finished:
             return []
@@ -422,7 +388,7 @@
             return self._finish(now_ms)
         return []
 
-    def _ask_repartitioned(self, now_ms: float) -> list[Command]:
+    def _ask_repartitioned(self, now_ms: float) -> list[querycommand.Command]:
         """Asks once for what a shard map come meanwhile still offers."""
         current = self._know.current_service(self._service.name)
         if (
@@ -434,7 +400,7 @@
         self._replanned = True
         self._service = current
         missing = self._merge.missing()
-        commands: list[Command] = []
+        commands: list[querycommand.Command] = []
         for shard in current.shards:
             overlaps = any(
                 each.low < shard.key_range.high
@@ -449,19 +415,10 @@
                 commands.extend(self._paid_ask(state, now_ms))
         return commands
 
-    def _missing_text(self) -> str:
-        """Names some shards without an answer, and what their calls met."""
-        missing = [
-            f"{state.shard.shard_id} {state.status_text()}"
-            for state in self._states
-            if not state.answered
-        ]
-        return "missing: " + ", ".join(missing[:MISSING_SHOWN_COUNT])
-
-    def _finish(self, now_ms: float) -> list[Command]:
+    def _finish(self, now_ms: float) -> list[querycommand.Command]:
         self._finished = True
-        missing = self._missing_text()
-        commands: list[Command] = []
+        missing = shardstate.missing_text(self._states)
+        commands: list[querycommand.Command] = []
         for state in self._states:
             commands.extend(self._drop_calls(state))
         coverage = self._merge.coverage_ratio()
@@ -486,4 +443,4 @@
                 extra_call_count=self.extra_call_count,
                 elapsed_ms=now_ms - self._started_ms,
             )
-        return [*commands, Finish(result=result)]
+        return [*commands, querycommand.Finish(result=result)]
--- a/hyssoptack/policy/queryplan_test.py
+++ b/hyssoptack/policy/queryplan_test.py
@@ -4,6 +4,7 @@
 from hyssoptack.core import query
 from hyssoptack.core import refusal
 from hyssoptack.policy import example
+from hyssoptack.policy import querycommand
 from hyssoptack.policy import queryplan
 
 _SHED = message.CallStatus.SHED
@@ -19,12 +20,12 @@
 
 
 def _asks(commands):
-    return [each for each in commands if isinstance(each, queryplan.Ask)]
+    return [each for each in commands if isinstance(each, querycommand.Ask)]
 
 
 def _result(commands):
     for each in commands:
-        if isinstance(each, queryplan.Finish):
+        if isinstance(each, querycommand.Finish):
             return each.result
     return None
 
@@ -156,7 +157,7 @@
     assert hedge[0].lane.upstream_id != first.lane.upstream_id
     assert _asks(plan.on_time(20.0)) == []
     commands = plan.on_reply(example.answer_to(hedge[0], current), 8.0)
-    dropped = [each for each in commands if isinstance(each, queryplan.Drop)]
+    dropped = [each for each in commands if isinstance(each, querycommand.Drop)]
     assert [each.call_id for each in dropped] == [first.call_id]
     assert _result(commands).extra_call_count == 1
 
--- a/hyssoptack/policy/shardstate.py
+++ b/hyssoptack/policy/shardstate.py
@@ -5,6 +5,9 @@
 from hyssoptack.core import catalog
 from hyssoptack.policy import routing
 
+MISSING_SHOWN_COUNT = 12
+"""Shards that a refusal names at the most: one line of text."""
+
 
 @dataclasses.dataclass(kw_only=True)
 class Call:
@@ -40,3 +43,13 @@
     def key_count(self) -> int:
         """Returns how many keys the shard has."""
         return self.shard.key_range.high - self.shard.key_range.low
+
+
+def missing_text(states: list[ShardState]) -> str:
+    """Names some shards without an answer, and what their calls met."""
+    missing = [
+        f"{state.shard.shard_id} {state.status_text()}"
+        for state in states
+        if not state.answered
+    ]
+    return "missing: " + ", ".join(missing[:MISSING_SHOWN_COUNT])
--- a/hyssoptack/revisions/follower.py
+++ b/hyssoptack/revisions/follower.py
@@ -15,6 +15,7 @@
 from hyssoptack.core import clock
 from hyssoptack.entry import state
 from hyssoptack.events import log
+from hyssoptack.policy import backoff
 from hyssoptack.policy import membership
 from hyssoptack.policy import ownership
 from hyssoptack.revisions import configuration
@@ -22,8 +23,7 @@
 from hyssoptack.revisions import store
 
 MS_PER_S = 1000.0
-RETRY_MIN_MS = 100.0
-RETRY_MAX_MS = 3_000.0
+RETRY = backoff.Backoff(min_ms=100.0, max_ms=3_000.0)
 WATCH_ROLE = "config-watch"
 
 OnConfig = collections.abc.Callable[[configuration.InForce], None]
@@ -88,8 +88,7 @@
 
     def _backoff_ms(self, failures: int) -> float:
         """Returns a growing wait with full jitter, against stampedes."""
-        ceiling = min(RETRY_MAX_MS, RETRY_MIN_MS * 2**failures)
-        return self._random.uniform(RETRY_MIN_MS, ceiling)
+        return self._random.uniform(RETRY.min_ms, RETRY.wait_ms(failures))
 
     def is_watcher(self) -> bool:
         """Tells whether this instance watches the store for its domain."""
