Refuse at once what a cut-off domain can't cover; send callers elsewhere

policy/reach.py: a query that heard from none of four or more upstreams elsewhere, and from half of those at home, raises a doubt; three connections without a sign of life confirm it. While cut off, queries below their floor are refused before anything is sent, the instance is not ready and closes connections after each answer. Log events 2201 and 2202.

--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -28,6 +28,8 @@
     STORE_BACK = (2102, "The key-value service answers again.")
     LIST_LOST = (2103, "The instance list stopped answering.")
     LIST_BACK = (2104, "The instance list answers again.")
+    DOMAINS_LOST = (2201, "The own failure domain is cut off from the others.")
+    DOMAINS_BACK = (2202, "Other failure domains can be reached again.")
     PEER_UNREADABLE = (3001, "A peer frame held what can't be read.")
     PEER_UNDELIVERED = (3002, "A message could not be sent to a peer.")
     VIEW_CHANGED = (3101, "Owners of upstreams were computed anew.")
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -17,6 +17,7 @@
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import peering
 from hyssoptack.gateway import pool
+from hyssoptack.gateway import reaching
 from hyssoptack.gateway import serving
 from hyssoptack.http1 import callerside
 from hyssoptack.http1 import message
@@ -26,6 +27,7 @@
 from hyssoptack.policy import connections
 from hyssoptack.policy import extrawindow
 from hyssoptack.policy import placing
+from hyssoptack.policy import reach
 from hyssoptack.policy import readership
 from hyssoptack.settings import gateway
 
@@ -101,6 +103,7 @@
         self._extra_calls = extrawindow.Book(
             self._budget_share(), clock.now_ms()
         )
+        self._reach = reach.Reach()
         self._metrics = metrics.Metrics()
         self._serving = serving.Serving(
             self.beliefs,
@@ -117,6 +120,12 @@
         self._peering = peering.Peering(
             settings, self.beliefs, self.readers, self._on_instances
         )
+        self._reaching = reaching.Reaching(
+            self.beliefs,
+            self._reach,
+            settings.failure_domain,
+            self._on_reach,
+        )
         self._stop = asyncio.Event()
         self._said_ready = False
 
@@ -124,16 +133,25 @@
         return callplan.Knowledge(
             placing=self._placing,
             extra_calls=self._extra_calls,
+            domains=self._reach,
         )
 
     def _on_configuration(self, offered: traffic.Configuration) -> None:
         self._callers.limits = offered.limits
 
+    def _on_reach(self) -> None:
+        """Lets callers find another instance while this one is cut off."""
+        self._callers.closing = self._reach.cut or self._stop.is_set()
+
     def _answer_probe(self, exchange: callerside.Exchange) -> None:
         if exchange.request.path != headers.READINESS_PATH:
             exchange.answer(message.problem(404, "unknown_path"))
             return
-        ready = self.beliefs.complete and not self._stop.is_set()
+        ready = (
+            self.beliefs.complete
+            and not self._stop.is_set()
+            and not self._reach.cut
+        )
         self._note_ready(ready)
         if ready:
             reply = message.Reply(status=200, headers=(), body=b"")
@@ -214,6 +232,7 @@
                 follower.stay_listed(),
                 self._follow_settings(),
                 self._peering.tell_slow(),
+                self._reaching.watch(),
                 self._callers.sweep(),
                 self._probes.sweep(),
                 self._pools.sweep(),
--- /dev/null
+++ b/hyssoptack/gateway/reaching_test.py
@@ -0,0 +1,42 @@
+"""A gateway that is cut off sends callers elsewhere, and comes back."""
+
+import asyncio
+
+from hyssoptack.gateway import gateway_test
+from hyssoptack.gateway import harness
+from hyssoptack.gateway import reaching
+from hyssoptack.policy import reach
+
+
+def test_a_cut_takes_the_instance_out_of_rotation_until_it_ends():
+    async def test():
+        async with harness.Site() as site:
+            await site.add_upstream("i-0", "desk", zone="south")
+            site.configure(gateway_test.SINGLE)
+            running = await site.start()
+            alive = False
+
+            async def probe(_address):
+                return alive
+
+            running._reaching._probe = probe
+            assert await site.probe() == 200
+            running._reach.view = reach.View.DOUBTED
+            await asyncio.sleep(3 * reaching.CHECK_PERIOD_S)
+            assert running._reach.cut
+            assert await site.probe() == 503
+            got = await site.get("/one/x", "r1")
+            assert got.status == 200
+            assert got.headers["connection"] == "close"
+            alive = True
+            await asyncio.sleep(2 * reaching.CUT_PERIOD_S)
+            assert await site.probe() == 200
+            got = await site.get("/one/x", "r2")
+            assert "connection" not in got.headers
+
+    asyncio.run(test())
+
+
+def test_a_refused_connection_is_a_sign_of_life():
+    address = f"127.0.0.1:{harness.free_port()}"
+    assert asyncio.run(reaching.shows_life(address))
--- a/hyssoptack/policy/callpart.py
+++ b/hyssoptack/policy/callpart.py
@@ -11,6 +11,7 @@
     upstream_id: str
     sent_ms: float
     part: "Part"
+    far: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -17,6 +17,7 @@
 from hyssoptack.policy import callpart
 from hyssoptack.policy import extrawindow
 from hyssoptack.policy import placing
+from hyssoptack.policy import reach
 
 HEDGE_QUANTILE_RATIO = 0.97
 """A call that takes longer than this share of its route's calls is hedged: the
@@ -75,6 +76,7 @@
 
     placing: placing.Placing
     extra_calls: extrawindow.Book
+    domains: reach.Reach = dataclasses.field(default_factory=reach.Reach)
 
 
 class CallPlan:
@@ -89,6 +91,8 @@
         self._may_have_run = False
         self.finished = False
         self._unhedged: collections.deque[callpart.Call] = collections.deque()
+        self._started_ms = now_ms
+        self._tally = reach.Tally()
         self._ends_ms = max(now_ms, ask.ends_at_ms - END_MARGIN_MS)
         self._hedge_after_ms = self._hedge_delay(now_ms)
         match ask.route.target:
@@ -104,7 +108,7 @@
         caller is then told that nothing ran.
         """
         chosen = [
-            (part, self._choose(part, now_ms)) for part in self._parts.all
+            (part, self._first_choice(part, now_ms)) for part in self._parts.all
         ]
         for part, upstream in chosen:
             if upstream is None:
@@ -161,6 +165,8 @@
             return []
         self._know.placing.ended(call.upstream_id)
         self._learn(call, outcome, now_ms)
+        if outcome.reached and outcome.kind is not callcommand.Kind.FAILED:
+            self._tally.answered(call.far)
         if self.finished:
             return []
         part = call.part
@@ -264,6 +270,23 @@
             self.ask.route.name, part.service, frozenset(part.tried), now_ms
         )
 
+    def _first_choice(
+        self, part: callpart.Part, now_ms: float
+    ) -> traffic.Upstream | None:
+        """Returns whom to call first; nobody who can't be reached."""
+        upstream = self._choose(part, now_ms)
+        shard = len(self._parts.all) > 1
+        if upstream is None or not shard or not self._know.domains.cut:
+            return upstream
+        if self._is_far(upstream):
+            part.last_reason = "failure_domain_cut_off"
+            return None
+        return upstream
+
+    def _is_far(self, upstream: traffic.Upstream) -> bool:
+        own = self._know.placing.settings.failure_domain
+        return upstream.failure_domain != own
+
     # Calls.
 
     def _send(
@@ -290,7 +313,9 @@
             upstream_id=upstream.upstream_id,
             sent_ms=now_ms,
             part=part,
+            far=self._is_far(upstream),
         )
+        self._tally.sent(call.far)
         part.calls[call_id] = self._calls[call_id] = call
         part.tried.add(upstream.upstream_id)
         part.sent_to.add(upstream.upstream_id)
@@ -381,6 +406,7 @@
         self, now_ms: float, timed_out: bool
     ) -> list[callcommand.Command]:
         self.finished = True
+        self._know.domains.note_query(self._tally, now_ms - self._started_ms)
         # A call that is still out may run at any moment.
         out = bool(self._calls)
         result = self._result(timed_out, out)
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -8,6 +8,7 @@
 from hyssoptack.policy import callplan
 from hyssoptack.policy import extrawindow
 from hyssoptack.policy import placing
+from hyssoptack.policy import reach
 
 GOAL_MS = 100.0
 END_MS = 1_000.0
@@ -259,6 +260,42 @@
     assert end.reason == "reset"
 
 
+def _cut_off(floor_ratio):
+    """A query over two shards here and four elsewhere, while cut off."""
+    here = [upstream(f"u{i}", f"s{i}") for i in range(2)]
+    there = [upstream(f"u{i}", f"s{i}", zone="south") for i in range(2, 6)]
+    know = knowledge(*here, *there)
+    know.domains.view = reach.View.CUT
+    return plan(know, shards(6, floor_ratio)).start(0.0)
+
+
+def test_what_a_cut_off_domain_can_not_cover_is_refused_at_once():
+    commands = _cut_off(floor_ratio=0.9)
+    assert not sends(commands)
+    assert result(commands) == callcommand.Refuse(
+        reason="failure_domain_cut_off"
+    )
+
+
+def test_a_cut_off_domain_serves_what_it_can_cover():
+    commands = _cut_off(floor_ratio=0.3)
+    assert {each.upstream.upstream_id for each in sends(commands)} == {
+        "u0",
+        "u1",
+    }
+
+
+def test_a_query_that_heard_nothing_from_afar_raises_a_doubt():
+    here = [upstream(f"u{i}", f"s{i}") for i in range(2)]
+    there = [upstream(f"u{i}", f"s{i}", zone="south") for i in range(2, 6)]
+    know = knowledge(*here, *there)
+    running = plan(know, shards(6, 0.9))
+    for call in sends(running.start(0.0))[:2]:
+        running.on_outcome(call.call_id, answered(), 10.0)
+    running.on_time(END_MS)
+    assert know.domains.view is reach.View.DOUBTED
+
+
 def test_no_upstream_at_all_is_a_refusal():
     end = result(plan(knowledge()).start(0.0))
     assert end == callcommand.Refuse(reason="no_upstream")
