--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import random
 import socket
 
 from hyssoptack.gateway import daemon
@@ -13,6 +14,8 @@
 
 HOST = "shop.example"
 START_TIMEOUT_S = 5.0
+PORT_RANGE = (10_000, 19_000)
+"""Below the system's own range (32768 and up), and off the fleets' ports."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -158,6 +161,9 @@
         """Waits until a gateway asks for callers."""
         async with asyncio.timeout(START_TIMEOUT_S):
             while await self.probe(name) != 200:
+                if self._tasks[name].done():
+                    # Tells why it will never be ready.
+                    self._tasks[name].result()
                 await asyncio.sleep(0.02)
 
     async def probe(self, name: str = "gateway-1") -> int:
@@ -207,10 +213,20 @@
 
 
 def free_port() -> int:
-    """Returns a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that is free now, and that no client socket will take.
+
+    Ports that the system hands out are also those of outgoing connections: one
+    of these may take such a port before a gateway listens there.
+    """
+    while True:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                # Somebody listens there.
+                continue
+            return port
 
 
 def request_bytes(
