Tell neighbours how long entries that lapsed in an outage may return

Cause: the store came back after 3.6 s in which entries had lapsed. The first instance of a failure domain to read kept what was missing for 2 s and told its neighbours. Ruled out: the cut of another domain at the same time (its instances' refusals carry another reason).

A notice now carries the sender's grace, and a receiver keeps to it. New test: failed before. A new instance that has no list yet is not affected.

--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -175,6 +175,8 @@
             the receiver should have it already.
         revision: The store's revision that the list of upstreams is of.
         change: What has changed in the list since the notice before.
+        grace_ms: How much longer the sender keeps upstreams that the store
+            has lost in an outage and that may enter themselves again.
     """
 
     sender_id: str
@@ -183,6 +185,7 @@
     configuration: bytes
     revision: int
     change: ListChange
+    grace_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/gateway/beliefs.py
+++ b/hyssoptack/gateway/beliefs.py
@@ -103,7 +103,7 @@
         if revision < self.list_revision:
             return
         kept = dict(listed)
-        if not relayed and now_ms - self.store_back_ms <= RETURN_MS:
+        if not relayed and self.grace_ms(now_ms) > 0:
             # What is missing may have lapsed in the outage only.
             kept = self.upstreams | kept
         self._log_changes(kept)
@@ -112,6 +112,16 @@
         self.placing.install(kept, now_ms)
         self.pools.keep_only(kept)
 
+    def grace_ms(self, now_ms: float) -> float:
+        """Returns how much longer what is missing may enter itself again."""
+        return max(0.0, self.store_back_ms + RETURN_MS - now_ms)
+
+    def take_grace(self, grace_ms: float, now_ms: float) -> None:
+        """Takes over a neighbour's grace: its list holds what may return."""
+        if grace_ms > 0:
+            back_ms = now_ms + min(RETURN_MS, grace_ms) - RETURN_MS
+            self.store_back_ms = max(self.store_back_ms, back_ms)
+
     def confirm_list(self, revision: int, now_ms: float) -> None:
         """Notes that the list still stands at a later revision."""
         self.list_revision = revision
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -103,8 +103,8 @@
 
     def _list_pause_ms(self, now_ms: float) -> float:
         """Returns when to read again: no later than the grace's end."""
-        grace_ms = self._beliefs.store_back_ms + beliefs.RETURN_MS - now_ms
-        if grace_ms <= 0:
+        grace_ms = self._beliefs.grace_ms(now_ms)
+        if not grace_ms:
             return self._readers.pace.list_period_ms
         # The next reading has to be an exact one.
         self._read_count = 0
--- a/hyssoptack/gateway/following_test.py
+++ b/hyssoptack/gateway/following_test.py
@@ -7,11 +7,14 @@
 import expression
 
 from hyssoptack.core import clock
+from hyssoptack.core import message
 from hyssoptack.gateway import beliefs
 from hyssoptack.gateway import following
+from hyssoptack.gateway import peering
 from hyssoptack.gateway import pool
 from hyssoptack.platform import keyvalue
 from hyssoptack.policy import callplan_test
+from hyssoptack.policy import listing
 from hyssoptack.policy import placing
 from hyssoptack.policy import readership
 
@@ -45,6 +48,33 @@
     assert not believed.upstreams
 
 
+def test_a_neighbours_grace_holds_for_the_own_reading_that_follows():
+    # Found in a day's logs: the first to read again after an outage kept what
+    # had lapsed and told its neighbours; one whose own answer came 10 ms later
+    # took its list for one kept fresh, dropped 121 upstreams and said so.
+    made, believed = follower(list_age_ms=5_000.0)
+    peers = peering.Peering(
+        made._settings, believed, made._readers, lambda: None
+    )
+    history = listing.History()
+    history.put(believed.upstreams)
+    notice = message.ViewNotice(
+        sender_id="g2",
+        sender_address="",
+        version=0,
+        configuration=b"",
+        revision=2,
+        change=history.whole(),
+        grace_ms=beliefs.RETURN_MS,
+    )
+    peers._take(notice)
+    made._note_back()
+    believed.take_list({}, 3, clock.now_ms())
+    assert "a" in believed.upstreams
+    believed.take_list({}, 4, clock.now_ms() + beliefs.RETURN_MS + 1.0)
+    assert not believed.upstreams
+
+
 def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while():
     made, believed = follower(list_age_ms=9_000.0)
     made._note_back()
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -102,6 +102,7 @@
             configuration=configuration,
             revision=self._beliefs.list_revision,
             change=change,
+            grace_ms=self._beliefs.grace_ms(clock.now_ms()),
         )
         self._told[address] = _Told(
             version=self._beliefs.version, digest=change.digest
@@ -211,6 +212,7 @@
         if taken is None:
             return False
         now_ms = clock.now_ms()
+        self._beliefs.take_grace(notice.grace_ms, now_ms)
         if taken is self._beliefs.upstreams:
             self._beliefs.confirm_list(notice.revision, now_ms)
         else:
