--- a/hyssoptack/gateway/beliefs.py
+++ b/hyssoptack/gateway/beliefs.py
@@ -89,7 +89,6 @@
         listed: dict[str, traffic.Upstream],
         revision: int,
         now_ms: float,
-        relayed: bool = False,
     ) -> None:
         """Replaces the list of upstreams, unless this one is older.
 
@@ -97,14 +96,13 @@
             listed: The upstreams by their ids.
             revision: The store's revision at the time of reading.
             now_ms: The time now.
-            relayed: Whether a peer sent it, who has kept already what may
-                return.
         """
         if revision < self.list_revision:
             return
         kept = dict(listed)
-        if not relayed and self.grace_ms(now_ms) > 0:
-            # What is missing may have lapsed in the outage only.
+        if self.grace_ms(now_ms) > 0:
+            # What is missing may have lapsed in the outage only. That holds
+            # for a neighbour's list too: it may have started just now.
             kept = self.upstreams | kept
         self._log_changes(kept)
         self.upstreams = kept
--- a/hyssoptack/gateway/following_test.py
+++ b/hyssoptack/gateway/following_test.py
@@ -75,6 +75,27 @@
     assert not believed.upstreams
 
 
+def test_a_newcomers_list_takes_nothing_away_within_the_grace():
+    # A reader that started during the outage has never seen what lapsed.
+    made, believed = follower(list_age_ms=9_000.0)
+    made._note_back()
+    peers = peering.Peering(
+        made._settings, believed, made._readers, lambda: None
+    )
+    history = listing.History()
+    history.put({"b": callplan_test.upstream("b")})
+    notice = message.ViewNotice(
+        sender_id="g2",
+        sender_address="",
+        version=0,
+        configuration=b"",
+        revision=2,
+        change=history.whole(),
+    )
+    peers._take(notice)
+    assert set(believed.upstreams) == {"a", "b"}
+
+
 def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while():
     made, believed = follower(list_age_ms=9_000.0)
     made._note_back()
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -216,9 +216,7 @@
         if taken is self._beliefs.upstreams:
             self._beliefs.confirm_list(notice.revision, now_ms)
         else:
-            self._beliefs.take_list(
-                taken, notice.revision, now_ms, relayed=True
-            )
+            self._beliefs.take_list(taken, notice.revision, now_ms)
         return True
 
 
