--- a/soak/play.py
+++ b/soak/play.py
@@ -255,6 +255,11 @@
     """Plays one run on an event loop of its own."""
 
     async def main() -> referee.Report:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            # Else the gateways would live on.
+            loop.add_signal_handler(number, task.cancel)
         return await Play(settings).run()
 
     return asyncio.run(main())
