Ignore a reload signal from the start of the process

Cause: SIGHUP ended a gateway that was still importing its modules, for some 0.3 s of each start; a platform that changes the settings as it starts a process lost it.

The soak asks for no reload of a gateway that is starting: its interpreter may not have come that far.

--- a/hyssoptack/scripts/gateway.py
+++ b/hyssoptack/scripts/gateway.py
@@ -5,8 +5,13 @@
 """
 
 import os
+import signal
 import sys
 
+# Before all else is imported: a reload asked for while the process starts must
+# not end it. It reads its settings later anyway.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import expression
 
 from hyssoptack.events import writer
--- a/soak/play.py
+++ b/soak/play.py
@@ -173,6 +173,9 @@
                 await self._pause(timed.fault)
             case faults.Restart():
                 await self._restart(timed.fault)
+            case faults.Reload(gateway=gateway) if gateway in self._busy:
+                # Its interpreter may not have come to ignore the signal yet.
+                pass
             case faults.Reload(gateway=gateway):
                 self._signal(gateway, signal.SIGHUP)
             case faults.Configure():
