Tell neighbours of a cut, so that all leave the rotation together

Cause: the balancer turns to other failure domains only once none of a domain's instances is ready; with one query a second each, instances noticed a cut 0.6 to 2.1 s after it began. One that finds it from its own queries now tells its neighbours, who look for themselves before they believe it.

Tests: a neighbour's word raises a doubt and no more; two gateways.

--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -216,6 +216,17 @@
     total_count: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CutNotice:
+    """The sender takes its failure domain as cut off from all others.
+
+    Attributes:
+        sender_id: The instance that found so.
+    """
+
+    sender_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SeenCall:
     """One call to an upstream as an instance has measured it.
@@ -255,5 +266,6 @@
     | ViewNotice
     | ViewWanted
     | InstancesNotice
+    | CutNotice
     | CallNotice
 )
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -118,7 +118,11 @@
         self._readings = callerside.Server(handler=self._answer_metrics)
         self._store = keyvalue.Client(settings.store_address, self._pools)
         self._peering = peering.Peering(
-            settings, self.beliefs, self.readers, self._on_instances
+            settings,
+            self.beliefs,
+            self.readers,
+            self._on_instances,
+            self._reach.note_told,
         )
         self._reaching = reaching.Reaching(
             self.beliefs,
@@ -142,6 +146,8 @@
     def _on_reach(self) -> None:
         """Lets callers find another instance while this one is cut off."""
         self._callers.closing = self._reach.cut or self._stop.is_set()
+        if self._reach.cut and self._reach.found_here:
+            self._peering.tell_cut()
 
     def _answer_probe(self, exchange: callerside.Exchange) -> None:
         if exchange.request.path != headers.READINESS_PATH:
@@ -231,7 +237,7 @@
                 follower.follow_instances(),
                 follower.stay_listed(),
                 self._follow_settings(),
-                self._peering.tell_slow(),
+                self._peering.tell_calls(),
                 self._reaching.watch(),
                 self._callers.sweep(),
                 self._probes.sweep(),
--- a/hyssoptack/gateway/following_test.py
+++ b/hyssoptack/gateway/following_test.py
@@ -54,7 +54,7 @@
     # took its list for one kept fresh, dropped 121 upstreams and said so.
     made, believed = follower(list_age_ms=5_000.0)
     peers = peering.Peering(
-        made._settings, believed, made._readers, lambda: None
+        made._settings, believed, made._readers, lambda: None, lambda: None
     )
     history = listing.History()
     history.put(believed.upstreams)
@@ -80,7 +80,7 @@
     made, believed = follower(list_age_ms=9_000.0)
     made._note_back()
     peers = peering.Peering(
-        made._settings, believed, made._readers, lambda: None
+        made._settings, believed, made._readers, lambda: None, lambda: None
     )
     history = listing.History()
     history.put({"b": callplan_test.upstream("b")})
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -22,12 +22,12 @@
 LINK_IDLE_MS = 60_000.0
 """A link without a message is closed after this: readers change seldom."""
 
-SLOW_PERIOD_S = 0.5
-"""How often slow upstreams are told of. With 26 instances in a failure domain
-each sees an upstream too seldom to learn of it alone while it is slow (5 to
-10 s); 25 messages in this time cost it about 7 ms of processor a second."""
+CALLS_PERIOD_S = 0.5
+"""How often calls to slow upstreams are told of. With 26 instances in a failure
+domain each sees an upstream too seldom to learn of it alone while it is slow (5
+to 10 s); 25 messages in this time cost it about 7 ms of processor a second."""
 
-SLOW_PEERS_COUNT = 32
+CALLS_PEERS_COUNT = 32
 """Most neighbours that are told each time, chosen at random: what one round
 costs stays the same however many instances a failure domain has."""
 
@@ -45,11 +45,22 @@
         believed: beliefs.Beliefs,
         readers: readership.Readership,
         on_instances: collections.abc.Callable[[], None],
+        on_cut: collections.abc.Callable[[], None],
     ):
+        """Makes the peering of one instance.
+
+        Args:
+            settings: The instance's settings.
+            believed: What it believes.
+            readers: Who reads the store.
+            on_instances: Told of each new list of instances.
+            on_cut: Told that a neighbour takes the failure domain as cut off.
+        """
         self._settings = settings
         self._beliefs = believed
         self.readers = readers
         self._on_instances = on_instances
+        self._on_cut = on_cut
         self._told: dict[str, _Told] = {}
         self._history = listing.History()
         self._configuration = b""
@@ -133,22 +144,30 @@
         for peer in self._some(INSTANCES_PEERS_COUNT):
             self._links.send(peer.address, notice)
 
+    def tell_cut(self) -> None:
+        """Tells neighbours that other failure domains show no life."""
+        if self._links is None:
+            return
+        notice = message.CutNotice(sender_id=self._settings.instance_id)
+        for peer in self.readers.neighbours():
+            self._links.send(peer.address, notice)
+
     def _some(self, most_count: int) -> list[member.Peer]:
         """Returns at most so many neighbours, chosen at random."""
         peers = self.readers.neighbours()
         return self._random.sample(peers, min(len(peers), most_count))
 
-    async def tell_slow(self) -> None:
-        """Tells neighbours of slow upstreams, for as long as it runs."""
+    async def tell_calls(self) -> None:
+        """Tells neighbours of calls that matter, for as long as it runs."""
         while True:
-            await asyncio.sleep(SLOW_PERIOD_S)
+            await asyncio.sleep(CALLS_PERIOD_S)
             calls = self._beliefs.placing.seen_calls(clock.now_ms())
             if not calls or self._links is None:
                 continue
             notice = message.CallNotice(
                 sender_id=self._settings.instance_id, seen_calls=calls
             )
-            for peer in self._some(SLOW_PEERS_COUNT):
+            for peer in self._some(CALLS_PEERS_COUNT):
                 self._links.send(peer.address, notice)
 
     def _on_undelivered(self, address: str, body: message.Message) -> None:
@@ -162,6 +181,8 @@
                 case message.InstancesNotice():
                     self.readers.install(each.neighbours, each.total_count)
                     self._on_instances()
+                case message.CutNotice():
+                    self._on_cut()
                 case message.ViewWanted():
                     self._answer_wanted(each)
                 case message.CallNotice(seen_calls=seen_calls):
--- a/hyssoptack/gateway/reaching_test.py
+++ b/hyssoptack/gateway/reaching_test.py
@@ -40,3 +40,31 @@
 def test_a_refused_connection_is_a_sign_of_life():
     address = f"127.0.0.1:{harness.free_port()}"
     assert asyncio.run(reaching.shows_life(address))
+
+
+def test_neighbours_hear_of_a_cut_and_look_for_themselves():
+    async def test():
+        async with harness.Site() as site:
+            await site.add_upstream("i-0", "desk", zone="south")
+            site.configure(gateway_test.SINGLE)
+            first = await site.start("g-1")
+            second = await site.start("g-2")
+            async with asyncio.timeout(6.0):
+                while not first.readers.neighbours():
+                    await asyncio.sleep(0.05)
+
+            async def silence(_address):
+                return False
+
+            for each in (first, second):
+                each._reaching._probe = silence
+            seen = reach.Tally(
+                near_sent_count=1, near_answered_count=1, far_sent_count=4
+            )
+            first._reach.note_query(seen, 200.0)
+            async with asyncio.timeout(3.0):
+                while not second._reach.cut:
+                    await asyncio.sleep(0.05)
+            assert await site.probe("g-2") == 503
+
+    asyncio.run(test())
--- a/hyssoptack/peers/codec.py
+++ b/hyssoptack/peers/codec.py
@@ -41,6 +41,7 @@
     13: message.CallNotice,
     14: message.ViewWanted,
     15: message.InstancesNotice,
+    16: message.CutNotice,
 }
 """Kinds by number. Numbers are never used again for another kind: 10 and 11
 were notices with whole lists."""
--- a/hyssoptack/policy/reach.py
+++ b/hyssoptack/policy/reach.py
@@ -1,9 +1,10 @@
 """Whether the own failure domain seems cut off from all others.
 
 A cut shows in queries: every call into another domain stays unanswered while
-those in the own domain are answered. One such query raises a doubt; only when
-connections into other domains get no sign of life either is the domain taken to
-be cut off. An upstream that refuses a connection is a sign of life.
+those in the own domain are answered. One such query raises a doubt, and so does
+a neighbour's word; only when connections into other domains get no sign of life
+either is the domain taken to be cut off. An upstream that refuses a connection
+is a sign of life.
 
 While cut off, a query that needs more shards than the own domain has is
 refused at once: it could only wait for its deadline. The instance then asks the
@@ -59,6 +60,12 @@
 
     def __init__(self) -> None:
         self.view = View.WELL
+        self._own_doubt = False
+
+    @property
+    def found_here(self) -> bool:
+        """Whether own queries raised the doubt: neighbours are to be told."""
+        return self._own_doubt
 
     @property
     def cut(self) -> bool:
@@ -79,6 +86,13 @@
             and tally.near_answered_count >= near_floor
         ):
             self.view = View.DOUBTED
+            self._own_doubt = True
+
+    def note_told(self) -> None:
+        """Takes a neighbour's word for a doubt, and for no more than that."""
+        if self.view is View.WELL:
+            self.view = View.DOUBTED
+            self._own_doubt = False
 
     def note_probe(self, alive: bool) -> None:
         """Takes whether anything in another domain gave a sign of life."""
--- a/hyssoptack/policy/reach_test.py
+++ b/hyssoptack/policy/reach_test.py
@@ -55,3 +55,15 @@
     known.note_probe(False)
     known.note_query(tally(far=(1, 1)), 10.0)
     assert not known.cut
+
+
+def test_a_neighbours_word_raises_a_doubt_that_a_probe_settles():
+    known = reach.Reach()
+    known.note_told()
+    assert not known.cut
+    known.note_probe(True)
+    assert known.view is reach.View.WELL
+    known.note_told()
+    known.note_probe(False)
+    known.note_told()
+    assert known.cut
