--- a/hyssoptack/gateway/following_test.py
+++ b/hyssoptack/gateway/following_test.py
@@ -48,16 +48,13 @@
     assert not believed.upstreams
 
 
-def test_a_neighbours_grace_holds_for_the_own_reading_that_follows():
-    # Found in a day's logs: the first to read again after an outage kept what
-    # had lapsed and told its neighbours; one whose own answer came 10 ms later
-    # took its list for one kept fresh, dropped 121 upstreams and said so.
-    made, believed = follower(list_age_ms=5_000.0)
+def hear(made, believed, upstreams, grace_ms=0.0):
+    """Lets an instance take a neighbour's whole list."""
     peers = peering.Peering(
         made._settings, believed, made._readers, lambda: None, lambda: None
     )
     history = listing.History()
-    history.put(believed.upstreams)
+    history.put(upstreams)
     notice = message.ViewNotice(
         sender_id="g2",
         sender_address="",
@@ -65,9 +62,17 @@
         configuration=b"",
         revision=2,
         change=history.whole(),
-        grace_ms=beliefs.RETURN_MS,
+        grace_ms=grace_ms,
     )
     peers._take(notice)
+
+
+def test_a_neighbours_grace_holds_for_the_own_reading_that_follows():
+    # Found in a day's logs: the first to read again after an outage kept what
+    # had lapsed and told its neighbours; one whose own answer came 10 ms later
+    # took its list for one kept fresh, dropped 121 upstreams and said so.
+    made, believed = follower(list_age_ms=5_000.0)
+    hear(made, believed, believed.upstreams, beliefs.RETURN_MS)
     made._note_back()
     believed.take_list({}, 3, clock.now_ms())
     assert "a" in believed.upstreams
@@ -79,20 +84,7 @@
     # A reader that started during the outage has never seen what lapsed.
     made, believed = follower(list_age_ms=9_000.0)
     made._note_back()
-    peers = peering.Peering(
-        made._settings, believed, made._readers, lambda: None, lambda: None
-    )
-    history = listing.History()
-    history.put({"b": callplan_test.upstream("b")})
-    notice = message.ViewNotice(
-        sender_id="g2",
-        sender_address="",
-        version=0,
-        configuration=b"",
-        revision=2,
-        change=history.whole(),
-    )
-    peers._take(notice)
+    hear(made, believed, {"b": callplan_test.upstream("b")})
     assert set(believed.upstreams) == {"a", "b"}
 
 
