--- a/soak/main.py
+++ b/soak/main.py
@@ -45,7 +45,11 @@
         )
         report = play.run(settings)
         total = sum(report.counts.values())
-        print(f"seed {seed}: {total} requests, {len(report.broken)} broken")
+        stalls = report.counts["stalls of the soak"]
+        print(
+            f"seed {seed}: {total - stalls} requests, "
+            f"{len(report.broken)} broken, {stalls} stalls of the soak itself"
+        )
         for line in report.broken[:12]:
             print(f"  {line}")
         if report.broken:
