Tell two starts under one id apart; entries by other writers name no upstream

Cause: an upstream may start again under its id; everything believed of the start before (slowness, ejection, calls in flight, connections, grace) was taken over. An entry with an unknown state counted as ready, one with an address that can't be split ended the request that chose it, and an id went into a header unread. Change: an upstream is named by id and start; calls still name the id alone.

--- a/hyssoptack/core/traffic.py
+++ b/hyssoptack/core/traffic.py
@@ -129,6 +129,8 @@
 
     Attributes:
         upstream_id: Names one start of the upstream; a restart has another.
+        listed_id: Its name in the platform's list, which a restart may keep;
+            empty where that is `upstream_id`.
         service: The service that it belongs to.
         address: Host and port.
         failure_domain: Where it runs.
@@ -144,6 +146,12 @@
     slot_count: int
     draining: bool
     cold_ms: float
+    listed_id: str = ""
+
+    @property
+    def expected_id(self) -> str:
+        """The name that the upstream checks in the calls that it gets."""
+        return self.listed_id or self.upstream_id
 
 
 PORT_MAX = 65_535
--- a/hyssoptack/gateway/beliefs.py
+++ b/hyssoptack/gateway/beliefs.py
@@ -103,7 +103,7 @@
         if self.grace_ms(now_ms) > 0:
             # What is missing may have lapsed in the outage only. That holds
             # for a neighbour's list too: it may have started just now.
-            kept = self.upstreams | kept
+            kept = _without_predecessors(self.upstreams, kept) | kept
         self._log_changes(kept)
         self.upstreams = kept
         self.confirm_list(revision, now_ms)
@@ -142,3 +142,15 @@
                 draining=drains,
                 count=len(kept),
             )
+
+
+def _without_predecessors(
+    before: dict[str, traffic.Upstream], listed: dict[str, traffic.Upstream]
+) -> dict[str, traffic.Upstream]:
+    """Returns the upstreams that no other start under their id replaces."""
+    names = {each.expected_id for each in listed.values()}
+    return {
+        upstream_id: upstream
+        for upstream_id, upstream in before.items()
+        if upstream.expected_id not in names
+    }
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -75,6 +75,7 @@
         # once, exact ones of some pages each are a third of a day's calls.
         self._read_count = 1
         self._lease_ms = max(settings.lease_ms, settings.lease_min_ms)
+        self._unreadable: dict[str, str] = {}
 
     # The list of upstreams.
 
@@ -118,14 +119,28 @@
 
     def _take_list(self, listing: keyvalue.Listing) -> None:
         listed: dict[str, traffic.Upstream] = {}
+        unreadable: dict[str, str] = {}
         for item in listing.items:
             match wire.upstream(item.key, item.value):
                 case expression.Result(tag="ok", ok=upstream):
                     listed[upstream.upstream_id] = upstream
                 case expression.Result(error=detail):
-                    log.write(log.Event.CONFIG_REFUSED, errors=[detail])
+                    unreadable[item.key] = detail
+        self._note_unreadable(unreadable)
         self._beliefs.take_list(listed, listing.store_revision, clock.now_ms())
 
+    def _note_unreadable(self, unreadable: dict[str, str]) -> None:
+        """Logs entries that can't be used, each once for each reason."""
+        for key, reason in unreadable.items():
+            if self._unreadable.get(key) != reason:
+                log.write(
+                    log.Event.ENTRY_UNREADABLE,
+                    key=key,
+                    reason=reason,
+                    count=len(unreadable),
+                )
+        self._unreadable = unreadable
+
     # The configuration.
 
     async def follow_configuration(self) -> None:
--- a/hyssoptack/gateway/following_test.py
+++ b/hyssoptack/gateway/following_test.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import json
 import types
 
 import expression
 
 from hyssoptack.core import clock
 from hyssoptack.core import message
+from hyssoptack.events import log
 from hyssoptack.gateway import beliefs
 from hyssoptack.gateway import following
 from hyssoptack.gateway import peering
@@ -130,3 +133,58 @@
     with contextlib.suppress(asyncio.CancelledError):
         asyncio.run(made.follow_list())
     assert made._store.stale == [True, False, True, False]
+
+
+def test_a_rebirth_within_the_grace_replaces_the_one_before():
+    made, believed = follower(list_age_ms=9_000.0)
+    made._note_back()
+    again = dataclasses.replace(
+        callplan_test.upstream("a"), upstream_id="a#2", listed_id="a"
+    )
+    believed.take_list({"a#2": again}, 2, clock.now_ms())
+    assert set(believed.upstreams) == {"a#2"}
+
+
+def test_nothing_believed_of_the_one_before_holds_for_a_reborn_upstream():
+    _, believed = follower(list_age_ms=0.0)
+    now_ms = clock.now_ms()
+    placed = believed.placing
+    placed.sent("a")
+    placed.unreachable("a", now_ms)
+    again = dataclasses.replace(
+        callplan_test.upstream("a"), upstream_id="a#2", listed_id="a"
+    )
+    believed.take_list({"a#2": again}, 2, now_ms)
+    placed.ended("a")
+    placed.answered("r", "a", 900.0, now_ms)
+    standing = placed.standings["a#2"]
+    assert standing.in_flight_count == 0
+    assert standing.ejected_until_ms <= now_ms
+    assert standing.slowness_ratio == 1.0
+
+
+def test_an_unreadable_entry_is_logged_once_and_the_others_hold(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        log, "write", lambda event, **fields: lines.append((event, fields))
+    )
+    made, believed = follower(list_age_ms=0.0)
+    good = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "north",
+        "slots": 3,
+        "state": "ready",
+    }
+    items = [
+        keyvalue.Item(key="servers/bad", value=b"\xff"),
+        keyvalue.Item(key="servers/b", value=json.dumps(good).encode()),
+    ]
+    for revision in (2, 3):
+        made._take_list(keyvalue.Listing(items=items, store_revision=revision))
+    assert set(believed.upstreams) == {"b"}
+    found = [
+        fields for event, fields in lines if event is log.Event.ENTRY_UNREADABLE
+    ]
+    assert [each["key"] for each in found] == ["servers/bad"]
+    assert found[0]["count"] == 1
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -100,7 +100,7 @@
     return b"%sX-Request-Deadline: %d\r\nX-Expected-Instance: %s\r\n\r\n%s" % (
         common.head,
         max(1, remaining_ms),
-        upstream.upstream_id.encode(),
+        upstream.expected_id.encode(),
         common.body,
     )
 
--- a/hyssoptack/platform/wire.py
+++ b/hyssoptack/platform/wire.py
@@ -3,6 +3,8 @@
 The names of the fields below are the platform's; they appear nowhere else.
 """
 
+import typing
+
 import expression
 import msgspec
 
@@ -14,6 +16,7 @@
 
 _IDEMPOTENT = "idempotent"
 _DRAINING = "draining"
+_VISIBLE_ASCII = range(0x21, 0x7F)
 
 
 class _SplitPart(msgspec.Struct):
@@ -63,8 +66,11 @@
     address: str
     zone: str
     slots: int
-    state: str
+    state: typing.Literal["ready", "draining"]
     warmup_remaining_ms: float = 0.0
+    # Unix time of its start, in ms: tells two starts under one id apart. 0
+    # where the entry does not say; ids are then new at each start.
+    born: int = 0
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
@@ -155,11 +161,20 @@
     """
     try:
         raw = _SERVER.decode(data)
-    except msgspec.DecodeError as error:
-        return expression.Error(f"unreadable entry {key}: {error}")
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return expression.Error(f"unreadable entry: {error}")
+    listed_id = key.removeprefix(UPSTREAM_PREFIX)
+    if not _is_plain(listed_id):
+        # It goes into a header of each call.
+        return expression.Error("unreadable entry: its id is no plain word")
+    if traffic.split_address(raw.address) is None:
+        return expression.Error(
+            f"unreadable entry: expected HOST:PORT: {raw.address!r}"
+        )
     return expression.Ok(
         traffic.Upstream(
-            upstream_id=key.removeprefix(UPSTREAM_PREFIX),
+            upstream_id=f"{listed_id}#{raw.born}" if raw.born else listed_id,
+            listed_id=listed_id,
             service=raw.service,
             address=raw.address,
             failure_domain=raw.zone,
@@ -168,3 +183,7 @@
             cold_ms=raw.warmup_remaining_ms,
         )
     )
+
+
+def _is_plain(name: str) -> bool:
+    return bool(name) and all(ord(each) in _VISIBLE_ASCII for each in name)
--- a/hyssoptack/platform/wire_test.py
+++ b/hyssoptack/platform/wire_test.py
@@ -78,18 +78,54 @@
     assert wire.configuration(data).is_ok()
 
 
+ENTRY = {
+    "service": "one",
+    "address": "10.0.0.1:80",
+    "zone": "north",
+    "slots": 3,
+    "state": "draining",
+    "warmup_remaining_ms": 40,
+    "sequence": 9,
+}
+
+
+def entry(**changes):
+    return json.dumps(ENTRY | changes).encode()
+
+
 def test_an_upstreams_entry_is_read():
-    entry = {
-        "service": "one",
-        "address": "10.0.0.1:80",
-        "zone": "north",
-        "slots": 3,
-        "state": "draining",
-        "warmup_remaining_ms": 40,
-        "sequence": 9,
-    }
-    found = wire.upstream("servers/i-1", json.dumps(entry).encode()).ok
-    assert found.upstream_id == "i-1"
+    found = wire.upstream("servers/i-1", entry()).ok
+    assert found.upstream_id == found.expected_id == "i-1"
     assert found.draining
     assert (found.failure_domain, found.cold_ms) == ("north", 40)
     assert wire.upstream("servers/i-1", b"[]").is_error()
+
+
+def test_two_starts_under_one_id_are_two_upstreams():
+    first = wire.upstream("servers/i-1", entry(born=1_800_000_000_000)).ok
+    second = wire.upstream("servers/i-1", entry(born=1_800_000_000_007)).ok
+    assert first.upstream_id != second.upstream_id
+    assert first.expected_id == second.expected_id == "i-1"
+
+
+@pytest.mark.parametrize(
+    ("key", "data"),
+    [
+        ("servers/i-1", b"\xff\xfe"),
+        ("servers/i-1", b'{"service": "\xff"}'),
+        ("servers/i-1", json.dumps({**ENTRY, "state": "asleep"}).encode()),
+        ("servers/i-1", entry(state=None)),
+        ("servers/i-1", entry(slots="3")),
+        ("servers/i-1", entry(slots=True)),
+        ("servers/i-1", entry(service=7)),
+        ("servers/i-1", entry(born="soon")),
+        ("servers/i-1", entry(born=1.5)),
+        ("servers/i-1", entry(address="nowhere")),
+        ("servers/i-1", entry(address="10.0.0.1:0")),
+        ("servers/i-1", b'{"service": "one"}'),
+        ("servers/", entry()),
+        ("servers/i-1\r\nX-Forged: 1", entry()),
+    ],
+)
+def test_another_writers_entry_names_no_upstream(key, data):
+    assert "unreadable" in wire.upstream(key, data).error
