Count goals from what callers have spent; read the list of instances sooner

After an outage nobody handed queries over for 2 s, as the list of instances was first read then. Change: what a caller had spent shows in how long it still waits; the way shows on new connections. The list of instances is read at 0.5 and 2 s.

--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -267,6 +267,7 @@
         headers: Its headers.
         body: Its body.
         elapsed_ms: Time since the request reached the sender.
+        away_ms: Time to the goal that the ways and earlier tries take.
         fresh: Whether it may be begun; else the sender only wants to know
             whether it still runs.
     """
@@ -279,6 +280,7 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     elapsed_ms: float
+    away_ms: float = 0.0
     fresh: bool = True
 
 
--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -65,11 +65,37 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Request:
-    """A caller's query, with what was found of it."""
+    """A caller's query, with what was found of it.
+
+    Attributes:
+        exchange: Where it is answered.
+        facts: What it says of itself.
+        found: Its route.
+        spent_ms: What its caller had spent when it was sent.
+        margin_ms: Kept back from its goal for the way.
+    """
 
     exchange: running.Exchange
     facts: headers.CallerFacts
     found: routetable.Found
+    spent_ms: float = 0.0
+    margin_ms: float = 0.0
+
+    @property
+    def away_ms(self) -> float:
+        """Time to the goal that is used up on the way and by earlier tries."""
+        return self.spent_ms + self.margin_ms
+
+    def goal_at_ms(self, now_ms: float) -> float:
+        """Returns when an answer should leave.
+
+        One that can't be in time any more is better whole than soon: it is
+        given as long as one that can.
+        """
+        goal_ms = self.found.route.goal_ms
+        due_ms = self.exchange.request.received_ms + goal_ms
+        in_time_ms = due_ms - self.away_ms
+        return in_time_ms if in_time_ms > now_ms else due_ms
 
     @property
     def request_id(self) -> str:
@@ -106,12 +132,10 @@
         route = query.found.route
         match route.target:
             case traffic.AllShards(shards=shards):
-                received_ms = query.exchange.request.received_ms
-                goal_at_ms = received_ms + route.goal_ms
                 weighed = delegation.Query(
                     route_name=route.name,
                     part_count=len(shards),
-                    to_goal_ms=goal_at_ms - now_ms,
+                    to_goal_ms=query.goal_at_ms(now_ms) - now_ms,
                 )
                 peer = self.known.choose(weighed, now_ms)
             case _:
@@ -249,6 +273,7 @@
             headers=request.headers,
             body=request.body,
             elapsed_ms=clock.now_ms() - request.received_ms,
+            away_ms=self._query.away_ms + delegation.HOP_MS,
             fresh=fresh,
         )
         self._owner.send(self._peer.address, ask)
--- a/hyssoptack/gateway/delegating_test.py
+++ b/hyssoptack/gateway/delegating_test.py
@@ -178,6 +178,21 @@
     assert sent[-1].begun
 
 
+def test_an_answer_that_can_not_be_in_time_is_given_time_to_be_whole():
+    route = types.SimpleNamespace(goal_ms=150.0)
+    query = delegating.Request(
+        exchange=types.SimpleNamespace(
+            request=types.SimpleNamespace(received_ms=1_000.0)
+        ),
+        facts=None,
+        found=types.SimpleNamespace(route=route),
+        spent_ms=7.0,
+        margin_ms=9.0,
+    )
+    assert query.goal_at_ms(1_000.0) == 1_134.0
+    assert query.goal_at_ms(1_140.0) == 1_150.0
+
+
 def test_a_neighbour_that_is_late_is_let_finish():
     # Taken back at the goal, 4 requests of a day ran on three upstreams of a
     # shard where their routes allow two.
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections.abc
+import itertools
 import random
 
 import expression
@@ -43,9 +44,10 @@
 KEEPS_PER_LEASE_COUNT = 3
 """Renewals in one lease, so that two may fail."""
 
-PEERS_FIRST_MS = 2_000.0
-"""First reading of the list of instances: after all that start at the same time
-have entered themselves."""
+PEERS_FIRST_MS = (500.0, 1_500.0)
+"""Pauses before the first readings of the list of instances. By the first most
+of those that start at the same time have entered themselves (0.6 s apart on the
+slowest machines), by the second all."""
 
 PEERS_PERIOD_MS = 5_000.0
 """How often a reader reads the list of instances: newcomers read for themselves
@@ -261,8 +263,11 @@
 
     async def follow_instances(self) -> None:
         """Reads the list of instances while this one reads for others."""
-        await self._pause(PEERS_FIRST_MS)
-        while True:
+        pauses_ms = itertools.chain(
+            PEERS_FIRST_MS, itertools.repeat(PEERS_PERIOD_MS)
+        )
+        for pause_ms in pauses_ms:
+            await self._pause(pause_ms)
             await self._wait_for_turn()
             result = await self._store.list(wire.PEER_PREFIX, stale=True)
             match result:
@@ -271,7 +276,6 @@
                     self._peers.tell()
                 case expression.Result(error=failure):
                     self._note_lost(failure)
-            await self._pause(PEERS_PERIOD_MS)
 
     def _take_instances(self, items: list[keyvalue.Item]) -> None:
         peers: list[member.Peer] = []
--- a/hyssoptack/gateway/running.py
+++ b/hyssoptack/gateway/running.py
@@ -20,11 +20,6 @@
     from hyssoptack.gateway import delegating
     from hyssoptack.gateway import serving
 
-ANSWER_MARGIN_MS = 8.0
-"""Kept back from a goal for the way to the caller and back (2 ms, 4 ms with a
-new connection) and for timers that fire late."""
-
-
 TIMER_LATE_MS = 3.0
 """A timer that fires this late was held up by this process: answers may wait in
 its sockets, and are read before time is said to have passed."""
@@ -83,6 +78,7 @@
         self._version = owner.beliefs.version
         self._now_ms = clock.now_ms()
         received_ms = exchange.request.received_ms
+        self._spent_ms = query.spent_ms
         self._wait_ms = found.route.timeout_ms
         if facts.deadline_ms is not None:
             self._wait_ms = min(self._wait_ms, facts.deadline_ms)
@@ -94,7 +90,7 @@
         self._ask = callcommand.Ask(
             route=found.route,
             services=found.services,
-            goal_at_ms=received_ms + found.route.goal_ms - ANSWER_MARGIN_MS,
+            goal_at_ms=query.goal_at_ms(self._now_ms),
             ends_at_ms=received_ms + self._wait_ms,
             may_have_run=may_have_run,
         )
@@ -283,6 +279,7 @@
             reason=detail,
             took_ms=round(now_ms - started_ms, 1),
             wait_ms=self._wait_ms,
+            spent_ms=round(self._spent_ms, 1),
             version=self._version,
             version_age_ms=round(now_ms - self._owner.beliefs.config_ms),
             list_age_ms=round(now_ms - self._owner.beliefs.listed_ms),
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -1,5 +1,6 @@
 """Serves callers' requests: routes them, runs their plans, writes answers."""
 
+import dataclasses
 import http
 import random
 
@@ -14,6 +15,7 @@
 from hyssoptack.http1 import callerside
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
+from hyssoptack.policy import callertime
 from hyssoptack.policy import callplan
 from hyssoptack.policy import comeback
 from hyssoptack.policy import connections
@@ -42,11 +44,12 @@
         self.crowd = connections.Crowd()
         self.running: set[running.Running] = set()
         self._random = random.Random()
+        self._caller_time = callertime.CallerTime()
         self.delegating: delegating.Delegating | None = None
 
     def handle(self, exchange: callerside.Exchange) -> None:
         """Serves a caller's request."""
-        self._serve(exchange, handed=False)
+        self._serve(exchange, None)
 
     def take(self, ask: notices.QueryAsk, ready: bool) -> None:
         """Serves a neighbour's query, or declines it."""
@@ -54,9 +57,11 @@
         willing = ready and ask.version == self._beliefs.version
         exchange = self.delegating.take(ask, willing)
         if exchange is not None:
-            self._serve(exchange, handed=True)
+            self._serve(exchange, ask)
 
-    def _serve(self, exchange: running.Exchange, handed: bool) -> None:
+    def _serve(
+        self, exchange: running.Exchange, ask: notices.QueryAsk | None
+    ) -> None:
         facts = headers.caller_facts(exchange.request)
         if isinstance(facts, str):
             exchange.answer(message.problem(http.HTTPStatus.BAD_REQUEST, facts))
@@ -75,12 +80,24 @@
                 query = delegating.Request(
                     exchange=exchange, facts=facts, found=found
                 )
-                offer = not handed and self.delegating is not None
-                if not (
-                    offer
-                    and self.delegating.offer(query, self._beliefs.version)
-                ):
-                    self.run_here(query, may_have_run=False)
+                if ask is None:
+                    self._serve_caller(query)
+                else:
+                    known = dataclasses.replace(query, margin_ms=ask.away_ms)
+                    self.run_here(known, may_have_run=False)
+
+    def _serve_caller(self, query: delegating.Request) -> None:
+        spent_ms = self._caller_time.spent_ms(
+            query.found.route.name,
+            query.facts.deadline_ms,
+            query.exchange.request.first,
+        )
+        timed = dataclasses.replace(
+            query, spent_ms=spent_ms, margin_ms=self._caller_time.margin_ms
+        )
+        version = self._beliefs.version
+        if self.delegating is None or not self.delegating.offer(timed, version):
+            self.run_here(timed, may_have_run=False)
 
     def run_here(self, query: delegating.Request, may_have_run: bool) -> None:
         """Runs a request on this instance.
--- a/hyssoptack/http1/callerside.py
+++ b/hyssoptack/http1/callerside.py
@@ -110,6 +110,7 @@
         self._transport: asyncio.Transport | None = None
         self.lost = False
         self._ending = False
+        self._fresh = True
         self._changed_ms = clock.now_ms()
         self._waiting: collections.deque[message.Request] = collections.deque()
         self._current: Exchange | None = None
@@ -224,7 +225,9 @@
             body=b"".join(self._body),
             received_ms=self._started_ms,
             keep_alive=self._parser.should_keep_alive(),
+            first=self._fresh,
         )
+        self._fresh = False
         self._reset_request()
         self._waiting.append(request)
         if len(self._waiting) >= PIPELINE_LIMIT_COUNT and self._transport:
--- a/hyssoptack/http1/message.py
+++ b/hyssoptack/http1/message.py
@@ -36,6 +36,7 @@
         body: The whole body, without its framing.
         received_ms: When its first byte came.
         keep_alive: Whether the caller wants to use the connection again.
+        first: Whether it is the first of its connection.
     """
 
     method: bytes
@@ -44,6 +45,7 @@
     body: bytes
     received_ms: float
     keep_alive: bool
+    first: bool = False
 
     def values(self, name: bytes) -> list[bytes]:
         """Returns every value of a header; `name` is in lower case."""
--- a/hyssoptack/policy/delegation.py
+++ b/hyssoptack/policy/delegation.py
@@ -39,6 +39,9 @@
 """An answer comes at the goal at the latest where its floor was met; this long
 after it, the neighbour is asked whether it is still there."""
 
+HOP_MS = 2.0
+"""What handing over and back takes besides, kept back from the goal."""
+
 CHECK_PERIOD_MS = 250.0
 """How often it is asked from then on, while the caller waits."""
 
