--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -188,7 +188,9 @@
 
     def note_waiting(self, call_id: int) -> None:
         """Notes that a call waits for a connection: nothing was sent yet."""
-        self._calls[call_id].sent = False
+        call = self._calls.get(call_id)
+        if call is not None:
+            call.sent = False
 
     def note_sent(self, call_id: int) -> None:
         """Notes that a call is being sent."""
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -387,6 +387,25 @@
     assert again.upstream.upstream_id == "n0"
 
 
+def test_a_call_given_up_in_the_same_breath_may_be_said_to_wait():
+    # Found by a grown day: a cut moved one part to the own domain and then
+    # ended the query; the runner's word on the first call ended the process.
+    know = knowledge(
+        upstream("f0", zone="south"),
+        upstream("n0"),
+        upstream("f1", "s1", zone="south"),
+        upstream("f2", "s2", zone="south"),
+    )
+    know.placing.unreachable("n0", 0.0)
+    running = plan(know, shards(3, 0.9))
+    running.start(0.0)
+    know.domains.view = reach.View.CUT
+    commands = running.on_cut(20.0)
+    assert result(commands) is not None
+    (again,) = sends(commands)
+    running.note_waiting(again.call_id)
+
+
 def test_while_cut_off_a_single_request_stays_near_or_is_refused():
     know = knowledge(upstream("n"), upstream("f", zone="south"))
     know.placing.unreachable("n", 0.0)
