--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -16,6 +16,7 @@
 from hyssoptack.core import traffic
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import callpart
+from hyssoptack.policy import callresult
 from hyssoptack.policy import extrawindow
 from hyssoptack.policy import hedgetime
 from hyssoptack.policy import placing
@@ -31,9 +32,6 @@
 """Calls to upstreams that refused before, for each part: one for each of the
 two that the users' routes allow."""
 
-CUT_OFF = "failure_domain_cut_off"
-"""Why a part has nobody to be sent to while its failure domain is cut off."""
-
 END_MARGIN_MS = 10.0
 """Kept back from the caller's deadline to write the answer and carry it."""
 
@@ -211,7 +209,9 @@
             if call.far and not self.finished:
                 commands.append(callcommand.Cancel(call_id=call.call_id))
                 commands.extend(
-                    self.on_outcome(call.call_id, _lost_by_cut(call), now_ms)
+                    self.on_outcome(
+                        call.call_id, callresult.lost_by_cut(call), now_ms
+                    )
                 )
         return commands
 
@@ -226,14 +226,14 @@
         if outcome.alive:
             self._tally.alive_count += 1
             self._know.domains.note_alive()
-        elif outcome.reason != CUT_OFF:
+        elif outcome.reason != callresult.CUT_OFF:
             self._know.domains.note_lost()
 
     def _learn(
         self, call: callpart.Call, outcome: callcommand.Outcome, now_ms: float
     ) -> None:
         know = self._know.placing
-        if outcome.reason == CUT_OFF:
+        if outcome.reason == callresult.CUT_OFF:
             # No fault of the upstream's.
             return
         match outcome.kind:
@@ -326,7 +326,7 @@
             near_only=cut,
         )
         if cut and upstream is None:
-            part.last_reason = CUT_OFF
+            part.last_reason = callresult.CUT_OFF
         return upstream
 
     def _is_far(self, upstream: traffic.Upstream) -> bool:
@@ -444,29 +444,10 @@
         self._know.domains.note_waited(self._tally, now_ms - self._started_ms)
         # A call that was sent and is still out may run at any moment.
         out = any(call.sent for call in self._calls.values())
-        result = self._result(timed_out, out)
+        result = callresult.result_of(
+            self._parts,
+            covers_floor=self._covers_floor(),
+            timed_out=timed_out,
+            may_have_run=self._may_have_run or out,
+        )
         return [*self._cancel_all(now_ms), callcommand.Finish(result=result)]
-
-    def _result(self, timed_out: bool, out: bool) -> callcommand.Result:
-        if self._covers_floor():
-            replies = tuple(
-                part.reply for part in self._parts.all if part.reply is not None
-            )
-            return callcommand.Answer(
-                replies=replies, part_count=len(self._parts.all)
-            )
-        unanswered = [part for part in self._parts.all if part.reply is None]
-        lost = [part for part in unanswered if part.lost]
-        worst = (lost or unanswered)[0]
-        reason = "deadline" if timed_out else worst.last_reason
-        if self._may_have_run or out:
-            reply = worst.failure if len(self._parts.all) == 1 else None
-            return callcommand.Fail(
-                reason=reason, timed_out=timed_out, reply=reply
-            )
-        return callcommand.Refuse(reason=reason)
-
-
-def _lost_by_cut(call: callpart.Call) -> callcommand.Outcome:
-    kind = callcommand.Kind.FAILED if call.sent else callcommand.Kind.NOT_RUN
-    return callcommand.Outcome(kind=kind, reason=CUT_OFF, reached=call.sent)
--- /dev/null
+++ b/hyssoptack/policy/callresult.py
@@ -0,0 +1,43 @@
+"""How a request ends, from the state of its parts."""
+
+from hyssoptack.policy import callcommand
+from hyssoptack.policy import callpart
+
+CUT_OFF = "failure_domain_cut_off"
+"""Why a part has nobody to be sent to while its failure domain is cut off."""
+
+
+def result_of(
+    parts: callpart.Parts,
+    *,
+    covers_floor: bool,
+    timed_out: bool,
+    may_have_run: bool,
+) -> callcommand.Result:
+    """Returns a request's end.
+
+    Args:
+        parts: What became of its parts.
+        covers_floor: Whether those that are in make an answer.
+        timed_out: Whether its time is over.
+        may_have_run: Whether any of it ran, or may still run.
+    """
+    if covers_floor:
+        replies = tuple(
+            part.reply for part in parts.all if part.reply is not None
+        )
+        return callcommand.Answer(replies=replies, part_count=len(parts.all))
+    unanswered = [part for part in parts.all if part.reply is None]
+    lost = [part for part in unanswered if part.lost]
+    worst = (lost or unanswered)[0]
+    reason = "deadline" if timed_out else worst.last_reason
+    if may_have_run:
+        reply = worst.failure if len(parts.all) == 1 else None
+        return callcommand.Fail(reason=reason, timed_out=timed_out, reply=reply)
+    return callcommand.Refuse(reason=reason)
+
+
+def lost_by_cut(call: callpart.Call) -> callcommand.Outcome:
+    """Returns the outcome of a call that a cut has swallowed."""
+    kind = callcommand.Kind.FAILED if call.sent else callcommand.Kind.NOT_RUN
+    return callcommand.Outcome(kind=kind, reason=CUT_OFF, reached=call.sent)
--- a/hyssoptack/policy/comeback.py
+++ b/hyssoptack/policy/comeback.py
@@ -9,7 +9,7 @@
 import enum
 import random
 
-from hyssoptack.policy import callplan
+from hyssoptack.policy import callresult
 
 TURNED_AWAY_MS = 2_200.0
 """From the start of a cut until the balancer sends callers elsewhere: it takes
@@ -59,7 +59,7 @@
 def cause_of(reason: str) -> Cause:
     """Returns the cause behind a plan's or a route table's reason."""
     match reason:
-        case callplan.CUT_OFF:
+        case callresult.CUT_OFF:
             return Cause.CUT_OFF
         case "no_configuration_yet":
             return Cause.STARTING
