--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -262,6 +262,7 @@
         ask_id: Names the ask among the sender's.
         version: The configuration that the sender serves by; a neighbour that
             has another one in force declines.
+        route_name: The request's route.
         method: The request's method.
         target: Its path and query.
         headers: Its headers.
@@ -275,6 +276,7 @@
     sender_address: str
     ask_id: int
     version: int
+    route_name: str
     method: bytes
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
@@ -306,6 +308,7 @@
     Attributes:
         sender_address: Who was asked.
         ask_id: The ask.
+        reply_bytes: The usual size of an upstream's reply on its route.
         status: The status code.
         headers: All headers.
         body: The body.
@@ -313,6 +316,7 @@
 
     sender_address: str
     ask_id: int
+    reply_bytes: float
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
--- a/hyssoptack/gateway/beliefs.py
+++ b/hyssoptack/gateway/beliefs.py
@@ -31,6 +31,7 @@
         list_revision: The store's revision that the list is of.
         store_back_ms: When the store last returned from an outage.
         on_configuration: Told of each new configuration.
+        keeps_lapsed: Whether entries that lapsed in an outage are kept a while.
     """
 
     placing: placing.Placing
@@ -46,6 +47,7 @@
         default_factory=dict
     )
     store_back_ms: float = float("-inf")
+    keeps_lapsed: bool = True
 
     @property
     def version(self) -> int:
@@ -112,6 +114,8 @@
 
     def grace_ms(self, now_ms: float) -> float:
         """Returns how much longer what is missing may enter itself again."""
+        if not self.keeps_lapsed:
+            return 0.0
         return max(0.0, self.store_back_ms + RETURN_MS - now_ms)
 
     def take_grace(self, grace_ms: float, now_ms: float) -> None:
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -1,6 +1,7 @@
 """The gateway process: opens ports, keeps beliefs, serves, stops cleanly."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import os
 import random
@@ -26,10 +27,10 @@
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
 from hyssoptack.platform import keyvalue
-from hyssoptack.policy import callplan
 from hyssoptack.policy import connections
 from hyssoptack.policy import delegation
 from hyssoptack.policy import extrawindow
+from hyssoptack.policy import knowing
 from hyssoptack.policy import placing
 from hyssoptack.policy import reach
 from hyssoptack.policy import readership
@@ -98,6 +99,7 @@
             placing=self._placing,
             pools=self._pools,
             on_configuration=self._on_configuration,
+            keeps_lapsed=settings.mechanisms.grace,
         )
         self.readers = readership.Readership(
             settings.instance_id,
@@ -129,7 +131,7 @@
             self._reach.note_told,
         )
         self._delegating = delegating.Delegating(
-            delegation.Delegation(settings.link_mbps, random.Random()),
+            delegation.Delegation(_own_link_mbps(settings), random.Random()),
             settings.peer_address,
             self._peering.send,
             self._serving.run_here,
@@ -148,11 +150,12 @@
         self._stop = asyncio.Event()
         self._said_ready = False
 
-    def _knowledge(self) -> callplan.Knowledge:
-        return callplan.Knowledge(
+    def _knowledge(self) -> knowing.Knowledge:
+        return knowing.Knowledge(
             placing=self._placing,
             extra_calls=self._extra_calls,
             domains=self._reach,
+            mechanisms=self._settings.mechanisms,
         )
 
     def _on_query(self, each: notices.Message) -> None:
@@ -264,14 +267,13 @@
                 follower.follow_instances(),
                 follower.stay_listed(),
                 self._follow_settings(),
-                self._peering.tell_calls(),
                 self._delegating.watch_stalls(),
-                self._reaching.watch(),
                 self._callers.sweep(),
                 self._probes.sweep(),
                 self._pools.sweep(),
             )
         ]
+        tasks.extend(loop.create_task(each) for each in self._watches())
         stopped = loop.create_task(self._stop.wait())
         done, _ = await asyncio.wait(
             (*tasks, stopped), return_when=asyncio.FIRST_COMPLETED
@@ -280,6 +282,15 @@
             # A task that fails stops the process; none ends by itself.
             each.result()
 
+    def _watches(self) -> list[collections.abc.Coroutine]:
+        """Returns the tasks of mechanisms that can be switched off."""
+        watches = []
+        if self._settings.mechanisms.told_calls:
+            watches.append(self._peering.tell_calls())
+        if self._settings.mechanisms.cut_belief:
+            watches.append(self._reaching.watch())
+        return watches
+
     async def _listen(
         self, address: str, server: callerside.Server
     ) -> asyncio.Server:
@@ -329,7 +340,7 @@
         self._store.move(settings.store_address)
         self.readers.pace = readership.pace(settings.belief_bound_ms)
         self._placing.settings = _placing_settings(settings)
-        self._delegating.known.link_mbps = settings.link_mbps
+        self._delegating.known.link_mbps = _own_link_mbps(settings)
         self._extra_calls.share = self._budget_share()
 
     def _on_instances(self) -> None:
@@ -385,9 +396,15 @@
     return placing.PlacingSettings(
         failure_domain=settings.failure_domain,
         crossing_ratio=settings.crossing_ratio,
+        mechanisms=settings.mechanisms,
     )
 
 
+def _own_link_mbps(settings: gateway.GatewaySettings) -> float:
+    """Returns the width by which queries are handed over; 0 for never."""
+    return settings.link_mbps if settings.mechanisms.handing_over else 0.0
+
+
 def _log_fault(
     _loop: asyncio.AbstractEventLoop, context: dict[str, object]
 ) -> None:
--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -176,6 +176,7 @@
         self.send(ask.sender_address, taken)
         if running_already or not begun:
             return None
+        route_name = ask.route_name
         exchange = PeerExchange(
             request=message.Request(
                 method=ask.method,
@@ -185,17 +186,20 @@
                 received_ms=now_ms - max(0.0, ask.elapsed_ms),
                 keep_alive=True,
             ),
-            reply_to=lambda reply: self._reply(key, reply),
+            reply_to=lambda reply: self._reply(key, route_name, reply),
         )
         self._taken[key] = exchange
         return exchange
 
-    def _reply(self, key: tuple[str, int], reply: message.Reply) -> None:
+    def _reply(
+        self, key: tuple[str, int], route_name: str, reply: message.Reply
+    ) -> None:
         self._taken.pop(key, None)
         address, ask_id = key
         answer = notices.QueryAnswer(
             sender_address=self.own_address,
             ask_id=ask_id,
+            reply_bytes=self.known.reply_bytes(route_name),
             status=reply.status,
             headers=reply.headers,
             body=reply.body,
@@ -268,6 +272,7 @@
             sender_address=self._owner.own_address,
             ask_id=self._ask_id,
             version=version,
+            route_name=self._query.found.route.name,
             method=request.method,
             target=request.target,
             headers=request.headers,
@@ -334,6 +339,8 @@
     def answered(self, answer: notices.QueryAnswer) -> None:
         """Passes the neighbour's answer on."""
         self._owner.known.answered(self._peer.address)
+        route_name = self._query.found.route.name
+        self._owner.known.note_reply(route_name, answer.reply_bytes)
         self._end()
         reply = message.Reply(
             status=answer.status, headers=answer.headers, body=answer.body
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -44,10 +44,11 @@
 KEEPS_PER_LEASE_COUNT = 3
 """Renewals in one lease, so that two may fail."""
 
-PEERS_FIRST_MS = (500.0, 1_500.0)
-"""Pauses before the first readings of the list of instances. By the first most
+PEERS_FIRST_MS = (20.0, 500.0, 1_500.0)
+"""Pauses before the first readings of the list of instances. The first finds
+those that lived before an outage, whose leases outlast it; by the second most
 of those that start at the same time have entered themselves (0.6 s apart on the
-slowest machines), by the second all."""
+slowest machines), by the third all."""
 
 PEERS_PERIOD_MS = 5_000.0
 """How often a reader reads the list of instances: newcomers read for themselves
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -16,9 +16,9 @@
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
 from hyssoptack.policy import callertime
-from hyssoptack.policy import callplan
 from hyssoptack.policy import comeback
 from hyssoptack.policy import connections
+from hyssoptack.policy import knowing
 from hyssoptack.policy import routetable
 
 
@@ -33,7 +33,7 @@
     def __init__(
         self,
         believed: beliefs.Beliefs,
-        knowledge: callplan.Knowledge,
+        knowledge: knowing.Knowledge,
         failure_domain: str,
         counted: metrics.Metrics,
     ):
@@ -87,14 +87,16 @@
                     self.run_here(known, may_have_run=False)
 
     def _serve_caller(self, query: delegating.Request) -> None:
-        spent_ms = self._caller_time.spent_ms(
-            query.found.route.name,
-            query.facts.deadline_ms,
-            query.exchange.request.first,
-        )
         timed = dataclasses.replace(
-            query, spent_ms=spent_ms, margin_ms=self._caller_time.margin_ms
+            query, margin_ms=self._caller_time.margin_ms
         )
+        if self._knowledge.mechanisms.caller_time:
+            spent_ms = self._caller_time.spent_ms(
+                query.found.route.name,
+                query.facts.deadline_ms,
+                query.exchange.request.first,
+            )
+            timed = dataclasses.replace(timed, spent_ms=spent_ms)
         version = self._beliefs.version
         if self.delegating is None or not self.delegating.offer(timed, version):
             self.run_here(timed, may_have_run=False)
@@ -137,6 +139,8 @@
 
     def comeback_ms(self, reason: str) -> float:
         """Returns when a caller that is refused should come back."""
+        if not self._knowledge.mechanisms.comeback_by_cause:
+            return comeback.FULL_MS
         domains = self._knowledge.domains
         cut_for_ms = clock.now_ms() - domains.cut_since_ms
         refusal = comeback.Refusal(
@@ -156,7 +160,7 @@
         return self._beliefs
 
     @property
-    def knowledge(self) -> callplan.Knowledge:
+    def knowledge(self) -> knowing.Knowledge:
         """What plans draw on."""
         return self._knowledge
 
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -10,16 +10,14 @@
 """
 
 import collections
-import dataclasses
 import math
 
 from hyssoptack.core import traffic
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import callpart
 from hyssoptack.policy import callresult
-from hyssoptack.policy import extrawindow
 from hyssoptack.policy import hedgetime
-from hyssoptack.policy import placing
+from hyssoptack.policy import knowing
 from hyssoptack.policy import reach
 
 HEDGE_KEEP_COUNT = 1.0
@@ -36,20 +34,11 @@
 """Kept back from the caller's deadline to write the answer and carry it."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Knowledge:
-    """What all plans of an instance draw on."""
-
-    placing: placing.Placing
-    extra_calls: extrawindow.Book
-    domains: reach.Reach = dataclasses.field(default_factory=reach.Reach)
-
-
 class CallPlan:
     """One request's decisions."""
 
     def __init__(
-        self, ask: callcommand.Ask, knowledge: Knowledge, now_ms: float
+        self, ask: callcommand.Ask, knowledge: knowing.Knowledge, now_ms: float
     ):
         self.ask = ask
         self._know = knowledge
@@ -120,7 +109,7 @@
     def next_time_ms(self) -> float:
         """Returns when `on_time` should be called next."""
         next_ms = self._ends_ms
-        if self._covers_floor():
+        if self._answers_at_goal():
             next_ms = min(next_ms, self.ask.goal_at_ms)
         call = self._next_unhedged()
         if call is not None:
@@ -130,7 +119,7 @@
 
     def _dry_at_ms(self) -> float:
         """Returns when the missing parts are hedged; infinite for never."""
-        if self._hedged_missing:
+        if self._hedged_missing or not self._know.mechanisms.dry_hedges:
             return math.inf
         at_ms = self._hedge_time.dry_at_ms(
             self._parts.answered_count, len(self._parts.all)
@@ -186,14 +175,12 @@
 
     def note_waiting(self, call_id: int) -> None:
         """Notes that a call waits for a connection: nothing was sent yet."""
-        call = self._calls.get(call_id)
-        if call is not None:
+        if call := self._calls.get(call_id):
             call.sent = False
 
     def note_sent(self, call_id: int) -> None:
         """Notes that a call is being sent."""
-        call = self._calls.get(call_id)
-        if call is not None:
+        if call := self._calls.get(call_id):
             call.sent = True
 
     def on_cut(self, now_ms: float) -> list[callcommand.Command]:
@@ -275,7 +262,7 @@
             case callcommand.Kind.NOT_RUN if not outcome.reached:
                 # Nothing was sent: it is no attempt, and costs no budget.
                 part.unreached(upstream_id)
-                return [] if part.calls else self._send(part, now_ms, "reroute")
+                return self._send(part, now_ms, "reroute")
             case callcommand.Kind.SHED | callcommand.Kind.NOT_RUN:
                 if outcome.kind is callcommand.Kind.SHED:
                     part.shed_by.append(upstream_id)
@@ -284,18 +271,20 @@
     def _again(
         self, part: callpart.Part, why: str, now_ms: float
     ) -> list[callcommand.Command]:
-        """Sends a part once more, unless a call is out or none may be."""
-        if part.calls:
+        """Sends a part once more, if it may be.
+
+        While its other call is out it is, too, where the floor depends on it.
+        """
+        if part.calls and not self._floor_at_risk():
             return []
         upstream = self._next_upstream(part, now_ms)
-        if upstream is None:
-            self._parts.lose(part)
-            return []
-        if not self._know.extra_calls.spend(part.service, now_ms):
-            self._parts.lose(part)
+        if upstream is not None:
+            if self._know.extra_calls.spend(part.service, now_ms):
+                return self._send_to(part, upstream, now_ms, why)
             part.last_reason = "no_retry_budget"
-            return []
-        return self._send_to(part, upstream, now_ms, why)
+        if not part.calls:
+            self._parts.lose(part)
+        return []
 
     def _next_upstream(
         self, part: callpart.Part, now_ms: float
@@ -311,6 +300,8 @@
                 return other
         if not part.shed_by or part.resend_count >= RESEND_LIMIT_COUNT:
             return None
+        if not self._know.mechanisms.resends:
+            return None
         part.resend_count += 1
         return self._know.placing.listed(part.shed_by.pop(0))
 
@@ -374,6 +365,7 @@
     def _may_hedge(self, part: callpart.Part) -> bool:
         return (
             self.ask.route.idempotent
+            and self._know.mechanisms.hedges
             and part.is_open()
             and not part.hedged
             and len(part.calls) == 1
@@ -425,13 +417,17 @@
         answered_count = self._parts.answered_count
         return answered_count > 0 and answered_count >= self._floor_count
 
+    def _answers_at_goal(self) -> bool:
+        """Whether the goal ends the wait for missing parts."""
+        return self._know.mechanisms.answer_at_goal and self._covers_floor()
+
     def _finish_if_due(self, now_ms: float) -> list[callcommand.Command]:
         if self.finished:
             return []
         reachable_count = self._parts.reachable_count
         if not self._parts.open_count or reachable_count < self._floor_count:
             return self._finish(now_ms, timed_out=False)
-        if self._covers_floor() and now_ms >= self.ask.goal_at_ms:
+        if now_ms >= self.ask.goal_at_ms and self._answers_at_goal():
             return self._finish(now_ms, timed_out=False)
         if now_ms >= self._ends_ms:
             return self._finish(now_ms, timed_out=True)
--- a/hyssoptack/policy/delegation.py
+++ b/hyssoptack/policy/delegation.py
@@ -50,6 +50,10 @@
 
 AVOID_MAX_MS = 8_000.0
 
+SIZE_DEFAULT_BYTES = 600.0
+"""Assumed size of a reply before any was seen: between the users' smallest (350
+bytes with its head) and their largest (1,250)."""
+
 SIZE_SMOOTHING_RATIO = 0.05
 """Weight of the newest reply in a route's size: replies vary by a fifth."""
 
@@ -101,18 +105,21 @@
             if address in addresses or each.flight_count
         }
 
-    def note_reply(self, route_name: str, size_bytes: int) -> None:
-        """Takes the size of an upstream's reply."""
-        before = self._reply_bytes.get(route_name, float(size_bytes))
+    def reply_bytes(self, route_name: str) -> float:
+        """Returns the usual size of a reply to calls of a route."""
+        return self._reply_bytes.get(route_name, SIZE_DEFAULT_BYTES)
+
+    def note_reply(self, route_name: str, size_bytes: float) -> None:
+        """Takes the size of an upstream's reply, seen here or by a helper."""
+        before = self._reply_bytes.get(route_name, size_bytes)
         step = SIZE_SMOOTHING_RATIO * (size_bytes - before)
         self._reply_bytes[route_name] = before + step
 
     def choose(self, query: Query, now_ms: float) -> member.Peer | None:
         """Returns whom to hand a query to; None to run it here."""
-        size_bytes = self._reply_bytes.get(query.route_name)
-        if not self.link_mbps or size_bytes is None:
+        if not self.link_mbps:
             return None
-        bits = 8.0 * size_bytes * query.part_count
+        bits = 8.0 * self.reply_bytes(query.route_name) * query.part_count
         own_ms = bits / (self.link_mbps * BITS_PER_MBIT_MS)
         candidates = [
             each
--- /dev/null
+++ b/hyssoptack/policy/knowing.py
@@ -0,0 +1,25 @@
+"""What the plans of all requests of an instance draw on."""
+
+import dataclasses
+
+from hyssoptack.core import mechanism
+from hyssoptack.policy import extrawindow
+from hyssoptack.policy import placing
+from hyssoptack.policy import reach
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Knowledge:
+    """What all plans of an instance draw on.
+
+    Attributes:
+        placing: Standings of the upstreams.
+        extra_calls: The budget of calls beyond the first.
+        domains: Whether other failure domains can be reached.
+        mechanisms: What is at work.
+    """
+
+    placing: placing.Placing
+    extra_calls: extrawindow.Book
+    domains: reach.Reach = dataclasses.field(default_factory=reach.Reach)
+    mechanisms: mechanism.Mechanisms = mechanism.ALL
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -10,6 +10,7 @@
 import collections
 import dataclasses
 
+from hyssoptack.core import mechanism
 from hyssoptack.core import message
 from hyssoptack.core import traffic
 
@@ -36,9 +37,11 @@
 """Slow calls within this time count once: an upstream that pauses, for 100 to
 200 ms each few seconds, delays all calls that it has, and is well after it."""
 
-FADE_HALF_LIFE_MS = 2_000.0
+FADE_HALF_LIFE_MS = 4_000.0
 """How fast a slowness is forgotten without calls: slow spells last 5 to 10 s on
-the users' days, so a slow upstream is tried a few times during one."""
+the users' days, so a slow upstream is tried once or twice during one. With 2 s
+it was tried by each instance every 1.5 s (worth 0.003 less on each of five
+days)."""
 
 EJECTION_MS = 1_000.0
 """No calls for this long after a failure to connect; doubles up to the most."""
@@ -89,10 +92,12 @@
         failure_domain: Where this instance runs.
         crossing_ratio: What a call to another failure domain must gain to be
             worth its network price, as a multiple of the route's typical time.
+        mechanisms: What is at work.
     """
 
     failure_domain: str
     crossing_ratio: float
+    mechanisms: mechanism.Mechanisms = mechanism.ALL
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -245,15 +250,18 @@
         self, standing: Standing, typical_ms: float, now_ms: float
     ) -> float:
         upstream = standing.upstream
-        expected_ms = typical_ms * self.slowness(standing, now_ms)
-        if standing.cold_until_ms > now_ms:
+        at_work = self.settings.mechanisms
+        expected_ms = typical_ms
+        if at_work.slowness:
+            expected_ms *= self.slowness(standing, now_ms)
+        if at_work.cold_starts and standing.cold_until_ms > now_ms:
             expected_ms *= COLD_RATIO
         queue = max(0, standing.in_flight_count + 1 - upstream.slot_count)
         own_load = standing.in_flight_count / upstream.slot_count
         expected_ms *= 1.0 + 0.5 * own_load + queue / upstream.slot_count
-        if standing.shed_until_ms > now_ms:
+        if at_work.shed_quiet and standing.shed_until_ms > now_ms:
             expected_ms += SHED_QUIET_MS
-        if self._is_far(standing):
+        if at_work.crossing_price and self._is_far(standing):
             expected_ms += self.settings.crossing_ratio * typical_ms
         return expected_ms
 
@@ -372,7 +380,7 @@
     def unreachable(self, upstream_id: str, now_ms: float) -> bool:
         """Takes a failure to connect; tells whether it ejects anew."""
         standing = self.standings.get(upstream_id)
-        if standing is None:
+        if standing is None or not self.settings.mechanisms.ejection:
             return False
         anew = standing.ejected_until_ms <= now_ms
         if anew:
--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -10,6 +10,7 @@
 import expression
 import msgspec
 
+from hyssoptack.core import mechanism
 from hyssoptack.core import traffic
 
 
@@ -59,6 +60,7 @@
             be worth its network price, as a multiple of what calls of its
             route take. The default was the best of 15 ms, 35 ms and 1.5 times
             on both users' sites (docs/design/0009-placing.md).
+        mechanisms: What is at work; for experiments only.
     """
 
     instance_id: str
@@ -77,6 +79,7 @@
     metrics_address: str = ""
     link_mbps: float = 0.0
     crossing_ratio: float = 1.5
+    mechanisms: mechanism.Mechanisms = mechanism.ALL
 
     @property
     def belief_bound_ms(self) -> float:
