--- a/hyssoptack/policy/delegation.py
+++ b/hyssoptack/policy/delegation.py
@@ -86,7 +86,7 @@
 
 
 class Delegation:
-    """One instance's view of its neighbours as helpers."""
+    """One instance's view of what its neighbours can gather."""
 
     def __init__(self, link_mbps: float, source: random.Random):
         self.link_mbps = link_mbps
@@ -110,7 +110,7 @@
         return self._reply_bytes.get(route_name, SIZE_DEFAULT_BYTES)
 
     def note_reply(self, route_name: str, size_bytes: float) -> None:
-        """Takes the size of an upstream's reply, seen here or by a helper."""
+        """Takes the size of an upstream's reply, seen here or by a neighbour."""
         before = self._reply_bytes.get(route_name, size_bytes)
         step = SIZE_SMOOTHING_RATIO * (size_bytes - before)
         self._reply_bytes[route_name] = before + step
