--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -40,9 +40,8 @@
 
 FADE_HALF_LIFE_MS = 4_000.0
 """How fast a slowness is forgotten without calls: slow spells last 5 to 10 s on
-the users' days, so a slow upstream is tried once or twice during one. With 2 s
-it was tried by each instance every 1.5 s (worth 0.003 less on each of five
-days)."""
+the users' days, so a slow upstream is tried once or twice during one. With half
+of it each instance tried it every 1.5 s."""
 
 EJECTION_MS = 1_000.0
 """No calls for this long after a failure to connect; doubles up to the most."""
