The request's record stands with what runs it

Cause: a newcomer found that every request is a delegating.Request, though most are never handed over. Moved to running.Request; nothing else changes. The gateway's tests pass as before.

--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -20,9 +20,7 @@
 from hyssoptack.events import log
 from hyssoptack.gateway import running
 from hyssoptack.http1 import message
-from hyssoptack.platform import headers
 from hyssoptack.policy import delegation
-from hyssoptack.policy import routetable
 
 Send = collections.abc.Callable[[str, notice.Notice], None]
 
@@ -63,47 +61,7 @@
     OVER = "over"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Request:
-    """A caller's query, with what was found of it.
-
-    Attributes:
-        exchange: Where it is answered.
-        facts: What it says of itself.
-        found: Its route.
-        spent_ms: What its caller had spent when it was sent.
-        margin_ms: Kept back from its goal for the way.
-    """
-
-    exchange: running.Exchange
-    facts: headers.CallerFacts
-    found: routetable.Found
-    spent_ms: float = 0.0
-    margin_ms: float = 0.0
-
-    @property
-    def away_ms(self) -> float:
-        """Time to the goal that is used up on the way and by earlier tries."""
-        return self.spent_ms + self.margin_ms
-
-    def goal_at_ms(self, now_ms: float) -> float:
-        """Returns when an answer should leave.
-
-        One that can't be in time any more is better whole than soon: it is
-        given as long as one that can.
-        """
-        goal_ms = self.found.route.goal_ms
-        due_ms = self.exchange.request.received_ms + goal_ms
-        in_time_ms = due_ms - self.away_ms
-        return in_time_ms if in_time_ms > now_ms else due_ms
-
-    @property
-    def request_id(self) -> str:
-        """The caller's id of it, for the log."""
-        return self.facts.request_id.decode("latin-1")
-
-
-RunHere = collections.abc.Callable[[Request, bool], None]
+RunHere = collections.abc.Callable[[running.Request, bool], None]
 """Runs a query here; told whether a neighbour may have run some of it."""
 
 
@@ -126,7 +84,7 @@
         self._taken: dict[tuple[str, int], PeerExchange] = {}
         self._ticked_ms = clock.now_ms()
 
-    def offer(self, query: Request, version: int) -> bool:
+    def offer(self, query: running.Request, version: int) -> bool:
         """Hands a query over if that is better; tells whether it did."""
         now_ms = clock.now_ms()
         route = query.found.route
@@ -242,7 +200,7 @@
     def __init__(
         self,
         owner: Delegating,
-        query: Request,
+        query: running.Request,
         peer: member.Peer,
         ask_id: int,
     ):
--- a/hyssoptack/gateway/delegating_test.py
+++ b/hyssoptack/gateway/delegating_test.py
@@ -8,6 +8,7 @@
 from hyssoptack.gateway import delegating
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
+from hyssoptack.gateway import running
 from hyssoptack.policy import delegation
 
 WAIT_S = 6.0
@@ -185,7 +186,7 @@
 
 def test_an_answer_that_can_not_be_in_time_is_given_time_to_be_whole():
     route = types.SimpleNamespace(goal_ms=150.0)
-    query = delegating.Request(
+    query = running.Request(
         exchange=types.SimpleNamespace(
             request=types.SimpleNamespace(received_ms=1_000.0)
         ),
--- a/hyssoptack/gateway/running.py
+++ b/hyssoptack/gateway/running.py
@@ -15,9 +15,9 @@
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import callplan
 from hyssoptack.policy import records
+from hyssoptack.policy import routetable
 
 if typing.TYPE_CHECKING:
-    from hyssoptack.gateway import delegating
     from hyssoptack.gateway import serving
 
 TIMER_LATE_MS = 3.0
@@ -40,6 +40,46 @@
         """Writes the answer."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Request:
+    """A request to be served, with what was found of it.
+
+    Attributes:
+        exchange: Where it is answered.
+        facts: What it says of itself.
+        found: Its route.
+        spent_ms: What its caller had spent when it was sent.
+        margin_ms: Kept back from its goal for the way.
+    """
+
+    exchange: Exchange
+    facts: headers.CallerFacts
+    found: routetable.Found
+    spent_ms: float = 0.0
+    margin_ms: float = 0.0
+
+    @property
+    def away_ms(self) -> float:
+        """Time to the goal that is used up on the way and by earlier tries."""
+        return self.spent_ms + self.margin_ms
+
+    def goal_at_ms(self, now_ms: float) -> float:
+        """Returns when an answer should leave.
+
+        One that can't be in time any more is better whole than soon: it is
+        given as long as one that can.
+        """
+        goal_ms = self.found.route.goal_ms
+        due_ms = self.exchange.request.received_ms + goal_ms
+        in_time_ms = due_ms - self.away_ms
+        return in_time_ms if in_time_ms > now_ms else due_ms
+
+    @property
+    def request_id(self) -> str:
+        """The caller's id of it, for the log."""
+        return self.facts.request_id.decode("latin-1")
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Trace:
     """One call, for the log line of its request."""
@@ -67,7 +107,7 @@
     def __init__(
         self,
         owner: "serving.Serving",
-        query: "delegating.Request",
+        query: Request,
         may_have_run: bool,
     ):
         exchange, facts, found = query.exchange, query.facts, query.found
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -77,7 +77,7 @@
                 status = http.HTTPStatus.NOT_FOUND
                 self._refuse(exchange, facts, status, found.value)
             case routetable.Found():
-                query = delegating.Request(
+                query = running.Request(
                     exchange=exchange, facts=facts, found=found
                 )
                 if ask is None:
@@ -86,7 +86,7 @@
                     known = dataclasses.replace(query, margin_ms=ask.away_ms)
                     self.run_here(known, may_have_run=False)
 
-    def _serve_caller(self, query: delegating.Request) -> None:
+    def _serve_caller(self, query: running.Request) -> None:
         timed = dataclasses.replace(
             query, margin_ms=self._caller_time.margin_ms
         )
@@ -101,7 +101,7 @@
         if self.delegating is None or not self.delegating.offer(timed, version):
             self.run_here(timed, may_have_run=False)
 
-    def run_here(self, query: delegating.Request, may_have_run: bool) -> None:
+    def run_here(self, query: running.Request, may_have_run: bool) -> None:
         """Runs a request on this instance.
 
         Args:
