A handed query has two states; a refusal's reason is named once

Cause (reading the change again): the state that a query is over was set and never read, since what is over is no longer found; the reason for a refusal before there is a configuration stood as a text beside routetable's own. Behaviour is the same. Lint is clean and all tests of the package pass (one run); the proofs and the soak were not run again on this commit.

--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -58,7 +58,6 @@
 
     SENT = "sent"
     BEGUN = "begun"
-    OVER = "over"
 
 
 RunHere = collections.abc.Callable[[running.Request, bool], None]
@@ -271,7 +270,7 @@
                 self._back("declined", may_have_run=False)
             case _State.BEGUN, True:
                 self._wait(delegation.CHECK_PERIOD_MS, self._check)
-            case _:
+            case _State.BEGUN, False:
                 self.lost("forgotten")
 
     def undelivered(self) -> None:
@@ -340,7 +339,6 @@
         self._owner.send(self._peer.address, left)
 
     def _end(self) -> None:
-        self._state = _State.OVER
         if self._timer is not None:
             self._timer.cancel()
         self._owner.handed.pop(self._ask_id, None)
--- a/hyssoptack/policy/comeback.py
+++ b/hyssoptack/policy/comeback.py
@@ -10,6 +10,7 @@
 import random
 
 from hyssoptack.policy import callresult
+from hyssoptack.policy import routetable
 
 TURNED_AWAY_MS = 2_200.0
 """From the start of a cut until the balancer sends callers elsewhere: it takes
@@ -61,7 +62,7 @@
     match reason:
         case callresult.CUT_OFF:
             return Cause.CUT_OFF
-        case "no_configuration_yet":
+        case routetable.Miss.NOT_CONFIGURED.value:
             return Cause.STARTING
         case "no_upstream":
             return Cause.NOT_LISTED
