An answer that waited out a stall is taken; a change is heeded though an answer is lost

actions_test: nine callers were told "unknown" after instances had stood still for 1.0 and 1.2 s. An executor's call to the upstream has 1.5 s at most, counted by the event loop's clock; uvloop runs timers before it reads, so a stall past the limit ends the call as "may have run" while the receipt lies in the socket. client_test plays it (a thread answers, the loop stands still): "may have run" before, the receipt after. core/waiting gives what lies in the sockets 50 ms after a late timer; the front's wait for an executor uses it as well. Ruled out: the claim (nobody was told "no"), the front's own wait (the executor's own caller was told "unknown" too, and has no such wait).

Found beside it: a neighbour's word put off the own reading by 2.3 to 3.8 s even where that word was an old reading: 5.75 s from the last exact one where a link between two instances is lost. Notices now carry the age of the last exact reading, and the next in rank reads at 0.79 of the bound.

--- a/hyssoptack/entry/actor.py
+++ b/hyssoptack/entry/actor.py
@@ -17,6 +17,7 @@
 from hyssoptack.core import keyspace
 from hyssoptack.core import message
 from hyssoptack.core import refusal
+from hyssoptack.core import waiting
 from hyssoptack.entry import claims
 from hyssoptack.entry import executor
 from hyssoptack.entry import state
@@ -25,7 +26,6 @@
 from hyssoptack.policy import routing
 from hyssoptack.relay import relay
 
-MS_PER_S = 1000.0
 SETTLE_SHARE_RATIO = 0.3
 """Part of the deadline kept to settle what a lost executor did."""
 
@@ -138,12 +138,12 @@
         try:
             if not self._send_to(lane.instance_id, ask):
                 return _unsent()
-            outcome = await asyncio.wait_for(done, ask.remaining_ms / MS_PER_S)
+            if not await waiting.finished(done, ask.remaining_ms):
+                return await self._settle(ask)
+            outcome = done.result()
             if outcome is not None:
                 self._state.awaited.heard(lane.instance_id)
             return outcome if outcome is not None else _unsent()
-        except TimeoutError:
-            return await self._settle(ask)
         finally:
             del self._asked[ask.request_id]
 
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -21,12 +21,9 @@
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import wire
 from hyssoptack.policy import backoff
+from hyssoptack.policy import readership
 from hyssoptack.settings import gateway
 
-EXACT_READ_COUNT = 2
-"""Of so many readings one is exact; the others may be a little old, and cost a
-tenth. An old one is told by its revision and changes nothing."""
-
 LAPSE_MIN_MS = 2_000.0
 """A list younger than this was kept up to date by neighbours, or the outage was
 too short for entries to lapse (three heartbeats of 1.2 s): what is missing from
@@ -39,8 +36,6 @@
 """Waits after failed calls: short enough to be in force again within 3 s of the
 return of the store, long enough not to press a busy one."""
 
-JITTER_RATIO = 0.15
-
 KEEPS_PER_LEASE_COUNT = 3
 """Renewals in one lease, so that two may fail."""
 
@@ -87,13 +82,18 @@
         failure_count = 0
         while True:
             await self._wait_for_turn()
-            exact = self._read_count % EXACT_READ_COUNT == 0
+            exact = self._read_count % readership.EXACT_READ_COUNT == 0
             self._read_count += 1
-            result = await self._store.list(wire.UPSTREAM_PREFIX, not exact)
+            asked_ms = clock.now_ms()
+            result = await self._store.list(
+                wire.UPSTREAM_PREFIX,
+                stale=not exact,
+                timeout_ms=self._readers.pace.list_timeout_ms,
+            )
             match result:
                 case expression.Result(tag="ok", ok=listing):
                     failure_count = 0
-                    self._readers.read(succeeded=True)
+                    self._readers.read(asked_ms, exact)
                     self._note_back()
                     self._take_list(listing)
                     self._peers.tell()
@@ -101,7 +101,7 @@
                 case expression.Result(error=failure):
                     failure_count += 1
                     self._read_count = 0
-                    self._readers.read(succeeded=False)
+                    self._readers.read_failed()
                     self._note_lost(failure)
                     await self._pause(RETRY.wait_ms(failure_count))
 
@@ -326,5 +326,6 @@
         )
 
     async def _pause(self, period_ms: float) -> None:
-        jitter = self._random.uniform(1 - JITTER_RATIO, 1 + JITTER_RATIO)
+        spread = readership.JITTER_RATIO
+        jitter = self._random.uniform(1 - spread, 1 + spread)
         await asyncio.sleep(period_ms * jitter / message.MS_PER_S)
--- a/hyssoptack/gateway/following_test.py
+++ b/hyssoptack/gateway/following_test.py
@@ -118,7 +118,7 @@
         self.stale = []
         self._count = count
 
-    async def list(self, _prefix, stale=False):
+    async def list(self, _prefix, stale=False, timeout_ms=0.0):
         if len(self.stale) == self._count:
             raise asyncio.CancelledError
         self.stale.append(stale)
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -123,6 +123,7 @@
     def _send_view(
         self, address: str, change: notice.ListChange, configuration: bytes
     ) -> None:
+        now_ms = clock.now_ms()
         made = notice.ViewNotice(
             sender_id=self._settings.instance_id,
             sender_address=self._settings.peer_address,
@@ -130,7 +131,8 @@
             configuration=configuration,
             revision=self._beliefs.list_revision,
             change=change,
-            grace_ms=self._beliefs.grace_ms(clock.now_ms()),
+            grace_ms=self._beliefs.grace_ms(now_ms),
+            exact_age_ms=self.readers.exact_age_ms(now_ms),
         )
         self._told[address] = _Told(
             version=self._beliefs.version, digest=change.digest
@@ -226,7 +228,9 @@
         if view.version > self._beliefs.version:
             self._ask(view)
         elif listed:
-            self.readers.heard(view.sender_id, clock.now_ms())
+            self.readers.heard(
+                view.sender_id, clock.now_ms(), view.exact_age_ms
+            )
         elif not behind:
             self._ask(view)
 
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -147,13 +147,17 @@
         )
 
     async def list(
-        self, prefix: str, stale: bool = False
+        self,
+        prefix: str,
+        stale: bool = False,
+        timeout_ms: float = CALL_TIMEOUT_MS,
     ) -> expression.Result[Listing, Failure]:
         """Reads all items under a prefix; pages are not one snapshot.
 
         Args:
             prefix: Start of the keys.
             stale: Whether an answer some seconds old will do.
+            timeout_ms: Longest wait for each page.
 
         Returns:
             The items, or what went wrong.
@@ -162,7 +166,7 @@
         store_revision: int | None = None
         query = {"prefix": prefix} | ({"allow_stale": "1"} if stale else {})
         for _ in range(PAGE_LIMIT_COUNT):
-            result = await self._call("GET", "kv-range", query)
+            result = await self._call("GET", "kv-range", query, timeout_ms)
             match result:
                 case expression.Result(tag="ok", ok=body):
                     page = _decoded(_PAGE, body)
--- a/hyssoptack/policy/readership_test.py
+++ b/hyssoptack/policy/readership_test.py
@@ -3,11 +3,15 @@
 import pytest
 
 from hyssoptack.core import member
+from hyssoptack.gateway import following
 from hyssoptack.policy import readership
 
 NAMES = ("g1", "g2", "g3", "g4")
 PACE = readership.pace(3_000.0)
 
+READING_MS = 30.0
+"""Six pages of the store's 4 ms, and the way to the neighbours."""
+
 
 def members(names=NAMES):
     peers = tuple(
@@ -34,7 +38,7 @@
 def test_those_who_hear_the_first_wait_and_take_over_by_rank():
     (first, _), *others = members()
     for _, each in others:
-        each.heard(first, 1_000.0)
+        each.heard(first, 1_000.0, 0.0)
     waits = [each.wait_ms(1_000.0) for _, each in others]
     assert waits == sorted(waits)
     assert waits[0] == pytest.approx(PACE.silence_ms)
@@ -43,14 +47,14 @@
 
 def test_the_first_is_not_held_up_by_lower_ones():
     (_, first), (second, _), *_ = members()
-    first.heard(second, 1_000.0)
+    first.heard(second, 1_000.0, 0.0)
     assert first.wait_ms(1_000.0) == 0.0
 
 
 def test_one_that_fails_to_read_listens_to_anybody():
     (_, first), (second, _), *_ = members()
-    first.read(succeeded=False)
-    first.heard(second, 1_000.0)
+    first.read_failed()
+    first.heard(second, 1_000.0, 0.0)
     assert first.wait_ms(1_000.0) > 0.0
 
 
@@ -60,19 +64,45 @@
     assert each.most_count == len(NAMES)
 
 
-@pytest.mark.parametrize("bound_ms", [3_000.0, 5_000.0])
+def test_an_old_reading_that_is_told_holds_nobody_back_for_long():
+    # Found by a hunted day: every second reading may be old. One told just
+    # before its reader was lost kept the others from reading until a change
+    # was 5.4 s old, of 5.0 s.
+    (first, _), (_, second), *_ = members()
+    second.heard(first, 1_000.0, 0.0)
+    second.heard(first, 2_000.0, 1_000.0)
+    waited_ms = 1_000.0 + second.wait_ms(2_000.0)
+    assert waited_ms + PACE.list_timeout_ms < 3_000.0
+
+
+def slowest_ms(found):
+    """The longest from an exact reading to the next, its reader alive."""
+    spread_ratio = 1.0 + readership.JITTER_RATIO
+    return readership.EXACT_READ_COUNT * spread_ratio * found.list_period_ms
+
+
+@pytest.mark.parametrize("bound_ms", [3_000.0, 5_000.0, 6_000.0])
 def test_a_change_is_heeded_in_time_though_its_reader_dies(bound_ms):
-    """Every second reading is exact, and the pauses vary by 15 in 100."""
     found = readership.pace(bound_ms)
     last_ms = (
-        found.silence_ms
-        + readership.SILENCE_STEPS_COUNT * found.silence_step_ms
+        found.exact_silence_ms
+        + readership.SILENCE_STEPS_COUNT * found.exact_step_ms
     )
-    assert last_ms < 0.8 * bound_ms
-    assert 2 * 1.15 * found.list_period_ms < 0.8 * bound_ms
+    assert last_ms < 0.9 * bound_ms
+    assert slowest_ms(found) < found.exact_silence_ms
     assert found.watch_ms < bound_ms
 
 
+@pytest.mark.parametrize("bound_ms", [3_000.0, 5_000.0, 6_000.0])
+def test_a_change_is_heeded_in_time_though_an_answer_is_lost(bound_ms):
+    # Found by a hunted day: three requests reached a leaving upstream 4 ms
+    # past the bound of 5 s.
+    found = readership.pace(bound_ms)
+    again_ms = following.RETRY.wait_ms(1) * (1.0 + readership.JITTER_RATIO)
+    heeded_ms = slowest_ms(found) + found.list_timeout_ms + again_ms
+    assert heeded_ms + READING_MS < bound_ms
+
+
 def test_a_bound_out_of_the_usual_gives_a_usual_pace():
     assert readership.pace(1.0) == readership.pace(readership.BOUND_MIN_MS)
     assert readership.pace(1e9) == readership.pace(readership.BOUND_MAX_MS)
--- a/hyssoptack/relay/client.py
+++ b/hyssoptack/relay/client.py
@@ -4,6 +4,7 @@
 a thread a call; docs/design/0001-upstream-client.md has the measurement.
 """
 
+import asyncio
 import dataclasses
 
 import aiohttp
@@ -15,6 +16,7 @@
 from hyssoptack.core import keyspace
 from hyssoptack.core import message
 from hyssoptack.core import query
+from hyssoptack.core import waiting
 
 STATE_HEADER = "Upstream-State"
 DRAINING = "draining"
@@ -181,11 +183,23 @@
             subject=asked.subject,
             body=asked.body_text,
         )
+        sent = asyncio.ensure_future(
+            self._post_act(f"http://{upstream.address}/act", body)
+        )
+        try:
+            if await waiting.finished(sent, remaining_ms):
+                return sent.result()
+        finally:
+            sent.cancel()
+        return MayHaveRun(detail="no answer from the upstream in time")
+
+    async def _post_act(self, url: str, body: ActBody) -> ActResult:
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_LIMIT_MS / MS_PER_S
+        )
         try:
             async with self._session.post(
-                f"http://{upstream.address}/act",
-                data=_ENCODER.encode(body),
-                timeout=_timeout(remaining_ms),
+                url, data=_ENCODER.encode(body), timeout=timeout
             ) as response:
                 raw = await response.read()
                 return _read_act(response, raw)
