--- a/hyssoptack/core/mechanism.py
+++ b/hyssoptack/core/mechanism.py
@@ -24,6 +24,7 @@
         grace: Entries that lapsed in an outage of the store are kept a while.
         handing_over: Queries go to neighbours with wider links.
         hedges: Calls that take long are sent once more.
+        relaying: Calls into other failure domains are made by instances there.
         resends: An upstream that refused is asked again where there is none
             else.
         shed_quiet: An upstream that refused for want of room is left alone.
@@ -42,6 +43,7 @@
     grace: bool = True
     handing_over: bool = True
     hedges: bool = True
+    relaying: bool = True
     resends: bool = True
     shed_quiet: bool = True
     slowness: bool = True
--- a/hyssoptack/core/notice.py
+++ b/hyssoptack/core/notice.py
@@ -75,11 +75,13 @@
         sender_id: The instance that read.
         neighbours: Those of the own failure domain.
         total_count: All of them, in all failure domains.
+        far_gatherers: Those of other failure domains that make calls there.
     """
 
     sender_id: str
     neighbours: tuple[member.Peer, ...]
     total_count: int
+    far_gatherers: tuple[member.Peer, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -201,6 +203,100 @@
     ask_id: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RelayedCall:
+    """A call to be made for another instance.
+
+    Attributes:
+        call_id: Its number in the query.
+        upstream_id: Whom to call.
+    """
+
+    call_id: int
+    upstream_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RelayAsk:
+    """Asks an instance beside the upstreams to make calls of a query.
+
+    Attributes:
+        sender_address: Where outcomes go.
+        ask_id: Names the ask among the sender's.
+        route_name: The query's route.
+        top_count: Records that its answer has at most.
+        request_id: The id that replies must carry.
+        head: The request's head, but for what differs from call to call.
+        body: Its body.
+        remaining_ms: How long its caller still waits.
+        to_goal_ms: Time until its answer loses most of its use.
+        calls: The calls.
+    """
+
+    sender_address: str
+    ask_id: int
+    route_name: str
+    top_count: int
+    request_id: bytes
+    head: bytes
+    body: bytes
+    remaining_ms: float
+    to_goal_ms: float
+    calls: tuple[RelayedCall, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RelayedOutcome:
+    """What became of a relayed call.
+
+    Attributes:
+        call_id: Its number in the query.
+        kind: What it says about the request, as in `policy.callcommand`.
+        reason: What was seen, for logs.
+        reached: Whether the upstream may have seen the request.
+        signature: The upstream's signature under its reply.
+        records: The greatest records of its reply, as many as the answer has.
+    """
+
+    call_id: int
+    kind: str
+    reason: str = ""
+    reached: bool = True
+    signature: bytes = b""
+    records: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RelayBatch:
+    """Outcomes of relayed calls, as soon as they are worth a message.
+
+    Attributes:
+        sender_address: Who made the calls.
+        ask_id: The ask.
+        outcomes: The outcomes since the message before.
+        dried_up: Whether answers came in until now and have paused: what is
+            missing waits for its upstream.
+    """
+
+    sender_address: str
+    ask_id: int
+    outcomes: tuple[RelayedOutcome, ...]
+    dried_up: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RelayLeft:
+    """Says that relayed calls are not waited for any more.
+
+    Attributes:
+        sender_address: Who asked.
+        ask_id: The ask.
+    """
+
+    sender_address: str
+    ask_id: int
+
+
 Notice = (
     ViewNotice
     | ViewWanted
@@ -211,6 +307,9 @@
     | QueryTaken
     | QueryAnswer
     | QueryLeft
+    | RelayAsk
+    | RelayBatch
+    | RelayLeft
 )
 
 KINDS: dict[int, type] = {
@@ -223,6 +322,9 @@
     18: QueryTaken,
     19: QueryAnswer,
     20: QueryLeft,
+    21: RelayAsk,
+    22: RelayBatch,
+    23: RelayLeft,
 }
 """Kinds by number, for `peers.codec`. Numbers are never used again for another
 kind: 10 and 11 were notices with whole lists."""
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -45,6 +45,7 @@
     REQUEST_UNREADABLE = (6103, "A request was refused before it was read.")
     QUERY_HANDED = (6104, "A neighbour answered a query for this instance.")
     QUERY_BACK = (6105, "A neighbour did not run a query that it was handed.")
+    RELAY_LOST = (6106, "An instance that made calls for others is lost.")
     REQUEST_FAULT = (7001, "A request met a fault of ours.")
 
     @property
--- /dev/null
+++ b/hyssoptack/gateway/budgetshare.py
@@ -0,0 +1,41 @@
+"""One instance's part of the extra calls that all may make together."""
+
+from hyssoptack.policy import extrawindow
+from hyssoptack.settings import gateway
+
+INSTANCES_LEAST_COUNT = 12
+"""An instance takes no more of the budget's slack than if there were so many:
+one whose view is small may be cut off from the others."""
+
+START_COUNT = 2.0
+"""Extra calls of a service that a new instance may make at once: many instances
+may start at the same time, whose predecessors have spent theirs."""
+
+SLACK_SHARE_RATIO = 0.8
+"""Part of the slack that is used at all; the rest covers instances that start
+anew with their first extra calls."""
+
+EXTRA_RATIO_SHARE = 0.9
+"""Part of the budget's ratio that is used: the instances' fullest windows
+differ (`policy.extrawindow`)."""
+
+
+def share(
+    shared: gateway.BudgetSettings, known_count: int
+) -> extrawindow.Share:
+    """Returns an instance's part.
+
+    Args:
+        shared: What all have together.
+        known_count: Instances that are known; 0 before any list of them.
+    """
+    instances_count = max(INSTANCES_LEAST_COUNT, known_count)
+    slack_count = SLACK_SHARE_RATIO * shared.slack_count / instances_count
+    if not known_count:
+        slack_count = min(START_COUNT, slack_count)
+    return extrawindow.Share(
+        ratio=EXTRA_RATIO_SHARE * shared.ratio,
+        slack_count=slack_count,
+        start_count=min(START_COUNT, slack_count),
+        window_ms=shared.window_ms,
+    )
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -12,16 +12,20 @@
 import uvloop
 
 from hyssoptack.core import clock
+from hyssoptack.core import member
 from hyssoptack.core import notice
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import beliefs
+from hyssoptack.gateway import budgetshare
 from hyssoptack.gateway import delegating
 from hyssoptack.gateway import following
+from hyssoptack.gateway import gathering
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import peering
 from hyssoptack.gateway import pool
 from hyssoptack.gateway import reaching
+from hyssoptack.gateway import relaying
 from hyssoptack.gateway import serving
 from hyssoptack.http1 import callerside
 from hyssoptack.http1 import message
@@ -30,6 +34,7 @@
 from hyssoptack.policy import connections
 from hyssoptack.policy import delegation
 from hyssoptack.policy import extrawindow
+from hyssoptack.policy import gatherers
 from hyssoptack.policy import knowing
 from hyssoptack.policy import placing
 from hyssoptack.policy import reach
@@ -39,14 +44,6 @@
 BACKLOG_COUNT = 1_024
 """Connections that may wait to be accepted: a burst of all callers at once."""
 
-INSTANCES_LEAST_COUNT = 12
-"""An instance takes no more of the budget's slack than if there were so many:
-one whose view is small may be cut off from the others."""
-
-START_COUNT = 2.0
-"""Extra calls of a service that a new instance may make at once: many instances
-may start at the same time, whose predecessors have spent theirs."""
-
 RESTART_FIELDS = frozenset(
     (
         "callers_address",
@@ -59,14 +56,6 @@
 )
 """Settings that a running instance can't take over."""
 
-SLACK_SHARE_RATIO = 0.8
-"""Part of the slack that is used at all; the rest covers instances that start
-anew with their first extra calls."""
-
-EXTRA_RATIO_SHARE = 0.9
-"""Part of the budget's ratio that is used: the instances' fullest windows
-differ (`policy.extrawindow`)."""
-
 TURN_AWAY_MS = 2_600.0
 """From a stop signal until idle connections are closed: the balancer takes two
 questions, a second apart, to see that an instance is not ready."""
@@ -137,9 +126,23 @@
             self._serving.run_here,
         )
         self._serving.delegating = self._delegating
+        self._relaying = relaying.Relaying(
+            gatherers.Gatherers(random.Random()),
+            settings.peer_address,
+            self._peering.send,
+            settings.mechanisms.relaying,
+        )
+        self._serving.relaying = self._relaying
+        self._gathering = gathering.Gathering(
+            self.beliefs,
+            settings.peer_address,
+            self._peering.send,
+            self._serving.connection_limit_count,
+            self._delegating.is_stale,
+        )
         self._peering.on_query = self._on_query
-        self._peering.on_undelivered = self._delegating.on_undelivered
-        self._peering.on_link_lost = self._delegating.on_link_lost
+        self._peering.on_undelivered = self._on_undelivered
+        self._peering.on_link_lost = self._on_link_lost
         self._reaching = reaching.Reaching(
             self.beliefs,
             self._reach,
@@ -159,13 +162,30 @@
         )
 
     def _on_query(self, each: notice.Notice) -> None:
+        ready = self.beliefs.complete and not self._stop.is_set()
         match each:
             case notice.QueryAsk():
-                ready = self.beliefs.complete and not self._stop.is_set()
                 self._serving.take(each, ready)
+            case notice.RelayAsk():
+                self._gathering.take(each, ready)
+            case notice.RelayBatch():
+                self._relaying.on_batch(each)
+            case notice.RelayLeft():
+                self._gathering.on_left(each)
             case _:
                 self._delegating.on_message(each)
 
+    def _on_undelivered(self, each: notice.Notice) -> None:
+        match each:
+            case notice.RelayAsk():
+                self._relaying.on_undelivered(each)
+            case _:
+                self._delegating.on_undelivered(each)
+
+    def _on_link_lost(self, address: str) -> None:
+        self._delegating.on_link_lost(address)
+        self._relaying.on_link_lost(address)
+
     def _on_configuration(self, offered: traffic.Configuration) -> None:
         self._callers.limits = offered.limits
 
@@ -343,9 +363,10 @@
         self._delegating.known.link_mbps = _own_link_mbps(settings)
         self._extra_calls.share = self._budget_share()
 
-    def _on_instances(self) -> None:
+    def _on_instances(self, far_gatherers: tuple[member.Peer, ...]) -> None:
         """Takes a new list of instances: shares go by their number."""
         self._delegating.known.install(self.readers.neighbours())
+        self._relaying.known.install(far_gatherers)
         own_count = len(self.readers.neighbours()) + 1
         self._serving.crowd = connections.Crowd(
             own_count=own_count,
@@ -354,19 +375,11 @@
         self._extra_calls.share = self._budget_share()
 
     def _budget_share(self) -> extrawindow.Share:
-        """Returns this instance's part of what all have together."""
-        shared = self._settings.budget
-        known_count = self.readers.most_count
-        instances_count = max(INSTANCES_LEAST_COUNT, known_count)
-        slack_count = SLACK_SHARE_RATIO * shared.slack_count / instances_count
-        if not known_count:
-            slack_count = min(START_COUNT, slack_count)
-        return extrawindow.Share(
-            ratio=EXTRA_RATIO_SHARE * shared.ratio,
-            slack_count=slack_count,
-            start_count=min(START_COUNT, slack_count),
-            window_ms=shared.window_ms,
-        )
+        return budgetshare.share(self._settings.budget, self.readers.most_count)
+
+    def _has_work(self) -> bool:
+        """Whether queries of neighbours run here, or calls of their queries."""
+        return bool(self._serving.running or self._gathering.gathers)
 
     async def _finish(self, listeners: list[asyncio.Server]) -> None:
         """Turns callers away, finishes what is in progress, and ends."""
@@ -377,8 +390,7 @@
         await asyncio.sleep((turn_ms - clock.now_ms()) / message.MS_PER_S)
         while clock.now_ms() < end_ms:
             self._callers.close_idle()
-            # Queries of neighbours have no connection here.
-            if not self._callers.connections and not self._serving.running:
+            if not self._callers.connections and not self._has_work():
                 break
             await asyncio.sleep(DRAIN_CHECK_MS / message.MS_PER_S)
         for each in listeners:
--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -12,6 +12,7 @@
 import dataclasses
 import enum
 import http
+import math
 
 from hyssoptack.core import clock
 from hyssoptack.core import member
@@ -32,6 +33,10 @@
 """An instance that ran nothing for so long takes no query that may have waited
 as long: its sender has run it by then."""
 
+WAKE_MS = 100.0
+"""After such a stop, for so long messages may still be those that waited: what
+lies in a link is read within some tens of milliseconds."""
+
 
 @dataclasses.dataclass(kw_only=True)
 class PeerExchange:
@@ -82,6 +87,7 @@
         self._next_id = 1
         self._taken: dict[tuple[str, int], PeerExchange] = {}
         self._ticked_ms = clock.now_ms()
+        self._woke_ms = -math.inf
 
     def offer(self, query: running.Request, version: int) -> bool:
         """Hands a query over if that is better; tells whether it did."""
@@ -109,9 +115,21 @@
     async def watch_stalls(self) -> None:
         """Notes that this process runs, for as long as it does."""
         while True:
-            self._ticked_ms = clock.now_ms()
+            now_ms = clock.now_ms()
+            if now_ms - self._ticked_ms >= STALL_MS:
+                self._woke_ms = now_ms
+            self._ticked_ms = now_ms
             await asyncio.sleep(STALL_CHECK_S)
 
+    def is_stale(self) -> bool:
+        """Whether messages may be old: this process stood still until now.
+
+        After a stop the loop runs this watch before it reads messages.
+        """
+        now_ms = clock.now_ms()
+        stalled = now_ms - self._ticked_ms >= STALL_MS
+        return stalled or now_ms - self._woke_ms < WAKE_MS
+
     def take(self, ask: notice.QueryAsk, willing: bool) -> PeerExchange | None:
         """Takes a neighbour's query, or declines it.
 
@@ -125,8 +143,8 @@
         now_ms = clock.now_ms()
         key = ask.sender_address, ask.ask_id
         running_already = key in self._taken
-        stalled = now_ms - self._ticked_ms >= STALL_MS
-        begun = running_already or (willing and not stalled and ask.fresh)
+        able = willing and not self.is_stale()
+        begun = running_already or (able and ask.fresh)
         taken = notice.QueryTaken(
             sender_address=self.own_address, ask_id=ask.ask_id, begun=begun
         )
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import collections.abc
 import itertools
 import random
 
@@ -21,6 +20,7 @@
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import wire
 from hyssoptack.policy import backoff
+from hyssoptack.policy import gatherers
 from hyssoptack.policy import readership
 from hyssoptack.settings import gateway
 
@@ -59,7 +59,7 @@
         believed: beliefs.Beliefs,
         store: keyvalue.Client,
         peers: peering.Peering,
-        on_instances: collections.abc.Callable[[], None],
+        on_instances: peering.OnInstances,
     ):
         self._settings = settings
         self._beliefs = believed
@@ -292,8 +292,9 @@
             each for each in peers if each.failure_domain == domain
         )
         self._readers.install(neighbours, len(peers))
-        self._on_instances()
-        self._peers.tell_instances(neighbours, len(peers))
+        far = gatherers.chosen(peers, domain)
+        self._on_instances(far)
+        self._peers.tell_instances(neighbours, len(peers), far)
 
     # The store's reachability.
 
--- /dev/null
+++ b/hyssoptack/gateway/gathering.py
@@ -0,0 +1,269 @@
+"""Calls that this instance makes for queries of other failure domains.
+
+It makes those that it is asked for, once each, and tells their outcomes: the
+answers together once no more come in, each later one when it comes. Whether a
+call is made again, and when it is given up, is for the asking instance.
+"""
+
+import asyncio
+import collections.abc
+
+from hyssoptack.core import clock
+from hyssoptack.core import notice
+from hyssoptack.core import traffic
+from hyssoptack.gateway import beliefs
+from hyssoptack.gateway import pool
+from hyssoptack.http1 import message
+from hyssoptack.http1 import upstreamside
+from hyssoptack.platform import headers
+from hyssoptack.policy import callcommand
+from hyssoptack.policy import callresult
+from hyssoptack.policy import gatherers
+from hyssoptack.policy import hedgetime
+from hyssoptack.policy import records
+
+Send = collections.abc.Callable[[str, notice.Notice], None]
+LimitCount = collections.abc.Callable[[traffic.Upstream], int]
+
+
+class Gathering:
+    """All calls that this instance makes for others."""
+
+    def __init__(
+        self,
+        believed: beliefs.Beliefs,
+        own_address: str,
+        send: Send,
+        limit_count: LimitCount,
+        is_stale: collections.abc.Callable[[], bool],
+    ):
+        """Makes the calls of one instance, of which there are none yet.
+
+        Args:
+            believed: The upstreams, what they have shown, and connections.
+            own_address: Where this instance takes messages.
+            send: Sends a message to an address.
+            limit_count: Returns how many connections an upstream may get.
+            is_stale: Whether messages may be old, as this process stood still.
+        """
+        self.beliefs = believed
+        self.own_address = own_address
+        self.send = send
+        self.limit_count = limit_count
+        self._is_stale = is_stale
+        self.gathers: dict[tuple[str, int], Gather] = {}
+
+    def take(self, ask: notice.RelayAsk, ready: bool) -> None:
+        """Makes calls, or says at once that it makes none.
+
+        Args:
+            ask: The calls.
+            ready: Whether this instance takes new work.
+        """
+        key = ask.sender_address, ask.ask_id
+        if key in self.gathers:
+            return
+        gather = Gather(self, ask)
+        if not ready or self._is_stale():
+            gather.decline()
+            return
+        self.gathers[key] = gather
+        gather.start()
+
+    def on_left(self, left: notice.RelayLeft) -> None:
+        """Ends the calls of a query that nobody waits for any more."""
+        gather = self.gathers.get((left.sender_address, left.ask_id))
+        if gather is not None:
+            gather.end()
+
+
+class Gather:
+    """The calls of one ask."""
+
+    def __init__(self, owner: Gathering, ask: notice.RelayAsk):
+        self._owner = owner
+        self._ask = ask
+        self._started_ms = clock.now_ms()
+        self._common = headers.Forwarded(head=ask.head, body=ask.body)
+        self._calls: dict[int, pool.Call] = {}
+        self._open: dict[int, str] = {}
+        self._ready: list[notice.RelayedOutcome] = []
+        self._told = False
+        self._flush_asked = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._end_timer: asyncio.TimerHandle | None = None
+        self._to_goal_ms = max(0.0, ask.to_goal_ms)
+        self._times = hedgetime.HedgeTime(
+            owner.beliefs.placing.typical(ask.route_name),
+            self._to_goal_ms,
+            self._started_ms + self._to_goal_ms,
+            self._started_ms,
+            len(ask.calls),
+        )
+
+    def decline(self) -> None:
+        """Says that no call was made, nor will be."""
+        for each in self._ask.calls:
+            self._ready.append(
+                _spared(each.call_id, callresult.GATHERER_DECLINED)
+            )
+        self._flush()
+
+    def start(self) -> None:
+        """Makes the calls."""
+        for each in self._ask.calls:
+            upstream = self._owner.beliefs.placing.listed(each.upstream_id)
+            if upstream is None:
+                reason = callresult.NOT_LISTED_THERE
+                self._ready.append(_spared(each.call_id, reason))
+            else:
+                self._call(each.call_id, upstream)
+        loop = asyncio.get_running_loop()
+        self._end_timer = loop.call_later(
+            max(0.0, self._ask.remaining_ms) / message.MS_PER_S, self.end
+        )
+        if self._ready:
+            self._flush_soon()
+        self._arm()
+
+    def _call(self, call_id: int, upstream: traffic.Upstream) -> None:
+        self._open[call_id] = upstream.upstream_id
+        self._owner.beliefs.placing.sent(upstream.upstream_id)
+        job = pool.Job(
+            upstream=upstream,
+            data=lambda: self._data(upstream),
+            request_id=self._ask.request_id,
+            to_head=False,
+            once=False,
+            proven=False,
+            sink=lambda outcome: self._on_outcome(call_id, outcome),
+        )
+        limit_count = self._owner.limit_count(upstream)
+        self._calls[call_id] = self._owner.beliefs.pools.call(job, limit_count)
+
+    def _data(self, upstream: traffic.Upstream) -> bytes:
+        spent_ms = clock.now_ms() - self._started_ms
+        remaining_ms = self._ask.remaining_ms - spent_ms
+        return headers.upstream_request(self._common, upstream, remaining_ms)
+
+    def _on_outcome(self, call_id: int, outcome: upstreamside.Outcome) -> None:
+        now_ms = clock.now_ms()
+        self._calls.pop(call_id, None)
+        upstream_id = self._open.pop(call_id)
+        read = headers.call_outcome(outcome, to_merge=True)
+        self._learn(upstream_id, read, now_ms)
+        answered = read.kind is callcommand.Kind.ANSWERED
+        if answered:
+            self._times.note_answer(now_ms)
+        self._ready.append(self._told_outcome(call_id, read))
+        # What failed may be sent again, and what is late is waited for.
+        if not self._open or not answered or self._told:
+            self._flush_soon()
+        else:
+            self._arm()
+
+    def _told_outcome(
+        self, call_id: int, read: callcommand.Outcome
+    ) -> notice.RelayedOutcome:
+        match read:
+            case callcommand.Outcome(
+                kind=callcommand.Kind.ANSWERED, reply=message.Reply() as reply
+            ):
+                top = records.greatest((reply.body,), self._ask.top_count)
+                signed = headers.signature(reply)
+            case _:
+                top = signed = b""
+        return notice.RelayedOutcome(
+            call_id=call_id,
+            kind=read.kind.value,
+            reason=read.reason,
+            reached=read.reached,
+            signature=signed,
+            records=top,
+        )
+
+    def _learn(
+        self, upstream_id: str, read: callcommand.Outcome, now_ms: float
+    ) -> None:
+        """Keeps what a call has shown; the asking instance does so as well."""
+        known = self._owner.beliefs.placing
+        known.ended(upstream_id)
+        match read.kind:
+            case callcommand.Kind.ANSWERED:
+                took_ms = now_ms - self._started_ms
+                name = self._ask.route_name
+                known.answered(name, upstream_id, took_ms, now_ms)
+            case callcommand.Kind.SHED:
+                known.shed(upstream_id, now_ms)
+            case callcommand.Kind.NOT_RUN if not read.reached:
+                known.unreachable(upstream_id, now_ms)
+            case _:
+                known.failed(upstream_id, now_ms)
+
+    # Telling.
+
+    def _arm(self) -> None:
+        if self._told:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        dry_ms = self._times.dry_at_ms()
+        due_ms = self._started_ms + gatherers.REPORT_RATIO * self._to_goal_ms
+        if dry_ms is not None:
+            due_ms = min(due_ms, dry_ms)
+        wait_ms = max(0.0, due_ms - clock.now_ms())
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(
+            wait_ms / message.MS_PER_S, self._report, due_ms == dry_ms
+        )
+
+    def _report(self, dried_up: bool) -> None:
+        """Tells what is there, or at least that this instance lives."""
+        self._told = True
+        self._flush(dried_up, alive=True)
+
+    def _flush_soon(self) -> None:
+        """Tells what is there with what else this turn of the loop brings."""
+        if not self._flush_asked:
+            self._flush_asked = True
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._flush)
+
+    def _flush(self, dried_up: bool = False, alive: bool = False) -> None:
+        self._flush_asked = False
+        if not self._ready and not alive:
+            return
+        batch = notice.RelayBatch(
+            sender_address=self._owner.own_address,
+            ask_id=self._ask.ask_id,
+            outcomes=tuple(self._ready),
+            dried_up=dried_up,
+        )
+        self._ready.clear()
+        self._owner.send(self._ask.sender_address, batch)
+        if not self._open:
+            self.end()
+
+    def end(self) -> None:
+        """Cancels the calls that are still out."""
+        for timer in (self._timer, self._end_timer):
+            if timer is not None:
+                timer.cancel()
+        for call in self._calls.values():
+            call.cancel()
+        for upstream_id in self._open.values():
+            self._owner.beliefs.placing.ended(upstream_id)
+        self._calls.clear()
+        self._open.clear()
+        key = self._ask.sender_address, self._ask.ask_id
+        self._owner.gathers.pop(key, None)
+
+
+def _spared(call_id: int, reason: str) -> notice.RelayedOutcome:
+    """Returns the outcome of a call that was not made."""
+    return notice.RelayedOutcome(
+        call_id=call_id,
+        kind=callcommand.Kind.NOT_RUN.value,
+        reason=reason,
+        reached=False,
+    )
--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -17,6 +17,9 @@
 PORT_RANGE = (10_000, 19_000)
 """Below the system's own range (32768 and up), and off the fleets' ports."""
 
+_GIVEN: set[int] = set()
+"""Ports given out: one that is not listened on yet looks free."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Got:
@@ -220,13 +223,16 @@
     """
     while True:
         port = random.randrange(*PORT_RANGE)
+        if port in _GIVEN:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 # Somebody listens there.
                 continue
-            return port
+        _GIVEN.add(port)
+        return port
 
 
 def request_bytes(
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -36,6 +36,9 @@
 neighbour misses, it hears a few rounds later."""
 
 
+OnInstances = collections.abc.Callable[[tuple[member.Peer, ...]], None]
+"""Told of each new list of instances, and of who may gather elsewhere."""
+
 OnMessage = collections.abc.Callable[[notice.Notice], None]
 
 
@@ -51,7 +54,7 @@
         settings: gateway.GatewaySettings,
         believed: beliefs.Beliefs,
         readers: readership.Readership,
-        on_instances: collections.abc.Callable[[], None],
+        on_instances: OnInstances,
         on_cut: collections.abc.Callable[[], None],
     ):
         """Makes the peering of one instance.
@@ -150,7 +153,10 @@
         )
 
     def tell_instances(
-        self, neighbours: tuple[member.Peer, ...], total_count: int
+        self,
+        neighbours: tuple[member.Peer, ...],
+        total_count: int,
+        far_gatherers: tuple[member.Peer, ...],
     ) -> None:
         """Tells neighbours who else there is: only readers read that list."""
         if self._links is None:
@@ -159,6 +165,7 @@
             sender_id=self._settings.instance_id,
             neighbours=neighbours,
             total_count=total_count,
+            far_gatherers=far_gatherers,
         )
         for peer in self._some(INSTANCES_PEERS_COUNT):
             self._links.send(peer.address, made)
@@ -203,7 +210,7 @@
                     self._take(each)
                 case notice.InstancesNotice():
                     self.readers.install(each.neighbours, each.total_count)
-                    self._on_instances()
+                    self._on_instances(each.far_gatherers)
                 case notice.CutNotice():
                     self._on_cut()
                 case notice.ViewWanted():
@@ -213,6 +220,9 @@
                     | notice.QueryTaken()
                     | notice.QueryAnswer()
                     | notice.QueryLeft()
+                    | notice.RelayAsk()
+                    | notice.RelayBatch()
+                    | notice.RelayLeft()
                 ):
                     self.on_query(each)
                 case notice.CallNotice(seen_calls=seen_calls):
--- /dev/null
+++ b/hyssoptack/gateway/relaying.py
@@ -0,0 +1,240 @@
+"""Calls of queries that instances of other failure domains make.
+
+`policy.gatherers` says who makes them. The plan of a query decides on each call
+and learns its outcome as if it had been made from here.
+"""
+
+import collections.abc
+import dataclasses
+import itertools
+import math
+
+from hyssoptack.core import clock
+from hyssoptack.core import member
+from hyssoptack.core import notice
+from hyssoptack.events import log
+from hyssoptack.platform import headers
+from hyssoptack.policy import callcommand
+from hyssoptack.policy import callresult
+from hyssoptack.policy import gatherers
+
+Send = collections.abc.Callable[[str, notice.Notice], None]
+
+KINDS = {each.value: each for each in callcommand.Kind}
+"""What a call's outcome may be, by its name in messages."""
+
+Outcomes = collections.abc.Callable[
+    [dict[int, callcommand.Outcome], tuple[int, ...]], None
+]
+"""Takes outcomes by call, and the calls that wait for their upstreams."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Query:
+    """What relayed calls of one query have in common.
+
+    Attributes:
+        request_id: The caller's id of it.
+        route_name: Its route.
+        top_count: Records that its answer has at most.
+        common: Its head and body.
+        deadline_at_ms: When its caller stops waiting.
+        goal_at_ms: When its answer loses most of its use.
+        sink: Takes the outcomes.
+    """
+
+    request_id: bytes
+    route_name: str
+    top_count: int
+    common: headers.Forwarded
+    deadline_at_ms: float
+    goal_at_ms: float
+    sink: Outcomes
+
+
+class Relaying:
+    """The calls of this instance's queries that others make."""
+
+    def __init__(
+        self,
+        known: gatherers.Gatherers,
+        own_address: str,
+        send: Send,
+        enabled: bool,
+    ):
+        """Makes the calls of one instance, of which there are none yet.
+
+        Args:
+            known: Chooses who makes calls.
+            own_address: Where this instance takes messages.
+            send: Sends a message to an address.
+            enabled: Whether others make calls at all.
+        """
+        self.known = known
+        self.own_address = own_address
+        self.send = send
+        self._enabled = enabled
+        self.relayed: dict[int, Relayed] = {}
+        self._next_id = itertools.count(1)
+
+    def gatherer(self, failure_domain: str) -> member.Peer | None:
+        """Returns who makes calls in a domain; None to make them from here."""
+        if not self._enabled or not self.own_address:
+            return None
+        return self.known.choose(failure_domain, clock.now_ms())
+
+    def relay(
+        self,
+        peer: member.Peer,
+        query: Query,
+        calls: collections.abc.Sequence[callcommand.Send],
+    ) -> "Relayed":
+        """Lets an instance make calls of a query."""
+        ask_id = next(self._next_id)
+        relayed = Relayed(self, peer, query, ask_id)
+        self.relayed[ask_id] = relayed
+        relayed.start(calls)
+        return relayed
+
+    def on_batch(self, batch: notice.RelayBatch) -> None:
+        """Takes outcomes; those of a query that has ended change nothing."""
+        found = self.relayed.get(batch.ask_id)
+        if found is not None and found.peer.address == batch.sender_address:
+            found.take(batch)
+
+    def on_undelivered(self, ask: notice.RelayAsk) -> None:
+        """Takes that an ask was not sent."""
+        if (found := self.relayed.get(ask.ask_id)) is not None:
+            found.lost(sent=False)
+
+    def on_link_lost(self, address: str) -> None:
+        """Takes that the connection to an instance has ended."""
+        for each in tuple(self.relayed.values()):
+            if each.peer.address == address:
+                each.lost(sent=True)
+
+
+class Relayed:
+    """Calls of one query that one instance was asked to make."""
+
+    def __init__(
+        self, owner: Relaying, peer: member.Peer, query: Query, ask_id: int
+    ):
+        self.peer = peer
+        self._owner = owner
+        self._query = query
+        self._ask_id = ask_id
+        self._open: set[int] = set()
+        self._heard = False
+        self._asked_ms = 0.0
+        self.overdue_ms = math.inf
+
+    def start(self, calls: collections.abc.Sequence[callcommand.Send]) -> None:
+        """Sends the ask."""
+        self._open = {each.call_id for each in calls}
+        self._owner.known.asked(self.peer)
+        now_ms = clock.now_ms()
+        to_goal_ms = max(0.0, self._query.goal_at_ms - now_ms)
+        self._asked_ms = now_ms
+        self.overdue_ms = now_ms + self._owner.known.overdue_after_ms(
+            to_goal_ms
+        )
+        ask = notice.RelayAsk(
+            sender_address=self._owner.own_address,
+            ask_id=self._ask_id,
+            route_name=self._query.route_name,
+            top_count=self._query.top_count,
+            request_id=self._query.request_id,
+            head=self._query.common.head,
+            body=self._query.common.body,
+            remaining_ms=self._query.deadline_at_ms - now_ms,
+            to_goal_ms=to_goal_ms,
+            calls=tuple(
+                notice.RelayedCall(
+                    call_id=each.call_id, upstream_id=each.upstream.upstream_id
+                )
+                for each in calls
+            ),
+        )
+        self._owner.send(self.peer.address, ask)
+
+    def take(self, batch: notice.RelayBatch) -> None:
+        """Takes what became of some calls."""
+        if not self._heard:
+            self._heard = True
+            took_ms = clock.now_ms() - self._asked_ms
+            self._owner.known.note_first_word(took_ms)
+        outcomes = {
+            each.call_id: _outcome(each)
+            for each in batch.outcomes
+            if each.call_id in self._open
+        }
+        self._open.difference_update(outcomes)
+        if any(
+            each.reason == callresult.GATHERER_DECLINED
+            for each in outcomes.values()
+        ):
+            self._owner.known.declined(self.peer, clock.now_ms())
+        else:
+            self._owner.known.alive(self.peer)
+        waiting = tuple(self._open) if batch.dried_up else ()
+        if not self._open:
+            self._end()
+        self._query.sink(outcomes, waiting)
+
+    def note_time(self, now_ms: float) -> None:
+        """Takes the time: an instance whose word is overdue may be gone."""
+        if now_ms >= self.overdue_ms and not self._heard:
+            self.overdue_ms = math.inf
+            self._owner.known.lost(self.peer, clock.now_ms())
+            self._log("silent")
+
+    def lost(self, sent: bool) -> None:
+        """Takes that the instance is gone, or that it was never asked.
+
+        Args:
+            sent: Whether it may have made the calls.
+        """
+        self._owner.known.lost(self.peer, clock.now_ms())
+        self._log("link_lost" if sent else "unreachable")
+        self._end()
+        outcome = callcommand.Outcome(
+            kind=callcommand.Kind.FAILED if sent else callcommand.Kind.NOT_RUN,
+            reason=callresult.GATHERER_LOST,
+            reached=sent,
+        )
+        self._query.sink(dict.fromkeys(self._open, outcome), ())
+
+    def leave(self) -> None:
+        """Ends the calls that are still out: nobody waits for them."""
+        if self._ask_id not in self._owner.relayed:
+            return
+        self._end()
+        left = notice.RelayLeft(
+            sender_address=self._owner.own_address, ask_id=self._ask_id
+        )
+        self._owner.send(self.peer.address, left)
+
+    def _end(self) -> None:
+        if self._owner.relayed.pop(self._ask_id, None) is not None:
+            self._owner.known.ended(self.peer)
+
+    def _log(self, reason: str) -> None:
+        log.write(
+            log.Event.RELAY_LOST,
+            request_id=self._query.request_id.decode("latin-1"),
+            instance=self.peer.instance_id,
+            failure_domain=self.peer.failure_domain,
+            reason=reason,
+            open_count=len(self._open),
+        )
+
+
+def _outcome(told: notice.RelayedOutcome) -> callcommand.Outcome:
+    kind = KINDS.get(told.kind, callcommand.Kind.FAILED)
+    reply = None
+    if kind is callcommand.Kind.ANSWERED:
+        reply = headers.relayed_part(told.signature, told.records)
+    return callcommand.Outcome(
+        kind=kind, reply=reply, reason=told.reason, reached=told.reached
+    )
--- /dev/null
+++ b/hyssoptack/gateway/relaying_test.py
@@ -0,0 +1,193 @@
+"""Calls that instances of other domains make: answered, refused, lost."""
+
+import asyncio
+
+from hyssoptack.core import notice
+from hyssoptack.gateway import gateway_test
+from hyssoptack.gateway import harness
+
+WAIT_S = 8.0
+SHARD_COUNT = 4
+
+
+async def _across(site, both=False):
+    """An instance in the north; the shards' upstreams are in the south.
+
+    Args:
+        site: The site.
+        both: Whether each shard has a second upstream in the west.
+    """
+    for index in range(SHARD_COUNT):
+        body = bytes([index]) * 16 + bytes([200 - index]) * 16
+        await site.add_upstream(f"i-{index}", f"s{index}", body, "south")
+        if both:
+            await site.add_upstream(f"w-{index}", f"s{index}", body, "west")
+    site.configure(gateway_test.SHARDS)
+    north = await site.start("north")
+    await site.start("south", failure_domain="south")
+    async with asyncio.timeout(WAIT_S):
+        while north._relaying.known.choose("south", 0.0) is None:
+            await asyncio.sleep(0.05)
+    return north
+
+
+def _runs(site, request_id):
+    return [s.runs[request_id] for s in site.services.values()]
+
+
+def test_an_instance_beside_the_upstreams_makes_the_calls():
+    async def test():
+        async with harness.Site() as site:
+            north = await _across(site)
+            opened = north._pools.opened_count
+            got = await site.get("/all/x", "r1", name="north")
+            assert got.status == 200
+            assert got.headers["x-missing-parts"] == "0"
+            assert len(got.headers["x-part-stamps"].split(",")) == SHARD_COUNT
+            assert got.body[:16] == bytes([200]) * 16
+            assert _runs(site, b"r1") == [1] * SHARD_COUNT
+            assert north._pools.opened_count == opened
+            assert not north._relaying.relayed
+            assert not site.gateways["south"]._gathering.gathers
+
+    asyncio.run(test())
+
+
+def test_an_instance_that_is_gone_costs_no_answer():
+    async def test():
+        async with harness.Site() as site:
+            await _across(site)
+            site.kill("south")
+            for number in range(5):
+                got = await site.get("/all/x", f"r{number}", name="north")
+                assert got.status == 200
+                assert got.headers["x-missing-parts"] == "0"
+
+    asyncio.run(test())
+
+
+def test_a_silent_instance_is_hedged_within_the_routes_attempts():
+    # A frozen process: it takes messages and says nothing. What it was asked
+    # for counts as sent, so that no shard runs on a third upstream.
+    async def test():
+        async with harness.Site() as site:
+            north = await _across(site, both=True)
+            site.gateways["south"]._peering.on_query = lambda _: None
+            got = await site.get("/all/x", "r1", name="north")
+            assert got.status == 200
+            shard_runs = [
+                site.services[f"i-{index}"].runs[b"r1"]
+                + site.services[f"w-{index}"].runs[b"r1"]
+                for index in range(SHARD_COUNT)
+            ]
+            assert max(shard_runs) <= 2
+            assert not north._relaying.relayed
+
+    asyncio.run(test())
+
+
+def test_a_stopping_instance_declines_and_the_calls_go_from_here():
+    async def test():
+        async with harness.Site() as site:
+            north = await _across(site)
+            site.gateways["south"].stop()
+            got = await site.get("/all/x", "r1", name="north")
+            assert got.status == 200
+            assert _runs(site, b"r1") == [1] * SHARD_COUNT
+            assert north._relaying.known.choose("south", 0.0) is None
+
+    asyncio.run(test())
+
+
+def test_an_instance_that_stood_still_makes_no_calls_that_may_be_old():
+    async def test():
+        async with harness.Site() as site:
+            await _across(site)
+            south = site.gateways["south"]
+            south._delegating._ticked_ms -= 1_000.0
+            got = await site.get("/all/x", "r1", name="north")
+            assert got.status == 200
+            assert _runs(site, b"r1") == [1] * SHARD_COUNT
+
+    asyncio.run(test())
+
+
+def test_an_upstream_that_leaves_by_what_is_known_there_is_not_called():
+    async def test():
+        async with harness.Site() as site:
+            await _across(site, both=True)
+            south = site.gateways["south"]
+            for index in range(SHARD_COUNT):
+                standing = south.beliefs.placing.standings[f"i-{index}"]
+                object.__setattr__(standing.upstream, "draining", True)
+            got = await site.get("/all/x", "r1", name="north")
+            assert got.status == 200
+            runs = [
+                site.services[f"i-{index}"].runs[b"r1"]
+                for index in range(SHARD_COUNT)
+            ]
+            assert not any(runs)
+
+    asyncio.run(test())
+
+
+def test_a_caller_that_leaves_ends_the_calls_there():
+    async def test():
+        async with harness.Site() as site:
+            await _across(site)
+            for each in site.services.values():
+                each.manners.never = True
+            address = site.settings["north"].callers_address
+            host, _, port = address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(harness.request_bytes("/all/x", "r1"))
+            await asyncio.sleep(0.1)
+            assert site.gateways["south"]._gathering.gathers
+            writer.close()
+            async with asyncio.timeout(0.5):
+                while any(
+                    not s.cancelled_count for s in site.services.values()
+                ):
+                    await asyncio.sleep(0.02)
+            assert not site.gateways["south"]._gathering.gathers
+
+    asyncio.run(test())
+
+
+def test_a_lost_instance_takes_nothing_along_but_its_calls():
+    async def test():
+        async with harness.Site() as site:
+            await _across(site, both=True)
+            for index in range(SHARD_COUNT):
+                site.services[f"i-{index}"].manners.delay_ms = 700.0
+            begun = asyncio.create_task(site.get("/all/x", "r1", name="north"))
+            await asyncio.sleep(0.05)
+            site.kill("south")
+            async with asyncio.timeout(1.5):
+                got = await begun
+            assert got.status == 200
+
+    asyncio.run(test())
+
+
+def test_foreign_and_repeated_batches_change_nothing():
+    async def test():
+        async with harness.Site() as site:
+            north = await _across(site)
+            told = notice.RelayedOutcome(
+                call_id=1, kind="answered", signature=b"forged", records=b"z"
+            )
+            batch = notice.RelayBatch(
+                sender_address="127.0.0.1:1", ask_id=1, outcomes=(told,)
+            )
+            for each in site.services.values():
+                each.manners.delay_ms = 150.0
+            begun = asyncio.create_task(site.get("/all/x", "r1", name="north"))
+            await asyncio.sleep(0.05)
+            north._relaying.on_batch(batch)
+            north._relaying.on_batch(batch)
+            got = await begun
+            assert got.status == 200
+            assert b"forged" not in got.headers["x-part-stamps"].encode()
+
+    asyncio.run(test())
--- a/hyssoptack/gateway/running.py
+++ b/hyssoptack/gateway/running.py
@@ -9,6 +9,7 @@
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import pool
+from hyssoptack.gateway import relaying
 from hyssoptack.http1 import message
 from hyssoptack.http1 import upstreamside
 from hyssoptack.platform import headers
@@ -80,6 +81,10 @@
         return self.facts.request_id.decode("latin-1")
 
 
+_OPEN = "open"
+"""What became of a call that is still out."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Trace:
     """One call, for the log line of its request."""
@@ -88,15 +93,17 @@
     service: str
     sent_ms: float
     extra: str
-    outcome: str = "open"
+    gatherer_id: str = ""
+    outcome: str = _OPEN
     took_ms: float = 0.0
 
     def text(self, started_ms: float) -> str:
-        """Returns the call as `upstream why +start took outcome`."""
+        """Returns the call as `upstream[@gatherer] why +start took outcome`."""
         after_ms = self.sent_ms - started_ms
         why = self.extra or "first"
+        by = f"@{self.gatherer_id}" if self.gatherer_id else ""
         return (
-            f"{self.upstream_id} {why} +{after_ms:.0f} "
+            f"{self.upstream_id}{by} {why} +{after_ms:.0f} "
             f"{self.took_ms:.0f} {self.outcome}"
         )
 
@@ -138,6 +145,12 @@
         self._common = headers.forwarded(exchange.request)
         self._calls: dict[int, pool.Call] = {}
         self._traces: dict[int, _Trace] = {}
+        self._relayed: list[relaying.Relayed] = []
+        match found.route.target:
+            case traffic.AllShards(top_count=top_count):
+                self._top_count = top_count
+            case _:
+                self._top_count = None
         self._timer: asyncio.TimerHandle | None = None
         self._due_ms = 0.0
 
@@ -148,10 +161,13 @@
         self._carry(self._plan.start(self._now_ms))
 
     def _carry(self, commands: list[callcommand.Command]) -> None:
+        self._send_all(
+            [each for each in commands if isinstance(each, callcommand.Send)]
+        )
         for command in commands:
             match command:
                 case callcommand.Send():
-                    self._send(command)
+                    pass
                 case callcommand.Cancel(call_id=call_id):
                     self._cancel(call_id)
                 case callcommand.Finish(result=result):
@@ -159,17 +175,55 @@
         if not self._plan.finished:
             self._arm()
 
+    def _send_all(self, sends: list[callcommand.Send]) -> None:
+        """Makes calls from here, or lets instances beside the upstreams."""
+        near: list[callcommand.Send] = []
+        far: dict[str, list[callcommand.Send]] = {}
+        for each in sends:
+            self._traces[each.call_id] = _Trace(
+                upstream_id=each.upstream.upstream_id,
+                service=each.upstream.service,
+                sent_ms=self._now_ms,
+                extra=each.extra,
+            )
+            if each.extra:
+                self._log_extra(each)
+            domain = each.upstream.failure_domain
+            if self._top_count is None or not self._owner.is_far(domain):
+                near.append(each)
+            else:
+                far.setdefault(domain, []).append(each)
+        # Those on the longer way first: opening 18 connections takes 2 ms.
+        for domain, calls in far.items():
+            self._relay(domain, calls)
+        for each in near:
+            self._send(each)
+
+    def _relay(self, domain: str, calls: list[callcommand.Send]) -> None:
+        peer = self._owner.relaying.gatherer(domain)
+        if peer is None:
+            for each in calls:
+                self._send(each)
+            return
+        for each in calls:
+            self._traces[each.call_id].gatherer_id = peer.instance_id
+        query = relaying.Query(
+            request_id=self._facts.request_id,
+            route_name=self._route.name,
+            top_count=self._top_count,
+            common=self._common,
+            deadline_at_ms=self._deadline_at_ms,
+            goal_at_ms=self._ask.goal_at_ms,
+            sink=self._on_relayed,
+        )
+        relayed = self._owner.relaying.relay(peer, query, calls)
+        self._relayed.append(relayed)
+        call_ids = [each.call_id for each in calls]
+        self._plan.note_relayed(call_ids, relayed.overdue_ms)
+
     def _send(self, command: callcommand.Send) -> None:
         upstream = command.upstream
         call_id = command.call_id
-        self._traces[call_id] = _Trace(
-            upstream_id=upstream.upstream_id,
-            service=upstream.service,
-            sent_ms=self._now_ms,
-            extra=command.extra,
-        )
-        if command.extra:
-            self._log_extra(command)
         job = pool.Job(
             upstream=upstream,
             data=lambda: self._data(call_id, upstream),
@@ -194,6 +248,7 @@
         call = self._calls.pop(call_id, None)
         if call is not None:
             call.cancel()
+        if self._traces[call_id].outcome == _OPEN:
             self._note(call_id, "cancelled")
 
     def _note(self, call_id: int, outcome: str) -> None:
@@ -210,28 +265,34 @@
         self._calls.pop(call_id, None)
         if isinstance(outcome, message.Reply):
             self._owner.note_reply(self._route.name, outcome)
-        read = self._read(outcome)
+        read = headers.call_outcome(outcome, self._top_count is not None)
+        self._note_outcome(call_id, read)
+        self._carry(self._plan.on_outcome(call_id, read, self._now_ms))
+
+    def _note_outcome(self, call_id: int, read: callcommand.Outcome) -> None:
         self._note(call_id, read.reason or read.kind.value)
         if not read.reached:
             self._log_unreachable(call_id, read)
-        self._carry(self._plan.on_outcome(call_id, read, self._now_ms))
 
-    def _read(self, outcome: upstreamside.Outcome) -> callcommand.Outcome:
-        match outcome:
-            case upstreamside.Broken(reason=reason, sent=False):
-                return callcommand.Outcome(
-                    kind=callcommand.Kind.NOT_RUN, reason=reason, reached=False
-                )
-            case upstreamside.Broken(reason=reason):
-                return callcommand.Outcome(
-                    kind=callcommand.Kind.FAILED, reason=reason
-                )
-            case message.Reply() if isinstance(
-                self._route.target, traffic.AllShards
-            ):
-                return headers.part_outcome(outcome)
-            case message.Reply():
-                return headers.outcome(outcome)
+    def _on_relayed(
+        self,
+        outcomes: dict[int, callcommand.Outcome],
+        waiting: tuple[int, ...],
+    ) -> None:
+        """Takes outcomes of calls that another instance has made.
+
+        Args:
+            outcomes: The outcomes by call.
+            waiting: Calls that wait for their upstreams.
+        """
+        self._now_ms = clock.now_ms()
+        commands: list[callcommand.Command] = []
+        for call_id, read in outcomes.items():
+            if self._traces[call_id].outcome == _OPEN:
+                self._note_outcome(call_id, read)
+            commands.extend(self._plan.on_outcome(call_id, read, self._now_ms))
+        commands.extend(self._plan.on_dried_up(waiting, self._now_ms))
+        self._carry(commands)
 
     def _arm(self) -> None:
         if self._timer is not None:
@@ -250,6 +311,8 @@
             self._due_ms = self._now_ms
             self._wake_after(0.0)
             return
+        for each in self._relayed:
+            each.note_time(self._now_ms)
         self._carry(self._plan.on_time(self._now_ms))
 
     def note_cut(self) -> None:
@@ -287,27 +350,37 @@
                 )
                 reply = message.problem(status, detail)
         self._exchange.answer(reply)
+        self._note_late(result)
         self._end(reply.status, detail)
 
+    def _note_late(self, result: callcommand.Result) -> None:
+        """Notes how late an answer is that was given at the goal."""
+        decided_ms, goal_at_ms = self._now_ms, self._ask.goal_at_ms
+        match result:
+            case callcommand.Answer(replies=replies, part_count=part_count) if (
+                len(replies) < part_count and decided_ms >= goal_at_ms
+            ):
+                self._owner.note_late(clock.now_ms() - goal_at_ms)
+
     def _answer(
         self, replies: tuple[message.Reply, ...], part_count: int
     ) -> message.Reply:
-        match self._route.target:
-            case traffic.AllShards(top_count=top_count):
-                bodies = tuple(each.body for each in replies)
-                return headers.merged_reply(
-                    self._facts.request_id,
-                    replies,
-                    part_count,
-                    records.greatest(bodies, top_count),
-                )
-            case _:
-                return headers.single_reply(replies[0])
+        if self._top_count is None:
+            return headers.single_reply(replies[0])
+        bodies = tuple(each.body for each in replies)
+        return headers.merged_reply(
+            self._facts.request_id,
+            replies,
+            part_count,
+            records.greatest(bodies, self._top_count),
+        )
 
     def _end(self, status: int, detail: str) -> None:
         if self._timer is not None:
             self._timer.cancel()
         self._owner.running.discard(self)
+        for each in self._relayed:
+            each.leave()
         now_ms = clock.now_ms()
         started_ms = self._exchange.request.received_ms
         self._count(status, now_ms - started_ms)
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -11,6 +11,7 @@
 from hyssoptack.gateway import beliefs
 from hyssoptack.gateway import delegating
 from hyssoptack.gateway import metrics
+from hyssoptack.gateway import relaying
 from hyssoptack.gateway import running
 from hyssoptack.http1 import callerside
 from hyssoptack.http1 import message
@@ -46,6 +47,7 @@
         self._random = random.Random()
         self._caller_time = callertime.CallerTime()
         self.delegating: delegating.Delegating | None = None
+        self.relaying: relaying.Relaying | None = None
 
     def handle(self, exchange: callerside.Exchange) -> None:
         """Serves a caller's request."""
@@ -131,6 +133,10 @@
             version=self._beliefs.version,
         )
 
+    def note_late(self, late_ms: float) -> None:
+        """Takes how long after the goal's time an answer was written."""
+        self._caller_time.note_late(late_ms)
+
     def note_reply(self, route_name: str, reply: message.Reply) -> None:
         """Takes an upstream's reply: its size decides who gathers."""
         if self.delegating is not None:
@@ -149,6 +155,12 @@
         )
         return comeback.wait_ms(refusal, self._random)
 
+    def is_far(self, failure_domain: str) -> bool:
+        """Whether calls into a failure domain are for others to make."""
+        return self.relaying is not None and (
+            failure_domain != self._failure_domain
+        )
+
     def note_cut(self) -> None:
         """Ends what waits for other failure domains."""
         for each in tuple(self.running):
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -7,6 +7,7 @@
 
 from hyssoptack.core import traffic
 from hyssoptack.http1 import message
+from hyssoptack.http1 import upstreamside
 from hyssoptack.policy import callcommand
 
 READINESS_PATH = b"/hyssoptack/readiness"
@@ -105,6 +106,28 @@
     )
 
 
+def call_outcome(
+    seen: upstreamside.Outcome, to_merge: bool
+) -> callcommand.Outcome:
+    """Reads what became of a call.
+
+    Args:
+        seen: What the connection saw of it.
+        to_merge: Whether its reply is to be part of a merged answer.
+    """
+    match seen:
+        case upstreamside.Broken(reason=reason, sent=False):
+            return callcommand.Outcome(
+                kind=callcommand.Kind.NOT_RUN, reason=reason, reached=False
+            )
+        case upstreamside.Broken(reason=reason):
+            return _failed(reason)
+        case message.Reply() if to_merge:
+            return part_outcome(seen)
+        case message.Reply():
+            return outcome(seen)
+
+
 def outcome(reply: message.Reply) -> callcommand.Outcome:
     """Reads what an upstream's reply says about the request.
 
@@ -152,6 +175,21 @@
     return read
 
 
+def signature(reply: message.Reply) -> bytes:
+    """Returns the upstream's signature under a reply."""
+    return reply.value(_SIGNATURE)
+
+
+def relayed_part(signed: bytes, body: bytes) -> message.Reply:
+    """Returns a part whose reply another instance has read.
+
+    Args:
+        signed: The upstream's signature.
+        body: Its records, or the greatest of them.
+    """
+    return message.Reply(status=200, headers=((_SIGNATURE, signed),), body=body)
+
+
 def _failed(reason: str) -> callcommand.Outcome:
     return callcommand.Outcome(kind=callcommand.Kind.FAILED, reason=reason)
 
--- a/hyssoptack/policy/callertime_test.py
+++ b/hyssoptack/policy/callertime_test.py
@@ -37,3 +37,16 @@
 def test_a_silent_caller_has_spent_nothing():
     known = callertime.CallerTime()
     assert known.spent_ms("r", None, first=True) == 0.0
+
+
+def test_an_instance_that_answers_late_by_itself_begins_sooner():
+    # 55 of 75 answers of starved instances missed their goal, by 6 ms in the
+    # middle.
+    times = callertime.CallerTime()
+    before_ms = times.margin_ms
+    for number in range(40):
+        times.note_late(5.0 + number % 10)
+    assert times.margin_ms == before_ms - callertime.TIMER_MS + 13.0
+    for _ in range(40):
+        times.note_late(0.5)
+    assert times.margin_ms == before_ms
--- /dev/null
+++ b/hyssoptack/policy/calllearning.py
@@ -0,0 +1,42 @@
+"""What the outcome of a call shows of its upstream."""
+
+from hyssoptack.policy import callcommand
+from hyssoptack.policy import callpart
+from hyssoptack.policy import callresult
+from hyssoptack.policy import placing
+
+NO_FAULT_REASONS = callresult.GATHERERS_FAULTS | {
+    callresult.CUT_OFF,
+    callresult.NOT_LISTED_THERE,
+}
+"""Seen where the upstream itself was not: nothing is learned of it."""
+
+
+def learn(
+    known: placing.Placing,
+    route_name: str,
+    call: callpart.Call,
+    outcome: callcommand.Outcome,
+    now_ms: float,
+) -> None:
+    """Takes the outcome of a call.
+
+    Args:
+        known: What is known of the upstreams.
+        route_name: The request's route.
+        call: The call.
+        outcome: What became of it.
+        now_ms: The time now.
+    """
+    if outcome.reason in NO_FAULT_REASONS:
+        return
+    match outcome.kind:
+        case callcommand.Kind.ANSWERED:
+            elapsed_ms = now_ms - call.sent_ms
+            known.answered(route_name, call.upstream_id, elapsed_ms, now_ms)
+        case callcommand.Kind.SHED:
+            known.shed(call.upstream_id, now_ms)
+        case callcommand.Kind.NOT_RUN if not outcome.reached:
+            known.unreachable(call.upstream_id, now_ms)
+        case callcommand.Kind.NOT_RUN | callcommand.Kind.FAILED:
+            known.failed(call.upstream_id, now_ms)
--- a/hyssoptack/policy/callpart.py
+++ b/hyssoptack/policy/callpart.py
@@ -15,6 +15,8 @@
         far: Whether it goes into another failure domain.
         sent: Whether the upstream may have seen it: not while it waits for a
             connection.
+        overdue_ms: When an outcome is overdue, where another instance makes
+            the call; None where it is made from here.
     """
 
     call_id: int
@@ -23,6 +25,7 @@
     part: "Part"
     far: bool = False
     sent: bool = True
+    overdue_ms: float | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -9,13 +9,14 @@
 budget and counts towards the route's attempts.
 """
 
-import collections
-import math
+import collections.abc
 
 from hyssoptack.core import traffic
 from hyssoptack.policy import callcommand
+from hyssoptack.policy import calllearning
 from hyssoptack.policy import callpart
 from hyssoptack.policy import callresult
+from hyssoptack.policy import hedgequeue
 from hyssoptack.policy import hedgetime
 from hyssoptack.policy import knowing
 from hyssoptack.policy import reach
@@ -47,7 +48,6 @@
         self._next_call_id = 1
         self._may_have_run = ask.may_have_run
         self.finished = False
-        self._unhedged: collections.deque[callpart.Call] = collections.deque()
         self._started_ms = now_ms
         self._tally = reach.Tally()
         self._ends_ms = max(now_ms, ask.ends_at_ms - END_MARGIN_MS)
@@ -58,7 +58,14 @@
             now_ms,
             len(ask.services),
         )
-        self._hedged_missing = False
+        self._hedges = hedgequeue.HedgeQueue(
+            self._hedge_time,
+            self._may_hedge,
+            knowledge.mechanisms.dry_hedges,
+        )
+        self._preferred: dict[str, str] = {}
+        if len(ask.services) > 1 and knowledge.mechanisms.relaying:
+            self._preferred = knowledge.placing.preferred(ask.services)
         match ask.route.target:
             case traffic.AllShards(floor_ratio=floor_ratio):
                 self._floor_count = floor_ratio * len(self._parts.all)
@@ -109,50 +116,32 @@
 
     def next_time_ms(self) -> float:
         """Returns when `on_time` should be called next."""
-        next_ms = self._ends_ms
+        next_ms = min(self._ends_ms, self._hedges.next_ms())
         if self._answers_at_goal():
             next_ms = min(next_ms, self.ask.goal_at_ms)
-        call = self._next_unhedged()
-        if call is not None:
-            due_ms = self._hedge_time.alone_at_ms(call.sent_ms)
-            next_ms = min(next_ms, due_ms)
-            next_ms = min(next_ms, self._dry_at_ms())
         return next_ms
 
-    def _dry_at_ms(self) -> float:
-        """Returns when the missing parts are hedged; infinite for never."""
-        if self._hedged_missing or not self._know.mechanisms.dry_hedges:
-            return math.inf
-        at_ms = self._hedge_time.dry_at_ms()
-        return math.inf if at_ms is None else at_ms
-
     def on_time(self, now_ms: float) -> list[callcommand.Command]:
         """Returns what time alone brings: hedges, or the end."""
         if self.finished:
             return []
         self._know.domains.note_waited(self._tally, now_ms - self._started_ms)
         commands: list[callcommand.Command] = []
-        dry = now_ms >= self._dry_at_ms()
-        self._hedged_missing = self._hedged_missing or dry
-        while call := self._next_unhedged():
-            due_ms = self._hedge_time.alone_at_ms(call.sent_ms)
-            if not dry and now_ms < due_ms:
-                break
-            self._unhedged.popleft()
-            commands.extend(self._hedge(call.part, now_ms))
+        for call in self._hedges.take_due(now_ms):
+            commands.extend(self._hedge(call, now_ms))
         return commands + self._finish_if_due(now_ms)
 
-    def _next_unhedged(self) -> callpart.Call | None:
-        """Returns the oldest call that may be hedged, if there is one.
+    def note_relayed(
+        self, call_ids: collections.abc.Iterable[int], overdue_ms: float
+    ) -> None:
+        """Notes calls that another instance makes.
 
-        All calls of a request wait for the same time, so they stand in order.
+        Args:
+            call_ids: The calls.
+            overdue_ms: When word of them is overdue.
         """
-        while self._unhedged:
-            call = self._unhedged[0]
-            if call.call_id in call.part.calls and self._may_hedge(call.part):
-                return call
-            self._unhedged.popleft()
-        return None
+        calls = [self._calls[each] for each in call_ids if each in self._calls]
+        self._hedges.note_relayed(calls, overdue_ms)
 
     def on_outcome(
         self, call_id: int, outcome: callcommand.Outcome, now_ms: float
@@ -162,7 +151,9 @@
         if call is None:
             return []
         self._know.placing.ended(call.upstream_id)
-        self._learn(call, outcome, now_ms)
+        calllearning.learn(
+            self._know.placing, self.ask.route.name, call, outcome, now_ms
+        )
         if call.far:
             self._note_far(outcome)
         if self.finished:
@@ -173,6 +164,22 @@
         commands = self._take(part, call.upstream_id, outcome, now_ms)
         return commands + self._finish_if_due(now_ms)
 
+    def on_dried_up(
+        self, call_ids: collections.abc.Iterable[int], now_ms: float
+    ) -> list[callcommand.Command]:
+        """Hedges calls that wait for their upstreams.
+
+        Args:
+            call_ids: The calls: those made beside them have been answered.
+            now_ms: The time now.
+        """
+        commands: list[callcommand.Command] = []
+        for call_id in call_ids:
+            call = self._calls.get(call_id)
+            if call is not None and self._may_hedge(call.part):
+                commands.extend(self._hedge(call, now_ms))
+        return commands
+
     def note_waiting(self, call_id: int) -> None:
         """Notes that a call waits for a connection: nothing was sent yet."""
         if call := self._calls.get(call_id):
@@ -216,27 +223,6 @@
         elif outcome.reason != callresult.CUT_OFF:
             self._know.domains.note_lost()
 
-    def _learn(
-        self, call: callpart.Call, outcome: callcommand.Outcome, now_ms: float
-    ) -> None:
-        know = self._know.placing
-        if outcome.reason == callresult.CUT_OFF:
-            # No fault of the upstream's.
-            return
-        match outcome.kind:
-            case callcommand.Kind.ANSWERED:
-                elapsed_ms = now_ms - call.sent_ms
-                name = self.ask.route.name
-                know.answered(name, call.upstream_id, elapsed_ms, now_ms)
-            case callcommand.Kind.SHED:
-                know.shed(call.upstream_id, now_ms)
-            case callcommand.Kind.NOT_RUN if not outcome.reached:
-                know.unreachable(call.upstream_id, now_ms)
-            case callcommand.Kind.NOT_RUN:
-                know.failed(call.upstream_id, now_ms)
-            case callcommand.Kind.FAILED:
-                know.failed(call.upstream_id, now_ms)
-
     def _take(
         self,
         part: callpart.Part,
@@ -255,6 +241,8 @@
             case callcommand.Kind.FAILED:
                 self._may_have_run = True
                 part.failure = outcome.reply or part.failure
+                if outcome.reason in callresult.GATHERERS_FAULTS:
+                    part.tried.discard(upstream_id)
                 if not self.ask.route.idempotent:
                     self._parts.lose(part)
                     return []
@@ -262,6 +250,8 @@
             case callcommand.Kind.NOT_RUN if not outcome.reached:
                 # Nothing was sent: it is no attempt, and costs no budget.
                 part.unreached(upstream_id)
+                if outcome.reason in callresult.GATHERERS_FAULTS:
+                    part.tried.discard(upstream_id)
                 return self._send(part, now_ms, "reroute")
             case callcommand.Kind.SHED | callcommand.Kind.NOT_RUN:
                 if outcome.kind is callcommand.Kind.SHED:
@@ -315,6 +305,7 @@
             frozenset(part.tried),
             now_ms,
             near_only=cut,
+            preferred_domain=self._preferred.get(part.service, ""),
         )
         if cut and upstream is None:
             part.last_reason = callresult.CUT_OFF
@@ -356,7 +347,7 @@
         part.calls[call_id] = self._calls[call_id] = call
         part.tried.add(upstream.upstream_id)
         part.sent_to.add(upstream.upstream_id)
-        self._unhedged.append(call)
+        self._hedges.add(call)
         self._know.placing.sent(upstream.upstream_id)
         return [
             callcommand.Send(call_id=call_id, upstream=upstream, extra=extra)
@@ -373,12 +364,17 @@
         )
 
     def _hedge(
-        self, part: callpart.Part, now_ms: float
+        self, call: callpart.Call, now_ms: float
     ) -> list[callcommand.Command]:
+        part = call.part
         part.hedged = True
         keep_count = 0.0 if self._floor_at_risk() else HEDGE_KEEP_COUNT
         if not self._know.extra_calls.spend(part.service, now_ms, keep_count):
             return []
+        relayed = call.overdue_ms is not None
+        if relayed and self._choose(part, now_ms) is None:
+            # Its upstream may be well, and the instance that calls it gone.
+            part.tried.discard(call.upstream_id)
         return self._send(part, now_ms, "hedge")
 
     def _floor_at_risk(self) -> bool:
--- a/hyssoptack/policy/callresult.py
+++ b/hyssoptack/policy/callresult.py
@@ -6,6 +6,19 @@
 CUT_OFF = "failure_domain_cut_off"
 """Why a part has nobody to be sent to while its failure domain is cut off."""
 
+GATHERER_LOST = "gatherer_lost"
+"""Why a call has no outcome: the instance that made it is gone, or silent."""
+
+GATHERER_DECLINED = "gatherer_declined"
+"""Why a call was not made: the instance that was to make it makes none."""
+
+GATHERERS_FAULTS = frozenset((GATHERER_LOST, GATHERER_DECLINED))
+"""Then the upstream itself may be called from here."""
+
+NOT_LISTED_THERE = "not_listed_there"
+"""Why a call was not made: the instance that was to make it knows no such
+upstream, or knows that it leaves."""
+
 
 def result_of(
     parts: callpart.Parts,
--- a/hyssoptack/policy/extrawindow_test.py
+++ b/hyssoptack/policy/extrawindow_test.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from hyssoptack.gateway import daemon
+from hyssoptack.gateway import budgetshare
 from hyssoptack.policy import extrawindow
 
 WINDOW_MS = 10_000.0
@@ -59,8 +59,8 @@
     """Plays requests and as many extra calls as are let through."""
     dice = random.Random(seed)
     part = share(
-        slack_count=daemon.SLACK_SHARE_RATIO * SLACK_COUNT / INSTANCE_COUNT,
-        ratio=daemon.EXTRA_RATIO_SHARE * RATIO,
+        slack_count=budgetshare.SLACK_SHARE_RATIO * SLACK_COUNT / INSTANCE_COUNT,
+        ratio=budgetshare.EXTRA_RATIO_SHARE * RATIO,
     )
     books = [extrawindow.Book(part, 0.0) for _ in range(INSTANCE_COUNT)]
     requests, extras = [], []
--- a/hyssoptack/policy/hedgetime_test.py
+++ b/hyssoptack/policy/hedgetime_test.py
@@ -2,7 +2,7 @@
 
 from hyssoptack.policy import callplan_test
 from hyssoptack.policy import hedgetime
-from hyssoptack.policy import placing
+from hyssoptack.policy import typicals
 
 PART_COUNT = 42
 GOAL_MS = 80.0
@@ -10,7 +10,7 @@
 
 def made(part_count=PART_COUNT):
     return hedgetime.HedgeTime(
-        placing.Typical(), GOAL_MS, GOAL_MS, 0.0, part_count
+        typicals.Typical(), GOAL_MS, GOAL_MS, 0.0, part_count
     )
 
 
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -14,14 +14,13 @@
 from hyssoptack.core import mechanism
 from hyssoptack.core import notice
 from hyssoptack.core import traffic
+from hyssoptack.policy import covering
+from hyssoptack.policy import typicals
 
 PRIOR_MS = 15.0
 """Assumed time of a call before any was measured: the middle of what the users'
 services take (4 to 30 ms); one call replaces it."""
 
-TYPICAL_STEP_RATIO = 0.05
-"""Step of the running median; 20 calls move it by its own size at most."""
-
 SMOOTHING_RATIO = 0.25
 """Weight of the newest call in an upstream's slowness: some slow calls in a row
 show a slow upstream, one pause of it does not."""
@@ -80,8 +79,11 @@
 """Where more than this part of the upstreams called of late looks slow, the
 fault is more likely this instance's own, and nothing is told."""
 
-WINDOW_COUNT = 128
-WINDOW_STEP_COUNT = 16
+
+PREFERRED_RATIO = 0.2
+"""What a call to the preferred failure domain gains, in typical times: enough
+to choose among upstreams that look alike, less than one slow call shows (0.25
+of what it was slower)."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -143,36 +145,6 @@
     own_call: "_Seen | None" = None
 
 
-class Typical:
-    """What calls of one route take: a running median and recent quantiles."""
-
-    def __init__(self) -> None:
-        self.median_ms = 0.0
-        self._recent: collections.deque[float] = collections.deque(
-            maxlen=WINDOW_COUNT
-        )
-        self._sorted: list[float] = []
-        self._since_sort_count = 0
-
-    def note(self, elapsed_ms: float) -> None:
-        """Takes the time of a call that was answered."""
-        if not self.median_ms:
-            self.median_ms = elapsed_ms
-        step_ms = TYPICAL_STEP_RATIO * self.median_ms
-        self.median_ms += step_ms if elapsed_ms > self.median_ms else -step_ms
-        self._recent.append(elapsed_ms)
-        self._since_sort_count += 1
-        if self._since_sort_count >= WINDOW_STEP_COUNT or not self._sorted:
-            self._sorted = sorted(self._recent)
-            self._since_sort_count = 0
-
-    def quantile_ms(self, ratio: float) -> float | None:
-        """Returns a quantile of the recent calls; None with too few."""
-        if len(self._sorted) < WINDOW_STEP_COUNT:
-            return None
-        return self._sorted[int(ratio * (len(self._sorted) - 1))]
-
-
 class Placing:
     """Standings of all listed upstreams."""
 
@@ -180,7 +152,8 @@
         self.settings = settings
         self.standings: dict[str, Standing] = {}
         self._by_service: dict[str, list[Standing]] = {}
-        self._typical: dict[str, Typical] = {}
+        self._typical: dict[str, typicals.Typical] = {}
+        self._preferred: dict[tuple[str, ...], dict[str, str]] = {}
 
     def install(
         self, upstreams: dict[str, traffic.Upstream], now_ms: float
@@ -189,6 +162,7 @@
         known = self.standings
         self.standings = {}
         self._by_service = {}
+        self._preferred = {}
         for upstream_id, upstream in upstreams.items():
             standing = known.get(upstream_id)
             if standing is None:
@@ -201,11 +175,11 @@
             listed = self._by_service.setdefault(upstream.service, [])
             listed.append(standing)
 
-    def typical(self, route_name: str) -> Typical:
+    def typical(self, route_name: str) -> typicals.Typical:
         """Returns what is known of a route's calls."""
         found = self._typical.get(route_name)
         if found is None:
-            found = self._typical[route_name] = Typical()
+            found = self._typical[route_name] = typicals.Typical()
         return found
 
     def choose(
@@ -215,6 +189,7 @@
         tried: frozenset[str],
         now_ms: float,
         near_only: bool = False,
+        preferred_domain: str = "",
     ) -> traffic.Upstream | None:
         """Returns the best upstream for a call.
 
@@ -224,6 +199,7 @@
             tried: Upstreams that this request was sent to already.
             now_ms: The time now.
             near_only: Whether only the own failure domain can be reached.
+            preferred_domain: Among upstreams that look alike, one there.
 
         Returns:
             The upstream, or None if there is none left.
@@ -242,10 +218,36 @@
             return None
         typical_ms = self.typical(route_name).median_ms or PRIOR_MS
         best = min(
-            candidates, key=lambda each: self._score(each, typical_ms, now_ms)
+            candidates,
+            key=lambda each: (
+                self._score(each, typical_ms, now_ms)
+                - PREFERRED_RATIO
+                * typical_ms
+                * (each.upstream.failure_domain == preferred_domain)
+            ),
         )
         return best.upstream
 
+    def preferred(self, services: tuple[str, ...]) -> dict[str, str]:
+        """Returns the failure domain that each service's calls prefer.
+
+        So that a query's calls into other domains go to few of them. Kept until
+        the list changes: a query of 63 shards would look at 189 upstreams.
+        """
+        found = self._preferred.get(services)
+        if found is None:
+            domains = {
+                service: {
+                    each.upstream.failure_domain
+                    for each in self._by_service.get(service, ())
+                    if not each.upstream.draining
+                }
+                for service in services
+            }
+            found = covering.preferred(self.settings.failure_domain, domains)
+            self._preferred[services] = found
+        return found
+
     def covers_near(self, services: collections.abc.Iterable[str]) -> bool:
         """Whether the own failure domain has an upstream for each service.
 
