What handing over takes is learned from answers given at the goal

Hypothesis: late answers of handed queries (aircraft lookups: 118 of 779 late, p50 40 of a goal of 45 ms) leave the gathering instance in time and lose the rest on the way back to a narrow one. policy/lateness holds what is usually late, for answers' writing and for hops; the former copy in callertime goes.

--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -21,6 +21,7 @@
 from hyssoptack.events import log
 from hyssoptack.gateway import running
 from hyssoptack.http1 import message
+from hyssoptack.platform import headers
 from hyssoptack.policy import delegation
 
 Send = collections.abc.Callable[[str, notice.Notice], None]
@@ -226,6 +227,8 @@
         self._peer = peer
         self._ask_id = ask_id
         self._state = _State.SENT
+        self._hop_ms = owner.known.hops.usual_ms
+        self._goal_at_ms = query.goal_at_ms(clock.now_ms())
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self, version: int) -> None:
@@ -253,7 +256,7 @@
             headers=request.headers,
             body=request.body,
             elapsed_ms=clock.now_ms() - request.received_ms,
-            away_ms=self._query.away_ms + delegation.HOP_MS,
+            away_ms=self._query.away_ms + self._hop_ms,
             fresh=fresh,
         )
         self._owner.send(self._peer.address, ask)
@@ -322,6 +325,10 @@
         )
         request = self._query.exchange.request
         self._query.exchange.answer(reply)
+        if headers.parts_are_missing(reply):
+            # Given at the goal: the rest is what the way back took.
+            late_ms = clock.now_ms() - self._goal_at_ms
+            self._owner.known.hops.note(self._hop_ms + late_ms)
         log.write(
             log.Event.QUERY_HANDED,
             request_id=self._query.request_id,
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -135,7 +135,7 @@
 
     def note_late(self, late_ms: float) -> None:
         """Takes how long after the goal's time an answer was written."""
-        self._caller_time.note_late(late_ms)
+        self._caller_time.answers.note(late_ms)
 
     def note_reply(self, route_name: str, reply: message.Reply) -> None:
         """Takes an upstream's reply: its size decides who gathers."""
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -175,6 +175,11 @@
     return read
 
 
+def parts_are_missing(reply: message.Reply) -> bool:
+    """Whether a merged answer leaves shards out."""
+    return reply.value(_MISSING.lower()) not in (b"", b"0")
+
+
 def signature(reply: message.Reply) -> bytes:
     """Returns the upstream's signature under a reply."""
     return reply.value(_SIGNATURE)
--- a/hyssoptack/policy/callertime.py
+++ b/hyssoptack/policy/callertime.py
@@ -11,17 +11,11 @@
 import collections
 import dataclasses
 
+from hyssoptack.policy import lateness
+
 TIMER_MS = 2.0
 """Kept back at least for timers that fire late and for writing the answer."""
 
-LATE_MAX_MS = 40.0
-"""Most that is kept back for it: an answer that is later had a stop of the
-process before it, which comes seldom and leaves other queries alone."""
-
-LATE_QUANTILE_RATIO = 0.8
-"""Of 5 answers given at the goal 4 should be in time: what is kept back more
-costs parts (a twentieth of the use each), a late answer nine tenths of it."""
-
 WAY_DEFAULT_MS = 6.0
 """Way to the caller and back before any was seen: of the users' sites, 2 to 6
 ms."""
@@ -46,7 +40,12 @@
 
 
 class CallerTime:
-    """What one instance has seen of its callers' ways."""
+    """What one instance has seen of its callers' ways.
+
+    Attributes:
+        way_ms: The way to a caller and back.
+        answers: How late answers leave that are given at the goal.
+    """
 
     def __init__(self) -> None:
         self._routes: dict[str, _Route] = {}
@@ -54,10 +53,7 @@
             maxlen=WAY_SAMPLES_COUNT
         )
         self.way_ms = WAY_DEFAULT_MS
-        self._lates_ms: collections.deque[float] = collections.deque(
-            maxlen=WAY_SAMPLES_COUNT
-        )
-        self._late_ms = TIMER_MS
+        self.answers = lateness.Lateness(TIMER_MS)
 
     def spent_ms(
         self, route_name: str, wait_ms: float | None, first: bool
@@ -99,15 +95,4 @@
     @property
     def margin_ms(self) -> float:
         """What to keep back from a goal, counted from a request's sending."""
-        return self.way_ms + self._late_ms
-
-    def note_late(self, late_ms: float) -> None:
-        """Takes how long after its time an answer was written.
-
-        On 0.12 of a core the timer of the goal waits behind 20 replies, and 40
-        parts take 5 to 10 ms to merge.
-        """
-        self._lates_ms.append(min(LATE_MAX_MS, late_ms))
-        ordered = sorted(self._lates_ms)
-        usual_ms = ordered[int(LATE_QUANTILE_RATIO * (len(ordered) - 1))]
-        self._late_ms = max(TIMER_MS, usual_ms)
+        return self.way_ms + self.answers.usual_ms
--- a/hyssoptack/policy/callertime_test.py
+++ b/hyssoptack/policy/callertime_test.py
@@ -45,8 +45,8 @@
     times = callertime.CallerTime()
     before_ms = times.margin_ms
     for number in range(40):
-        times.note_late(5.0 + number % 10)
+        times.answers.note(5.0 + number % 10)
     assert times.margin_ms == before_ms - callertime.TIMER_MS + 13.0
     for _ in range(40):
-        times.note_late(0.5)
+        times.answers.note(0.5)
     assert times.margin_ms == before_ms
--- a/hyssoptack/policy/delegation.py
+++ b/hyssoptack/policy/delegation.py
@@ -16,6 +16,7 @@
 import random
 
 from hyssoptack.core import member
+from hyssoptack.policy import lateness
 
 WIDER_RATIO = 2.0
 """A neighbour's link must be wider by this: else both are of one kind, and its
@@ -40,7 +41,7 @@
 after it, the neighbour is asked whether it is still there."""
 
 HOP_MS = 2.0
-"""What handing over and back takes besides, kept back from the goal."""
+"""What handing over and back takes at least, kept back from the goal."""
 
 CHECK_PERIOD_MS = 250.0
 """How often it is asked from then on, while the caller waits."""
@@ -94,6 +95,7 @@
         self._peers: tuple[member.Peer, ...] = ()
         self._known: dict[str, _Neighbour] = {}
         self._reply_bytes: dict[str, float] = {}
+        self.hops = lateness.Lateness(HOP_MS)
 
     def install(self, peers: tuple[member.Peer, ...]) -> None:
         """Replaces the list of neighbours."""
--- /dev/null
+++ b/hyssoptack/policy/lateness_test.py
@@ -0,0 +1,19 @@
+"""What an instance usually is late by."""
+
+from hyssoptack.policy import lateness
+
+
+def test_most_of_what_was_seen_is_kept_back():
+    late = lateness.Lateness(2.0)
+    for number in range(32):
+        late.note(float(number % 10))
+    assert late.usual_ms == 7.0
+
+
+def test_no_less_than_the_least_and_no_stop_of_the_process():
+    late = lateness.Lateness(2.0)
+    late.note(-5.0)
+    assert late.usual_ms == 2.0
+    late.note(2_000.0)
+    late.note(2_000.0)
+    assert late.usual_ms <= lateness.MAX_MS
