--- a/hyssoptack/gateway/relaying_test.py
+++ b/hyssoptack/gateway/relaying_test.py
@@ -191,3 +191,21 @@
             assert b"forged" not in got.headers["x-part-stamps"].encode()
 
     asyncio.run(test())
+
+
+def test_a_head_request_is_not_relayed():
+    # A gatherer would wait for bodies that never come.
+    async def test():
+        async with harness.Site() as site:
+            north = await _across(site)
+            asked = asyncio.create_task(
+                site.get("/all/x", "r1", name="north", method="HEAD")
+            )
+            async with asyncio.timeout(WAIT_S):
+                while sum(_runs(site, b"r1")) < SHARD_COUNT:
+                    await asyncio.sleep(0.02)
+            asked.cancel()
+            assert not north._relaying.relayed
+            assert not site.gateways["south"]._gathering.gathers
+
+    asyncio.run(test())
--- a/hyssoptack/gateway/running.py
+++ b/hyssoptack/gateway/running.py
@@ -151,6 +151,9 @@
                 self._top_count = top_count
             case _:
                 self._top_count = None
+        # A gatherer reads records, which a reply to HEAD has none of.
+        to_head = exchange.request.method == b"HEAD"
+        self._may_relay = self._top_count is not None and not to_head
         self._timer: asyncio.TimerHandle | None = None
         self._due_ms = 0.0
 
@@ -189,10 +192,10 @@
             if each.extra:
                 self._log_extra(each)
             domain = each.upstream.failure_domain
-            if self._top_count is None or not self._owner.is_far(domain):
-                near.append(each)
-            else:
+            if self._may_relay and self._owner.is_far(domain):
                 far.setdefault(domain, []).append(each)
+            else:
+                near.append(each)
         # Those on the longer way first: opening 18 connections takes 2 ms.
         for domain, calls in far.items():
             self._relay(domain, calls)
