A neighbour's word makes an old list no younger

A neighbour that could read the configuration again told it, and its list of 7 s before along; the receiver noted that list as read just now. Its own reading 10 ms later then took it for one kept fresh: no grace, 105 upstreams dropped, and told to all. Played at the small size with logs: welshpool-hall-3 store_back with a list age of 10 ms, where its list was 7 s old.

Notices carry the age of the list; following_test failed first.

--- a/hyssoptack/core/notice.py
+++ b/hyssoptack/core/notice.py
@@ -41,6 +41,7 @@
         change: What has changed in the list since the notice before.
         grace_ms: How much longer the sender keeps upstreams that the store
             has lost in an outage and that may enter themselves again.
+        list_age_ms: How long ago the list was read.
         exact_age_ms: Age of the last reading that can't have been an old one.
     """
 
@@ -51,6 +52,7 @@
     revision: int
     change: ListChange
     grace_ms: float = 0.0
+    list_age_ms: float = 0.0
     exact_age_ms: float = 0.0
 
 
--- a/hyssoptack/gateway/beliefs.py
+++ b/hyssoptack/gateway/beliefs.py
@@ -27,7 +27,7 @@
         pools: Connections to them.
         table: Routes in force.
         config_ms: When the configuration was taken.
-        listed_ms: When the list of upstreams was taken or confirmed.
+        listed_ms: When the list of upstreams was last read, by whomever.
         list_revision: The store's revision that the list is of.
         store_back_ms: When the store last returned from an outage.
         on_configuration: Told of each new configuration.
@@ -91,6 +91,7 @@
         listed: dict[str, traffic.Upstream],
         revision: int,
         now_ms: float,
+        read_ms: float | None = None,
     ) -> None:
         """Replaces the list of upstreams, unless this one is older.
 
@@ -98,6 +99,7 @@
             listed: The upstreams by their ids.
             revision: The store's revision at the time of reading.
             now_ms: The time now.
+            read_ms: When it was read, if not just now.
         """
         if revision < self.list_revision:
             return
@@ -108,7 +110,7 @@
             kept = _without_predecessors(self.upstreams, kept) | kept
         self._log_changes(kept)
         self.upstreams = kept
-        self.confirm_list(revision, now_ms)
+        self.confirm_list(revision, now_ms if read_ms is None else read_ms)
         self.placing.install(kept, now_ms)
         self.pools.keep_only(kept)
 
@@ -124,10 +126,14 @@
             back_ms = now_ms + min(RETURN_MS, grace_ms) - RETURN_MS
             self.store_back_ms = max(self.store_back_ms, back_ms)
 
-    def confirm_list(self, revision: int, now_ms: float) -> None:
-        """Notes that the list still stands at a later revision."""
+    def confirm_list(self, revision: int, read_ms: float) -> None:
+        """Notes that the list still stood at a later revision.
+
+        A neighbour that tells something else tells its old list along: that
+        makes the own one no younger.
+        """
         self.list_revision = revision
-        self.listed_ms = now_ms
+        self.listed_ms = max(self.listed_ms, read_ms)
 
     def _log_changes(self, kept: dict[str, traffic.Upstream]) -> None:
         came = [each for each in kept if each not in self.upstreams]
--- a/hyssoptack/gateway/following_test.py
+++ b/hyssoptack/gateway/following_test.py
@@ -51,7 +51,7 @@
     assert not believed.upstreams
 
 
-def hear(made, believed, upstreams, grace_ms=0.0):
+def hear(made, believed, upstreams, grace_ms=0.0, list_age_ms=0.0):
     """Lets an instance take a neighbour's whole list."""
     peers = peering.Peering(
         made._settings, believed, made._readers, lambda: None, lambda: None
@@ -66,10 +66,22 @@
         revision=2,
         change=history.whole(),
         grace_ms=grace_ms,
+        list_age_ms=list_age_ms,
     )
     peers._take(made)
 
 
+def test_a_neighbours_word_makes_an_old_list_no_younger():
+    # Found in a large day: a neighbour that could read the configuration again
+    # told it, with its list of 7 s before. 10 ms later the own reading took
+    # that list for one kept fresh, and dropped 105 upstreams that had lapsed.
+    made, believed = follower(list_age_ms=9_000.0)
+    hear(made, believed, believed.upstreams, list_age_ms=7_000.0)
+    made._note_back()
+    believed.take_list({}, 3, clock.now_ms())
+    assert "a" in believed.upstreams
+
+
 def test_a_neighbours_grace_holds_for_the_own_reading_that_follows():
     # Found in a day's logs: the first to read again after an outage kept what
     # had lapsed and told its neighbours; one whose own answer came 10 ms later
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -135,6 +135,7 @@
             revision=self._beliefs.list_revision,
             change=change,
             grace_ms=self._beliefs.grace_ms(now_ms),
+            list_age_ms=now_ms - self._beliefs.listed_ms,
             exact_age_ms=self.readers.exact_age_ms(now_ms),
         )
         self._told[address] = _Told(
@@ -276,10 +277,11 @@
             return False
         now_ms = clock.now_ms()
         self._beliefs.take_grace(view.grace_ms, now_ms)
+        read_ms = now_ms - view.list_age_ms
         if taken is self._beliefs.upstreams:
-            self._beliefs.confirm_list(view.revision, now_ms)
+            self._beliefs.confirm_list(view.revision, read_ms)
         else:
-            self._beliefs.take_list(taken, view.revision, now_ms)
+            self._beliefs.take_list(taken, view.revision, now_ms, read_ms)
         return True
 
 
