--- a/hyssoptack/gateway/delegating_test.py
+++ b/hyssoptack/gateway/delegating_test.py
@@ -184,6 +184,27 @@
     assert sent[-1].begun
 
 
+def test_messages_that_waited_are_declined_though_the_watch_has_run():
+    # After a stop the loop runs its timers first, and reads messages then.
+    sent = []
+    held = delegating.Delegating(
+        delegation.Delegation(0.0, random.Random(1)),
+        "w:1",
+        lambda _, each: sent.append(each),
+        None,
+    )
+    held._ticked_ms -= 2 * delegating.STALL_MS
+
+    async def wake():
+        watch = asyncio.create_task(held.watch_stalls())
+        await asyncio.sleep(0.01)
+        watch.cancel()
+
+    asyncio.run(wake())
+    assert held.take(_ask(), willing=True) is None
+    assert [each.begun for each in sent] == [False]
+
+
 def test_an_answer_that_can_not_be_in_time_is_given_time_to_be_whole():
     route = types.SimpleNamespace(goal_ms=150.0)
     query = running.Request(
