--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -49,8 +49,8 @@
         lease_min_ms: The shortest lease that the store grants.
         lease_ms: The lease under which this instance is listed. Cuts shorter
             than it leave it listed; a dead one costs its neighbours a few
-            messages until it ends. Renewals were a sixth of the store's calls
-            with 195 instances and a lease of 10 s.
+            messages until it ends. With 195 instances and a lease of 10 s
+            renewals are a sixth of all calls to the store.
         grace_ms: From a stop signal to the kill.
         leaving_bound_ms: After it an upstream that said that it leaves must
             get nothing more.
