One function learns from calls, whoever made them

Cause: gateway/gathering wrote calllearning.learn a second time, without its list of reasons that are nobody's fault; a new kind of outcome would have had to be added to both. learn takes the upstream and the time instead of the plan's own record, and both call it. Behaviour as before: outcomes seen by a gatherer never carry those reasons.

--- a/hyssoptack/gateway/gathering.py
+++ b/hyssoptack/gateway/gathering.py
@@ -17,6 +17,7 @@
 from hyssoptack.http1 import upstreamside
 from hyssoptack.platform import headers
 from hyssoptack.policy import callcommand
+from hyssoptack.policy import calllearning
 from hyssoptack.policy import callresult
 from hyssoptack.policy import gatherers
 from hyssoptack.policy import hedgetime
@@ -151,7 +152,17 @@
         self._calls.pop(call_id, None)
         upstream_id = self._open.pop(call_id)
         read = headers.call_outcome(outcome, to_merge=True)
-        self._learn(upstream_id, read, now_ms)
+        known = self._owner.beliefs.placing
+        known.ended(upstream_id)
+        # The asking instance learns from the call as well.
+        calllearning.learn(
+            known,
+            self._ask.route_name,
+            upstream_id,
+            self._started_ms,
+            read,
+            now_ms,
+        )
         answered = read.kind is callcommand.Kind.ANSWERED
         if answered:
             self._times.note_answer(now_ms)
@@ -182,24 +193,6 @@
             records=top,
         )
 
-    def _learn(
-        self, upstream_id: str, read: callcommand.Outcome, now_ms: float
-    ) -> None:
-        """Keeps what a call has shown; the asking instance does so as well."""
-        known = self._owner.beliefs.placing
-        known.ended(upstream_id)
-        match read.kind:
-            case callcommand.Kind.ANSWERED:
-                took_ms = now_ms - self._started_ms
-                name = self._ask.route_name
-                known.answered(name, upstream_id, took_ms, now_ms)
-            case callcommand.Kind.SHED:
-                known.shed(upstream_id, now_ms)
-            case callcommand.Kind.NOT_RUN if not read.reached:
-                known.unreachable(upstream_id, now_ms)
-            case _:
-                known.failed(upstream_id, now_ms)
-
     # Telling.
 
     def _arm(self) -> None:
--- a/hyssoptack/policy/calllearning.py
+++ b/hyssoptack/policy/calllearning.py
@@ -1,7 +1,6 @@
 """What the outcome of a call shows of its upstream."""
 
 from hyssoptack.policy import callcommand
-from hyssoptack.policy import callpart
 from hyssoptack.policy import callresult
 from hyssoptack.policy import placing
 
@@ -15,7 +14,8 @@
 def learn(
     known: placing.Placing,
     route_name: str,
-    call: callpart.Call,
+    upstream_id: str,
+    sent_ms: float,
     outcome: callcommand.Outcome,
     now_ms: float,
 ) -> None:
@@ -24,7 +24,8 @@
     Args:
         known: What is known of the upstreams.
         route_name: The request's route.
-        call: The call.
+        upstream_id: Whom it went to.
+        sent_ms: When it was decided on.
         outcome: What became of it.
         now_ms: The time now.
     """
@@ -32,11 +33,11 @@
         return
     match outcome.kind:
         case callcommand.Kind.ANSWERED:
-            elapsed_ms = now_ms - call.sent_ms
-            known.answered(route_name, call.upstream_id, elapsed_ms, now_ms)
+            elapsed_ms = now_ms - sent_ms
+            known.answered(route_name, upstream_id, elapsed_ms, now_ms)
         case callcommand.Kind.SHED:
-            known.shed(call.upstream_id, now_ms)
+            known.shed(upstream_id, now_ms)
         case callcommand.Kind.NOT_RUN if not outcome.reached:
-            known.unreachable(call.upstream_id, now_ms)
+            known.unreachable(upstream_id, now_ms)
         case callcommand.Kind.NOT_RUN | callcommand.Kind.FAILED:
-            known.failed(call.upstream_id, now_ms)
+            known.failed(upstream_id, now_ms)
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -152,7 +152,12 @@
             return []
         self._know.placing.ended(call.upstream_id)
         calllearning.learn(
-            self._know.placing, self.ask.route.name, call, outcome, now_ms
+            self._know.placing,
+            self.ask.route.name,
+            call.upstream_id,
+            call.sent_ms,
+            outcome,
+            now_ms,
         )
         if call.far:
             self._note_far(outcome)
