What failed is left alone by one rule: policy/avoidance

Cause: gatherers had written delegation's doubling wait again, with the same constants (1 s, doubled to 8 s, one loss counted once). Both use policy/avoidance now; a domain needs no count of open calls any more.

--- a/hyssoptack/policy/delegation.py
+++ b/hyssoptack/policy/delegation.py
@@ -16,6 +16,7 @@
 import random
 
 from hyssoptack.core import member
+from hyssoptack.policy import avoidance
 from hyssoptack.policy import lateness
 
 WIDER_RATIO = 2.0
@@ -46,11 +47,6 @@
 CHECK_PERIOD_MS = 250.0
 """How often it is asked from then on, while the caller waits."""
 
-AVOID_MS = 1_000.0
-"""How long a neighbour that failed is left alone; doubles up to the most."""
-
-AVOID_MAX_MS = 8_000.0
-
 SIZE_DEFAULT_BYTES = 600.0
 """Assumed size of a reply before any was seen: between the users' smallest (350
 bytes with its head) and their largest (1,250)."""
@@ -67,8 +63,9 @@
     """What handing queries to one neighbour has shown."""
 
     flight_count: int = 0
-    failure_count: int = 0
-    avoid_until_ms: float = float("-inf")
+    left_alone: avoidance.Avoidance = dataclasses.field(
+        default_factory=avoidance.Avoidance
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -139,7 +136,7 @@
     def _is_well(self, address: str, now_ms: float) -> bool:
         known = self._known.get(address, _Neighbour())
         full = known.flight_count >= FLIGHT_LIMIT_COUNT
-        return not full and known.avoid_until_ms <= now_ms
+        return not full and not known.left_alone.avoided(now_ms)
 
     def _load(self, peer: member.Peer) -> float:
         known = self._known.get(peer.address, _Neighbour())
@@ -159,14 +156,9 @@
     def answered(self, address: str) -> None:
         """Takes that a neighbour answered."""
         known = self._known.setdefault(address, _Neighbour())
-        known.failure_count = 0
+        known.left_alone.answered()
 
     def failed(self, address: str, now_ms: float) -> None:
         """Takes that a neighbour did not begin, or did not answer."""
         known = self._known.setdefault(address, _Neighbour())
-        if known.avoid_until_ms > now_ms:
-            # One loss shows in all queries that were on their way.
-            return
-        wait_ms = AVOID_MS * 2**known.failure_count
-        known.failure_count += 1
-        known.avoid_until_ms = now_ms + min(AVOID_MAX_MS, wait_ms)
+        known.left_alone.failed(now_ms)
--- a/hyssoptack/policy/gatherers.py
+++ b/hyssoptack/policy/gatherers.py
@@ -17,6 +17,7 @@
 import random
 
 from hyssoptack.core import member
+from hyssoptack.policy import avoidance
 from hyssoptack.policy import rendezvous
 from hyssoptack.policy import typicals
 
@@ -45,11 +46,6 @@
 ms of a goal of 94 on 0.12 of a core): calls made once more would only lengthen
 everybody's queue."""
 
-AVOID_MS = 1_000.0
-"""How long a gatherer that is lost is left alone; doubles up to the most."""
-
-AVOID_MAX_MS = 8_000.0
-
 
 def chosen(
     peers: collections.abc.Iterable[member.Peer], own_domain: str
@@ -86,25 +82,12 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _Standing:
-    """What relaying over one gatherer, or into one domain, has shown."""
+    """What relaying over one gatherer has shown."""
 
     open_count: int = 0
-    failure_count: int = 0
-    avoid_until_ms: float = float("-inf")
-
-    def avoid(self, now_ms: float) -> None:
-        """Leaves it alone, longer each time."""
-        if self.avoid_until_ms > now_ms:
-            # One loss shows in all that was on its way.
-            return
-        wait_ms = AVOID_MS * 2**self.failure_count
-        self.failure_count += 1
-        self.avoid_until_ms = now_ms + min(AVOID_MAX_MS, wait_ms)
-
-    def answered(self) -> None:
-        """Takes a sign of life."""
-        self.failure_count = 0
-        self.avoid_until_ms = float("-inf")
+    left_alone: avoidance.Avoidance = dataclasses.field(
+        default_factory=avoidance.Avoidance
+    )
 
 
 class Gatherers:
@@ -114,7 +97,7 @@
         self._random = source
         self._by_domain: dict[str, list[member.Peer]] = {}
         self._standings: dict[str, _Standing] = {}
-        self._domains: dict[str, _Standing] = {}
+        self._domains: dict[str, avoidance.Avoidance] = {}
         self._first_words = typicals.Typical()
 
     def install(self, peers: tuple[member.Peer, ...]) -> None:
@@ -132,12 +115,12 @@
     def choose(self, failure_domain: str, now_ms: float) -> member.Peer | None:
         """Returns who makes calls in a domain; None to make them from here."""
         domain = self._domains.get(failure_domain)
-        if domain is not None and domain.avoid_until_ms > now_ms:
+        if domain is not None and domain.avoided(now_ms):
             return None
         well = [
             each
             for each in self._by_domain.get(failure_domain, ())
-            if self._standing(each.address).avoid_until_ms <= now_ms
+            if not self._standing(each.address).left_alone.avoided(now_ms)
         ]
         if not well:
             return None
@@ -168,14 +151,14 @@
 
     def alive(self, peer: member.Peer) -> None:
         """Takes a gatherer's word."""
-        self._standing(peer.address).answered()
+        self._standing(peer.address).left_alone.alive()
         domain = self._domains.get(peer.failure_domain)
         if domain is not None:
-            domain.answered()
+            domain.alive()
 
     def declined(self, peer: member.Peer, now_ms: float) -> None:
         """Takes that a gatherer makes no calls now."""
-        self._standing(peer.address).avoid(now_ms)
+        self._standing(peer.address).left_alone.failed(now_ms)
 
     def lost(self, peer: member.Peer, now_ms: float) -> None:
         """Takes that a gatherer is gone or silent.
@@ -185,13 +168,13 @@
         """
         domain = self._by_domain.get(peer.failure_domain, ())
         others_lost = any(
-            self._standing(each.address).avoid_until_ms > now_ms
+            self._standing(each.address).left_alone.avoided(now_ms)
             for each in domain
             if each.address != peer.address
         )
-        self._standing(peer.address).avoid(now_ms)
+        self._standing(peer.address).left_alone.failed(now_ms)
         if others_lost:
-            standing = self._domains.setdefault(
-                peer.failure_domain, _Standing()
+            left = self._domains.setdefault(
+                peer.failure_domain, avoidance.Avoidance()
             )
-            standing.avoid(now_ms)
+            left.failed(now_ms)
