--- a/hyssoptack/core/mechanism.py
+++ b/hyssoptack/core/mechanism.py
@@ -29,6 +29,7 @@
             else.
         shed_quiet: An upstream that refused for want of room is left alone.
         slowness: Upstreams are chosen by how slow they were.
+        suspicion: Requests that crash upstreams are refused.
         told_calls: Neighbours tell each other of slow upstreams.
     """
 
@@ -47,6 +48,7 @@
     resends: bool = True
     shed_quiet: bool = True
     slowness: bool = True
+    suspicion: bool = True
     told_calls: bool = True
 
 
--- a/hyssoptack/core/notice.py
+++ b/hyssoptack/core/notice.py
@@ -260,6 +260,7 @@
         reached: Whether the upstream may have seen the request.
         signature: The upstream's signature under its reply.
         records: The greatest records of its reply, as many as the answer has.
+        ended: Whether the upstream has ended with the call in hand.
     """
 
     call_id: int
@@ -268,6 +269,7 @@
     reached: bool = True
     signature: bytes = b""
     records: bytes = b""
+    ended: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -301,6 +303,67 @@
     ask_id: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SuspectEnding:
+    """An upstream that ended with a suspected request in hand.
+
+    Attributes:
+        upstream_id: The upstream.
+        age_ms: How long ago, when the message was made.
+        proven: Whether it had been found alive after an earlier end.
+    """
+
+    upstream_id: str
+    age_ms: float
+    proven: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Suspect:
+    """What is held against a request that may crash upstreams.
+
+    Attributes:
+        fingerprint: The request.
+        age_ms: How long ago an upstream last ended under it; where it is
+            cleared, how long ago one answered it.
+        cleared: Whether nothing is held against it any more.
+        barred_count: How often in a row it was barred; 0 while suspected.
+        barred_for_ms: How much longer it is barred.
+        endings: Upstreams that ended under it, as far as kept.
+    """
+
+    fingerprint: str
+    age_ms: float
+    cleared: bool = False
+    barred_count: int = 0
+    barred_for_ms: float = 0.0
+    endings: tuple[SuspectEnding, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SuspectsNotice:
+    """Tells of requests that may crash upstreams.
+
+    Attributes:
+        sender_id: Who tells.
+        suspects: The requests.
+    """
+
+    sender_id: str
+    suspects: tuple[Suspect, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SuspectsWanted:
+    """Asks for all such requests: the asker has just started.
+
+    Attributes:
+        address: Where the answer goes.
+    """
+
+    address: str
+
+
 Notice = (
     ViewNotice
     | ViewWanted
@@ -314,6 +377,8 @@
     | RelayAsk
     | RelayBatch
     | RelayLeft
+    | SuspectsNotice
+    | SuspectsWanted
 )
 
 KINDS: dict[int, type] = {
@@ -329,6 +394,8 @@
     21: RelayAsk,
     22: RelayBatch,
     23: RelayLeft,
+    24: SuspectsNotice,
+    25: SuspectsWanted,
 }
 """Kinds by number, for `peers.codec`. Numbers are never used again for another
 kind: 10 and 11 were notices with whole lists."""
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -47,6 +47,14 @@
     QUERY_HANDED = (6104, "A neighbour answered a query for this instance.")
     QUERY_BACK = (6105, "A neighbour did not run a query that it was handed.")
     RELAY_LOST = (6106, "An instance that made calls for others is lost.")
+    SUSPICION_BEGAN = (
+        6201,
+        "A request may crash upstreams: an end, no answer.",
+    )
+    SUSPICION_SHARED = (6202, "Other instances are told of such requests.")
+    REQUEST_BARRED = (6203, "A request is refused: it crashes upstreams.")
+    REQUEST_TRIED = (6204, "A barred request is sent to one upstream.")
+    SUSPICION_ENDED = (6205, "Nothing is held against a request any more.")
     REQUEST_FAULT = (7001, "A request met a fault of ours.")
 
     @property
--- /dev/null
+++ b/hyssoptack/gateway/calltrace.py
@@ -0,0 +1,29 @@
+"""What became of each call of a request, for its line in the log."""
+
+import dataclasses
+
+OPEN = "open"
+"""What became of a call that is still out."""
+
+
+@dataclasses.dataclass(kw_only=True)
+class Trace:
+    """One call, for the log line of its request."""
+
+    upstream_id: str
+    service: str
+    sent_ms: float
+    extra: str
+    gatherer_id: str = ""
+    outcome: str = OPEN
+    took_ms: float = 0.0
+
+    def text(self, started_ms: float) -> str:
+        """Returns the call as `upstream[@gatherer] why +start took outcome`."""
+        after_ms = self.sent_ms - started_ms
+        why = self.extra or "first"
+        by = f"@{self.gatherer_id}" if self.gatherer_id else ""
+        return (
+            f"{self.upstream_id}{by} {why} +{after_ms:.0f} "
+            f"{self.took_ms:.0f} {self.outcome}"
+        )
--- a/hyssoptack/gateway/crashing_test.py
+++ b/hyssoptack/gateway/crashing_test.py
@@ -71,7 +71,7 @@
         )
 
 
-async def _index(site: harness.Site) -> None:
+async def _index(site: harness.Site, **changes: object) -> None:
     """Two instances in the north, one in the south, half of the copies each."""
     for shard in range(SHARD_COUNT):
         for copy in range(COPY_COUNT):
@@ -80,13 +80,13 @@
             name = f"i-{shard}-{copy}"
             await site.add_upstream(name, f"s{shard}", body, zone)
     site.configure(gateway_test.SHARDS)
-    await _start_three(site)
+    await _start_three(site, **changes)
 
 
-async def _start_three(site: harness.Site) -> None:
-    await site.start("n1")
-    await site.start("n2")
-    await site.start("s1", failure_domain="south")
+async def _start_three(site: harness.Site, **changes: object) -> None:
+    await site.start("n1", **changes)
+    await site.start("n2", **changes)
+    await site.start("s1", failure_domain="south", **changes)
     async with asyncio.timeout(8.0):
         # Each knows of the others: the list of instances is read by then.
         while any(each.readers.total_count < 3 for each in _gateways(site)):
@@ -169,3 +169,25 @@
                 await asyncio.sleep(RETURN_MS / message.MS_PER_S)
 
     asyncio.run(test())
+
+
+def test_an_instance_started_anew_sends_no_request_that_crashes_all():
+    async def test():
+        async with harness.Site() as site:
+            await _index(site)
+            watch = _Watch(site, b"/all/bad")
+            await _repeat(site, "/all/bad", 3.0, 0.25, "bad")
+            await site.start("n3")
+            # All upstreams are back by then.
+            await asyncio.sleep(RETURN_MS / message.MS_PER_S)
+            before = len(watch.crash_ms)
+            got, _ = await _timed(site, "/all/bad", "new-1", "n3")
+            assert got.status == 502
+            assert len(watch.crash_ms) == before
+            assert not [
+                each
+                for each in watch.arrivals
+                if each.request_id.startswith("new")
+            ]
+
+    asyncio.run(test())
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -23,12 +23,15 @@
 from hyssoptack.gateway import following
 from hyssoptack.gateway import gathering
 from hyssoptack.gateway import metrics
+from hyssoptack.gateway import pages
+from hyssoptack.gateway import parts
 from hyssoptack.gateway import peering
 from hyssoptack.gateway import pool
 from hyssoptack.gateway import ports
 from hyssoptack.gateway import reaching
 from hyssoptack.gateway import relaying
 from hyssoptack.gateway import serving
+from hyssoptack.gateway import suspecting
 from hyssoptack.http1 import callerside
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
@@ -41,6 +44,7 @@
 from hyssoptack.policy import placing
 from hyssoptack.policy import reach
 from hyssoptack.policy import readership
+from hyssoptack.policy import suspicion
 from hyssoptack.settings import gateway
 
 RESTART_FIELDS = frozenset(
@@ -64,10 +68,6 @@
 
 DRAIN_CHECK_MS = 50.0
 
-IN_HAND_LOGGED_COUNT = 16
-"""Most calls of a lost upstream that one line names: it has 3 to 6 slots, and
-as many calls of this instance at most as that and its queue."""
-
 SETTINGS_CHECK_S = 2.0
 """How often the settings file is looked at: it may change without a signal, and
 nothing in it is needed sooner."""
@@ -86,7 +86,7 @@
         self._settings = settings
         self._path = path
         self._pools = pool.Pools(headers.REQUEST_ID)
-        self._placing = placing.Placing(_placing_settings(settings))
+        self._placing = placing.Placing(parts.placing_settings(settings))
         self.beliefs = beliefs.Beliefs(
             placing=self._placing,
             pools=self._pools,
@@ -102,6 +102,10 @@
             self._budget_share(), clock.now_ms()
         )
         self._reach = reach.Reach()
+        self._suspicions = suspicion.Suspicions(
+            random.Random(), settings.mechanisms.suspicion
+        )
+        self._suspicions.trust(settings.trusted_fingerprints, clock.now_ms())
         self._metrics = metrics.Metrics()
         self._serving = serving.Serving(
             self.beliefs,
@@ -112,8 +116,9 @@
         self._callers = callerside.Server(
             handler=self._serving.handle, on_refused=serving.log_refusal
         )
-        self._probes = callerside.Server(handler=self._answer_probe)
-        self._readings = callerside.Server(handler=self._answer_metrics)
+        shown = pages.Pages(self._metrics, self._is_ready, self._facts)
+        self._probes = callerside.Server(handler=shown.answer_probe)
+        self._readings = callerside.Server(handler=shown.answer_metrics)
         self._store = keyvalue.Client(settings.store_address, self._pools)
         self._peering = peering.Peering(
             settings,
@@ -123,7 +128,9 @@
             self._reach.note_told,
         )
         self._delegating = delegating.Delegating(
-            delegation.Delegation(_own_link_mbps(settings), random.Random()),
+            delegation.Delegation(
+                parts.own_link_mbps(settings), random.Random()
+            ),
             settings.peer_address,
             self._peering.send,
             self._serving.run_here,
@@ -142,8 +149,18 @@
             self._peering.send,
             self._serving.connection_limit_count,
             self._delegating.is_stale,
+            self._suspicions,
+        )
+        self._suspecting = suspecting.Suspecting(
+            self._suspicions,
+            parts.own_peer(settings),
+            self.readers.neighbours,
+            self._relaying.known.peers,
+            self._peering.send,
+            self._serving.note_barred,
+            self._metrics,
         )
-        self._pools.on_ended = self._on_upstream_ended
+        self._pools.on_ended = self._suspecting.on_upstream_ended
         self._peering.on_query = self._on_query
         self._peering.on_undelivered = self._on_undelivered
         self._peering.on_link_lost = self._on_link_lost
@@ -155,7 +172,6 @@
             self._on_reach,
         )
         self._stop = asyncio.Event()
-        self._said_ready = False
         self._ports = ports.Ports()
 
     def _knowledge(self) -> knowing.Knowledge:
@@ -164,6 +180,7 @@
             extra_calls=self._extra_calls,
             domains=self._reach,
             mechanisms=self._settings.mechanisms,
+            suspicions=self._suspicions,
         )
 
     def _on_query(self, each: notice.Notice) -> None:
@@ -177,6 +194,8 @@
                 self._relaying.on_batch(each)
             case notice.RelayLeft():
                 self._gathering.on_left(each)
+            case notice.SuspectsNotice() | notice.SuspectsWanted():
+                self._suspecting.on_message(each)
             case _:
                 self._delegating.on_message(each)
 
@@ -191,22 +210,6 @@
         self._delegating.on_link_lost(address)
         self._relaying.on_link_lost(address)
 
-    def _on_upstream_ended(
-        self, upstream: traffic.Upstream, in_hand: tuple[pool.Job, ...]
-    ) -> None:
-        """Takes that an upstream broke calls off and is gone."""
-        self._metrics.upstreams_ended.inc({"service": upstream.service})
-        log.write(
-            log.Event.UPSTREAM_ENDED,
-            upstream=upstream.upstream_id,
-            service=upstream.service,
-            in_hand=[
-                f"{each.fingerprint} {each.request_id.decode('latin-1')}"
-                for each in in_hand[:IN_HAND_LOGGED_COUNT]
-            ],
-            in_hand_count=len(in_hand),
-        )
-
     def _on_configuration(self, offered: traffic.Configuration) -> None:
         self._callers.limits = offered.limits
 
@@ -220,25 +223,15 @@
             self._peering.tell_cut()
         self._serving.note_cut()
 
-    def _answer_probe(self, exchange: callerside.Exchange) -> None:
-        if exchange.request.path != headers.READINESS_PATH:
-            exchange.answer(message.problem(404, "unknown_path"))
-            return
-        ready = (
+    def _is_ready(self) -> bool:
+        return (
             self.beliefs.complete
             and not self._stop.is_set()
             and not self._reach.leaves_rotation
         )
-        self._note_ready(ready)
-        if ready:
-            reply = message.Reply(status=200, headers=(), body=b"")
-        else:
-            reply = message.problem(503, "not_ready")
-        exchange.answer(reply)
-
-    def _answer_metrics(self, exchange: callerside.Exchange) -> None:
-        now_ms = clock.now_ms()
-        facts = {
+
+    def _facts(self, now_ms: float) -> dict[str, float]:
+        return {
             "version": self.beliefs.version,
             "version_age_ms": now_ms - self.beliefs.config_ms,
             "list_age_ms": now_ms - self.beliefs.listed_ms,
@@ -248,19 +241,9 @@
             "opened_connection_count": self._pools.opened_count,
             "store_call_count": self._store.call_count,
             "instance_count": self.readers.total_count,
+            "suspected_count": self._suspicions.suspected_count,
+            "barred_count": self._suspicions.barred_count,
         }
-        for name, value in facts.items():
-            self._metrics.facts.set({"name": name}, value)
-        page = self._metrics.page()
-        page_headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
-        exchange.answer(
-            message.Reply(status=200, headers=page_headers, body=page)
-        )
-
-    def _note_ready(self, ready: bool) -> None:
-        if ready != self._said_ready:
-            self._said_ready = ready
-            log.write(log.Event.READY, ready=ready)
 
     async def run(self, callers_port: socket.socket | None = None) -> None:
         """Serves until a stop signal, then finishes what is in progress.
@@ -332,6 +315,8 @@
         watches = []
         if self._settings.mechanisms.told_calls:
             watches.append(self._peering.tell_calls())
+        if self._settings.mechanisms.suspicion:
+            watches.append(self._suspecting.tell())
         if self._settings.mechanisms.cut_belief:
             watches.append(self._reaching.watch())
         return watches
@@ -374,9 +359,10 @@
         self._settings = settings
         self._store.move(settings.store_address)
         self.readers.pace = readership.pace(settings.belief_bound_ms)
-        self._placing.settings = _placing_settings(settings)
-        self._delegating.known.link_mbps = _own_link_mbps(settings)
+        self._placing.settings = parts.placing_settings(settings)
+        self._delegating.known.link_mbps = parts.own_link_mbps(settings)
         self._extra_calls.share = self._budget_share()
+        self._suspicions.trust(settings.trusted_fingerprints, clock.now_ms())
 
     def _on_instances(self, far_gatherers: tuple[member.Peer, ...]) -> None:
         """Takes a new list of instances: shares go by their number."""
@@ -416,21 +402,6 @@
         )
 
 
-def _placing_settings(
-    settings: gateway.GatewaySettings,
-) -> placing.PlacingSettings:
-    return placing.PlacingSettings(
-        failure_domain=settings.failure_domain,
-        crossing_ratio=settings.crossing_ratio,
-        mechanisms=settings.mechanisms,
-    )
-
-
-def _own_link_mbps(settings: gateway.GatewaySettings) -> float:
-    """Returns the width by which queries are handed over; 0 for never."""
-    return settings.link_mbps if settings.mechanisms.handing_over else 0.0
-
-
 def _log_fault(
     _loop: asyncio.AbstractEventLoop, context: dict[str, object]
 ) -> None:
--- a/hyssoptack/gateway/gathering.py
+++ b/hyssoptack/gateway/gathering.py
@@ -22,6 +22,7 @@
 from hyssoptack.policy import gatherers
 from hyssoptack.policy import hedgetime
 from hyssoptack.policy import records
+from hyssoptack.policy import suspicion
 
 Send = collections.abc.Callable[[str, notice.Notice], None]
 LimitCount = collections.abc.Callable[[traffic.Upstream], int]
@@ -37,6 +38,7 @@
         send: Send,
         limit_count: LimitCount,
         is_stale: collections.abc.Callable[[], bool],
+        suspicions: suspicion.Suspicions,
     ):
         """Makes the calls of one instance, of which there are none yet.
 
@@ -46,12 +48,14 @@
             send: Sends a message to an address.
             limit_count: Returns how many connections an upstream may get.
             is_stale: Whether messages may be old, as this process stood still.
+            suspicions: Which requests crash upstreams.
         """
         self.beliefs = believed
         self.own_address = own_address
         self.send = send
         self.limit_count = limit_count
         self._is_stale = is_stale
+        self._suspicions = suspicions
         self.gathers: dict[tuple[str, int], Gather] = {}
 
     def take(self, ask: notice.RelayAsk, ready: bool) -> None:
@@ -66,7 +70,10 @@
             return
         gather = Gather(self, ask)
         if not ready or self._is_stale():
-            gather.decline()
+            gather.decline(callresult.GATHERER_DECLINED)
+            return
+        if self._suspicions.is_barred(ask.fingerprint, clock.now_ms()):
+            gather.decline(callresult.CRASHES_UPSTREAMS)
             return
         self.gathers[key] = gather
         gather.start()
@@ -102,12 +109,10 @@
             len(ask.calls),
         )
 
-    def decline(self) -> None:
+    def decline(self, reason: str) -> None:
         """Says that no call was made, nor will be."""
         for each in self._ask.calls:
-            self._ready.append(
-                _spared(each.call_id, callresult.GATHERER_DECLINED)
-            )
+            self._ready.append(_spared(each.call_id, reason))
         self._flush()
 
     def start(self) -> None:
@@ -192,6 +197,7 @@
             reached=read.reached,
             signature=signed,
             records=top,
+            ended=read.ended,
         )
 
     # Telling.
--- a/hyssoptack/gateway/metrics.py
+++ b/hyssoptack/gateway/metrics.py
@@ -43,6 +43,10 @@
             "hyssoptack_upstreams_ended_total",
             "Upstreams that ended with calls of ours in hand, by service.",
         )
+        self.suspicions = self._counter(
+            "hyssoptack_suspicions_total",
+            "Requests suspected, barred, refused, tried, cleared, forgotten.",
+        )
         self.request_ms = self._histogram(
             "hyssoptack_request_ms",
             "Time from a request's first byte to its answer, by route.",
--- /dev/null
+++ b/hyssoptack/gateway/pages.py
@@ -0,0 +1,63 @@
+"""What an instance says of itself: whether it is ready, and its metrics."""
+
+import collections.abc
+
+from hyssoptack.core import clock
+from hyssoptack.events import log
+from hyssoptack.gateway import metrics
+from hyssoptack.http1 import callerside
+from hyssoptack.http1 import message
+from hyssoptack.platform import headers
+
+Facts = collections.abc.Callable[[float], dict[str, float]]
+"""Returns facts of the instance by name, at a time."""
+
+
+class Pages:
+    """The pages of one instance."""
+
+    def __init__(
+        self,
+        counted: metrics.Metrics,
+        is_ready: collections.abc.Callable[[], bool],
+        facts: Facts,
+    ):
+        """Makes the pages.
+
+        Args:
+            counted: The instance's metrics.
+            is_ready: Whether it takes callers.
+            facts: Returns what else the page of metrics shows.
+        """
+        self._metrics = counted
+        self._is_ready = is_ready
+        self._facts = facts
+        self._said_ready = False
+
+    def answer_probe(self, exchange: callerside.Exchange) -> None:
+        """Tells the balancer whether to send callers."""
+        if exchange.request.path != headers.READINESS_PATH:
+            exchange.answer(message.problem(404, "unknown_path"))
+            return
+        ready = self._is_ready()
+        self._note_ready(ready)
+        if ready:
+            reply = message.Reply(status=200, headers=(), body=b"")
+        else:
+            reply = message.problem(503, "not_ready")
+        exchange.answer(reply)
+
+    def answer_metrics(self, exchange: callerside.Exchange) -> None:
+        """Shows the metrics, at any path."""
+        for name, value in self._facts(clock.now_ms()).items():
+            self._metrics.facts.set({"name": name}, value)
+        page = self._metrics.page()
+        page_headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        exchange.answer(
+            message.Reply(status=200, headers=page_headers, body=page)
+        )
+
+    def _note_ready(self, ready: bool) -> None:
+        if ready != self._said_ready:
+            self._said_ready = ready
+            log.write(log.Event.READY, ready=ready)
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -224,6 +224,8 @@
                     | notice.RelayAsk()
                     | notice.RelayBatch()
                     | notice.RelayLeft()
+                    | notice.SuspectsNotice()
+                    | notice.SuspectsWanted()
                 ):
                     self.on_query(each)
                 case notice.CallNotice(seen_calls=seen_calls):
--- a/hyssoptack/gateway/pool.py
+++ b/hyssoptack/gateway/pool.py
@@ -150,7 +150,7 @@
         self._waiting: collections.deque[Call] = collections.deque()
         self._open_count = 0
         self.limit_count = 1
-        self._broken: list[Job] = []
+        self._broken: list[tuple[Call, upstreamside.Broken]] = []
         self._check: asyncio.Task[None] | None = None
 
     @property
@@ -244,11 +244,12 @@
 
     # An upstream's end.
 
-    def _note_broken(self, job: Job) -> None:
-        """Looks whether an upstream that broke a call off has ended."""
-        if not job.fingerprint:
-            return
-        self._broken.append(job)
+    def _note_broken(self, call: Call, outcome: upstreamside.Broken) -> None:
+        """Looks whether an upstream that broke a call off has ended.
+
+        Its outcome waits for that, as what is sent next depends on it.
+        """
+        self._broken.append((call, outcome))
         if self._check is None:
             self._open_count += 1
             self._pools.opened_count += 1
@@ -259,12 +260,18 @@
         found = await self._connected(CHECK_TIMEOUT_MS)
         self._check = None
         broken, self._broken = tuple(self._broken), []
-        match found:
-            case upstreamside.UpstreamConnection():
-                # It lives: only the connection had ended.
-                self._keep(found)
-            case errno.ECONNREFUSED:
-                self._pools.on_ended(self._upstream, broken)
+        ended = found == errno.ECONNREFUSED
+        if ended:
+            jobs = tuple(call.job for call, _ in broken)
+            self._pools.on_ended(self._upstream, jobs)
+        alone = len(broken) == 1
+        for call, outcome in broken:
+            call.end(dataclasses.replace(outcome, ended=ended, alone=alone))
+        if isinstance(found, upstreamside.UpstreamConnection):
+            # It lives: only the connection had ended.
+            self._keep(found)
+        else:
+            self.released()
 
     def _on_lost(
         self, connection: upstreamside.UpstreamConnection
@@ -288,9 +295,11 @@
         def ended(outcome: upstreamside.Outcome) -> None:
             call.connection = None
             self._give_back(connection)
-            if isinstance(outcome, upstreamside.Broken) and outcome.sent:
-                self._note_broken(call.job)
-            call.end(outcome)
+            match outcome:
+                case upstreamside.Broken(sent=True) if call.job.fingerprint:
+                    self._note_broken(call, outcome)
+                case _:
+                    call.end(outcome)
 
         job = call.job
         connection.send(job.data(), job.request_id, job.to_head, ended)
--- a/hyssoptack/gateway/relaying.py
+++ b/hyssoptack/gateway/relaying.py
@@ -239,5 +239,9 @@
     if kind is callcommand.Kind.ANSWERED:
         reply = headers.relayed_part(told.signature, told.records)
     return callcommand.Outcome(
-        kind=kind, reply=reply, reason=told.reason, reached=told.reached
+        kind=kind,
+        reply=reply,
+        reason=told.reason,
+        reached=told.reached,
+        ended=told.ended,
     )
--- a/hyssoptack/gateway/running.py
+++ b/hyssoptack/gateway/running.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import http
 import typing
 
@@ -9,6 +10,7 @@
 from hyssoptack.core import fingerprint
 from hyssoptack.core import traffic
 from hyssoptack.events import log
+from hyssoptack.gateway import calltrace
 from hyssoptack.gateway import pool
 from hyssoptack.gateway import relaying
 from hyssoptack.http1 import message
@@ -16,6 +18,7 @@
 from hyssoptack.platform import headers
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import callplan
+from hyssoptack.policy import callresult
 from hyssoptack.policy import records
 from hyssoptack.policy import routetable
 
@@ -27,6 +30,10 @@
 its sockets, and are read before time is said to have passed."""
 
 
+TARGET_LOGGED_BYTES = 200
+"""Most of a path and query that a line names."""
+
+
 class Exchange(typing.Protocol):
     """A request to be answered once, by whomever it came.
 
@@ -81,31 +88,12 @@
         """The caller's id of it, for the log."""
         return self.facts.request_id.decode("latin-1")
 
-
-_OPEN = "open"
-"""What became of a call that is still out."""
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Trace:
-    """One call, for the log line of its request."""
-
-    upstream_id: str
-    service: str
-    sent_ms: float
-    extra: str
-    gatherer_id: str = ""
-    outcome: str = _OPEN
-    took_ms: float = 0.0
-
-    def text(self, started_ms: float) -> str:
-        """Returns the call as `upstream[@gatherer] why +start took outcome`."""
-        after_ms = self.sent_ms - started_ms
-        why = self.extra or "first"
-        by = f"@{self.gatherer_id}" if self.gatherer_id else ""
-        return (
-            f"{self.upstream_id}{by} {why} +{after_ms:.0f} "
-            f"{self.took_ms:.0f} {self.outcome}"
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Names its content; costs a hash."""
+        request = self.exchange.request
+        return fingerprint.of(
+            request.method, self.facts.host, request.target, request.body
         )
 
 
@@ -141,17 +129,13 @@
             goal_at_ms=query.goal_at_ms(self._now_ms),
             ends_at_ms=received_ms + self._wait_ms,
             may_have_run=may_have_run,
+            fingerprint=query.fingerprint,
         )
         self._plan = callplan.CallPlan(self._ask, owner.knowledge, self._now_ms)
-        self._fingerprint = fingerprint.of(
-            exchange.request.method,
-            facts.host,
-            exchange.request.target,
-            exchange.request.body,
-        )
+        self.fingerprint = query.fingerprint
         self._common = headers.forwarded(exchange.request)
         self._calls: dict[int, pool.Call] = {}
-        self._traces: dict[int, _Trace] = {}
+        self._traces: dict[int, calltrace.Trace] = {}
         self._relayed: list[relaying.Relayed] = []
         match found.route.target:
             case traffic.AllShards(top_count=top_count):
@@ -190,7 +174,7 @@
         near: list[callcommand.Send] = []
         far: dict[str, list[callcommand.Send]] = {}
         for each in sends:
-            self._traces[each.call_id] = _Trace(
+            self._traces[each.call_id] = calltrace.Trace(
                 upstream_id=each.upstream.upstream_id,
                 service=each.upstream.service,
                 sent_ms=self._now_ms,
@@ -199,7 +183,8 @@
             if each.extra:
                 self._log_extra(each)
             domain = each.upstream.failure_domain
-            if self._may_relay and self._owner.is_far(domain):
+            may_relay = self._may_relay and not each.careful
+            if may_relay and self._owner.is_far(domain):
                 far.setdefault(domain, []).append(each)
             else:
                 near.append(each)
@@ -221,7 +206,7 @@
             request_id=self._facts.request_id,
             route_name=self._route.name,
             top_count=self._top_count,
-            fingerprint=self._fingerprint,
+            fingerprint=self.fingerprint,
             common=self._common,
             deadline_at_ms=self._deadline_at_ms,
             goal_at_ms=self._ask.goal_at_ms,
@@ -240,10 +225,10 @@
             data=lambda: self._data(call_id, upstream),
             request_id=self._facts.request_id,
             to_head=self._exchange.request.method == b"HEAD",
-            once=not self._route.idempotent,
+            once=command.careful or not self._route.idempotent,
             proven=bool(command.extra),
             sink=lambda outcome: self._on_outcome(call_id, outcome),
-            fingerprint=self._fingerprint,
+            fingerprint=self.fingerprint,
         )
         limit_count = self._owner.connection_limit_count(upstream)
         call = self._owner.beliefs.pools.call(job, limit_count)
@@ -260,7 +245,7 @@
         call = self._calls.pop(call_id, None)
         if call is not None:
             call.cancel()
-        if self._traces[call_id].outcome == _OPEN:
+        if self._traces[call_id].outcome == calltrace.OPEN:
             self._note(call_id, "cancelled")
 
     def _note(self, call_id: int, outcome: str) -> None:
@@ -300,7 +285,7 @@
         self._now_ms = clock.now_ms()
         commands: list[callcommand.Command] = []
         for call_id, read in outcomes.items():
-            if self._traces[call_id].outcome == _OPEN:
+            if self._traces[call_id].outcome == calltrace.OPEN:
                 self._note_outcome(call_id, read)
             commands.extend(self._plan.on_outcome(call_id, read, self._now_ms))
         commands.extend(self._plan.on_dried_up(waiting, self._now_ms))
@@ -332,6 +317,11 @@
         self._now_ms = clock.now_ms()
         self._carry(self._plan.on_cut(self._now_ms))
 
+    def note_barred(self) -> None:
+        """Gives up a request that was found to crash upstreams."""
+        self._now_ms = clock.now_ms()
+        self._carry(self._plan.on_barred(self._now_ms))
+
     def _left(self) -> None:
         """Cancels everything: nobody waits for the answer."""
         self._now_ms = clock.now_ms()
@@ -355,6 +345,8 @@
             ):
                 reply = headers.single_reply(failure)
             case callcommand.Fail(reason=detail, timed_out=timed_out):
+                if detail == callresult.CRASHES_UPSTREAMS:
+                    self._owner.metrics.suspicions.inc({"what": "refused"})
                 status = (
                     http.HTTPStatus.GATEWAY_TIMEOUT
                     if timed_out
@@ -399,7 +391,7 @@
         log.write(
             log.Event.REQUEST_ENDED,
             request_id=self._facts.request_id.decode("latin-1"),
-            fingerprint=self._fingerprint,
+            fingerprint=self.fingerprint,
             route=self._route.name,
             status=status,
             reason=detail,
@@ -410,8 +402,16 @@
             version_age_ms=round(now_ms - self._owner.beliefs.config_ms),
             list_age_ms=round(now_ms - self._owner.beliefs.listed_ms),
             calls=[each.text(started_ms) for each in self._traces.values()],
+            **self._suspect_facts(),
         )
 
+    def _suspect_facts(self) -> dict[str, str]:
+        """Returns what finds the caller of a request that crashes upstreams."""
+        if not self._plan.caution.ending_count:
+            return {}
+        target = self._exchange.request.target[:TARGET_LOGGED_BYTES]
+        return {"host": self._facts.host, "target": target.decode("latin-1")}
+
     def _count(self, status: int, took_ms: float) -> None:
         counted = self._owner.metrics
         labels = {"route": self._route.name}
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -100,7 +100,11 @@
             )
             timed = dataclasses.replace(timed, spent_ms=spent_ms)
         version = self._beliefs.version
-        if self.delegating is None or not self.delegating.offer(timed, version):
+        known = self._knowledge.suspicions
+        here = self.delegating is None or (
+            known.holds_any and known.knows(timed.fingerprint)
+        )
+        if here or not self.delegating.offer(timed, version):
             self.run_here(timed, may_have_run=False)
 
     def run_here(self, query: running.Request, may_have_run: bool) -> None:
@@ -166,6 +170,12 @@
         for each in tuple(self.running):
             each.note_cut()
 
+    def note_barred(self, fingerprint: str) -> None:
+        """Ends what is found to crash the upstreams that run it."""
+        for each in tuple(self.running):
+            if each.fingerprint == fingerprint:
+                each.note_barred()
+
     @property
     def beliefs(self) -> beliefs.Beliefs:
         """What requests are served from."""
--- /dev/null
+++ b/hyssoptack/gateway/suspecting.py
@@ -0,0 +1,228 @@
+"""Requests that crash upstreams: what is found here, and what others find.
+
+`policy.suspicion` holds the beliefs; here they are logged and told. News go to
+some instances of the own failure domain and of others at once, who pass them on
+when they are news to them, too. Each second a part of all that is held is told
+to one of each: what was lost, or found while a domain was cut off, is made up
+for. An instance that has just started asks. While nothing is held, nothing is
+sent.
+"""
+
+import asyncio
+import collections.abc
+import random
+
+from hyssoptack.core import clock
+from hyssoptack.core import member
+from hyssoptack.core import notice
+from hyssoptack.core import traffic
+from hyssoptack.events import log
+from hyssoptack.gateway import metrics
+from hyssoptack.gateway import pool
+from hyssoptack.policy import suspicion
+
+ROUND_S = 1.0
+"""How often a part of all is told: an instance that missed some has heard it
+within 3 s in 399 of 400 cases, as each round all others tell two."""
+
+NEWS_PAUSE_S = 0.02
+"""News that come together are told together; a query's upstreams end within
+some tens of milliseconds."""
+
+NEAR_COUNT = 4
+FAR_COUNT = 2
+"""Instances of the own and of other failure domains that are told news. Each
+tells on as many: 997 of 1,000 hear it so within some tens of milliseconds."""
+
+NEWS_COUNT = 6
+"""Most requests that are told of at once: at the pace below that is a second's
+worth, so that the next one is told in time. Requests that crash upstreams are
+few; where somebody makes up many, what others hold of them helps nobody."""
+
+PART_COUNT = 16
+"""Most requests that a round tells of again."""
+
+ANSWER_COUNT = 256
+"""Most requests that an instance is told of that has just started."""
+
+SUSPECT_BYTES = 150
+"""About what one request takes in a message (120 while it is barred)."""
+
+PACE_BYTES_PER_S = 6_000
+"""What is told on the average at most: a third of what an instance may send
+for control (19 KB a second), however many requests are suspected."""
+
+ASK_ROUNDS_COUNT = 3
+"""So many rounds after its start an instance asks what others hold: who it
+asks first may have just started as well."""
+
+IN_HAND_LOGGED_COUNT = 16
+"""Most calls of a lost upstream that one line names: it has 3 to 6 slots, and
+as many calls of this instance at most as that and its queue."""
+
+EVENTS = {
+    suspicion.What.SUSPECTED: log.Event.SUSPICION_BEGAN,
+    suspicion.What.BARRED: log.Event.REQUEST_BARRED,
+    suspicion.What.TRIED: log.Event.REQUEST_TRIED,
+    suspicion.What.CLEARED: log.Event.SUSPICION_ENDED,
+    suspicion.What.FORGOTTEN: log.Event.SUSPICION_ENDED,
+}
+
+Send = collections.abc.Callable[[str, notice.Notice], None]
+Peers = collections.abc.Callable[[], collections.abc.Sequence[member.Peer]]
+
+
+class Suspecting:
+    """One instance's part in what all hold against requests."""
+
+    def __init__(
+        self,
+        known: suspicion.Suspicions,
+        own: member.Peer,
+        near: Peers,
+        far: Peers,
+        send: Send,
+        on_barred: collections.abc.Callable[[str], None],
+        counted: metrics.Metrics,
+    ):
+        """Makes the part of one instance.
+
+        Args:
+            known: What it holds.
+            own: Its name and address.
+            near: Returns the others of its failure domain.
+            far: Returns some of other failure domains.
+            send: Sends a message to an address.
+            on_barred: Told of a request that is refused from now on.
+            counted: The instance's metrics.
+        """
+        self.known = known
+        self._own = own
+        self._near = near
+        self._far = far
+        self._send = send
+        self._on_barred = on_barred
+        self._metrics = counted
+        self._random = random.Random()
+        self._ask_count = ASK_ROUNDS_COUNT
+        self._news = asyncio.Event()
+        known.on_change = self._on_change
+        known.on_news = self._news.set
+
+    # What is found.
+
+    def on_upstream_ended(
+        self, upstream: traffic.Upstream, in_hand: tuple[pool.Job, ...]
+    ) -> None:
+        """Takes that an upstream broke calls off and is gone."""
+        self._metrics.upstreams_ended.inc({"service": upstream.service})
+        log.write(
+            log.Event.UPSTREAM_ENDED,
+            upstream=upstream.upstream_id,
+            service=upstream.service,
+            in_hand=[
+                f"{each.fingerprint} {each.request_id.decode('latin-1')}"
+                for each in in_hand[:IN_HAND_LOGGED_COUNT]
+            ],
+            in_hand_count=len(in_hand),
+        )
+
+    def _on_change(self, change: suspicion.Change) -> None:
+        self._metrics.suspicions.inc({"what": change.what.value})
+        log.write(
+            EVENTS[change.what],
+            fingerprint=change.fingerprint,
+            what=change.what.value,
+            upstreams=list(change.upstream_ids),
+            barred_count=change.barred_count,
+            for_ms=round(change.for_ms),
+            source=change.source,
+        )
+        if change.what is suspicion.What.BARRED:
+            # The plan that found so is not done with its own command yet.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._on_barred, change.fingerprint)
+
+    # What is told.
+
+    async def tell(self) -> None:
+        """Tells others what is held, for as long as it runs."""
+        while True:
+            try:
+                async with asyncio.timeout(ROUND_S):
+                    await self._news.wait()
+            except TimeoutError:
+                # No news: a part of all is told again.
+                pass
+            else:
+                await asyncio.sleep(NEWS_PAUSE_S)
+            await asyncio.sleep(self._round())
+
+    def _round(self) -> float:
+        """Tells and asks once; returns how long to pause after it, in s."""
+        now_ms = clock.now_ms()
+        self.known.forget_old(now_ms)
+        self._ask()
+        if self._news.is_set():
+            self._news.clear()
+            news = self.known.take_news(NEWS_COUNT, now_ms)
+            told_count = self._tell(news, NEAR_COUNT, FAR_COUNT)
+            self._log_shared(news)
+        else:
+            part = self.known.some(PART_COUNT, now_ms)
+            told_count = self._tell(part, 1, 1)
+        return told_count * SUSPECT_BYTES / PACE_BYTES_PER_S
+
+    def _tell(
+        self, suspects: tuple[notice.Suspect, ...], near: int, far: int
+    ) -> int:
+        """Tells some others; returns how often a request was told of."""
+        if not suspects:
+            return 0
+        made = notice.SuspectsNotice(
+            sender_id=self._own.instance_id, suspects=suspects
+        )
+        peers = self._some(self._near(), near) + self._some(self._far(), far)
+        for peer in peers:
+            self._send(peer.address, made)
+        return len(suspects) * len(peers)
+
+    def _some(
+        self, peers: collections.abc.Sequence[member.Peer], most_count: int
+    ) -> list[member.Peer]:
+        return self._random.sample(peers, min(len(peers), most_count))
+
+    def _log_shared(self, news: tuple[notice.Suspect, ...]) -> None:
+        if news:
+            log.write(
+                log.Event.SUSPICION_SHARED,
+                fingerprints=[each.fingerprint for each in news],
+            )
+
+    def _ask(self) -> None:
+        peers = self._some(self._near(), 2) + self._some(self._far(), 1)
+        if not self._ask_count or not peers:
+            return
+        self._ask_count -= 1
+        wanted = notice.SuspectsWanted(address=self._own.address)
+        for peer in peers:
+            self._send(peer.address, wanted)
+
+    # What others tell.
+
+    def on_message(
+        self, each: notice.SuspectsNotice | notice.SuspectsWanted
+    ) -> None:
+        """Takes another instance's word, or answers its question."""
+        now_ms = clock.now_ms()
+        match each:
+            case notice.SuspectsNotice(sender_id=sender_id, suspects=suspects):
+                for suspect in suspects:
+                    self.known.take_told(suspect, sender_id, now_ms)
+            case notice.SuspectsWanted(address=address):
+                suspects = self.known.some(ANSWER_COUNT, now_ms)
+                if suspects:
+                    made = notice.SuspectsNotice(
+                        sender_id=self._own.instance_id, suspects=suspects
+                    )
+                    self._send(address, made)
--- /dev/null
+++ b/hyssoptack/gateway/suspecting_test.py
@@ -0,0 +1,242 @@
+"""What instances tell each other of requests that crash upstreams."""
+
+import asyncio
+
+from hyssoptack.core import notice
+from hyssoptack.gateway import crashing_test
+from hyssoptack.gateway import gateway_test
+from hyssoptack.gateway import harness
+from hyssoptack.http1 import message
+from hyssoptack.settings import gateway
+
+TOLD_S = 2.5
+"""Less than the shortest time that the users give from the third crash on."""
+
+
+def _suspicions(site, name):
+    return site.gateways[name]._suspicions
+
+
+async def _wait_barred(site, *names):
+    async with asyncio.timeout(TOLD_S):
+        while not all(_suspicions(site, each).barred_count for each in names):
+            await asyncio.sleep(0.02)
+
+
+def _cut(site, name):
+    """Loses all messages between an instance and the others, both ways."""
+    cut_off = site.gateways[name]
+    addresses = {cut_off._settings.peer_address}
+    ends = []
+    for other in site.gateways.values():
+        peering = other._peering
+        kept = peering._links.send
+
+        def send(address, body, other=other, kept=kept):
+            if (other is cut_off) == (address in addresses):
+                kept(address, body)
+
+        peering._links.send = send
+        ends.append((peering._links, kept))
+
+    def heal():
+        for links, kept in ends:
+            links.send = kept
+
+    return heal
+
+
+BUDGET = gateway.BudgetSettings(slack_count=10_000.0)
+"""Calls enough that only suspicion could keep anything from being served."""
+
+
+async def _get_twice(site, path, name):
+    """Sends a request as callers do: once more after a failure."""
+    got = await site.get(path, f"first{path}", name=name)
+    if got.status == 200:
+        return got
+    assert b"crashes_upstreams" not in got.body
+    await asyncio.sleep(float(got.headers.get("retry-after", "0")))
+    return await site.get(path, f"again{path}", name=name)
+
+
+async def _desk(site, count=6):
+    for index in range(count):
+        zone = "north" if index % 2 else "south"
+        await site.add_upstream(f"i-{index}", "desk", zone=zone)
+    site.configure(gateway_test.SINGLE)
+
+
+def test_all_know_of_it_soon_though_messages_are_lost_at_first():
+    async def test():
+        async with harness.Site() as site:
+            await crashing_test._index(site)
+            crashing_test._Watch(site, b"/all/bad")
+            heal = _cut(site, "s1")
+            await crashing_test._repeat(site, "/all/bad", 0.6, 0.2, "bad")
+            await _wait_barred(site, "n1", "n2")
+            heal()
+            await _wait_barred(site, "s1")
+
+    asyncio.run(test())
+
+
+def test_a_cut_off_instance_finds_out_alone_and_both_sides_agree_later():
+    async def test():
+        async with harness.Site() as site:
+            await crashing_test._index(site)
+            watch = crashing_test._Watch(site, b"/all/bad")
+            heal = _cut(site, "s1")
+            await site.get("/all/bad", "bad-1", name="s1")
+            await _wait_barred(site, "s1")
+            alone_count = len(watch.crash_ms)
+            heal()
+            await _wait_barred(site, "n1", "n2")
+            got = await site.get("/all/bad", "bad-2", name="n1")
+            assert got.status == 502
+            assert len(watch.crash_ms) == alone_count
+
+    asyncio.run(test())
+
+
+def test_it_goes_on_while_the_store_is_away():
+    async def test():
+        async with harness.Site() as site:
+            await crashing_test._index(site)
+            crashing_test._Watch(site, b"/all/bad")
+            site.store.stop()
+            await site.get("/all/bad", "bad-1", name="n1")
+            await _wait_barred(site, "n1", "n2", "s1")
+
+    asyncio.run(test())
+
+
+def test_requests_beside_it_are_all_served():
+    # Single requests that share upstreams with one that crashes them: each
+    # loses its upstream at most a few times, and is answered elsewhere.
+    async def test():
+        async with harness.Site() as site:
+            await _desk(site, 12)
+            await crashing_test._start_three(site)
+            crashing_test._Watch(site, b"/one/bad")
+            beside = [
+                asyncio.create_task(_get_twice(site, f"/one/ok-{index}", name))
+                for index, name in enumerate(("n1", "n2", "s1") * 6)
+            ]
+            bad = await site.get("/one/bad", "bad-1", name="n1")
+            assert bad.status == 502
+            statuses = [got.status for got in await asyncio.gather(*beside)]
+            assert statuses.count(200) == len(statuses)
+            for name in site.gateways:
+                assert _suspicions(site, name).barred_count == 0
+
+    asyncio.run(test())
+
+
+def test_upstreams_that_crash_by_chance_bar_no_request():
+    async def test():
+        async with harness.Site() as site:
+            await crashing_test._index(site, budget=BUDGET)
+            crashing_test._Watch(site, b"/none")
+            statuses = []
+            for turn in range(6):
+                asked = [
+                    asyncio.create_task(
+                        _get_twice(site, f"/all/q-{turn}-{n}", name)
+                    )
+                    for n, name in enumerate(("n1", "n2", "s1") * 3)
+                ]
+                await asyncio.sleep(crashing_test.WORK_MS / 2 / 1_000.0)
+                # One failure domain's upstreams, by turns, all at once.
+                for each in site.services.values():
+                    if int(each.upstream_id[-1]) % 2 == turn % 2:
+                        each.manners.return_ms = 300.0
+                        each.crash()
+                statuses += [got.status for got in await asyncio.gather(*asked)]
+                await asyncio.sleep(0.5)
+            assert statuses == [200] * len(statuses)
+            for name in site.gateways:
+                assert _suspicions(site, name).barred_count == 0
+
+    asyncio.run(test())
+
+
+def test_what_has_become_harmless_is_served_again_everywhere():
+    async def test():
+        async with harness.Site() as site:
+            await crashing_test._index(site)
+            watch = crashing_test._Watch(site, b"/all/bad")
+            await site.get("/all/bad", "bad-1", name="n1")
+            await _wait_barred(site, "n1", "n2", "s1")
+            await asyncio.sleep(crashing_test.RETURN_MS / message.MS_PER_S)
+            for each in site.services.values():
+                each.manners.crashes_on = b""
+            crashes = len(watch.crash_ms)
+            # Its time is over at the instance that is asked.
+            entry = next(iter(_suspicions(site, "n2")._barred.values()))
+            entry.barred_until_ms = entry.spread_ms = 0.0
+            got = await site.get("/all/bad", "ok-1", name="n2")
+            assert got.status == 200
+            await asyncio.sleep(0.5)
+            for name in site.gateways:
+                got = await site.get("/all/bad", f"ok-{name}", name=name)
+                assert got.status == 200
+            assert len(watch.crash_ms) == crashes
+
+    asyncio.run(test())
+
+
+def test_nothing_is_sent_while_nothing_is_held():
+    async def test():
+        async with harness.Site() as site:
+            await crashing_test._index(site)
+            told = []
+            for each in site.gateways.values():
+                kept = each._suspecting._send
+
+                def send(address, body, kept=kept):
+                    told.append(body)
+                    kept(address, body)
+
+                each._suspecting._send = send
+            # Asking others after the start is over by then.
+            await asyncio.sleep(3.5)
+            told.clear()
+            for number in range(9):
+                await site.get(f"/all/{number}", f"r{number}", name="n1")
+            await asyncio.sleep(1.5)
+            assert not told
+
+    asyncio.run(test())
+
+
+def test_a_neighbour_that_runs_queries_for_others_refuses_it_too():
+    async def test():
+        async with harness.Site() as site:
+            await crashing_test._index(site)
+            crashing_test._Watch(site, b"/all/bad")
+            await site.get("/all/bad", "bad-1", name="n1")
+            await _wait_barred(site, "n2", "s1")
+            bar = next(iter(_suspicions(site, "s1")._barred))
+            gathering = site.gateways["s1"]._gathering
+            sent = []
+            gathering.send = lambda _, body: sent.append(body)
+            ask = notice.RelayAsk(
+                sender_address="127.0.0.1:1",
+                ask_id=1,
+                route_name="route-0",
+                top_count=3,
+                request_id=b"bad-2",
+                head=b"GET /all/bad HTTP/1.1\r\n",
+                body=b"",
+                remaining_ms=500.0,
+                to_goal_ms=100.0,
+                calls=(notice.RelayedCall(call_id=1, upstream_id="i-0-0"),),
+                fingerprint=bar,
+            )
+            gathering.take(ask, ready=True)
+            (batch,) = sent
+            assert batch.outcomes[0].reason == "crashes_upstreams"
+            assert not gathering.gathers
+
+    asyncio.run(test())
--- a/hyssoptack/http1/upstreamside.py
+++ b/hyssoptack/http1/upstreamside.py
@@ -28,10 +28,14 @@
     Attributes:
         reason: What was seen.
         sent: Whether a byte of the request may have left.
+        ended: Whether the upstream was found to have ended.
+        alone: Whether it was the only call that broke off with it.
     """
 
     reason: str
     sent: bool
+    ended: bool = False
+    alone: bool = False
 
 
 Outcome = message.Reply | Broken
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -120,8 +120,13 @@
             return callcommand.Outcome(
                 kind=callcommand.Kind.NOT_RUN, reason=reason, reached=False
             )
-        case upstreamside.Broken(reason=reason):
-            return _failed(reason)
+        case upstreamside.Broken():
+            return callcommand.Outcome(
+                kind=callcommand.Kind.FAILED,
+                reason=seen.reason,
+                ended=seen.ended,
+                alone=seen.alone,
+            )
         case message.Reply() if to_merge:
             return part_outcome(seen)
         case message.Reply():
--- a/hyssoptack/policy/callcommand.py
+++ b/hyssoptack/policy/callcommand.py
@@ -20,6 +20,7 @@
         ends_at_ms: When the caller stops waiting, or the route's timeout ends.
         may_have_run: Whether it was begun elsewhere: its first calls then are
             extra ones, and it has an attempt less.
+        fingerprint: Names its content.
     """
 
     route: traffic.Route
@@ -27,6 +28,7 @@
     goal_at_ms: float
     ends_at_ms: float
     may_have_run: bool = False
+    fingerprint: str = ""
 
     @property
     def attempts_count(self) -> int:
@@ -52,12 +54,16 @@
         reply: The upstream's reply, if a whole one came.
         reason: What was seen, for logs.
         reached: Whether the upstream may have seen the request.
+        ended: Whether the upstream has ended with the call in hand.
+        alone: Whether it then had no other call of the same instance.
     """
 
     kind: Kind
     reply: object = None
     reason: str = ""
     reached: bool = True
+    ended: bool = False
+    alone: bool = False
 
     @property
     def alive(self) -> bool:
@@ -69,11 +75,20 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Send:
-    """Call an upstream; `extra` says why it is not the part's first call."""
+    """Call an upstream.
+
+    Attributes:
+        call_id: The call's number.
+        upstream: Whom to call.
+        extra: Why it is not the part's first call.
+        careful: Whether it goes from here and over a new connection, which
+            shows that the upstream lives.
+    """
 
     call_id: int
     upstream: traffic.Upstream
     extra: str = ""
+    careful: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/policy/calllearning.py
+++ b/hyssoptack/policy/calllearning.py
@@ -5,6 +5,7 @@
 from hyssoptack.policy import placing
 
 NO_FAULT_REASONS = callresult.GATHERERS_FAULTS | {
+    callresult.CRASHES_UPSTREAMS,
     callresult.CUT_OFF,
     callresult.NOT_LISTED_THERE,
 }
--- a/hyssoptack/policy/callpart.py
+++ b/hyssoptack/policy/callpart.py
@@ -18,6 +18,7 @@
             connection.
         overdue_ms: When an outcome is overdue, where another instance makes
             the call; None where it is made from here.
+        careful: Whether it goes over a new connection (`policy.caution`).
     """
 
     call_id: int
@@ -27,6 +28,7 @@
     far: bool = False
     sent: bool = True
     overdue_ms: float | None = None
+    careful: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -12,10 +12,12 @@
 import collections.abc
 
 from hyssoptack.core import traffic
+from hyssoptack.policy import callchoice
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import calllearning
 from hyssoptack.policy import callpart
 from hyssoptack.policy import callresult
+from hyssoptack.policy import caution
 from hyssoptack.policy import hedgequeue
 from hyssoptack.policy import hedgetime
 from hyssoptack.policy import knowing
@@ -27,10 +29,6 @@
 without takes the last token: an answer that is late by one part loses nine
 tenths of its use, one that leaves the part out a twentieth."""
 
-RESEND_LIMIT_COUNT = 2
-"""Calls to upstreams that refused before, for each part: one for each of the
-two that the users' routes allow."""
-
 END_MARGIN_MS = 10.0
 """Kept back from the caller's deadline to write the answer and carry it."""
 
@@ -63,9 +61,8 @@
             self._may_hedge,
             knowledge.mechanisms.dry_hedges,
         )
-        self._preferred: dict[str, str] = {}
-        if len(ask.services) > 1 and knowledge.mechanisms.relaying:
-            self._preferred = knowledge.placing.preferred(ask.services)
+        self.caution = caution.Caution(knowledge.suspicions, ask.fingerprint)
+        self._choice = callchoice.Choice(ask, knowledge, self.caution)
         match ask.route.target:
             case traffic.AllShards(floor_ratio=floor_ratio):
                 self._floor_count = floor_ratio * len(self._parts.all)
@@ -76,10 +73,13 @@
         """Returns the first calls, one for each part.
 
         Nothing is sent where the floor is out of reach from the start: the
-        caller is then told that nothing ran.
+        caller is then told that nothing ran. Nor is what crashes upstreams:
+        earlier attempts have run.
         """
+        if not self.caution.begin(now_ms):
+            return self._give_up(now_ms)
         chosen = [
-            (part, self._first_choice(part, now_ms)) for part in self._parts.all
+            (part, self._choice.first(part, now_ms)) for part in self._parts.all
         ]
         for part, upstream in chosen:
             if upstream is None:
@@ -90,22 +90,9 @@
         for part, upstream in chosen:
             if upstream is not None:
                 commands.extend(self._send_first(part, upstream, now_ms))
+        commands.extend(self._release(now_ms))
         return commands + self._finish_if_due(now_ms)
 
-    def _first_choice(
-        self, part: callpart.Part, now_ms: float
-    ) -> traffic.Upstream | None:
-        upstream = self._choose(part, now_ms)
-        if upstream is None or not self.ask.may_have_run:
-            return upstream
-        if self.ask.attempts_count < 1:
-            part.last_reason = "no_attempts_left"
-            return None
-        if not self._know.extra_calls.spend(part.service, now_ms):
-            part.last_reason = "no_retry_budget"
-            return None
-        return upstream
-
     def _send_first(
         self, part: callpart.Part, upstream: traffic.Upstream, now_ms: float
     ) -> list[callcommand.Command]:
@@ -150,6 +137,14 @@
         call = self._calls.pop(call_id, None)
         if call is None:
             return []
+        return self._on_outcome(call, outcome, now_ms) + self._release(now_ms)
+
+    def _on_outcome(
+        self,
+        call: callpart.Call,
+        outcome: callcommand.Outcome,
+        now_ms: float,
+    ) -> list[callcommand.Command]:
         self._know.placing.ended(call.upstream_id)
         calllearning.learn(
             self._know.placing,
@@ -159,13 +154,15 @@
             outcome,
             now_ms,
         )
-        if call.far:
-            self._note_far(outcome)
+        if call.far and outcome.reason != callresult.CUT_OFF:
+            self._know.domains.note_outcome(self._tally, outcome.alive)
         if self.finished:
             return []
         part = call.part
-        part.calls.pop(call_id, None)
+        part.calls.pop(call.call_id, None)
         part.last_reason = outcome.reason or outcome.kind.value
+        if self.caution.gives_up(call, outcome, now_ms):
+            return self._give_up(now_ms)
         commands = self._take(part, call.upstream_id, outcome, now_ms)
         return commands + self._finish_if_due(now_ms)
 
@@ -214,20 +211,24 @@
                 )
         return commands
 
+    def on_barred(self, now_ms: float) -> list[callcommand.Command]:
+        """Gives up on a request that was found to crash upstreams."""
+        if self.finished:
+            return []
+        if self._parts.answered_count:
+            # It was answered here: whoever found so lacks that.
+            self.caution.refute(now_ms)
+            return []
+        return self._give_up(now_ms)
+
     def abandon(self, now_ms: float) -> list[callcommand.Command]:
         """Gives everything up: the caller has left."""
         self.finished = True
+        self.caution.note_failed()
         return self._cancel_all(now_ms)
 
     # Outcomes of calls.
 
-    def _note_far(self, outcome: callcommand.Outcome) -> None:
-        if outcome.alive:
-            self._tally.alive_count += 1
-            self._know.domains.note_alive()
-        elif outcome.reason != callresult.CUT_OFF:
-            self._know.domains.note_lost()
-
     def _take(
         self,
         part: callpart.Part,
@@ -240,6 +241,7 @@
         match outcome.kind:
             case callcommand.Kind.ANSWERED:
                 self._parts.answer(part, outcome.reply)
+                self.caution.note_answer(now_ms)
                 self._hedge_time.note_answer(now_ms)
                 self._may_have_run = True
                 return self._cancel_part(part, now_ms)
@@ -272,7 +274,7 @@
         """
         if part.calls and not self._floor_at_risk():
             return []
-        upstream = self._next_upstream(part, now_ms)
+        upstream = self._choice.next(part, now_ms)
         if upstream is not None:
             if self._know.extra_calls.spend(part.service, now_ms):
                 return self._send_to(part, upstream, now_ms, why)
@@ -281,51 +283,12 @@
             self._parts.lose(part)
         return []
 
-    def _next_upstream(
-        self, part: callpart.Part, now_ms: float
-    ) -> traffic.Upstream | None:
-        """Returns whom to send a part to once more, if the route allows it.
-
-        When there is no other, or it was sent to as many as may be, one that
-        refused is asked again: it has not run the request.
-        """
-        if len(part.sent_to) < self.ask.attempts_count:
-            other = self._choose(part, now_ms)
-            if other is not None:
-                return other
-        if not part.shed_by or part.resend_count >= RESEND_LIMIT_COUNT:
-            return None
-        if not self._know.mechanisms.resends:
-            return None
-        part.resend_count += 1
-        return self._know.placing.listed(part.shed_by.pop(0))
-
-    def _choose(
-        self, part: callpart.Part, now_ms: float
-    ) -> traffic.Upstream | None:
-        cut = self._know.domains.cut
-        upstream = self._know.placing.choose(
-            self.ask.route.name,
-            part.service,
-            frozenset(part.tried),
-            now_ms,
-            near_only=cut,
-            preferred_domain=self._preferred.get(part.service, ""),
-        )
-        if cut and upstream is None:
-            part.last_reason = callresult.CUT_OFF
-        return upstream
-
-    def _is_far(self, upstream: traffic.Upstream) -> bool:
-        own = self._know.placing.settings.failure_domain
-        return upstream.failure_domain != own
-
     # Calls.
 
     def _send(
         self, part: callpart.Part, now_ms: float, extra: str = ""
     ) -> list[callcommand.Command]:
-        upstream = self._choose(part, now_ms)
+        upstream = self._choice.other(part, now_ms)
         if upstream is None:
             if not part.calls:
                 self._parts.lose(part)
@@ -339,6 +302,9 @@
         now_ms: float,
         extra: str,
     ) -> list[callcommand.Command]:
+        out = self._calls.values()
+        if self.caution.holds_back(part, extra, out):
+            return []
         call_id = self._next_call_id
         self._next_call_id += 1
         call = callpart.Call(
@@ -346,7 +312,8 @@
             upstream_id=upstream.upstream_id,
             sent_ms=now_ms,
             part=part,
-            far=self._is_far(upstream),
+            far=self._choice.is_far(upstream),
+            careful=self.caution.careful,
         )
         self._tally.sent_count += call.far
         part.calls[call_id] = self._calls[call_id] = call
@@ -354,9 +321,26 @@
         self._hedges.add(call)
         self._know.placing.sent(upstream.upstream_id)
         return [
-            callcommand.Send(call_id=call_id, upstream=upstream, extra=extra)
+            callcommand.Send(
+                call_id=call_id,
+                upstream=upstream,
+                extra=extra,
+                careful=call.careful,
+            )
         ]
 
+    def _release(self, now_ms: float) -> list[callcommand.Command]:
+        """Sends what had to wait while the request was sent with care."""
+        commands: list[callcommand.Command] = []
+        while not self.finished:
+            released = self.caution.release(self._calls, now_ms)
+            if released is None:
+                return commands
+            part, extra = released
+            commands.extend(self._send(part, now_ms, extra))
+            commands.extend(self._finish_if_due(now_ms))
+        return commands
+
     def _may_hedge(self, part: callpart.Part) -> bool:
         return (
             self.ask.route.idempotent
@@ -376,10 +360,10 @@
         if not self._know.extra_calls.spend(part.service, now_ms, keep_count):
             return []
         relayed = call.overdue_ms is not None
-        if relayed and self._choose(part, now_ms) is None:
+        if relayed and self._choice.other(part, now_ms) is None:
             # Its upstream may be well, and the instance that calls it gone.
             part.tried.discard(call.upstream_id)
-        return self._send(part, now_ms, "hedge")
+        return self._send(part, now_ms, caution.HEDGE)
 
     def _floor_at_risk(self) -> bool:
         """Whether a query needs more than the parts that are in."""
@@ -418,7 +402,7 @@
         return answered_count > 0 and answered_count >= self._floor_count
 
     def _answers_at_goal(self) -> bool:
-        """Whether the goal ends the wait for missing parts."""
+        """Whether the goal ends the wait for parts."""
         return self._know.mechanisms.answer_at_goal and self._covers_floor()
 
     def _finish_if_due(self, now_ms: float) -> list[callcommand.Command]:
@@ -436,8 +420,6 @@
     def _finish(
         self, now_ms: float, timed_out: bool
     ) -> list[callcommand.Command]:
-        self.finished = True
-        self._know.domains.note_waited(self._tally, now_ms - self._started_ms)
         # A call that was sent and is still out may run at any moment.
         out = any(call.sent for call in self._calls.values())
         result = callresult.result_of(
@@ -446,4 +428,17 @@
             timed_out=timed_out,
             may_have_run=self._may_have_run or out,
         )
+        return self._end(result, now_ms)
+
+    def _give_up(self, now_ms: float) -> list[callcommand.Command]:
+        reason = callresult.CRASHES_UPSTREAMS
+        result = callcommand.Fail(reason=reason, timed_out=False)
+        return self._end(result, now_ms)
+
+    def _end(
+        self, result: callcommand.Result, now_ms: float
+    ) -> list[callcommand.Command]:
+        self.finished = True
+        self._know.domains.note_waited(self._tally, now_ms - self._started_ms)
+        self.caution.note_failed()
         return [*self._cancel_all(now_ms), callcommand.Finish(result=result)]
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -4,6 +4,7 @@
 import sys
 
 from hyssoptack.core import traffic
+from hyssoptack.policy import callchoice
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import callplan
 from hyssoptack.policy import extrawindow
@@ -40,7 +41,7 @@
     )
 
 
-def plan(know, target=None, idempotent=True, attempts=2):
+def plan(know, target=None, idempotent=True, attempts=2, name=""):
     route = traffic.Route(
         name="r",
         host="h",
@@ -54,7 +55,11 @@
     )
     services = target.shards if target else ("s0",)
     ask = callcommand.Ask(
-        route=route, services=services, goal_at_ms=GOAL_MS, ends_at_ms=END_MS
+        route=route,
+        services=services,
+        goal_at_ms=GOAL_MS,
+        ends_at_ms=END_MS,
+        fingerprint=name,
     )
     return callplan.CallPlan(ask, know, 0.0)
 
@@ -199,7 +204,7 @@
             asked.append(call.upstream.upstream_id)
     assert isinstance(end, callcommand.Refuse)
     assert len(set(asked)) == 2
-    assert len(asked) == 2 + callplan.RESEND_LIMIT_COUNT
+    assert len(asked) == 2 + callchoice.RESEND_LIMIT_COUNT
 
 
 def test_the_only_upstream_is_asked_again_after_it_refused():
--- a/hyssoptack/policy/callresult.py
+++ b/hyssoptack/policy/callresult.py
@@ -15,6 +15,10 @@
 GATHERERS_FAULTS = frozenset((GATHERER_LOST, GATHERER_DECLINED))
 """Then the upstream itself may be called from here."""
 
+CRASHES_UPSTREAMS = "crashes_upstreams"
+"""Why a request is refused, here or by the instance that was to call for it:
+upstreams ended each time that it ran (`policy.suspicion`)."""
+
 NOT_LISTED_THERE = "not_listed_there"
 """Why a call was not made: the instance that was to make it knows no such
 upstream, or knows that it leaves."""
--- /dev/null
+++ b/hyssoptack/policy/caution.py
@@ -0,0 +1,126 @@
+"""How one request is sent while it may crash the upstreams that run it.
+
+With care: one call at a time, over a connection opened for it, until one is
+answered (`policy.suspicion` says why). What else is due waits here meanwhile.
+"""
+
+import collections
+import collections.abc
+
+from hyssoptack.policy import callcommand
+from hyssoptack.policy import callpart
+from hyssoptack.policy import callresult
+from hyssoptack.policy import suspect
+from hyssoptack.policy import suspicion
+
+HEDGE = "hedge"
+"""Why a call is sent beside another one of its part."""
+
+
+class Caution:
+    """The care that one request is sent with."""
+
+    def __init__(self, known: suspicion.Suspicions, fingerprint: str):
+        """Makes a request that is sent without care.
+
+        Args:
+            known: What is held against requests.
+            fingerprint: Names the request's content.
+        """
+        self._known = known
+        self._fingerprint = fingerprint
+        self._answered = False
+        self._held: collections.deque[tuple[callpart.Part, str]] = (
+            collections.deque()
+        )
+        self._released: callpart.Part | None = None
+        self.ending_count = 0
+        self.careful = False
+
+    def begin(self, now_ms: float) -> bool:
+        """Looks what is held against it; tells whether it may be sent."""
+        verdict = self._known.decide(self._fingerprint, now_ms)
+        self.careful = verdict is suspicion.Verdict.WITH_CARE
+        return verdict is not suspicion.Verdict.REFUSED
+
+    def _place(self, now_ms: float, count: int) -> int:
+        """Returns where to begin among as many parts.
+
+        Requests that lost the same upstreams at once go different ways: one of
+        them may take along all that is beside it.
+        """
+        return (int(self._fingerprint or "0", 16) + int(now_ms)) % count
+
+    def note_answer(self, now_ms: float) -> None:
+        """Takes that an upstream has answered: it crashes none."""
+        if not self._answered:
+            self._answered = True
+            self.careful = False
+            self.refute(now_ms)
+
+    def refute(self, now_ms: float) -> None:
+        """Clears an answered request of what is held against it."""
+        self._known.note_answer(self._fingerprint, now_ms)
+
+    def gives_up(
+        self, call: callpart.Call, outcome: callcommand.Outcome, now_ms: float
+    ) -> bool:
+        """Takes an outcome; tells whether its request crashes upstreams."""
+        if outcome.reason == callresult.CRASHES_UPSTREAMS:
+            return not self._answered
+        if not outcome.ended:
+            return False
+        self.ending_count += 1
+        if self._answered:
+            return False
+        ending = suspect.Ending(
+            upstream_id=call.upstream_id,
+            at_ms=now_ms,
+            proven=call.careful and outcome.alone,
+        )
+        self._known.note_ending(self._fingerprint, ending, now_ms)
+        self.careful = self._known.knows(self._fingerprint)
+        return self._known.is_barred(self._fingerprint, now_ms)
+
+    def note_failed(self) -> None:
+        """Takes that it has ended: without an answer others should know."""
+        if self.ending_count and not self._answered:
+            self._known.share(self._fingerprint)
+
+    def holds_back(
+        self,
+        part: callpart.Part,
+        extra: str,
+        calls: collections.abc.Iterable[callpart.Call],
+    ) -> bool:
+        """Whether a call has to wait; if so, it is kept until it is released.
+
+        A call that is late is hedged all the same, one part at a time.
+
+        Args:
+            part: What it is for.
+            extra: Why it is not the part's first.
+            calls: All calls of the request that are out.
+        """
+        if not self.careful:
+            return False
+        if extra == HEDGE:
+            return any(e.careful and e.part is not part for e in calls)
+        if part is self._released:
+            self._released = None
+            return False
+        self._held.append((part, extra))
+        return True
+
+    def release(
+        self, calls: collections.abc.Collection[object], now_ms: float
+    ) -> tuple[callpart.Part, str] | None:
+        """Returns a part to be sent now, and why it is; None if none is."""
+        while self._held and not (self.careful and calls):
+            if self.careful:
+                self._held.rotate(-self._place(now_ms, len(self._held)))
+            part, extra = self._held.popleft()
+            if part.is_open() and not part.calls:
+                self._released = part
+                return part, extra
+        return None
--- a/hyssoptack/policy/gatherers.py
+++ b/hyssoptack/policy/gatherers.py
@@ -112,6 +112,10 @@
             if address in addresses or each.open_count
         }
 
+    def peers(self) -> list[member.Peer]:
+        """Returns all gatherers in other failure domains."""
+        return [each for some in self._by_domain.values() for each in some]
+
     def choose(self, failure_domain: str, now_ms: float) -> member.Peer | None:
         """Returns who makes calls in a domain; None to make them from here."""
         domain = self._domains.get(failure_domain)
--- a/hyssoptack/policy/knowing.py
+++ b/hyssoptack/policy/knowing.py
@@ -1,11 +1,13 @@
 """What the plans of all requests of an instance draw on."""
 
 import dataclasses
+import random
 
 from hyssoptack.core import mechanism
 from hyssoptack.policy import extrawindow
 from hyssoptack.policy import placing
 from hyssoptack.policy import reach
+from hyssoptack.policy import suspicion
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -17,9 +19,13 @@
         extra_calls: The budget of calls beyond the first.
         domains: Whether other failure domains can be reached.
         mechanisms: What is at work.
+        suspicions: Which requests crash upstreams.
     """
 
     placing: placing.Placing
     extra_calls: extrawindow.Book
     domains: reach.Reach = dataclasses.field(default_factory=reach.Reach)
     mechanisms: mechanism.Mechanisms = mechanism.ALL
+    suspicions: suspicion.Suspicions = dataclasses.field(
+        default_factory=lambda: suspicion.Suspicions(random.Random())
+    )
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -190,6 +190,7 @@
         now_ms: float,
         near_only: bool = False,
         preferred_domain: str = "",
+        idle: bool = False,
     ) -> traffic.Upstream | None:
         """Returns the best upstream for a call.
 
@@ -200,6 +201,7 @@
             now_ms: The time now.
             near_only: Whether only the own failure domain can be reached.
             preferred_domain: Among upstreams that look alike, one there.
+            idle: Rather one that has no call of this instance in hand.
 
         Returns:
             The upstream, or None if there is none left.
@@ -214,6 +216,9 @@
         well = [each for each in staying if each.ejected_until_ms <= now_ms]
         # Where none looks well, the fault may be ours: any will do.
         candidates = well or staying
+        if idle:
+            quiet = [each for each in candidates if not each.in_flight_count]
+            candidates = quiet or candidates
         if not candidates:
             return None
         typical_ms = self.typical(route_name).median_ms or PRIOR_MS
--- a/hyssoptack/policy/reach.py
+++ b/hyssoptack/policy/reach.py
@@ -95,6 +95,14 @@
         """Whether callers are better served by other failure domains."""
         return self.cut and not self._stays
 
+    def note_outcome(self, tally: Tally, alive: bool) -> None:
+        """Takes whether a call into another domain found life there."""
+        if alive:
+            tally.alive_count += 1
+            self.note_alive()
+        else:
+            self.note_lost()
+
     def note_alive(self) -> None:
         """Takes a sign of life from another domain."""
         self._lost_count = 0
--- /dev/null
+++ b/hyssoptack/policy/suspect.py
@@ -0,0 +1,117 @@
+"""What is held against one request: the upstreams that ended under it."""
+
+import collections.abc
+import dataclasses
+
+from hyssoptack.core import notice
+
+MOMENT_COUNT = 3
+"""Moments at which upstreams ended under a request that is barred: as many as
+the users allow before they count what else is sent. One event, say a rack
+without power, takes all upstreams of a query at one moment. A request beside
+one that crashes upstreams is beside it once more about 1 time in 10 (four
+shards, three copies each), so twice more 1 time in 100."""
+
+MOMENT_MS = 1_000.0
+"""Ends further apart than this are no single event: what fails together shows
+within some 200 ms, the time in which a call gives up on a connection."""
+
+ENDINGS_COUNT = 2 * MOMENT_COUNT
+"""Most ends that are kept of one request, and told of it."""
+
+BARRED_FIRST_MS = 60_000.0
+"""From the last end until a barred request is tried again; doubles each time.
+A try costs an upstream some seconds, one of three that a shard has."""
+
+BARRED_MOST_MS = 900_000.0
+"""What crashes upstreams is mended within minutes to hours; its callers wait a
+quarter of an hour at most, which costs an upstream four times an hour."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ending:
+    """An upstream's end with a request in hand.
+
+    Attributes:
+        upstream_id: The upstream.
+        at_ms: When it was seen to have ended.
+        proven: Whether it had been found alive after an earlier end, and had
+            nothing else of the same instance in hand.
+    """
+
+    upstream_id: str
+    at_ms: float
+    proven: bool
+
+
+@dataclasses.dataclass(kw_only=True)
+class Entry:
+    """What is held against one request.
+
+    Attributes:
+        endings: The upstreams that ended under it.
+        last_ms: When the last of all of them did.
+        shared: Whether other instances are told of it.
+        barred_count: How often in a row it was barred.
+        barred_until_ms: When it may be tried, but for the spread.
+        spread_ms: How much later this instance tries it.
+        trying: Whether it is being tried here.
+    """
+
+    endings: list[Ending] = dataclasses.field(default_factory=list)
+    last_ms: float = float("-inf")
+    shared: bool = False
+    barred_count: int = 0
+    barred_until_ms: float = float("-inf")
+    spread_ms: float = 0.0
+    trying: bool = False
+
+    @property
+    def over_ms(self) -> float:
+        """When a barred request is forgotten that nobody asks for."""
+        return self.barred_until_ms + barred_ms(self.barred_count)
+
+
+def moment_count(endings: collections.abc.Iterable[Ending]) -> int:
+    """Returns at how many moments upstreams have ended."""
+    count = 0
+    before_ms = float("-inf")
+    for each in sorted(endings, key=lambda each: each.at_ms):
+        count += each.proven or each.at_ms - before_ms >= MOMENT_MS
+        before_ms = each.at_ms
+    return count
+
+
+def barred_ms(barred_count: int) -> float:
+    """Returns how long a request stays barred for the n-th time in a row."""
+    return min(BARRED_MOST_MS, BARRED_FIRST_MS * 2.0 ** (barred_count - 1))
+
+
+def told(fingerprint: str, entry: Entry, now_ms: float) -> notice.Suspect:
+    """Returns what others are told of a request."""
+    return notice.Suspect(
+        fingerprint=fingerprint,
+        age_ms=now_ms - entry.last_ms,
+        barred_count=entry.barred_count,
+        barred_for_ms=max(0.0, entry.barred_until_ms - now_ms),
+        endings=tuple(
+            notice.SuspectEnding(
+                upstream_id=each.upstream_id,
+                age_ms=now_ms - each.at_ms,
+                proven=each.proven,
+            )
+            for each in (() if entry.barred_count else entry.endings)
+        ),
+    )
+
+
+def endings(each: notice.Suspect, now_ms: float) -> tuple[Ending, ...]:
+    """Returns the ends that another instance tells of."""
+    return tuple(
+        Ending(
+            upstream_id=given.upstream_id,
+            at_ms=now_ms - given.age_ms,
+            proven=given.proven,
+        )
+        for given in each.endings[:ENDINGS_COUNT]
+    )
--- /dev/null
+++ b/hyssoptack/policy/suspicion.py
@@ -0,0 +1,401 @@
+"""Which requests crash the upstreams that run them.
+
+An upstream that ends takes along all that it has in hand, so an end alone says
+little of a request. Two things tell those that crash upstreams from those that
+were beside them:
+
+- A request that is answered by any upstream crashes none: it is cleared.
+- A request under which an upstream has ended, and that none has answered, is
+  sent on with care: one call at a time, over a connection that is opened then.
+  An upstream that takes the connection lives; when it ends with the request in
+  hand, it is not the same event that it ended by.
+
+A request is barred once upstreams have ended under it at three moments, and
+none has answered it. An innocent request is barred only if upstreams that were
+found alive end by chance as often, each within the tens to hundreds of
+milliseconds for which it is there. Barred requests are refused. After a
+while one is tried, with care, so that a request that has become harmless is
+served again at the price of one upstream where it has not.
+
+Entries are bounded in number and in time; instances tell each other of them
+(`gateway.suspecting`).
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import enum
+import random
+
+from hyssoptack.core import notice
+from hyssoptack.policy import suspect
+
+SUSPECTED_MS = 30_000.0
+"""A request under which upstreams have ended is sent with care for so long. A
+caller that repeats it comes back sooner; care costs others one call's time."""
+
+SPREAD_RATIO = 0.5
+"""Instances try at different times, up to this part later, so that the first
+try's outcome is known to the others before theirs."""
+
+TRY_MS = 5_000.0
+"""After a try that brought neither an answer nor an end, the next one."""
+
+LIMIT_COUNT = 4_096
+"""Most suspected requests, and most barred ones, of one instance: 2.5 and 5 MB
+(`suspicion_test`, 50,000 and 20,000 requests), a sixteenth of what it may use.
+Beyond it the oldest are forgotten."""
+
+
+class Verdict(enum.Enum):
+    """How a request is to be sent."""
+
+    FREE = "free"
+    WITH_CARE = "with_care"
+    REFUSED = "refused"
+
+
+class What(enum.Enum):
+    """What has changed in what is believed of a request."""
+
+    SUSPECTED = "suspected"
+    BARRED = "barred"
+    TRIED = "tried"
+    CLEARED = "cleared"
+    FORGOTTEN = "forgotten"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Change:
+    """A change of belief, for the log and for who runs such requests.
+
+    Attributes:
+        what: What has changed.
+        fingerprint: The request.
+        upstream_ids: Upstreams that have ended under it, as far as kept.
+        barred_count: How often in a row it was barred.
+        for_ms: How long it stays barred at least.
+        source: The instance that told so; empty where it was found here.
+    """
+
+    what: What
+    fingerprint: str
+    upstream_ids: tuple[str, ...] = ()
+    barred_count: int = 0
+    for_ms: float = 0.0
+    source: str = ""
+
+
+OnChange = collections.abc.Callable[[Change], None]
+
+
+class Suspicions:
+    """One instance's beliefs about requests that crash upstreams."""
+
+    def __init__(self, source: random.Random, enabled: bool = True):
+        """Makes an instance that suspects nothing.
+
+        Args:
+            source: Spreads tries over the instances.
+            enabled: Whether anything is suspected at all.
+        """
+        self._random = source
+        self._enabled = enabled
+        self._suspected: collections.OrderedDict[str, suspect.Entry] = (
+            collections.OrderedDict()
+        )
+        self._barred: collections.OrderedDict[str, suspect.Entry] = (
+            collections.OrderedDict()
+        )
+        self._answered: dict[str, float] = {}
+        self._trusted: frozenset[str] = frozenset()
+        self._news: dict[str, None] = {}
+        self.on_change: OnChange = lambda _: None
+        self.on_news: collections.abc.Callable[[], None] = lambda: None
+
+    @property
+    def suspected_count(self) -> int:
+        """Requests that are sent with care."""
+        return len(self._suspected)
+
+    @property
+    def barred_count(self) -> int:
+        """Requests that are refused."""
+        return len(self._barred)
+
+    @property
+    def holds_any(self) -> bool:
+        """Whether anything is held against any request."""
+        return bool(self._suspected or self._barred)
+
+    def knows(self, fingerprint: str) -> bool:
+        """Whether anything is held against a request."""
+        return fingerprint in self._suspected or fingerprint in self._barred
+
+    def is_barred(self, fingerprint: str, now_ms: float) -> bool:
+        """Whether a request is refused, with no try due."""
+        entry = self._barred.get(fingerprint)
+        return entry is not None and (
+            now_ms < entry.barred_until_ms + entry.spread_ms
+        )
+
+    # Requests.
+
+    def decide(self, fingerprint: str, now_ms: float) -> Verdict:
+        """Returns how a request that has come in is to be sent."""
+        entry = self._barred.get(fingerprint)
+        if entry is not None:
+            if self.is_barred(fingerprint, now_ms):
+                return Verdict.REFUSED
+            entry.trying = True
+            entry.barred_until_ms = now_ms + TRY_MS
+            entry.spread_ms = 0.0
+            self._say(What.TRIED, fingerprint, entry)
+            return Verdict.WITH_CARE
+        entry = self._suspected.get(fingerprint)
+        if entry is None or now_ms - entry.last_ms > SUSPECTED_MS:
+            return Verdict.FREE
+        return Verdict.WITH_CARE
+
+    def note_answer(self, fingerprint: str, now_ms: float) -> None:
+        """Takes that an upstream has answered a request: it crashes none."""
+        self._keep_answered(fingerprint, now_ms)
+        if self.knows(fingerprint):
+            self._clear(fingerprint, "")
+
+    def _keep_answered(self, fingerprint: str, at_ms: float) -> None:
+        self._answered.pop(fingerprint, None)
+        self._answered[fingerprint] = at_ms
+        if len(self._answered) > LIMIT_COUNT:
+            del self._answered[next(iter(self._answered))]
+
+    def note_ending(
+        self, fingerprint: str, ending: suspect.Ending, now_ms: float
+    ) -> None:
+        """Takes that an upstream has ended with a request in hand.
+
+        The request has no answer from any upstream, as far as its plan knows.
+        """
+        if not self._enabled or fingerprint in self._trusted:
+            return
+        entry = self._barred.get(fingerprint)
+        if entry is not None:
+            # Calls that were out when it was barred show nothing new.
+            if entry.trying:
+                entry.last_ms = now_ms
+                self._bar(fingerprint, entry, entry.barred_count + 1, now_ms)
+            return
+        self._add(fingerprint, (ending,), now_ms, "")
+
+    def share(self, fingerprint: str) -> None:
+        """Lets others know of a request that has ended without an answer."""
+        entry = self._suspected.get(fingerprint)
+        if entry is not None and not entry.shared:
+            entry.shared = True
+            self._announce(fingerprint)
+
+    def trust(
+        self, fingerprints: collections.abc.Iterable[str], now_ms: float
+    ) -> None:
+        """Takes which requests operators know to be harmless."""
+        self._trusted = frozenset(fingerprints)
+        for each in self._trusted:
+            if self.knows(each):
+                self.note_answer(each, now_ms)
+
+    # Beliefs.
+
+    def _add(
+        self,
+        fingerprint: str,
+        endings: collections.abc.Iterable[suspect.Ending],
+        now_ms: float,
+        source: str,
+    ) -> None:
+        entry = self._suspected.get(fingerprint)
+        is_new = entry is None
+        if entry is None:
+            entry = self._suspected[fingerprint] = suspect.Entry()
+            _limit(self._suspected)
+        known = {each.upstream_id for each in entry.endings}
+        fresh = [each for each in endings if each.upstream_id not in known]
+        for each in fresh:
+            # Many ends of one moment tell no more than one.
+            same = each.at_ms - entry.last_ms < suspect.MOMENT_MS
+            if each.proven or not same or len(entry.endings) < 2:
+                entry.endings.append(each)
+            entry.last_ms = max(entry.last_ms, each.at_ms)
+        if source and fresh:
+            entry.shared = True
+            self._announce(fingerprint)
+        if suspect.moment_count(entry.endings) >= suspect.MOMENT_COUNT:
+            self._bar(fingerprint, entry, 1, now_ms, source)
+        elif is_new:
+            self._say(What.SUSPECTED, fingerprint, entry, source=source)
+
+    def _bar(
+        self,
+        fingerprint: str,
+        entry: suspect.Entry,
+        barred_count: int,
+        now_ms: float,
+        source: str = "",
+        for_ms: float | None = None,
+    ) -> None:
+        self._suspected.pop(fingerprint, None)
+        self._barred[fingerprint] = entry
+        self._barred.move_to_end(fingerprint)
+        _limit(self._barred)
+        usual_ms = suspect.barred_ms(barred_count)
+        for_ms = usual_ms if for_ms is None else min(for_ms, usual_ms)
+        entry.barred_count = barred_count
+        entry.barred_until_ms = now_ms + for_ms
+        entry.spread_ms = self._random.uniform(0.0, SPREAD_RATIO * usual_ms)
+        entry.trying = False
+        entry.shared = True
+        self._announce(fingerprint)
+        self._say(What.BARRED, fingerprint, entry, for_ms, source)
+
+    def _clear(self, fingerprint: str, source: str) -> None:
+        entry = self._suspected.pop(fingerprint, None)
+        entry = self._barred.pop(fingerprint, entry)
+        if entry.shared:
+            self._announce(fingerprint)
+        self._say(What.CLEARED, fingerprint, entry, source=source)
+
+    def forget_old(self, now_ms: float) -> None:
+        """Forgets what is too old to mean anything."""
+        for fingerprint, entry in tuple(self._suspected.items()):
+            if now_ms - entry.last_ms > SUSPECTED_MS:
+                del self._suspected[fingerprint]
+                self._say(What.FORGOTTEN, fingerprint, entry)
+        for fingerprint, entry in tuple(self._barred.items()):
+            # Nobody has asked for it in all the time in which it may be tried.
+            if now_ms > entry.over_ms:
+                del self._barred[fingerprint]
+                self._say(What.FORGOTTEN, fingerprint, entry)
+
+    def _say(
+        self,
+        what: What,
+        fingerprint: str,
+        entry: suspect.Entry,
+        for_ms: float = 0.0,
+        source: str = "",
+    ) -> None:
+        change = Change(
+            what=what,
+            fingerprint=fingerprint,
+            upstream_ids=tuple(each.upstream_id for each in entry.endings),
+            barred_count=entry.barred_count,
+            for_ms=for_ms,
+            source=source,
+        )
+        self.on_change(change)
+
+    # What instances tell each other.
+
+    def _announce(self, fingerprint: str) -> None:
+        self._news.pop(fingerprint, None)
+        self._news[fingerprint] = None
+        if len(self._news) > LIMIT_COUNT:
+            del self._news[next(iter(self._news))]
+        self.on_news()
+
+    def take_news(
+        self, most_count: int, now_ms: float
+    ) -> tuple[notice.Suspect, ...]:
+        """Takes out what others should know at once: the newest, barred first.
+
+        What is over the count is told with all the rest later.
+        """
+        newest = reversed(self._news)
+        names = sorted(newest, key=lambda each: each not in self._barred)
+        self._news.clear()
+        told = (self._told(each, now_ms) for each in names[:most_count])
+        return tuple(each for each in told if each is not None)
+
+    def some(
+        self, most_count: int, now_ms: float
+    ) -> tuple[notice.Suspect, ...]:
+        """Returns what others may have missed; what is barred first."""
+        names = self._sample(self._barred, most_count)
+        shared = [name for name, e in self._suspected.items() if e.shared]
+        names += self._sample(shared, most_count - len(names))
+        told = (self._told(each, now_ms) for each in names)
+        return tuple(each for each in told if each is not None)
+
+    def _sample(
+        self, names: collections.abc.Collection[str], most_count: int
+    ) -> list[str]:
+        return self._random.sample(tuple(names), min(len(names), most_count))
+
+    def _told(self, fingerprint: str, now_ms: float) -> notice.Suspect | None:
+        entry = self._barred.get(fingerprint)
+        entry = entry or self._suspected.get(fingerprint)
+        if entry is None:
+            answered_ms = self._answered.get(fingerprint)
+            if answered_ms is None:
+                return None
+            return notice.Suspect(
+                fingerprint=fingerprint,
+                age_ms=now_ms - answered_ms,
+                cleared=True,
+            )
+        return suspect.told(fingerprint, entry, now_ms)
+
+    def take_told(
+        self, each: notice.Suspect, source: str, now_ms: float
+    ) -> None:
+        """Takes another instance's word."""
+        if not self._enabled or each.fingerprint in self._trusted:
+            return
+        at_ms = now_ms - each.age_ms
+        if each.cleared:
+            self._take_cleared(each.fingerprint, at_ms, source)
+        elif at_ms <= self._answered.get(each.fingerprint, float("-inf")):
+            # It has been answered since: who told does not know that yet.
+            self._announce(each.fingerprint)
+        elif each.barred_count:
+            self._take_barred(each, at_ms, source, now_ms)
+        elif each.fingerprint not in self._barred:
+            endings = suspect.endings(each, now_ms)
+            self._add(each.fingerprint, endings, now_ms, source)
+
+    def _take_cleared(
+        self, fingerprint: str, at_ms: float, source: str
+    ) -> None:
+        if at_ms > self._answered.get(fingerprint, float("-inf")):
+            self._keep_answered(fingerprint, at_ms)
+        entry = self._barred.get(fingerprint)
+        entry = entry or self._suspected.get(fingerprint)
+        if entry is not None and entry.last_ms <= at_ms:
+            self._clear(fingerprint, source)
+
+    def _take_barred(
+        self,
+        each: notice.Suspect,
+        at_ms: float,
+        source: str,
+        now_ms: float,
+    ) -> None:
+        entry = self._barred.get(each.fingerprint)
+        if entry is not None and entry.barred_count >= each.barred_count:
+            return
+        entry = entry or self._suspected.get(each.fingerprint)
+        entry = entry or suspect.Entry()
+        entry.last_ms = max(entry.last_ms, at_ms)
+        self._bar(
+            each.fingerprint,
+            entry,
+            each.barred_count,
+            now_ms,
+            source,
+            each.barred_for_ms,
+        )
+
+
+def _limit(entries: collections.OrderedDict[str, suspect.Entry]) -> None:
+    """Drops the oldest of too many."""
+    while len(entries) > LIMIT_COUNT:
+        entries.popitem(last=False)
--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -62,6 +62,8 @@
             be worth its network price, as a multiple of what calls of its
             route take. The default was the best of 15 ms, 35 ms and 1.5 times
             on both users' sites (docs/design/0009-placing.md).
+        trusted_fingerprints: Requests that operators know to be harmless: they
+            are never taken to crash upstreams.
         mechanisms: What is at work; for experiments only.
     """
 
@@ -81,6 +83,7 @@
     metrics_address: str = ""
     link_mbps: float = 0.0
     crossing_ratio: float = 1.5
+    trusted_fingerprints: tuple[str, ...] = ()
     mechanisms: mechanism.Mechanisms = mechanism.ALL
 
     @property
