Barred requests are kept in the platform's store, so that they outlive all instances at once

Cause looked for elsewhere: what instances tell each other is forgotten when all of them end at the same moment, as when a whole site loses power. The few that read the list of instances now read what is barred with it, at no call more, write what is missing (one lease, one transaction) and remove what was cleared.

--- /dev/null
+++ b/hyssoptack/gateway/barring.py
@@ -0,0 +1,141 @@
+"""Barred requests in the platform's store, so that they outlive all instances.
+
+Instances tell each other of barred requests, and forget them when all of them
+end at once. Those that read the list of instances for their failure domain find
+what is barred under the same prefix, at no call more, and write what is missing
+there; an instance that starts reads it with that list. The store takes the
+entries away by itself once they are over. While it is away nothing is lost but
+this.
+"""
+
+import dataclasses
+
+import expression
+import msgspec
+
+from hyssoptack.core import clock
+from hyssoptack.core import notice
+from hyssoptack.events import log
+from hyssoptack.platform import keyvalue
+from hyssoptack.policy import suspect
+from hyssoptack.policy import suspicion
+
+STORED_COUNT = 32
+"""Most requests that are written at a time, the newest: the store takes 32
+writes in one call, and more than a few such requests at a time are made up."""
+
+LEASE_MAX_MS = 600_000.0
+"""The longest lease that the store grants; an entry that lasts longer is
+written again."""
+
+READ_AGE_MS = 10_000.0
+"""A stored entry may be so old, by the period of the readings (5 s) and by
+answers that are some seconds old: an answer since outweighs it."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stored:
+    """A barred request as it is stored.
+
+    Attributes:
+        fingerprint: The request.
+        barred_count: How often in a row it was barred.
+    """
+
+    fingerprint: str
+    barred_count: int
+
+
+class Barring:
+    """One instance's part in what is stored."""
+
+    def __init__(
+        self, known: suspicion.Suspicions, store: keyvalue.Client, prefix: str
+    ):
+        """Makes the part of one instance.
+
+        Args:
+            known: What is held against requests.
+            store: The platform's store.
+            prefix: Start of the keys; a fingerprint follows.
+        """
+        self._known = known
+        self._store = store
+        self._prefix = prefix
+        self._seen: dict[str, int] = {}
+
+    async def settle(self, items: list[keyvalue.Item]) -> None:
+        """Takes what is stored, and stores what is missing there.
+
+        Args:
+            items: All items under the prefix, or more.
+        """
+        mine = [each for each in items if each.key.startswith(self._prefix)]
+        stored = self._take(mine)
+        now_ms = clock.now_ms()
+        missing = [
+            (name, entry)
+            for name, entry in self._known.newest_barred(STORED_COUNT, now_ms)
+            if stored.get(name, 0) < entry.barred_count
+        ]
+        if missing:
+            await self._write(missing, now_ms)
+        cleared = [each for each in stored if self._known.was_cleared(each)]
+        if cleared:
+            keys = [self._prefix + each for each in cleared]
+            self._note("cleared", cleared, await self._store.delete(keys))
+
+    def _take(self, items: list[keyvalue.Item]) -> dict[str, int]:
+        """Takes each entry once; returns how often each was barred."""
+        stored: dict[str, int] = {}
+        seen: dict[str, int] = {}
+        for item in items:
+            try:
+                entry = msgspec.json.decode(item.value, type=Stored)
+            except msgspec.DecodeError as error:
+                log.write(log.Event.PEER_UNREADABLE, reason=str(error))
+                continue
+            stored[entry.fingerprint] = entry.barred_count
+            seen[item.key] = item.revision
+            if self._seen.get(item.key) != item.revision:
+                self._tell(entry)
+        self._seen = seen
+        return stored
+
+    def _tell(self, entry: Stored) -> None:
+        told = notice.Suspect(
+            fingerprint=entry.fingerprint,
+            age_ms=READ_AGE_MS,
+            barred_count=entry.barred_count,
+            barred_for_ms=suspect.barred_ms(entry.barred_count),
+        )
+        self._known.take_told(told, "store", clock.now_ms())
+
+    async def _write(
+        self, missing: list[tuple[str, suspect.Entry]], now_ms: float
+    ) -> None:
+        ttl_ms = max(entry.over_ms - now_ms for _, entry in missing)
+        items = {
+            self._prefix + name: msgspec.json.encode(
+                Stored(fingerprint=name, barred_count=entry.barred_count)
+            )
+            for name, entry in missing
+        }
+        match await self._store.grant(min(LEASE_MAX_MS, ttl_ms)):
+            case expression.Result(tag="ok", ok=lease):
+                result = await self._store.put_all(items, lease)
+            case granted:
+                result = granted
+        self._note("stored", [name for name, _ in missing], result)
+
+    def _note(
+        self,
+        what: str,
+        names: list[str],
+        result: expression.Result[object, keyvalue.Failure],
+    ) -> None:
+        """Logs what was written; what failed is tried at the next reading."""
+        error = result.error.detail if result.is_error() else ""
+        log.write(
+            log.Event.BARRED_STORED, what=what, fingerprints=names, error=error
+        )
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -16,6 +16,7 @@
 from hyssoptack.core import notice
 from hyssoptack.core import traffic
 from hyssoptack.events import log
+from hyssoptack.gateway import barring
 from hyssoptack.gateway import beliefs
 from hyssoptack.gateway import budgetshare
 from hyssoptack.gateway import delegating
@@ -36,6 +37,7 @@
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
 from hyssoptack.platform import keyvalue
+from hyssoptack.platform import wire
 from hyssoptack.policy import connections
 from hyssoptack.policy import delegation
 from hyssoptack.policy import extrawindow
@@ -160,6 +162,9 @@
             self._serving.note_barred,
             self._metrics,
         )
+        self._barring = barring.Barring(
+            self._suspicions, self._store, wire.BARRED_PREFIX
+        )
         self._pools.on_ended = self._suspecting.on_upstream_ended
         self._peering.on_query = self._on_query
         self._peering.on_undelivered = self._on_undelivered
@@ -283,6 +288,7 @@
             self._store,
             self._peering,
             self._on_instances,
+            self._barring.settle,
         )
         tasks = [
             loop.create_task(each)
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections.abc
 import itertools
 import random
 
@@ -50,6 +51,12 @@
 until then."""
 
 
+OnStored = collections.abc.Callable[
+    [list[keyvalue.Item]], collections.abc.Awaitable[None]
+]
+"""Told of all that instances of ours have stored, each time it was read."""
+
+
 class Follower:
     """Tasks that follow the store for as long as the instance runs."""
 
@@ -60,12 +67,14 @@
         store: keyvalue.Client,
         peers: peering.Peering,
         on_instances: peering.OnInstances,
+        on_stored: OnStored,
     ):
         self._settings = settings
         self._beliefs = believed
         self._store = store
         self._peers = peers
         self._on_instances = on_instances
+        self._on_stored = on_stored
         self._readers = peers.readers
         self._random = random.Random()
         self._lost_since_ms: float | None = None
@@ -274,17 +283,20 @@
         for pause_ms in pauses_ms:
             await self._pause(pause_ms)
             await self._wait_for_turn()
-            result = await self._store.list(wire.PEER_PREFIX, stale=True)
+            result = await self._store.list(wire.OWN_PREFIX, stale=True)
             match result:
                 case expression.Result(tag="ok", ok=listing):
                     self._take_instances(listing.items)
                     self._peers.tell()
+                    await self._on_stored(listing.items)
                 case expression.Result(error=failure):
                     self._note_lost(failure)
 
     def _take_instances(self, items: list[keyvalue.Item]) -> None:
         peers: list[member.Peer] = []
         for item in items:
+            if not item.key.startswith(wire.PEER_PREFIX):
+                continue
             try:
                 peer = msgspec.json.decode(item.value, type=member.Peer)
             except msgspec.DecodeError as error:
--- a/hyssoptack/gateway/following_test.py
+++ b/hyssoptack/gateway/following_test.py
@@ -33,7 +33,9 @@
     )
     readers = readership.Readership("g", "north", readership.pace(3_000.0))
     peers = types.SimpleNamespace(readers=readers)
-    made = following.Follower(settings, believed, None, peers, lambda _: None)
+    made = following.Follower(
+        settings, believed, None, peers, lambda _: None, None
+    )
     now_ms = clock.now_ms()
     listed = {"a": callplan_test.upstream("a")}
     believed.take_list(listed, 1, now_ms - list_age_ms)
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import dataclasses
 import enum
 import typing
@@ -212,10 +213,32 @@
         self, key: str, value: bytes, lease: int
     ) -> expression.Result[bytes, Failure]:
         """Writes a key that goes with a lease."""
-        write = _Write(key=key, value=value, lease=lease)
-        body = _ENCODER.encode(
-            _Transaction(expect=[], writes=[write], deletes=[])
+        return await self.put_all({key: value}, lease)
+
+    async def put_all(
+        self, values: dict[str, bytes], lease: int
+    ) -> expression.Result[bytes, Failure]:
+        """Writes up to 32 keys that go with a lease."""
+        writes = [
+            _Write(key=key, value=value, lease=lease)
+            for key, value in values.items()
+        ]
+        return await self._change(
+            _Transaction(expect=[], writes=writes, deletes=[])
         )
+
+    async def delete(
+        self, keys: collections.abc.Sequence[str]
+    ) -> expression.Result[bytes, Failure]:
+        """Removes up to 32 keys."""
+        return await self._change(
+            _Transaction(expect=[], writes=[], deletes=[*keys])
+        )
+
+    async def _change(
+        self, change: _Transaction
+    ) -> expression.Result[bytes, Failure]:
+        body = _ENCODER.encode(change)
         return await self._call("POST", "kv-txn", {}, body=body)
 
     async def _call(
--- a/hyssoptack/platform/wire.py
+++ b/hyssoptack/platform/wire.py
@@ -12,7 +12,11 @@
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAM_PREFIX = "servers/"
-PEER_PREFIX = "hyssoptack/peers/"
+OWN_PREFIX = "hyssoptack/"
+"""All that instances of ours store: they read it in one."""
+
+PEER_PREFIX = OWN_PREFIX + "peers/"
+BARRED_PREFIX = OWN_PREFIX + "barred/"
 
 _IDEMPOTENT = "idempotent"
 _DRAINING = "draining"
--- a/hyssoptack/policy/suspicion.py
+++ b/hyssoptack/policy/suspicion.py
@@ -25,6 +25,7 @@
 import collections.abc
 import dataclasses
 import enum
+import itertools
 import random
 
 from hyssoptack.core import notice
@@ -344,6 +345,19 @@
             )
         return suspect.told(fingerprint, entry, now_ms)
 
+    # What is kept elsewhere.
+
+    def newest_barred(
+        self, most_count: int, now_ms: float
+    ) -> list[tuple[str, suspect.Entry]]:
+        """Returns the requests that were barred last, with what is held."""
+        newest = itertools.islice(reversed(self._barred.items()), most_count)
+        return [each for each in newest if each[1].barred_until_ms > now_ms]
+
+    def was_cleared(self, fingerprint: str) -> bool:
+        """Whether a request is known to have been answered, last."""
+        return fingerprint in self._answered and not self.knows(fingerprint)
+
     def take_told(
         self, each: notice.Suspect, source: str, now_ms: float
     ) -> None:
