Soak: one caller repeats a request that crashes the upstreams that run it

Purpose: every way to forget it, among kills, stops, pauses and links that fail. The referee counts repeats that reach an upstream later than 4 s after its third crash, sent by gateways left alone: no more than three.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,6 +18,10 @@
 KEPT_RATIO = 0.7
 THINK_RANGE_S = (0.0, 0.06)
 
+BAD_NUMBER = 0xBAD
+BAD_PAUSE_RANGE_S = (0.05, 0.5)
+"""Between two of a caller that does not wait for upstreams' return (2 s)."""
+
 PATHS = (world.SINGLE, world.MOVED, world.ONCE, world.ALL, world.ALL)
 
 
@@ -70,13 +74,16 @@
             writer.close()
 
     async def _ask(self, request_id: str) -> None:
-        gateway = self._dice.choice(tuple(self._gateways))
         path = self._dice.choice(PATHS)
+        await self._send(request_id, path, world.GOOD_TAIL)
+
+    async def _send(self, request_id: str, path: str, tail: bytes) -> None:
+        gateway = self._dice.choice(tuple(self._gateways))
         method = "POST" if path == world.ONCE else "GET"
         body = b"book" if path == world.ONCE else b""
         data = message.request_bytes(
             method.encode(),
-            path.encode() + b"x",
+            path.encode() + tail,
             [
                 (b"Host", world.HOST.encode()),
                 (b"X-Request-Id", request_id.encode()),
@@ -154,3 +161,15 @@
                 got=got,
             )
         )
+
+
+class BadCaller(Caller):
+    """A caller that sends a request time and again that crashes upstreams."""
+
+    def __init__(self, path: str, seed: int, gateways: dict[str, str]):
+        super().__init__(BAD_NUMBER, seed, gateways)
+        self._path = path
+
+    async def _ask(self, request_id: str) -> None:
+        await asyncio.sleep(self._dice.uniform(*BAD_PAUSE_RANGE_S))
+        await self._send(request_id, self._path, world.BAD_TAIL)
--- a/soak/main.py
+++ b/soak/main.py
@@ -46,9 +46,11 @@
         report = play.run(settings)
         total = sum(report.counts.values())
         stalls = report.counts["stalls of the soak"]
+        crashes = report.counts["crashes of upstreams"]
         print(
-            f"seed {seed}: {total - stalls} requests, "
-            f"{len(report.broken)} broken, {stalls} stalls of the soak itself"
+            f"seed {seed}: {total - stalls - crashes} requests, "
+            f"{crashes} crashes of upstreams, {len(report.broken)} broken, "
+            f"{stalls} stalls of the soak itself"
         )
         for line in report.broken[:12]:
             print(f"  {line}")
--- a/soak/play.py
+++ b/soak/play.py
@@ -100,9 +100,12 @@
             callers.Caller(number, settings.seed, entrances)
             for number in range(settings.caller_count)
         ]
+        bad = callers.BadCaller(self._world.bad_path, settings.seed, entrances)
         over = asyncio.Event()
         stalls = asyncio.create_task(self._watch_stalls())
-        tasks = [asyncio.create_task(each.ask_until(over)) for each in asking]
+        tasks = [
+            asyncio.create_task(each.ask_until(over)) for each in (*asking, bad)
+        ]
         await asyncio.gather(*(self._carry_out(each) for each in planned))
         calm_ms = clock.now_ms() + SETTLE_CALM_MS
         await asyncio.sleep((SETTLE_CALM_MS + CALM_MS) / MS_PER_S)
@@ -112,9 +115,14 @@
         await asyncio.sleep(1.0)
         stalls.cancel()
         judge = referee.Referee(self._world, self._harms, self._stops, calm_ms)
-        report = judge.judge([each for one in asking for each in one.asked])
+        asked = [each for one in asking for each in one.asked]
+        report = judge.judge(asked, bad.asked)
         broken = (*report.broken, *self._ended)
-        counts = {**report.counts, "stalls of the soak": self._stall_count}
+        counts = {
+            **report.counts,
+            "stalls of the soak": self._stall_count,
+            "crashes of upstreams": len(self._world.crash_ms),
+        }
         return referee.Report(broken=broken, counts=counts)
 
     async def _watch_stalls(self) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -25,8 +25,9 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Opens a port on loopback."""
-        self._server = await asyncio.start_server(self._join, "127.0.0.1", 0)
+        """Opens a port on loopback; the same one after a stop."""
+        port = int(self.address.rpartition(":")[2] or 0)
+        self._server = await asyncio.start_server(self._join, "127.0.0.1", port)
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
 
--- a/soak/referee.py
+++ b/soak/referee.py
@@ -27,6 +27,12 @@
 """Part of the requests at the run's calm end that must be served: upstreams
 spoilt before it may still reset a few."""
 
+CRASH_COUNT = 3
+CRASH_BOUND_MS = 4_000.0
+LATE_CRASH_COUNT = 3
+"""By the users: from the third crash on, so long after it, no more repeats than
+this may reach an upstream."""
+
 RECORD_BYTES = 16
 
 
@@ -63,16 +69,24 @@
         self._calm_ms = calm_ms
         self._broken: list[str] = []
 
-    def judge(self, asked: list[callers.Asked]) -> Report:
-        """Returns all that was broken."""
-        for each in asked:
+    def judge(
+        self, asked: list[callers.Asked], bad: list[callers.Asked] = ()
+    ) -> Report:
+        """Returns all that was broken.
+
+        Args:
+            asked: What callers asked and got.
+            bad: The same of the one whose requests crash upstreams.
+        """
+        for each in (*asked, *bad):
             self._judge_runs(each)
             self._judge_answer(each)
             if self._left_alone(each.gateway, each.sent_ms, each.ended_ms):
                 self._judge_heeded(each)
                 self._judge_held(each)
             self._judge_planned_stop(each)
-        self._judge_unasked(asked)
+        self._judge_crashing(bad)
+        self._judge_unasked([*asked, *bad])
         self._judge_recovery(asked)
         counts = collections.Counter(
             f"{each.path} {each.ended} {each.got.status}" for each in asked
@@ -186,6 +200,23 @@
             if stop.gateway == each.gateway and during and not disturbed:
                 self._break("cut by a planned stop", each, str(stop))
 
+    def _judge_crashing(self, bad: list[callers.Asked]) -> None:
+        """What has crashed three upstreams soon reaches none any more."""
+        if len(self._seen.crash_ms) < CRASH_COUNT:
+            return
+        bound_ms = self._seen.crash_ms[CRASH_COUNT - 1] + CRASH_BOUND_MS
+        late = [
+            each
+            for each in bad
+            if each.sent_ms > bound_ms
+            and self._seen.runs.get(each.request_id)
+            and self._left_alone(each.gateway, each.sent_ms, each.ended_ms)
+        ]
+        if len(late) > LATE_CRASH_COUNT:
+            self._break(
+                "crashes upstreams still", late[0], f"{len(late)} times"
+            )
+
     def _judge_unasked(self, asked: list[callers.Asked]) -> None:
         ids = {each.request_id for each in asked}
         for request_id in self._seen.runs.keys() - ids:
--- a/soak/world.py
+++ b/soak/world.py
@@ -15,6 +15,9 @@
 SHARD_COUNT = 6
 SINGLE, ONCE, ALL = "/single/", "/once/", "/all/"
 MOVED = "/moved/"
+GOOD_TAIL, BAD_TAIL = b"x", b"bad"
+"""What follows a route's prefix in requests, and in those that crash."""
+
 TOP_COUNT = 4
 FLOOR_RATIO = 0.6
 UPSTREAM_MS = (2.0, 25.0)
@@ -62,6 +65,8 @@
             ),
         )
         self.manners.delay_ms = dice.uniform(*UPSTREAM_MS)
+        self.manners.crashes_on = world.bad_target
+        self.on_crash = lambda: world.note_crash(self)
 
 
 class World:
@@ -74,7 +79,10 @@
         self.runs: dict[str, list[Run]] = {}
         self.versions: list[Version] = []
         self.left_ms: dict[str, float] = {}
+        self.crash_ms: list[float] = []
         self._dice = random.Random(seed)
+        self.bad_path = self._dice.choice((SINGLE, ONCE, ALL, ALL))
+        self._tasks: set[asyncio.Task[None]] = set()
         self._counts: dict[str, int] = {}
 
     async def start(self) -> None:
@@ -85,8 +93,26 @@
                 await self.add_upstream(name)
         self.configure()
 
+    @property
+    def bad_target(self) -> bytes:
+        """The path of the request that crashes the upstreams that run it."""
+        return self.bad_path.encode() + BAD_TAIL
+
+    def note_crash(self, crashed: Upstream) -> None:
+        """Keeps a crash for the referee; its port refuses meanwhile."""
+        self.crash_ms.append(clock.now_ms())
+        link = self.links[crashed.upstream_id]
+        link.stop()
+        task = asyncio.create_task(
+            _reopen(link, crashed.manners.return_ms / 1000.0)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def stop(self) -> None:
         """Closes all ports."""
+        for each in tuple(self._tasks):
+            each.cancel()
         for each in (*self.links.values(), *self.upstreams.values()):
             each.stop()
         self.store.stop()
@@ -181,6 +207,11 @@
         self.store.put("op/config", json.dumps(body).encode())
 
 
+async def _reopen(link: proxy.Proxy, after_s: float) -> None:
+    await asyncio.sleep(after_s)
+    await link.start()
+
+
 def _route(prefix: str, **fields: object) -> dict[str, object]:
     return {
         "name": prefix.strip("/"),
