--- a/hyssoptack/gateway/suspecting.py
+++ b/hyssoptack/gateway/suspecting.py
@@ -148,16 +148,22 @@
     async def tell(self) -> None:
         """Tells others what is held, for as long as it runs."""
         while True:
-            try:
-                async with asyncio.timeout(ROUND_S):
-                    await self._news.wait()
-            except TimeoutError:
-                # No news: a part of all is told again.
-                pass
+            if self._ask_count or self.known.holds_any:
+                await self._wait_for_news()
             else:
+                await self._news.wait()
+            if self._news.is_set():
                 await asyncio.sleep(NEWS_PAUSE_S)
             await asyncio.sleep(self._round())
 
+    async def _wait_for_news(self) -> None:
+        try:
+            async with asyncio.timeout(ROUND_S):
+                await self._news.wait()
+        except TimeoutError:
+            # A part of all is told again.
+            return
+
     def _round(self) -> float:
         """Tells and asks once; returns how long to pause after it, in s."""
         now_ms = clock.now_ms()
--- a/hyssoptack/policy/suspicion.py
+++ b/hyssoptack/policy/suspicion.py
@@ -232,6 +232,7 @@
         if suspect.moment_count(entry.endings) >= suspect.MOMENT_COUNT:
             self._bar(fingerprint, entry, 1, now_ms, source)
         elif is_new:
+            self.on_news()
             self._say(What.SUSPECTED, fingerprint, entry, source=source)
 
     def _bar(
