--- a/hyssoptack/core/notice.py
+++ b/hyssoptack/core/notice.py
@@ -327,16 +327,16 @@
         age_ms: How long ago an upstream last ended under it; where it is
             cleared, how long ago one answered it.
         cleared: Whether nothing is held against it any more.
-        barred_count: How often in a row it was barred; 0 while suspected.
-        barred_for_ms: How much longer it is barred.
+        blocked_count: How often in a row it was blocked; 0 while suspected.
+        blocked_for_ms: How much longer it is blocked.
         endings: Upstreams that ended under it, as far as kept.
     """
 
     fingerprint: str
     age_ms: float
     cleared: bool = False
-    barred_count: int = 0
-    barred_for_ms: float = 0.0
+    blocked_count: int = 0
+    blocked_for_ms: float = 0.0
     endings: tuple[SuspectEnding, ...] = ()
 
 
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -52,10 +52,10 @@
         "A request may crash upstreams: an end, no answer.",
     )
     SUSPICION_SHARED = (6202, "Other instances are told of such requests.")
-    REQUEST_BARRED = (6203, "A request is refused: it crashes upstreams.")
-    REQUEST_TRIED = (6204, "A barred request is sent to one upstream.")
+    REQUEST_BLOCKED = (6203, "A request is refused: it crashes upstreams.")
+    REQUEST_TRIED = (6204, "A blocked request is sent to one upstream.")
     SUSPICION_ENDED = (6205, "Nothing is held against a request any more.")
-    BARRED_STORED = (6206, "Barred requests were written to the store.")
+    BLOCKED_STORED = (6206, "Blocked requests were written to the store.")
     REQUEST_FAULT = (7001, "A request met a fault of ours.")
 
     @property
--- a/hyssoptack/gateway/barring.py
+++ b/hyssoptack/gateway/blocklist.py
@@ -1,11 +1,11 @@
-"""Barred requests in the platform's store, so that they outlive all instances.
+"""Blocked requests in the platform's store, so that they outlive all instances.
 
-Instances tell each other of barred requests, and forget them when all of them
+Instances tell each other of blocked requests, and forget them when all of them
 end at once. Those that read the list of instances for their failure domain find
-what is barred under the same prefix, at no call more, and write what is missing
-there; an instance that starts reads it with that list. The store takes the
-entries away by itself once they are over. While it is away nothing is lost but
-this.
+what is blocked under the same prefix, at no call more, and write what is
+missing there; an instance that starts reads it with that list. The store takes
+the entries away by itself once they are over. While it is away nothing is lost
+but this.
 """
 
 import dataclasses
@@ -35,18 +35,18 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Stored:
-    """A barred request as it is stored.
+    """A blocked request as it is stored.
 
     Attributes:
         fingerprint: The request.
-        barred_count: How often in a row it was barred.
+        blocked_count: How often in a row it was blocked.
     """
 
     fingerprint: str
-    barred_count: int
+    blocked_count: int
 
 
-class Barring:
+class Blocklist:
     """One instance's part in what is stored."""
 
     def __init__(
@@ -75,8 +75,8 @@
         now_ms = clock.now_ms()
         missing = [
             (name, entry)
-            for name, entry in self._known.newest_barred(STORED_COUNT, now_ms)
-            if stored.get(name, 0) < entry.barred_count
+            for name, entry in self._known.newest_blocked(STORED_COUNT, now_ms)
+            if stored.get(name, 0) < entry.blocked_count
         ]
         if missing:
             await self._write(missing, now_ms)
@@ -86,7 +86,7 @@
             self._note("cleared", cleared, await self._store.delete(keys))
 
     def _take(self, items: list[keyvalue.Item]) -> dict[str, int]:
-        """Takes each entry once; returns how often each was barred."""
+        """Takes each entry once; returns how often each was blocked."""
         stored: dict[str, int] = {}
         seen: dict[str, int] = {}
         for item in items:
@@ -95,7 +95,7 @@
             except msgspec.DecodeError as error:
                 log.write(log.Event.PEER_UNREADABLE, reason=str(error))
                 continue
-            stored[entry.fingerprint] = entry.barred_count
+            stored[entry.fingerprint] = entry.blocked_count
             seen[item.key] = item.revision
             if self._seen.get(item.key) != item.revision:
                 self._tell(entry)
@@ -106,8 +106,8 @@
         told = notice.Suspect(
             fingerprint=entry.fingerprint,
             age_ms=READ_AGE_MS,
-            barred_count=entry.barred_count,
-            barred_for_ms=suspect.barred_ms(entry.barred_count),
+            blocked_count=entry.blocked_count,
+            blocked_for_ms=suspect.blocked_ms(entry.blocked_count),
         )
         self._known.take_told(told, "store", clock.now_ms())
 
@@ -117,7 +117,7 @@
         ttl_ms = max(entry.over_ms - now_ms for _, entry in missing)
         items = {
             self._prefix + name: msgspec.json.encode(
-                Stored(fingerprint=name, barred_count=entry.barred_count)
+                Stored(fingerprint=name, blocked_count=entry.blocked_count)
             )
             for name, entry in missing
         }
@@ -137,5 +137,5 @@
         """Logs what was written; what failed is tried at the next reading."""
         error = result.error.detail if result.is_error() else ""
         log.write(
-            log.Event.BARRED_STORED, what=what, fingerprints=names, error=error
+            log.Event.BLOCKED_STORED, what=what, fingerprints=names, error=error
         )
--- a/hyssoptack/gateway/barring_test.py
+++ b/hyssoptack/gateway/blocklist_test.py
@@ -1,4 +1,4 @@
-"""Barred requests outlive all instances, in the platform's store."""
+"""Blocked requests outlive all instances, in the platform's store."""
 
 import asyncio
 
@@ -14,7 +14,7 @@
 
 def _stored(site):
     return [
-        key for key in site.store._items if key.startswith(wire.BARRED_PREFIX)
+        key for key in site.store._items if key.startswith(wire.BLOCKED_PREFIX)
     ]
 
 
@@ -24,12 +24,12 @@
             await asyncio.sleep(0.05)
 
 
-async def _barred(site):
-    """A site on which one request is barred, and stored."""
+async def _blocked(site):
+    """A site on which one request is blocked, and stored."""
     await crashing_test._index(site)
     watch = crashing_test._Watch(site, b"/all/bad")
     await site.get("/all/bad", "bad-1", name="n1")
-    await suspecting_test._wait_barred(site, "n1", "n2", "s1")
+    await suspecting_test._wait_blocked(site, "n1", "n2", "s1")
     await _wait(lambda: _stored(site))
     return watch
 
@@ -37,14 +37,14 @@
 def test_all_instances_that_start_anew_at_once_know_it():
     async def test():
         async with harness.Site() as site:
-            watch = await _barred(site)
+            watch = await _blocked(site)
             for name in tuple(site.gateways):
                 site.kill(name)
             await asyncio.sleep(0.2)
             site.gateways.clear()
             await site.start("n4")
             await site.start("s4", failure_domain="south")
-            await suspecting_test._wait_barred(site, "n4", "s4")
+            await suspecting_test._wait_blocked(site, "n4", "s4")
             count = len(watch.arrivals)
             for name in site.gateways:
                 got = await site.get("/all/bad", f"bad-{name}", name=name)
@@ -54,13 +54,13 @@
     asyncio.run(test())
 
 
-def test_what_is_cleared_is_removed_and_barred_by_nobody_again():
+def test_what_is_cleared_is_removed_and_blocked_by_nobody_again():
     async def test():
         async with harness.Site() as site:
-            await _barred(site)
+            await _blocked(site)
             for name in site.gateways:
                 known = suspecting_test._suspicions(site, name)
-                (fingerprint,) = known._barred
+                (fingerprint,) = known._blocked
                 known.note_answer(fingerprint, clock.now_ms())
             await _wait(lambda: not _stored(site))
             for name in site.gateways:
@@ -73,7 +73,7 @@
 def test_instances_are_still_found_beside_what_is_stored():
     async def test():
         async with harness.Site() as site:
-            await _barred(site)
+            await _blocked(site)
             await site.start("n3")
             await _wait(lambda: site.gateways["n3"].readers.total_count == 4)
 
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -16,8 +16,8 @@
 from hyssoptack.core import notice
 from hyssoptack.core import traffic
 from hyssoptack.events import log
-from hyssoptack.gateway import barring
 from hyssoptack.gateway import beliefs
+from hyssoptack.gateway import blocklist
 from hyssoptack.gateway import budgetshare
 from hyssoptack.gateway import delegating
 from hyssoptack.gateway import earlyport
@@ -159,11 +159,11 @@
             self.readers.neighbours,
             self._relaying.known.peers,
             self._peering.send,
-            self._serving.note_barred,
+            self._serving.note_blocked,
             self._metrics,
         )
-        self._barring = barring.Barring(
-            self._suspicions, self._store, wire.BARRED_PREFIX
+        self._blocklist = blocklist.Blocklist(
+            self._suspicions, self._store, wire.BLOCKED_PREFIX
         )
         self._pools.on_ended = self._suspecting.on_upstream_ended
         self._peering.on_query = self._on_query
@@ -247,7 +247,7 @@
             "store_call_count": self._store.call_count,
             "instance_count": self.readers.total_count,
             "suspected_count": self._suspicions.suspected_count,
-            "barred_count": self._suspicions.barred_count,
+            "blocked_count": self._suspicions.blocked_count,
         }
 
     async def run(self, callers_port: socket.socket | None = None) -> None:
@@ -288,7 +288,7 @@
             self._store,
             self._peering,
             self._on_instances,
-            self._barring.settle,
+            self._blocklist.settle,
         )
         tasks = [
             loop.create_task(each)
--- a/hyssoptack/gateway/gathering.py
+++ b/hyssoptack/gateway/gathering.py
@@ -72,7 +72,7 @@
         if not ready or self._is_stale():
             gather.decline(callresult.GATHERER_DECLINED)
             return
-        if self._suspicions.is_barred(ask.fingerprint, clock.now_ms()):
+        if self._suspicions.is_blocked(ask.fingerprint, clock.now_ms()):
             gather.decline(callresult.CRASHES_UPSTREAMS)
             return
         self.gathers[key] = gather
--- a/hyssoptack/gateway/metrics.py
+++ b/hyssoptack/gateway/metrics.py
@@ -45,7 +45,7 @@
         )
         self.suspicions = self._counter(
             "hyssoptack_suspicions_total",
-            "Requests suspected, barred, refused, tried, cleared, forgotten.",
+            "Requests suspected, blocked, refused, tried, cleared, forgotten.",
         )
         self.request_ms = self._histogram(
             "hyssoptack_request_ms",
--- a/hyssoptack/gateway/running.py
+++ b/hyssoptack/gateway/running.py
@@ -317,10 +317,10 @@
         self._now_ms = clock.now_ms()
         self._carry(self._plan.on_cut(self._now_ms))
 
-    def note_barred(self) -> None:
+    def note_blocked(self) -> None:
         """Gives up a request that was found to crash upstreams."""
         self._now_ms = clock.now_ms()
-        self._carry(self._plan.on_barred(self._now_ms))
+        self._carry(self._plan.on_blocked(self._now_ms))
 
     def _left(self) -> None:
         """Cancels everything: nobody waits for the answer."""
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -170,11 +170,11 @@
         for each in tuple(self.running):
             each.note_cut()
 
-    def note_barred(self, fingerprint: str) -> None:
+    def note_blocked(self, fingerprint: str) -> None:
         """Ends what is found to crash the upstreams that run it."""
         for each in tuple(self.running):
             if each.fingerprint == fingerprint:
-                each.note_barred()
+                each.note_blocked()
 
     @property
     def beliefs(self) -> beliefs.Beliefs:
--- a/hyssoptack/gateway/suspecting.py
+++ b/hyssoptack/gateway/suspecting.py
@@ -46,7 +46,7 @@
 """Most requests that an instance is told of that has just started."""
 
 SUSPECT_BYTES = 150
-"""About what one request takes in a message (120 while it is barred)."""
+"""About what one request takes in a message (120 while it is blocked)."""
 
 PACE_BYTES_PER_S = 6_000
 """What is told on the average at most: a third of what an instance may send
@@ -62,7 +62,7 @@
 
 EVENTS = {
     suspicion.What.SUSPECTED: log.Event.SUSPICION_BEGAN,
-    suspicion.What.BARRED: log.Event.REQUEST_BARRED,
+    suspicion.What.BLOCKED: log.Event.REQUEST_BLOCKED,
     suspicion.What.TRIED: log.Event.REQUEST_TRIED,
     suspicion.What.CLEARED: log.Event.SUSPICION_ENDED,
     suspicion.What.FORGOTTEN: log.Event.SUSPICION_ENDED,
@@ -82,7 +82,7 @@
         near: Peers,
         far: Peers,
         send: Send,
-        on_barred: collections.abc.Callable[[str], None],
+        on_blocked: collections.abc.Callable[[str], None],
         counted: metrics.Metrics,
     ):
         """Makes the part of one instance.
@@ -93,7 +93,7 @@
             near: Returns the others of its failure domain.
             far: Returns some of other failure domains.
             send: Sends a message to an address.
-            on_barred: Told of a request that is refused from now on.
+            on_blocked: Told of a request that is refused from now on.
             counted: The instance's metrics.
         """
         self.known = known
@@ -101,7 +101,7 @@
         self._near = near
         self._far = far
         self._send = send
-        self._on_barred = on_barred
+        self._on_blocked = on_blocked
         self._metrics = counted
         self._random = random.Random()
         self._ask_count = ASK_ROUNDS_COUNT
@@ -134,14 +134,14 @@
             fingerprint=change.fingerprint,
             what=change.what.value,
             upstreams=list(change.upstream_ids),
-            barred_count=change.barred_count,
+            blocked_count=change.blocked_count,
             for_ms=round(change.for_ms),
             source=change.source,
         )
-        if change.what is suspicion.What.BARRED:
+        if change.what is suspicion.What.BLOCKED:
             # The plan that found so is not done with its own command yet.
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._on_barred, change.fingerprint)
+            loop.call_soon(self._on_blocked, change.fingerprint)
 
     # What is told.
 
--- a/hyssoptack/gateway/suspecting_test.py
+++ b/hyssoptack/gateway/suspecting_test.py
@@ -17,9 +17,9 @@
     return site.gateways[name]._suspicions
 
 
-async def _wait_barred(site, *names):
+async def _wait_blocked(site, *names):
     async with asyncio.timeout(TOLD_S):
-        while not all(_suspicions(site, each).barred_count for each in names):
+        while not all(_suspicions(site, each).blocked_count for each in names):
             await asyncio.sleep(0.02)
 
 
@@ -74,9 +74,9 @@
             crashing_test._Watch(site, b"/all/bad")
             heal = _cut(site, "s1")
             await crashing_test._repeat(site, "/all/bad", 0.6, 0.2, "bad")
-            await _wait_barred(site, "n1", "n2")
+            await _wait_blocked(site, "n1", "n2")
             heal()
-            await _wait_barred(site, "s1")
+            await _wait_blocked(site, "s1")
 
     asyncio.run(test())
 
@@ -88,10 +88,10 @@
             watch = crashing_test._Watch(site, b"/all/bad")
             heal = _cut(site, "s1")
             await site.get("/all/bad", "bad-1", name="s1")
-            await _wait_barred(site, "s1")
+            await _wait_blocked(site, "s1")
             alone_count = len(watch.crash_ms)
             heal()
-            await _wait_barred(site, "n1", "n2")
+            await _wait_blocked(site, "n1", "n2")
             got = await site.get("/all/bad", "bad-2", name="n1")
             assert got.status == 502
             assert len(watch.crash_ms) == alone_count
@@ -106,7 +106,7 @@
             crashing_test._Watch(site, b"/all/bad")
             site.store.stop()
             await site.get("/all/bad", "bad-1", name="n1")
-            await _wait_barred(site, "n1", "n2", "s1")
+            await _wait_blocked(site, "n1", "n2", "s1")
 
     asyncio.run(test())
 
@@ -128,7 +128,7 @@
             statuses = [got.status for got in await asyncio.gather(*beside)]
             assert statuses.count(200) == len(statuses)
             for name in site.gateways:
-                assert _suspicions(site, name).barred_count == 0
+                assert _suspicions(site, name).blocked_count == 0
 
     asyncio.run(test())
 
@@ -157,7 +157,7 @@
                 await asyncio.sleep(0.5)
             assert statuses == [200] * len(statuses)
             for name in site.gateways:
-                assert _suspicions(site, name).barred_count == 0
+                assert _suspicions(site, name).blocked_count == 0
 
     asyncio.run(test())
 
@@ -168,14 +168,14 @@
             await crashing_test._index(site)
             watch = crashing_test._Watch(site, b"/all/bad")
             await site.get("/all/bad", "bad-1", name="n1")
-            await _wait_barred(site, "n1", "n2", "s1")
+            await _wait_blocked(site, "n1", "n2", "s1")
             await asyncio.sleep(crashing_test.RETURN_MS / message.MS_PER_S)
             for each in site.services.values():
                 each.manners.crashes_on = b""
             crashes = len(watch.crash_ms)
             # Its time is over at the instance that is asked.
-            entry = next(iter(_suspicions(site, "n2")._barred.values()))
-            entry.barred_until_ms = entry.spread_ms = 0.0
+            entry = next(iter(_suspicions(site, "n2")._blocked.values()))
+            entry.blocked_until_ms = entry.spread_ms = 0.0
             got = await site.get("/all/bad", "ok-1", name="n2")
             assert got.status == 200
             await asyncio.sleep(0.5)
@@ -230,7 +230,7 @@
             watch = crashing_test._Watch(site, b"/all/bad")
             got = await site.get("/all/bad", "bad-1", name="narrow")
             assert got.status == 502
-            await _wait_barred(site, "narrow", "wide")
+            await _wait_blocked(site, "narrow", "wide")
             count = len(watch.arrivals)
             narrow._delegating.offer = None
             for name in site.gateways:
@@ -247,8 +247,8 @@
             await crashing_test._index(site)
             crashing_test._Watch(site, b"/all/bad")
             await site.get("/all/bad", "bad-1", name="n1")
-            await _wait_barred(site, "n2", "s1")
-            bar = next(iter(_suspicions(site, "s1")._barred))
+            await _wait_blocked(site, "n2", "s1")
+            name = next(iter(_suspicions(site, "s1")._blocked))
             gathering = site.gateways["s1"]._gathering
             sent = []
             gathering.send = lambda _, body: sent.append(body)
@@ -263,7 +263,7 @@
                 remaining_ms=500.0,
                 to_goal_ms=100.0,
                 calls=(notice.RelayedCall(call_id=1, upstream_id="i-0-0"),),
-                fingerprint=bar,
+                fingerprint=name,
             )
             gathering.take(ask, ready=True)
             (batch,) = sent
--- a/hyssoptack/platform/wire.py
+++ b/hyssoptack/platform/wire.py
@@ -16,7 +16,7 @@
 """All that instances of ours store: they read it in one."""
 
 PEER_PREFIX = OWN_PREFIX + "peers/"
-BARRED_PREFIX = OWN_PREFIX + "barred/"
+BLOCKED_PREFIX = OWN_PREFIX + "blocked/"
 
 _IDEMPOTENT = "idempotent"
 _DRAINING = "draining"
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -211,7 +211,7 @@
                 )
         return commands
 
-    def on_barred(self, now_ms: float) -> list[callcommand.Command]:
+    def on_blocked(self, now_ms: float) -> list[callcommand.Command]:
         """Gives up on a request that was found to crash upstreams."""
         if self.finished:
             return []
--- a/hyssoptack/policy/callplan_crash_test.py
+++ b/hyssoptack/policy/callplan_crash_test.py
@@ -158,7 +158,7 @@
     for step in range(SHARD_COUNT):
         sent.end(beside, 40.0 + step)
     assert sent.result != CRASHES
-    assert not know.suspicions.is_barred(NAME, 100.0)
+    assert not know.suspicions.is_blocked(NAME, 100.0)
 
 
 def test_requests_that_lost_the_same_upstreams_go_different_ways():
@@ -188,17 +188,17 @@
             count += sent.count
         assert count == 3
         assert sent.result == CRASHES
-        assert know.suspicions.is_barred(NAME, now_ms)
+        assert know.suspicions.is_blocked(NAME, now_ms)
 
 
 def test_word_from_elsewhere_ends_what_is_out_unless_it_was_answered():
     know = _know()
     sent = _Sent(know).start()
-    sent.take(sent.plan.on_barred(10.0))
+    sent.take(sent.plan.on_blocked(10.0))
     assert (sent.result, sent.out) == (CRASHES, {})
     answered = _Sent(know, name="0ddba11").start()
     answered.end(ANSWERED, 10.0)
-    answered.take(answered.plan.on_barred(20.0))
+    answered.take(answered.plan.on_blocked(20.0))
     assert answered.result is None
 
 
--- a/hyssoptack/policy/caution.py
+++ b/hyssoptack/policy/caution.py
@@ -80,7 +80,7 @@
         )
         self._known.note_ending(self._fingerprint, ending, now_ms)
         self.careful = self._known.knows(self._fingerprint)
-        return self._known.is_barred(self._fingerprint, now_ms)
+        return self._known.is_blocked(self._fingerprint, now_ms)
 
     def note_failed(self) -> None:
         """Takes that it has ended: without an answer others should know."""
--- a/hyssoptack/policy/suspect.py
+++ b/hyssoptack/policy/suspect.py
@@ -6,7 +6,7 @@
 from hyssoptack.core import notice
 
 MOMENT_COUNT = 3
-"""Moments at which upstreams ended under a request that is barred: as many as
+"""Moments at which upstreams ended under a request that is blocked: as many as
 the users allow before they count what else is sent. One event, say a rack
 without power, takes all upstreams of a query at one moment. A request beside
 one that crashes upstreams is beside it once more about 1 time in 10 (four
@@ -19,11 +19,11 @@
 ENDINGS_COUNT = 2 * MOMENT_COUNT
 """Most ends that are kept of one request, and told of it."""
 
-BARRED_FIRST_MS = 60_000.0
-"""From the last end until a barred request is tried again; doubles each time.
+BLOCKED_FIRST_MS = 60_000.0
+"""From the last end until a blocked request is tried again; doubles each time.
 A try costs an upstream some seconds, one of three that a shard has."""
 
-BARRED_MOST_MS = 900_000.0
+BLOCKED_MOST_MS = 900_000.0
 """What crashes upstreams is mended within minutes to hours; its callers wait a
 quarter of an hour at most, which costs an upstream four times an hour."""
 
@@ -52,8 +52,8 @@
         endings: The upstreams that ended under it.
         last_ms: When the last of all of them did.
         shared: Whether other instances are told of it.
-        barred_count: How often in a row it was barred.
-        barred_until_ms: When it may be tried, but for the spread.
+        blocked_count: How often in a row it was blocked.
+        blocked_until_ms: When it may be tried, but for the spread.
         spread_ms: How much later this instance tries it.
         trying: Whether it is being tried here.
     """
@@ -61,15 +61,15 @@
     endings: list[Ending] = dataclasses.field(default_factory=list)
     last_ms: float = float("-inf")
     shared: bool = False
-    barred_count: int = 0
-    barred_until_ms: float = float("-inf")
+    blocked_count: int = 0
+    blocked_until_ms: float = float("-inf")
     spread_ms: float = 0.0
     trying: bool = False
 
     @property
     def over_ms(self) -> float:
-        """When a barred request is forgotten that nobody asks for."""
-        return self.barred_until_ms + barred_ms(self.barred_count)
+        """When a blocked request is forgotten that nobody asks for."""
+        return self.blocked_until_ms + blocked_ms(self.blocked_count)
 
 
 def moment_count(endings: collections.abc.Iterable[Ending]) -> int:
@@ -82,9 +82,9 @@
     return count
 
 
-def barred_ms(barred_count: int) -> float:
-    """Returns how long a request stays barred for the n-th time in a row."""
-    return min(BARRED_MOST_MS, BARRED_FIRST_MS * 2.0 ** (barred_count - 1))
+def blocked_ms(blocked_count: int) -> float:
+    """Returns how long a request stays blocked for the n-th time in a row."""
+    return min(BLOCKED_MOST_MS, BLOCKED_FIRST_MS * 2.0 ** (blocked_count - 1))
 
 
 def told(fingerprint: str, entry: Entry, now_ms: float) -> notice.Suspect:
@@ -92,15 +92,15 @@
     return notice.Suspect(
         fingerprint=fingerprint,
         age_ms=now_ms - entry.last_ms,
-        barred_count=entry.barred_count,
-        barred_for_ms=max(0.0, entry.barred_until_ms - now_ms),
+        blocked_count=entry.blocked_count,
+        blocked_for_ms=max(0.0, entry.blocked_until_ms - now_ms),
         endings=tuple(
             notice.SuspectEnding(
                 upstream_id=each.upstream_id,
                 age_ms=now_ms - each.at_ms,
                 proven=each.proven,
             )
-            for each in (() if entry.barred_count else entry.endings)
+            for each in (() if entry.blocked_count else entry.endings)
         ),
     )
 
--- a/hyssoptack/policy/suspicion.py
+++ b/hyssoptack/policy/suspicion.py
@@ -10,10 +10,10 @@
   An upstream that takes the connection lives; when it ends with the request in
   hand, it is not the same event that it ended by.
 
-A request is barred once upstreams have ended under it at three moments, and
-none has answered it. An innocent request is barred only if upstreams that were
+A request is blocked once upstreams have ended under it at three moments, and
+none has answered it. An innocent request is blocked only if upstreams that were
 found alive end by chance as often, each within the tens to hundreds of
-milliseconds for which it is there. Barred requests are refused. After a
+milliseconds for which it is there. Blocked requests are refused. After a
 while one is tried, with care, so that a request that has become harmless is
 served again at the price of one upstream where it has not.
 
@@ -43,7 +43,7 @@
 """After a try that brought neither an answer nor an end, the next one."""
 
 LIMIT_COUNT = 4_096
-"""Most suspected requests, and most barred ones, of one instance: 2.5 and 5 MB
+"""Most suspected requests, and most blocked ones, of one instance: 2.5 and 5 MB
 (`suspicion_test`, 50,000 and 20,000 requests), a sixteenth of what it may use.
 Beyond it the oldest are forgotten."""
 
@@ -60,7 +60,7 @@
     """What has changed in what is believed of a request."""
 
     SUSPECTED = "suspected"
-    BARRED = "barred"
+    BLOCKED = "blocked"
     TRIED = "tried"
     CLEARED = "cleared"
     FORGOTTEN = "forgotten"
@@ -74,15 +74,15 @@
         what: What has changed.
         fingerprint: The request.
         upstream_ids: Upstreams that have ended under it, as far as kept.
-        barred_count: How often in a row it was barred.
-        for_ms: How long it stays barred at least.
+        blocked_count: How often in a row it was blocked.
+        for_ms: How long it stays blocked at least.
         source: The instance that told so; empty where it was found here.
     """
 
     what: What
     fingerprint: str
     upstream_ids: tuple[str, ...] = ()
-    barred_count: int = 0
+    blocked_count: int = 0
     for_ms: float = 0.0
     source: str = ""
 
@@ -105,7 +105,7 @@
         self._suspected: collections.OrderedDict[str, suspect.Entry] = (
             collections.OrderedDict()
         )
-        self._barred: collections.OrderedDict[str, suspect.Entry] = (
+        self._blocked: collections.OrderedDict[str, suspect.Entry] = (
             collections.OrderedDict()
         )
         self._answered: dict[str, float] = {}
@@ -120,36 +120,36 @@
         return len(self._suspected)
 
     @property
-    def barred_count(self) -> int:
+    def blocked_count(self) -> int:
         """Requests that are refused."""
-        return len(self._barred)
+        return len(self._blocked)
 
     @property
     def holds_any(self) -> bool:
         """Whether anything is held against any request."""
-        return bool(self._suspected or self._barred)
+        return bool(self._suspected or self._blocked)
 
     def knows(self, fingerprint: str) -> bool:
         """Whether anything is held against a request."""
-        return fingerprint in self._suspected or fingerprint in self._barred
+        return fingerprint in self._suspected or fingerprint in self._blocked
 
-    def is_barred(self, fingerprint: str, now_ms: float) -> bool:
+    def is_blocked(self, fingerprint: str, now_ms: float) -> bool:
         """Whether a request is refused, with no try due."""
-        entry = self._barred.get(fingerprint)
+        entry = self._blocked.get(fingerprint)
         return entry is not None and (
-            now_ms < entry.barred_until_ms + entry.spread_ms
+            now_ms < entry.blocked_until_ms + entry.spread_ms
         )
 
     # Requests.
 
     def decide(self, fingerprint: str, now_ms: float) -> Verdict:
         """Returns how a request that has come in is to be sent."""
-        entry = self._barred.get(fingerprint)
+        entry = self._blocked.get(fingerprint)
         if entry is not None:
-            if self.is_barred(fingerprint, now_ms):
+            if self.is_blocked(fingerprint, now_ms):
                 return Verdict.REFUSED
             entry.trying = True
-            entry.barred_until_ms = now_ms + TRY_MS
+            entry.blocked_until_ms = now_ms + TRY_MS
             entry.spread_ms = 0.0
             self._say(What.TRIED, fingerprint, entry)
             return Verdict.WITH_CARE
@@ -179,12 +179,12 @@
         """
         if not self._enabled or fingerprint in self._trusted:
             return
-        entry = self._barred.get(fingerprint)
+        entry = self._blocked.get(fingerprint)
         if entry is not None:
-            # Calls that were out when it was barred show nothing new.
+            # Calls that were out when it was blocked show nothing new.
             if entry.trying:
                 entry.last_ms = now_ms
-                self._bar(fingerprint, entry, entry.barred_count + 1, now_ms)
+                self._block(fingerprint, entry, entry.blocked_count + 1, now_ms)
             return
         self._add(fingerprint, (ending,), now_ms, "")
 
@@ -230,37 +230,37 @@
             entry.shared = True
             self._announce(fingerprint)
         if suspect.moment_count(entry.endings) >= suspect.MOMENT_COUNT:
-            self._bar(fingerprint, entry, 1, now_ms, source)
+            self._block(fingerprint, entry, 1, now_ms, source)
         elif is_new:
             self.on_news()
             self._say(What.SUSPECTED, fingerprint, entry, source=source)
 
-    def _bar(
+    def _block(
         self,
         fingerprint: str,
         entry: suspect.Entry,
-        barred_count: int,
+        blocked_count: int,
         now_ms: float,
         source: str = "",
         for_ms: float | None = None,
     ) -> None:
         self._suspected.pop(fingerprint, None)
-        self._barred[fingerprint] = entry
-        self._barred.move_to_end(fingerprint)
-        _limit(self._barred)
-        usual_ms = suspect.barred_ms(barred_count)
+        self._blocked[fingerprint] = entry
+        self._blocked.move_to_end(fingerprint)
+        _limit(self._blocked)
+        usual_ms = suspect.blocked_ms(blocked_count)
         for_ms = usual_ms if for_ms is None else min(for_ms, usual_ms)
-        entry.barred_count = barred_count
-        entry.barred_until_ms = now_ms + for_ms
+        entry.blocked_count = blocked_count
+        entry.blocked_until_ms = now_ms + for_ms
         entry.spread_ms = self._random.uniform(0.0, SPREAD_RATIO * usual_ms)
         entry.trying = False
         entry.shared = True
         self._announce(fingerprint)
-        self._say(What.BARRED, fingerprint, entry, for_ms, source)
+        self._say(What.BLOCKED, fingerprint, entry, for_ms, source)
 
     def _clear(self, fingerprint: str, source: str) -> None:
         entry = self._suspected.pop(fingerprint, None)
-        entry = self._barred.pop(fingerprint, entry)
+        entry = self._blocked.pop(fingerprint, entry)
         if entry.shared:
             self._announce(fingerprint)
         self._say(What.CLEARED, fingerprint, entry, source=source)
@@ -271,10 +271,10 @@
             if now_ms - entry.last_ms > SUSPECTED_MS:
                 del self._suspected[fingerprint]
                 self._say(What.FORGOTTEN, fingerprint, entry)
-        for fingerprint, entry in tuple(self._barred.items()):
+        for fingerprint, entry in tuple(self._blocked.items()):
             # Nobody has asked for it in all the time in which it may be tried.
             if now_ms > entry.over_ms:
-                del self._barred[fingerprint]
+                del self._blocked[fingerprint]
                 self._say(What.FORGOTTEN, fingerprint, entry)
 
     def _say(
@@ -289,7 +289,7 @@
             what=what,
             fingerprint=fingerprint,
             upstream_ids=tuple(each.upstream_id for each in entry.endings),
-            barred_count=entry.barred_count,
+            blocked_count=entry.blocked_count,
             for_ms=for_ms,
             source=source,
         )
@@ -307,12 +307,12 @@
     def take_news(
         self, most_count: int, now_ms: float
     ) -> tuple[notice.Suspect, ...]:
-        """Takes out what others should know at once: the newest, barred first.
+        """Takes out what others should know at once: the newest, blocked first.
 
         What is over the count is told with all the rest later.
         """
         newest = reversed(self._news)
-        names = sorted(newest, key=lambda each: each not in self._barred)
+        names = sorted(newest, key=lambda each: each not in self._blocked)
         self._news.clear()
         told = (self._told(each, now_ms) for each in names[:most_count])
         return tuple(each for each in told if each is not None)
@@ -320,8 +320,8 @@
     def some(
         self, most_count: int, now_ms: float
     ) -> tuple[notice.Suspect, ...]:
-        """Returns what others may have missed; what is barred first."""
-        names = self._sample(self._barred, most_count)
+        """Returns what others may have missed; what is blocked first."""
+        names = self._sample(self._blocked, most_count)
         shared = [name for name, e in self._suspected.items() if e.shared]
         names += self._sample(shared, most_count - len(names))
         told = (self._told(each, now_ms) for each in names)
@@ -333,7 +333,7 @@
         return self._random.sample(tuple(names), min(len(names), most_count))
 
     def _told(self, fingerprint: str, now_ms: float) -> notice.Suspect | None:
-        entry = self._barred.get(fingerprint)
+        entry = self._blocked.get(fingerprint)
         entry = entry or self._suspected.get(fingerprint)
         if entry is None:
             answered_ms = self._answered.get(fingerprint)
@@ -348,12 +348,12 @@
 
     # What is kept elsewhere.
 
-    def newest_barred(
+    def newest_blocked(
         self, most_count: int, now_ms: float
     ) -> list[tuple[str, suspect.Entry]]:
-        """Returns the requests that were barred last, with what is held."""
-        newest = itertools.islice(reversed(self._barred.items()), most_count)
-        return [each for each in newest if each[1].barred_until_ms > now_ms]
+        """Returns the requests that were blocked last, with what is held."""
+        newest = itertools.islice(reversed(self._blocked.items()), most_count)
+        return [each for each in newest if each[1].blocked_until_ms > now_ms]
 
     def was_cleared(self, fingerprint: str) -> bool:
         """Whether a request is known to have been answered, last."""
@@ -371,9 +371,9 @@
         elif at_ms <= self._answered.get(each.fingerprint, float("-inf")):
             # It has been answered since: who told does not know that yet.
             self._announce(each.fingerprint)
-        elif each.barred_count:
-            self._take_barred(each, at_ms, source, now_ms)
-        elif each.fingerprint not in self._barred:
+        elif each.blocked_count:
+            self._take_blocked(each, at_ms, source, now_ms)
+        elif each.fingerprint not in self._blocked:
             endings = suspect.endings(each, now_ms)
             self._add(each.fingerprint, endings, now_ms, source)
 
@@ -382,31 +382,31 @@
     ) -> None:
         if at_ms > self._answered.get(fingerprint, float("-inf")):
             self._keep_answered(fingerprint, at_ms)
-        entry = self._barred.get(fingerprint)
+        entry = self._blocked.get(fingerprint)
         entry = entry or self._suspected.get(fingerprint)
         if entry is not None and entry.last_ms <= at_ms:
             self._clear(fingerprint, source)
 
-    def _take_barred(
+    def _take_blocked(
         self,
         each: notice.Suspect,
         at_ms: float,
         source: str,
         now_ms: float,
     ) -> None:
-        entry = self._barred.get(each.fingerprint)
-        if entry is not None and entry.barred_count >= each.barred_count:
+        entry = self._blocked.get(each.fingerprint)
+        if entry is not None and entry.blocked_count >= each.blocked_count:
             return
         entry = entry or self._suspected.get(each.fingerprint)
         entry = entry or suspect.Entry()
         entry.last_ms = max(entry.last_ms, at_ms)
-        self._bar(
+        self._block(
             each.fingerprint,
             entry,
-            each.barred_count,
+            each.blocked_count,
             now_ms,
             source,
-            each.barred_for_ms,
+            each.blocked_for_ms,
         )
 
 
--- a/hyssoptack/policy/suspicion_test.py
+++ b/hyssoptack/policy/suspicion_test.py
@@ -27,7 +27,7 @@
     each.note_ending(fingerprint, ending, now_ms)
 
 
-def bar(each, now_ms=0.0, fingerprint=BAD):
+def block(each, now_ms=0.0, fingerprint=BAD):
     for step in range(suspect.MOMENT_COUNT):
         end(each, now_ms + step, fingerprint=fingerprint)
 
@@ -89,30 +89,30 @@
     assert not each.holds_any
 
 
-def test_a_barred_request_is_tried_once_and_refused_for_longer_each_time():
+def test_a_blocked_request_is_tried_once_and_refused_for_longer_each_time():
     each = known()
-    bar(each)
+    block(each)
     now_ms = 2.0
     for count in range(1, 7):
         spread = 1.0 + suspicion.SPREAD_RATIO
-        assert each.decide(BAD, now_ms + 0.99 * suspect.barred_ms(count)) is (
+        assert each.decide(BAD, now_ms + 0.99 * suspect.blocked_ms(count)) is (
             REFUSED
         )
-        now_ms += spread * suspect.barred_ms(count)
+        now_ms += spread * suspect.blocked_ms(count)
         assert each.decide(BAD, now_ms) is CARE
         # While it is tried others are refused.
         assert each.decide(BAD, now_ms + 10.0) is REFUSED
         now_ms += 20.0
         end(each, now_ms)
         assert each.decide(BAD, now_ms) is REFUSED
-    assert suspect.barred_ms(9) == suspect.BARRED_MOST_MS
+    assert suspect.blocked_ms(9) == suspect.BLOCKED_MOST_MS
 
 
 def test_a_request_that_has_become_harmless_is_served_again_after_one_try():
     one, other = known(1), known(2)
-    bar(one)
+    block(one)
     tell(one, other, 5.0)
-    now_ms = 2.0 * suspect.BARRED_FIRST_MS
+    now_ms = 2.0 * suspect.BLOCKED_FIRST_MS
     assert one.decide(BAD, now_ms) is CARE
     one.note_answer(BAD, now_ms + 30.0)
     tell(one, other, now_ms + 40.0)
@@ -124,14 +124,14 @@
     due_ms = set()
     for seed in range(20):
         each = known(seed)
-        bar(each)
-        due_ms.add(round(each._barred[BAD].spread_ms / 1_000.0))
+        block(each)
+        due_ms.add(round(each._blocked[BAD].spread_ms / 1_000.0))
     assert len(due_ms) > 10
 
 
 def test_word_of_it_bars_it_everywhere_and_goes_on():
     one, other, third = known(1), known(2), known(3)
-    bar(one)
+    block(one)
     tell(one, other, 10.0)
     tell(other, third, 20.0)
     assert third.decide(BAD, 30.0) is REFUSED
@@ -159,7 +159,7 @@
 
 def test_old_word_does_not_bar_what_was_answered_since():
     one, other = known(1), known(2)
-    bar(one)
+    block(one)
     other.note_answer(BAD, 100.0)
     tell(one, other, 200.0)
     assert other.decide(BAD, 210.0) is FREE
@@ -170,21 +170,21 @@
 
 def test_operators_lift_a_wrong_suspicion_and_prevent_it():
     one, other = known(1), known(2)
-    bar(one)
+    block(one)
     tell(one, other, 5.0)
     one.trust([BAD], 10.0)
     tell(one, other, 15.0)
     assert one.decide(BAD, 20.0) is FREE
     assert other.decide(BAD, 20.0) is FREE
-    bar(one, 30.0)
+    block(one, 30.0)
     assert one.decide(BAD, 40.0) is FREE
 
 
 def test_switched_off_nothing_is_suspected():
     one, other = known(1), known(2, enabled=False)
-    bar(other)
+    block(other)
     assert other.decide(BAD, 10.0) is FREE
-    bar(one)
+    block(one)
     tell(one, other, 20.0)
     assert other.decide(BAD, 30.0) is FREE
 
@@ -196,10 +196,10 @@
         end(each, 0.1 * index, f"u{index}", fingerprint=f"{index:016x}")
     assert each.suspected_count == suspicion.LIMIT_COUNT
     for index in range(20_000):
-        bar(each, 10_000.0 + index, f"{index + 10**6:016x}")
+        block(each, 10_000.0 + index, f"{index + 10**6:016x}")
     held_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    assert each.barred_count == suspicion.LIMIT_COUNT
+    assert each.blocked_count == suspicion.LIMIT_COUNT
     # Under a tenth of what an instance may use (128 MB).
     assert held_bytes < 12_800_000
     # The newest is known, and the news are as many as are held at most.
@@ -209,16 +209,16 @@
 
 def test_what_is_told_of_one_is_small():
     each = known()
-    bar(each)
+    block(each)
     (told,) = each.take_news(1, 10.0)
     assert len(msgspec.msgpack.encode(told)) < 150
 
 
-def test_what_is_barred_is_told_first():
+def test_what_is_blocked_is_told_first():
     each = known()
     for index in range(100):
         end(each, 1.0, f"u{index}", fingerprint=f"{index:016x}")
         each.share(f"{index:016x}")
-    bar(each, 10.0)
+    block(each, 10.0)
     assert each.take_news(1, 20.0)[0].fingerprint == BAD
     assert each.some(1, 20.0)[0].fingerprint == BAD
