A suspected request goes to no upstream more than its route allows

Cause: a call that had to wait for its turn chose its upstream anew; after two refusals that was a third one, where only one that refused may be asked again. Found by reading. callplan_crash_test: failed before (3 of 2), passes; policy and crashing tests pass.

--- a/hyssoptack/gateway/suspecting.py
+++ b/hyssoptack/gateway/suspecting.py
@@ -46,7 +46,7 @@
 """Most requests that an instance is told of that has just started."""
 
 SUSPECT_BYTES = 150
-"""About what one request takes in a message (120 while it is blocked)."""
+"""About what one request takes in a message (140 while it is blocked)."""
 
 PACE_BYTES_PER_S = 6_000
 """What is told on the average at most: a third of what an instance may send
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -302,8 +302,8 @@
         now_ms: float,
         extra: str,
     ) -> list[callcommand.Command]:
-        out = self._calls.values()
-        if self.caution.holds_back(part, extra, out):
+        asked = caution.Held(part=part, upstream=upstream, extra=extra)
+        if self.caution.holds_back(asked, self._calls.values()):
             return []
         call_id = self._next_call_id
         self._next_call_id += 1
@@ -334,12 +334,16 @@
         """Sends what had to wait while the request was sent with care."""
         commands: list[callcommand.Command] = []
         while not self.finished:
-            released = self.caution.release(self._calls, now_ms)
-            if released is None:
-                return commands
-            part, extra = released
-            commands.extend(self._send(part, now_ms, extra))
-            commands.extend(self._finish_if_due(now_ms))
+            held = self.caution.release(self._calls, now_ms)
+            if held is None:
+                break
+            part, extra = held.part, held.extra
+            if len(part.sent_to) < self.ask.attempts_count:
+                sends = self._send(part, now_ms, extra)
+            else:
+                # One that refused before: the route allows no other.
+                sends = self._send_to(part, held.upstream, now_ms, extra)
+            commands += sends + self._finish_if_due(now_ms)
         return commands
 
     def _may_hedge(self, part: callpart.Part) -> bool:
--- a/hyssoptack/policy/callplan_crash_test.py
+++ b/hyssoptack/policy/callplan_crash_test.py
@@ -220,3 +220,21 @@
     sent.end(ENDED, 20.0, SHARD_COUNT)
     assert sent.result is not None
     assert [each.fingerprint for each in know.suspicions.take_news(9, 20.0)]
+
+
+def test_a_careful_request_goes_to_no_upstream_more_than_its_route_allows():
+    # Both upstreams that it may be sent to refuse it for want of room: the
+    # first is asked again, though it had to wait for its turn.
+    know = _know()
+    _Sent(know).start().end(ENDED, 20.0, SHARD_COUNT)
+    sent = _Sent(know).start(100.0)
+    shed = callcommand.Outcome(kind=callcommand.Kind.SHED)
+    asked: dict[str, set[str]] = {}
+    for step in range(12):
+        for each in sent.out.values():
+            asked.setdefault(each.upstream.service, set()).add(
+                each.upstream.upstream_id
+            )
+        sent.end(shed, 110.0 + step)
+    assert asked
+    assert max(len(each) for each in asked.values()) <= 2
--- a/hyssoptack/policy/caution.py
+++ b/hyssoptack/policy/caution.py
@@ -6,7 +6,9 @@
 
 import collections
 import collections.abc
+import dataclasses
 
+from hyssoptack.core import traffic
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import callpart
 from hyssoptack.policy import callresult
@@ -17,6 +19,21 @@
 """Why a call is sent beside another one of its part."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Held:
+    """A call that waits.
+
+    Attributes:
+        part: What it is for.
+        upstream: Whom it was to go to.
+        extra: Why it is not the part's first.
+    """
+
+    part: callpart.Part
+    upstream: traffic.Upstream
+    extra: str
+
+
 class Caution:
     """The care that one request is sent with."""
 
@@ -30,9 +47,7 @@
         self._known = known
         self._fingerprint = fingerprint
         self._answered = False
-        self._held: collections.deque[tuple[callpart.Part, str]] = (
-            collections.deque()
-        )
+        self._held: collections.deque[Held] = collections.deque()
         self._released: callpart.Part | None = None
         self.ending_count = 0
         self.careful = False
@@ -89,8 +104,7 @@
 
     def holds_back(
         self,
-        part: callpart.Part,
-        extra: str,
+        asked: Held,
         calls: collections.abc.Iterable[callpart.Call],
     ) -> bool:
         """Whether a call has to wait; if so, it is kept until it is released.
@@ -98,29 +112,28 @@
         A call that is late is hedged all the same, one part at a time.
 
         Args:
-            part: What it is for.
-            extra: Why it is not the part's first.
+            asked: The call.
             calls: All calls of the request that are out.
         """
         if not self.careful:
             return False
-        if extra == HEDGE:
-            return any(e.careful and e.part is not part for e in calls)
-        if part is self._released:
+        if asked.extra == HEDGE:
+            return any(e.careful and e.part is not asked.part for e in calls)
+        if asked.part is self._released:
             self._released = None
             return False
-        self._held.append((part, extra))
+        self._held.append(asked)
         return True
 
     def release(
         self, calls: collections.abc.Collection[object], now_ms: float
-    ) -> tuple[callpart.Part, str] | None:
-        """Returns a part to be sent now, and why it is; None if none is."""
+    ) -> Held | None:
+        """Returns a call to be made now; None if there is none."""
         while self._held and not (self.careful and calls):
             if self.careful:
                 self._held.rotate(-self._place(now_ms, len(self._held)))
-            part, extra = self._held.popleft()
-            if part.is_open() and not part.calls:
-                self._released = part
-                return part, extra
+            held = self._held.popleft()
+            if held.part.is_open() and not held.part.calls:
+                self._released = held.part
+                return held
         return None
