--- a/hyssoptack/policy/suspect.py
+++ b/hyssoptack/policy/suspect.py
@@ -27,6 +27,15 @@
 """What crashes upstreams is mended within minutes to hours; its callers wait a
 quarter of an hour at most, which costs an upstream four times an hour."""
 
+SUSPECTED_MS = 30_000.0
+"""A request under which upstreams have ended is sent with care for so long. A
+caller that repeats it comes back sooner; care costs others one call's time."""
+
+LAST_WORD_MS = 2_000.0
+"""What is forgotten this soon is not told any more, nor taken: instances forget
+at times that differ by how long they took to hear of it, and would else hand it
+round for ever. Twice the longest that one waits to tell of it again."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Ending:
@@ -113,3 +122,33 @@
         )
         for given in each.endings[:ENDINGS_COUNT]
     )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Blocking:
+    """For how long a request is blocked.
+
+    Attributes:
+        count: How often in a row it was blocked.
+        for_ms: Until it may be tried, but for the spread.
+        kept_for_ms: Until it is forgotten that nobody asks for.
+    """
+
+    count: int
+    for_ms: float
+    kept_for_ms: float
+
+
+def blocking(count: int) -> Blocking:
+    """Returns what holds for a request that is blocked for the n-th time."""
+    for_ms = blocked_ms(count)
+    return Blocking(count=count, for_ms=for_ms, kept_for_ms=2 * for_ms)
+
+
+def lasts(each: notice.Suspect) -> bool:
+    """Whether a word of another instance is worth taking, and telling."""
+    if each.cleared:
+        return True
+    if each.blocked_count:
+        return each.kept_for_ms > LAST_WORD_MS
+    return each.age_ms < SUSPECTED_MS - LAST_WORD_MS
--- a/hyssoptack/policy/suspicion.py
+++ b/hyssoptack/policy/suspicion.py
@@ -31,10 +31,6 @@
 from hyssoptack.core import notice
 from hyssoptack.policy import suspect
 
-SUSPECTED_MS = 30_000.0
-"""A request under which upstreams have ended is sent with care for so long. A
-caller that repeats it comes back sooner; care costs others one call's time."""
-
 SPREAD_RATIO = 0.5
 """Instances try at different times, up to this part later, so that the first
 try's outcome is known to the others before theirs."""
@@ -48,12 +44,6 @@
 Beyond it the oldest are forgotten."""
 
 
-LAST_WORD_MS = 2_000.0
-"""What is forgotten this soon is not told any more, nor taken: instances forget
-at times that differ by how long they took to hear of it, and would else hand it
-round for ever. Twice the longest that one waits to tell of it again."""
-
-
 class Verdict(enum.Enum):
     """How a request is to be sent."""
 
@@ -96,21 +86,6 @@
 OnChange = collections.abc.Callable[[Change], None]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Blocking:
-    """For how long a request is blocked.
-
-    Attributes:
-        count: How often in a row it was blocked.
-        for_ms: Until it may be tried, but for the spread.
-        kept_for_ms: Until it is forgotten that nobody asks for.
-    """
-
-    count: int
-    for_ms: float
-    kept_for_ms: float
-
-
 class Suspicions:
     """One instance's beliefs about requests that crash upstreams."""
 
@@ -176,7 +151,7 @@
             self._say(What.TRIED, fingerprint, entry)
             return Verdict.WITH_CARE
         entry = self._suspected.get(fingerprint)
-        if entry is None or now_ms - entry.last_ms > SUSPECTED_MS:
+        if entry is None or now_ms - entry.last_ms > suspect.SUSPECTED_MS:
             return Verdict.FREE
         return Verdict.WITH_CARE
 
@@ -206,7 +181,7 @@
             # Calls that were out when it was blocked show nothing new.
             if entry.trying:
                 entry.last_ms = now_ms
-                blocking = _blocking(entry.blocked_count + 1)
+                blocking = suspect.blocking(entry.blocked_count + 1)
                 self._block(fingerprint, entry, blocking, now_ms)
             return
         self._add(fingerprint, (ending,), now_ms, "")
@@ -253,7 +228,7 @@
             entry.shared = True
             self._announce(fingerprint)
         if suspect.moment_count(entry.endings) >= suspect.MOMENT_COUNT:
-            self._block(fingerprint, entry, _blocking(1), now_ms, source)
+            self._block(fingerprint, entry, suspect.blocking(1), now_ms, source)
         elif is_new:
             self.on_news()
             self._say(What.SUSPECTED, fingerprint, entry, source=source)
@@ -262,7 +237,7 @@
         self,
         fingerprint: str,
         entry: suspect.Entry,
-        blocking: _Blocking,
+        blocking: suspect.Blocking,
         now_ms: float,
         source: str = "",
     ) -> None:
@@ -290,7 +265,7 @@
     def forget_old(self, now_ms: float) -> None:
         """Forgets what is too old to mean anything."""
         for fingerprint, entry in tuple(self._suspected.items()):
-            if now_ms - entry.last_ms > SUSPECTED_MS:
+            if now_ms - entry.last_ms > suspect.SUSPECTED_MS:
                 del self._suspected[fingerprint]
                 self._say(What.FORGOTTEN, fingerprint, entry)
         for fingerprint, entry in tuple(self._blocked.items()):
@@ -347,7 +322,7 @@
         shared = [name for name, e in self._suspected.items() if e.shared]
         names += self._sample(shared, most_count - len(names))
         told = (self._told(each, now_ms) for each in names)
-        return tuple(each for each in told if each and _lasts(each))
+        return tuple(each for each in told if each and suspect.lasts(each))
 
     def _sample(
         self, names: collections.abc.Collection[str], most_count: int
@@ -376,7 +351,9 @@
         """Returns the requests that were blocked last, with what is held."""
         newest = itertools.islice(reversed(self._blocked.items()), most_count)
         return [
-            each for each in newest if each[1].over_ms > now_ms + LAST_WORD_MS
+            each
+            for each in newest
+            if each[1].over_ms > now_ms + suspect.LAST_WORD_MS
         ]
 
     def was_cleared(self, fingerprint: str) -> bool:
@@ -387,7 +364,7 @@
         self, each: notice.Suspect, source: str, now_ms: float
     ) -> None:
         """Takes another instance's word."""
-        if not self._enabled or not _lasts(each):
+        if not self._enabled or not suspect.lasts(each):
             return
         if each.fingerprint in self._trusted and not each.cleared:
             self._keep_answered(each.fingerprint, now_ms)
@@ -429,7 +406,7 @@
         self._block(
             each.fingerprint,
             entry,
-            _Blocking(
+            suspect.Blocking(
                 count=each.blocked_count,
                 for_ms=min(
                     each.blocked_for_ms, suspect.blocked_ms(each.blocked_count)
@@ -444,21 +421,6 @@
         )
 
 
-def _blocking(count: int) -> _Blocking:
-    """Returns what holds for a request that is blocked for the n-th time."""
-    for_ms = suspect.blocked_ms(count)
-    return _Blocking(count=count, for_ms=for_ms, kept_for_ms=2 * for_ms)
-
-
-def _lasts(each: notice.Suspect) -> bool:
-    """Whether a word of another instance is worth taking, and telling."""
-    if each.cleared:
-        return True
-    if each.blocked_count:
-        return each.kept_for_ms > LAST_WORD_MS
-    return each.age_ms < SUSPECTED_MS - LAST_WORD_MS
-
-
 def _limit(entries: collections.OrderedDict[str, suspect.Entry]) -> None:
     """Drops the oldest of too many."""
     while len(entries) > LIMIT_COUNT:
--- a/hyssoptack/policy/suspicion_test.py
+++ b/hyssoptack/policy/suspicion_test.py
@@ -83,7 +83,7 @@
 def test_a_suspicion_without_a_further_end_is_forgotten():
     each = known()
     end(each, 0.0)
-    late_ms = suspicion.SUSPECTED_MS + 1.0
+    late_ms = suspect.SUSPECTED_MS + 1.0
     assert each.decide(BAD, late_ms) is FREE
     each.forget_old(late_ms)
     assert not each.holds_any
@@ -245,7 +245,7 @@
     while now_ms < 4 * suspect.BLOCKED_FIRST_MS:
         _gossip(instances, now_ms)
         now_ms += 1_000.0
-        if 5_000.0 < now_ms < suspicion.SUSPECTED_MS:
+        if 5_000.0 < now_ms < suspect.SUSPECTED_MS:
             assert all(each.knows(BAD) for each in instances)
         if 5_000.0 < now_ms < 1.9 * suspect.BLOCKED_FIRST_MS:
             assert all(each.knows("0ddba11") for each in instances)
