The notice of suspects is made in one place; no peers are drawn once nothing is asked

Cause: read again. The same notice was made twice, and each round drew three peers for a question that an instance asks in its first three rounds only. Behaviour as before. suspecting_test and blocklist_test: 12 passed; lint clean.

--- a/hyssoptack/gateway/suspecting.py
+++ b/hyssoptack/gateway/suspecting.py
@@ -185,14 +185,18 @@
         """Tells some others; returns how often a request was told of."""
         if not suspects:
             return 0
-        made = notice.SuspectsNotice(
-            sender_id=self._own.instance_id, suspects=suspects
-        )
         peers = self._some(self._near(), near) + self._some(self._far(), far)
         for peer in peers:
-            self._send(peer.address, made)
+            self._send(peer.address, self._notice(suspects))
         return len(suspects) * len(peers)
 
+    def _notice(
+        self, suspects: tuple[notice.Suspect, ...]
+    ) -> notice.SuspectsNotice:
+        return notice.SuspectsNotice(
+            sender_id=self._own.instance_id, suspects=suspects
+        )
+
     def _some(
         self, peers: collections.abc.Sequence[member.Peer], most_count: int
     ) -> list[member.Peer]:
@@ -206,8 +210,10 @@
             )
 
     def _ask(self) -> None:
+        if not self._ask_count:
+            return
         peers = self._some(self._near(), 2) + self._some(self._far(), 1)
-        if not self._ask_count or not peers:
+        if not peers:
             return
         self._ask_count -= 1
         wanted = notice.SuspectsWanted(address=self._own.address)
@@ -228,7 +234,4 @@
             case notice.SuspectsWanted(address=address):
                 suspects = self.known.some(ANSWER_COUNT, now_ms)
                 if suspects:
-                    made = notice.SuspectsNotice(
-                        sender_id=self._own.instance_id, suspects=suspects
-                    )
-                    self._send(address, made)
+                    self._send(address, self._notice(suspects))
