--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -19,7 +19,7 @@
 from hyssoptack.core import notice
 from hyssoptack.core import traffic
 from hyssoptack.events import log
-from hyssoptack.gateway import running
+from hyssoptack.gateway import received
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
 from hyssoptack.policy import delegation
@@ -66,7 +66,7 @@
     BEGUN = "begun"
 
 
-RunHere = collections.abc.Callable[[running.Request, bool], None]
+RunHere = collections.abc.Callable[[received.Request, bool], None]
 """Runs a query here; told whether a neighbour may have run some of it."""
 
 
@@ -90,7 +90,7 @@
         self._ticked_ms = clock.now_ms()
         self._woke_ms = -math.inf
 
-    def offer(self, query: running.Request, version: int) -> bool:
+    def offer(self, query: received.Request, version: int) -> bool:
         """Hands a query over if that is better; tells whether it did."""
         now_ms = clock.now_ms()
         route = query.found.route
@@ -218,7 +218,7 @@
     def __init__(
         self,
         owner: Delegating,
-        query: running.Request,
+        query: received.Request,
         peer: member.Peer,
         ask_id: int,
     ):
--- a/hyssoptack/gateway/delegating_test.py
+++ b/hyssoptack/gateway/delegating_test.py
@@ -8,7 +8,7 @@
 from hyssoptack.gateway import delegating
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
-from hyssoptack.gateway import running
+from hyssoptack.gateway import received
 from hyssoptack.policy import delegation
 
 WAIT_S = 6.0
@@ -207,7 +207,7 @@
 
 def test_an_answer_that_can_not_be_in_time_is_given_time_to_be_whole():
     route = types.SimpleNamespace(goal_ms=150.0)
-    query = running.Request(
+    query = received.Request(
         exchange=types.SimpleNamespace(
             request=types.SimpleNamespace(received_ms=1_000.0)
         ),
--- /dev/null
+++ b/hyssoptack/gateway/received.py
@@ -0,0 +1,73 @@
+"""A request as it was received, from a caller or from a neighbour."""
+
+import dataclasses
+import functools
+import typing
+
+from hyssoptack.core import fingerprint
+from hyssoptack.http1 import message
+from hyssoptack.platform import headers
+from hyssoptack.policy import routetable
+
+
+class Exchange(typing.Protocol):
+    """A request to be answered once, by whomever it came.
+
+    Attributes:
+        request: The request.
+        on_left: Called when nobody waits for the answer any more.
+    """
+
+    request: message.Request
+    on_left: typing.Callable[[], None] | None
+
+    def answer(self, reply: message.Reply) -> None:
+        """Writes the answer."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Request:
+    """A request to be served, with what was found of it.
+
+    Attributes:
+        exchange: Where it is answered.
+        facts: What it says of itself.
+        found: Its route.
+        spent_ms: What its caller had spent when it was sent.
+        margin_ms: Kept back from its goal for the way.
+    """
+
+    exchange: Exchange
+    facts: headers.CallerFacts
+    found: routetable.Found
+    spent_ms: float = 0.0
+    margin_ms: float = 0.0
+
+    @property
+    def away_ms(self) -> float:
+        """Time to the goal that is used up on the way and by earlier tries."""
+        return self.spent_ms + self.margin_ms
+
+    def goal_at_ms(self, now_ms: float) -> float:
+        """Returns when an answer should leave.
+
+        One that can't be in time any more is better whole than soon: it is
+        given as long as one that can.
+        """
+        goal_ms = self.found.route.goal_ms
+        due_ms = self.exchange.request.received_ms + goal_ms
+        in_time_ms = due_ms - self.away_ms
+        return in_time_ms if in_time_ms > now_ms else due_ms
+
+    @property
+    def request_id(self) -> str:
+        """The caller's id of it, for the log."""
+        return self.facts.request_id.decode("latin-1")
+
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Names its content; costs a hash."""
+        request = self.exchange.request
+        return fingerprint.of(
+            request.method, self.facts.host, request.target, request.body
+        )
--- a/hyssoptack/gateway/running.py
+++ b/hyssoptack/gateway/running.py
@@ -1,17 +1,15 @@
 """One request in progress: carries out what its plan decides."""
 
 import asyncio
-import dataclasses
-import functools
 import http
 import typing
 
 from hyssoptack.core import clock
-from hyssoptack.core import fingerprint
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import calltrace
 from hyssoptack.gateway import pool
+from hyssoptack.gateway import received
 from hyssoptack.gateway import relaying
 from hyssoptack.http1 import message
 from hyssoptack.http1 import upstreamside
@@ -20,7 +18,6 @@
 from hyssoptack.policy import callplan
 from hyssoptack.policy import callresult
 from hyssoptack.policy import records
-from hyssoptack.policy import routetable
 
 if typing.TYPE_CHECKING:
     from hyssoptack.gateway import serving
@@ -30,76 +27,13 @@
 its sockets, and are read before time is said to have passed."""
 
 
-class Exchange(typing.Protocol):
-    """A request to be answered once, by whomever it came.
-
-    Attributes:
-        request: The request.
-        on_left: Called when nobody waits for the answer any more.
-    """
-
-    request: message.Request
-    on_left: typing.Callable[[], None] | None
-
-    def answer(self, reply: message.Reply) -> None:
-        """Writes the answer."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Request:
-    """A request to be served, with what was found of it.
-
-    Attributes:
-        exchange: Where it is answered.
-        facts: What it says of itself.
-        found: Its route.
-        spent_ms: What its caller had spent when it was sent.
-        margin_ms: Kept back from its goal for the way.
-    """
-
-    exchange: Exchange
-    facts: headers.CallerFacts
-    found: routetable.Found
-    spent_ms: float = 0.0
-    margin_ms: float = 0.0
-
-    @property
-    def away_ms(self) -> float:
-        """Time to the goal that is used up on the way and by earlier tries."""
-        return self.spent_ms + self.margin_ms
-
-    def goal_at_ms(self, now_ms: float) -> float:
-        """Returns when an answer should leave.
-
-        One that can't be in time any more is better whole than soon: it is
-        given as long as one that can.
-        """
-        goal_ms = self.found.route.goal_ms
-        due_ms = self.exchange.request.received_ms + goal_ms
-        in_time_ms = due_ms - self.away_ms
-        return in_time_ms if in_time_ms > now_ms else due_ms
-
-    @property
-    def request_id(self) -> str:
-        """The caller's id of it, for the log."""
-        return self.facts.request_id.decode("latin-1")
-
-    @functools.cached_property
-    def fingerprint(self) -> str:
-        """Names its content; costs a hash."""
-        request = self.exchange.request
-        return fingerprint.of(
-            request.method, self.facts.host, request.target, request.body
-        )
-
-
 class Running:
     """One request in progress."""
 
     def __init__(
         self,
         owner: "serving.Serving",
-        query: Request,
+        query: received.Request,
         may_have_run: bool,
     ):
         exchange, facts, found = query.exchange, query.facts, query.found
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -11,6 +11,7 @@
 from hyssoptack.gateway import beliefs
 from hyssoptack.gateway import delegating
 from hyssoptack.gateway import metrics
+from hyssoptack.gateway import received
 from hyssoptack.gateway import relaying
 from hyssoptack.gateway import running
 from hyssoptack.http1 import callerside
@@ -62,7 +63,7 @@
             self._serve(exchange, ask)
 
     def _serve(
-        self, exchange: running.Exchange, ask: notice.QueryAsk | None
+        self, exchange: received.Exchange, ask: notice.QueryAsk | None
     ) -> None:
         facts = headers.caller_facts(exchange.request)
         if isinstance(facts, str):
@@ -79,7 +80,7 @@
                 status = http.HTTPStatus.NOT_FOUND
                 self._refuse(exchange, facts, status, found.value)
             case routetable.Found():
-                query = running.Request(
+                query = received.Request(
                     exchange=exchange, facts=facts, found=found
                 )
                 if ask is None:
@@ -88,7 +89,7 @@
                     known = dataclasses.replace(query, margin_ms=ask.away_ms)
                     self.run_here(known, may_have_run=False)
 
-    def _serve_caller(self, query: running.Request) -> None:
+    def _serve_caller(self, query: received.Request) -> None:
         timed = dataclasses.replace(
             query, margin_ms=self._caller_time.margin_ms
         )
@@ -107,7 +108,7 @@
         if here or not self.delegating.offer(timed, version):
             self.run_here(timed, may_have_run=False)
 
-    def run_here(self, query: running.Request, may_have_run: bool) -> None:
+    def run_here(self, query: received.Request, may_have_run: bool) -> None:
         """Runs a request on this instance.
 
         Args:
@@ -118,7 +119,7 @@
 
     def _refuse(
         self,
-        exchange: running.Exchange,
+        exchange: received.Exchange,
         facts: headers.CallerFacts,
         status: int,
         reason: str,
