--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -47,6 +47,11 @@
     QUERY_HANDED = (6104, "A neighbour answered a query for this instance.")
     QUERY_BACK = (6105, "A neighbour did not run a query that it was handed.")
     RELAY_LOST = (6106, "An instance that made calls for others is lost.")
+    QUERY_TAKEN = (6107, "A neighbour's query is run here, or declined.")
+    QUERY_ANSWER_UNUSED = (
+        6108,
+        "A neighbour answered a query that it is not asked for any more.",
+    )
     SUSPICION_BEGAN = (
         6201,
         "A request may crash upstreams: an end, no answer.",
--- a/hyssoptack/gateway/beliefs.py
+++ b/hyssoptack/gateway/beliefs.py
@@ -136,7 +136,11 @@
         self.listed_ms = max(self.listed_ms, read_ms)
 
     def _log_changes(self, kept: dict[str, traffic.Upstream]) -> None:
-        came = [each for each in kept if each not in self.upstreams]
+        came = {
+            upstream_id: upstream.service
+            for upstream_id, upstream in kept.items()
+            if upstream_id not in self.upstreams
+        }
         went = [each for each in self.upstreams if each not in kept]
         drains = [
             upstream_id
--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -144,24 +144,38 @@
         now_ms = clock.now_ms()
         key = ask.sender_address, ask.ask_id
         running_already = key in self._taken
-        able = willing and not self.is_stale()
-        begun = running_already or (able and ask.fresh)
+        stale = self.is_stale()
+        begun = running_already or (willing and not stale and ask.fresh)
         taken = notice.QueryTaken(
             sender_address=self.own_address, ask_id=ask.ask_id, begun=begun
         )
         self.send(ask.sender_address, taken)
-        if running_already or not begun:
+        if running_already:
+            return None
+        request = message.Request(
+            method=ask.method,
+            target=ask.target,
+            headers=ask.headers,
+            body=ask.body,
+            received_ms=now_ms - max(0.0, ask.elapsed_ms),
+            keep_alive=True,
+        )
+        log.write(
+            log.Event.QUERY_TAKEN,
+            request_id=headers.request_id_text(request),
+            sender_address=ask.sender_address,
+            ask_id=ask.ask_id,
+            elapsed_ms=round(ask.elapsed_ms, 1),
+            fresh=ask.fresh,
+            willing=willing,
+            stale=stale,
+            begun=begun,
+        )
+        if not begun:
             return None
         route_name = ask.route_name
         exchange = PeerExchange(
-            request=message.Request(
-                method=ask.method,
-                target=ask.target,
-                headers=ask.headers,
-                body=ask.body,
-                received_ms=now_ms - max(0.0, ask.elapsed_ms),
-                keep_alive=True,
-            ),
+            request=request,
             reply_to=lambda reply: self._reply(key, route_name, reply),
         )
         self._taken[key] = exchange
@@ -193,6 +207,13 @@
             case notice.QueryAnswer(ask_id=ask_id):
                 if (found := self.handed.get(ask_id)) is not None:
                     found.answered(each)
+                else:
+                    log.write(
+                        log.Event.QUERY_ANSWER_UNUSED,
+                        neighbour_address=each.sender_address,
+                        ask_id=ask_id,
+                        status=each.status,
+                    )
             case notice.QueryLeft(sender_address=address, ask_id=ask_id):
                 exchange = self._taken.pop((address, ask_id), None)
                 if exchange is not None and exchange.on_left is not None:
@@ -349,6 +370,7 @@
             log.Event.QUERY_BACK,
             request_id=self._query.request_id,
             neighbour=self._peer.instance_id,
+            ask_id=self._ask_id,
             reason=reason,
             may_have_run=may_have_run,
         )
--- a/hyssoptack/gateway/metrics.py
+++ b/hyssoptack/gateway/metrics.py
@@ -39,6 +39,10 @@
             "hyssoptack_parts_left_out_total",
             "Shards that answers were given without, by route.",
         )
+        self.requests_at_limit = self._counter(
+            "hyssoptack_requests_at_attempt_limit_total",
+            "Requests of which a part took all attempts allowed, by route.",
+        )
         self.upstreams_ended = self._counter(
             "hyssoptack_upstreams_ended_total",
             "Upstreams that ended with calls of ours in hand, by service.",
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -63,6 +63,11 @@
     )
 
 
+def request_id_text(request: message.Request) -> str:
+    """Returns the caller's id of a request, for the log."""
+    return request.value(REQUEST_ID).decode("latin-1")
+
+
 def _deadline(request: message.Request) -> float | None:
     try:
         return max(0.0, float(request.value(_DEADLINE)))
--- a/hyssoptack/policy/callcommand.py
+++ b/hyssoptack/policy/callcommand.py
@@ -36,6 +36,15 @@
         return self.route.max_attempts_count - self.may_have_run
 
 
+def floor_count(route: traffic.Route, part_count: int) -> float:
+    """Returns the parts without which a request has no answer."""
+    match route.target:
+        case traffic.AllShards(floor_ratio=floor_ratio):
+            return floor_ratio * part_count
+        case _:
+            return 1.0
+
+
 class Kind(enum.Enum):
     """What a call's outcome says about the request."""
 
--- a/hyssoptack/policy/callpart.py
+++ b/hyssoptack/policy/callpart.py
@@ -88,8 +88,15 @@
 class Parts:
     """All parts of a request, with counts that cost no look at each of them."""
 
-    def __init__(self, services: tuple[str, ...]):
+    def __init__(self, services: tuple[str, ...], floor_count: float):
+        """Makes the parts of a request, none of which was sent.
+
+        Args:
+            services: One service for each part.
+            floor_count: Parts without which there is no answer.
+        """
         self.all = [Part(service=each) for each in services]
+        self._floor_count = floor_count
         self.answered_count = 0
         self.lost_count = 0
 
@@ -98,10 +105,21 @@
         """Parts that an answer is still wanted for."""
         return len(self.all) - self.answered_count - self.lost_count
 
-    @property
-    def reachable_count(self) -> int:
-        """Parts that are answered or may still be."""
-        return len(self.all) - self.lost_count
+    def floor_reachable(self) -> bool:
+        """Whether the parts that are answered or may still be are enough."""
+        return len(self.all) - self.lost_count >= self._floor_count
+
+    def covers_floor(self) -> bool:
+        """Whether the parts that are answered make an answer."""
+        return 0 < self.answered_count >= self._floor_count
+
+    def floor_at_risk(self) -> bool:
+        """Whether a query needs more than the parts that are in."""
+        return len(self.all) > 1 and self.answered_count < self._floor_count
+
+    def widest_count(self) -> int:
+        """Returns the most upstreams that may have seen any one part."""
+        return max((len(part.sent_to) for part in self.all), default=0)
 
     def answer(self, part: Part, reply: object) -> None:
         """Takes the answer of an open part."""
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -41,7 +41,9 @@
     ):
         self.ask = ask
         self._know = knowledge
-        self._parts = callpart.Parts(ask.services)
+        self._parts = callpart.Parts(
+            ask.services, callcommand.floor_count(ask.route, len(ask.services))
+        )
         self._calls: dict[int, callpart.Call] = {}
         self._next_call_id = 1
         self._may_have_run = ask.may_have_run
@@ -63,11 +65,6 @@
         )
         self.caution = caution.Caution(knowledge.suspicions, ask.fingerprint)
         self._choice = callchoice.Choice(ask, knowledge, self.caution)
-        match ask.route.target:
-            case traffic.AllShards(floor_ratio=floor_ratio):
-                self._floor_count = floor_ratio * len(self._parts.all)
-            case _:
-                self._floor_count = 1.0
 
     def start(self, now_ms: float) -> list[callcommand.Command]:
         """Returns the first calls, one for each part.
@@ -84,7 +81,7 @@
         for part, upstream in chosen:
             if upstream is None:
                 self._parts.lose(part)
-        if self._parts.reachable_count < self._floor_count:
+        if not self._parts.floor_reachable():
             return self._finish(now_ms, timed_out=False)
         commands: list[callcommand.Command] = []
         for part, upstream in chosen:
@@ -272,7 +269,7 @@
 
         While its other call is out it is, too, where the floor depends on it.
         """
-        if part.calls and not self._floor_at_risk():
+        if part.calls and not self._parts.floor_at_risk():
             return []
         upstream = self._choice.next(part, now_ms)
         if upstream is not None:
@@ -361,7 +358,7 @@
     ) -> list[callcommand.Command]:
         part = call.part
         part.hedged = True
-        keep_count = 0.0 if self._floor_at_risk() else HEDGE_KEEP_COUNT
+        keep_count = 0.0 if self._parts.floor_at_risk() else HEDGE_KEEP_COUNT
         if not self._know.extra_calls.spend(part.service, now_ms, keep_count):
             return []
         relayed = call.overdue_ms is not None
@@ -370,13 +367,6 @@
             part.tried.discard(call.upstream_id)
         return self._send(part, now_ms, caution.HEDGE)
 
-    def _floor_at_risk(self) -> bool:
-        """Whether a query needs more than the parts that are in."""
-        return (
-            len(self._parts.all) > 1
-            and self._parts.answered_count < self._floor_count
-        )
-
     def _cancel_part(
         self, part: callpart.Part, now_ms: float
     ) -> list[callcommand.Command]:
@@ -402,19 +392,21 @@
 
     # The end.
 
-    def _covers_floor(self) -> bool:
-        answered_count = self._parts.answered_count
-        return answered_count > 0 and answered_count >= self._floor_count
+    @property
+    def widest_count(self) -> int:
+        """The most upstreams that may have seen any one part."""
+        return self._parts.widest_count()
 
     def _answers_at_goal(self) -> bool:
         """Whether the goal ends the wait for parts."""
-        return self._know.mechanisms.answer_at_goal and self._covers_floor()
+        return (
+            self._know.mechanisms.answer_at_goal and self._parts.covers_floor()
+        )
 
     def _finish_if_due(self, now_ms: float) -> list[callcommand.Command]:
         if self.finished:
             return []
-        reachable_count = self._parts.reachable_count
-        if not self._parts.open_count or reachable_count < self._floor_count:
+        if not self._parts.open_count or not self._parts.floor_reachable():
             return self._finish(now_ms, timed_out=False)
         if now_ms >= self.ask.goal_at_ms and self._answers_at_goal():
             return self._finish(now_ms, timed_out=False)
@@ -429,7 +421,7 @@
         out = any(call.sent for call in self._calls.values())
         result = callresult.result_of(
             self._parts,
-            covers_floor=self._covers_floor(),
+            covers_floor=self._parts.covers_floor(),
             timed_out=timed_out,
             may_have_run=self._may_have_run or out,
         )
