--- /dev/null
+++ b/hyssoptack/gateway/attempts_test.py
@@ -0,0 +1,126 @@
+"""A route's attempts, where a query is handed over and taken back."""
+
+import asyncio
+
+from hyssoptack.core import notice
+from hyssoptack.gateway import harness
+
+WAIT_S = 6.0
+SHARD_COUNT = 4
+COPY_COUNT = 4
+ATTEMPTS_COUNT = 2
+REPLY_BYTES = 1_250
+BUSY_COUNT = 6
+LATE_S = 0.1
+LOST_S = 60.0
+SHARDS = {
+    "prefix": "/all/",
+    "fanout_services": [f"s{index}" for index in range(SHARD_COUNT)],
+    "top_k": 5,
+    "min_shard_fraction": 0.75,
+    "max_attempts": ATTEMPTS_COUNT,
+    "target_latency_ms": 150,
+}
+
+
+async def _pair(site, **changes):
+    """A narrow instance and a wide one, over shards of four upstreams each."""
+    for shard in range(SHARD_COUNT):
+        body = bytes([shard]) * 16
+        for copy in range(COPY_COUNT):
+            await site.add_upstream(f"i-{shard}-{copy}", f"s{shard}", body)
+    site.configure({**SHARDS, **changes})
+    narrow = await site.start("narrow", link_mbps=0.5)
+    wide = await site.start("wide", link_mbps=1_000.0)
+    async with asyncio.timeout(WAIT_S):
+        while not narrow.readers.neighbours():
+            await asyncio.sleep(0.05)
+        while narrow.beliefs.version != wide.beliefs.version:
+            await asyncio.sleep(0.05)
+    narrow._delegating.known.note_reply("route-0", REPLY_BYTES)
+    return narrow, wide
+
+
+def _delay(gateway, kinds, delay_s):
+    """Makes a gateway late in reading some messages; their order stays."""
+    take, loop = gateway._peering.on_query, asyncio.get_running_loop()
+
+    def later(each):
+        if isinstance(each, kinds):
+            loop.call_later(delay_s, take, each)
+        else:
+            take(each)
+
+    gateway._peering.on_query = later
+
+
+def _widest_count(site, request_id):
+    """Returns the most upstreams of one shard that ran a request."""
+    return max(
+        sum(
+            site.services[f"i-{shard}-{copy}"].runs[request_id] > 0
+            for copy in range(COPY_COUNT)
+        )
+        for shard in range(SHARD_COUNT)
+    )
+
+
+def _disagree(site, narrow):
+    """Lets two instances prefer different upstreams of a silent shard."""
+    for copy in range(COPY_COUNT):
+        site.services[f"i-0-{copy}"].manners.never = True
+    for copy in range(ATTEMPTS_COUNT):
+        for _ in range(BUSY_COUNT):
+            narrow._placing.sent(f"i-0-{copy}")
+
+
+def test_a_query_taken_back_from_a_late_neighbour_keeps_to_its_attempts():
+    # The neighbour made a first call and a hedge, its sender a third call.
+    async def test():
+        async with harness.Site() as site:
+            narrow, wide = await _pair(site)
+            _disagree(site, narrow)
+            _delay(narrow, notice.QueryTaken, LATE_S)
+            _delay(wide, notice.QueryLeft, LATE_S)
+            got = await site.get("/all/x", "r1", name="narrow")
+            await asyncio.sleep(LATE_S)
+            assert got.status == 200
+            assert _widest_count(site, b"r1") <= ATTEMPTS_COUNT
+
+    asyncio.run(test())
+
+
+def test_a_query_taken_back_as_its_link_broke_keeps_to_its_attempts():
+    # The neighbour's word and the sender's are both lost with the link.
+    async def test():
+        async with harness.Site() as site:
+            narrow, wide = await _pair(site)
+            _disagree(site, narrow)
+            _delay(narrow, notice.QueryTaken, LOST_S)
+            _delay(wide, notice.QueryLeft, LOST_S)
+            begun = asyncio.create_task(site.get("/all/x", "r1", name="narrow"))
+            await asyncio.sleep(0.01)
+            narrow._delegating.on_link_lost(wide._settings.peer_address)
+            got = await begun
+            await asyncio.sleep(LATE_S)
+            assert got.status == 200
+            assert _widest_count(site, b"r1") <= ATTEMPTS_COUNT
+
+    asyncio.run(test())
+
+
+def test_a_query_that_may_run_once_only_is_not_handed_over():
+    # One that is taken back may have run.
+    async def test():
+        async with harness.Site() as site:
+            narrow, wide = await _pair(site, route_type="unsafe")
+            for each in site.services.values():
+                each.manners.delay_ms = 60.0
+            _delay(narrow, notice.QueryTaken, LATE_S)
+            _delay(wide, notice.QueryLeft, LATE_S)
+            await site.get("/all/x", "r1", name="narrow", method="POST")
+            await asyncio.sleep(0.2)
+            runs = [each.runs[b"r1"] for each in site.services.values()]
+            assert sum(runs) == SHARD_COUNT
+
+    asyncio.run(test())
