A neighbour that runs a query has one attempt until its sender says that it won't take it back

What callers saw: BUDGET on the grown vrl site, requests on three upstreams of a shard whose routes allow two; on our own site also a query that may run once only, run twice. Cause: a query that is handed over and not begun within 30 ms is run by its sender, with one attempt fewer. The neighbour may have begun all the same, and goes by all attempts of the route until it reads that it is not waited for. Both add up to one more than the route allows: two deciders with one limit, held apart by a timeout. Slow instances make both words late. Now: the neighbour holds one attempt; its sender, once it has heard of the beginning, gives up taking back and grants the others (QueryGranted; a check of whether it runs says the same). Retries and hedges that come due before wait for it. One attempt there and the others here add up to the route's, in whatever order messages come or are lost. A route whose requests may run once only, or at one upstream only, is not handed over: it could not be taken back. Ruled out: a longer wait (a freeze is longer than any), a start only after a third message (a round trip on each query). attempts_test failed before, passes; tests of policy and gateway pass.

--- a/hyssoptack/core/notice.py
+++ b/hyssoptack/core/notice.py
@@ -366,6 +366,19 @@
     address: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class QueryGranted:
+    """Says that an asked query will not be taken back.
+
+    Attributes:
+        sender_address: Who asked.
+        ask_id: The ask.
+    """
+
+    sender_address: str
+    ask_id: int
+
+
 Notice = (
     ViewNotice
     | ViewWanted
@@ -376,6 +389,7 @@
     | QueryTaken
     | QueryAnswer
     | QueryLeft
+    | QueryGranted
     | RelayAsk
     | RelayBatch
     | RelayLeft
@@ -398,6 +412,7 @@
     23: RelayLeft,
     24: SuspectsNotice,
     25: SuspectsWanted,
+    26: QueryGranted,
 }
 """Kinds by number, for `peers.codec`. Numbers are never used again for another
 kind: 10 and 11 were notices with whole lists."""
--- a/hyssoptack/core/traffic.py
+++ b/hyssoptack/core/traffic.py
@@ -85,6 +85,11 @@
     max_attempts_count: int
     target: Target
 
+    @property
+    def may_be_taken_back(self) -> bool:
+        """Whether two instances may each send a request to upstreams."""
+        return self.idempotent and self.max_attempts_count > 1
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Service:
--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -47,15 +47,17 @@
         request: The request as the neighbour's caller sent it.
         reply_to: Sends the answer back.
         on_left: Called when the neighbour wants no answer any more.
+        on_granted: Called when the neighbour will not take it back.
     """
 
     request: message.Request
     reply_to: collections.abc.Callable[[message.Reply], None]
     on_left: collections.abc.Callable[[], None] | None = None
+    on_granted: collections.abc.Callable[[], None] | None = None
 
     def answer(self, reply: message.Reply) -> None:
         """Sends the answer to the neighbour."""
-        self.on_left = None
+        self.on_left = self.on_granted = None
         self.reply_to(reply)
 
 
@@ -94,6 +96,8 @@
         """Hands a query over if that is better; tells whether it did."""
         now_ms = clock.now_ms()
         route = query.found.route
+        if not route.may_be_taken_back:
+            return False
         match route.target:
             case traffic.AllShards(shards=shards):
                 weighed = delegation.Query(
@@ -151,6 +155,9 @@
         )
         self.send(ask.sender_address, taken)
         if running_already:
+            if not ask.fresh:
+                # Only a sender that has heard of the beginning asks so.
+                self._granted(key)
             return None
         request = message.Request(
             method=ask.method,
@@ -196,6 +203,11 @@
         )
         self.send(address, answer)
 
+    def _granted(self, key: tuple[str, int]) -> None:
+        exchange = self._taken.get(key)
+        if exchange is not None and exchange.on_granted is not None:
+            exchange.on_granted()
+
     # What comes back.
 
     def on_message(self, each: notice.Notice) -> None:
@@ -214,6 +226,8 @@
                         ask_id=ask_id,
                         status=each.status,
                     )
+            case notice.QueryGranted(sender_address=address, ask_id=ask_id):
+                self._granted((address, ask_id))
             case notice.QueryLeft(sender_address=address, ask_id=ask_id):
                 exchange = self._taken.pop((address, ask_id), None)
                 if exchange is not None and exchange.on_left is not None:
@@ -304,6 +318,7 @@
         match self._state, begun:
             case _State.SENT, True:
                 self._state = _State.BEGUN
+                self._say_granted()
                 request = self._query.exchange.request
                 due_ms = request.received_ms + self._query.found.route.goal_ms
                 left_ms = max(0.0, due_ms - clock.now_ms())
@@ -385,6 +400,12 @@
         )
         self._owner.send(self._peer.address, left)
 
+    def _say_granted(self) -> None:
+        granted = notice.QueryGranted(
+            sender_address=self._owner.own_address, ask_id=self._ask_id
+        )
+        self._owner.send(self._peer.address, granted)
+
     def _end(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/hyssoptack/gateway/running.py
+++ b/hyssoptack/gateway/running.py
@@ -34,8 +34,18 @@
         self,
         owner: "serving.Serving",
         query: received.Request,
-        may_have_run: bool,
+        *,
+        may_have_run: bool = False,
+        awaits_grant: bool = False,
     ):
+        """Makes a request's run, which is yet to be started.
+
+        Args:
+            owner: What it is served from.
+            query: The request.
+            may_have_run: Whether a neighbour may have run some of it.
+            awaits_grant: Whether its sender may still take it back.
+        """
         exchange, facts, found = query.exchange, query.facts, query.found
         self._owner = owner
         self._exchange = exchange
@@ -59,6 +69,7 @@
             goal_at_ms=query.goal_at_ms(self._now_ms),
             ends_at_ms=received_ms + self._wait_ms,
             may_have_run=may_have_run,
+            awaits_grant=awaits_grant,
             fingerprint=query.fingerprint,
         )
         self._plan = callplan.CallPlan(self._ask, owner.knowledge, self._now_ms)
@@ -257,6 +268,11 @@
             each.note_time(self._now_ms)
         self._carry(self._plan.on_time(self._now_ms))
 
+    def note_granted(self) -> None:
+        """Takes that the sender will not take the request back."""
+        self._now_ms = clock.now_ms()
+        self._carry(self._plan.on_granted(self._now_ms))
+
     def note_cut(self) -> None:
         """Gives up on other failure domains."""
         self._now_ms = clock.now_ms()
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -87,7 +87,9 @@
                     self._serve_caller(query)
                 else:
                     known = dataclasses.replace(query, margin_ms=ask.away_ms)
-                    self.run_here(known, may_have_run=False)
+                    run = running.Running(self, known, awaits_grant=True)
+                    exchange.on_granted = run.note_granted
+                    run.start()
 
     def _serve_caller(self, query: received.Request) -> None:
         timed = dataclasses.replace(
@@ -115,7 +117,7 @@
             query: The request.
             may_have_run: Whether a neighbour may have run some of it.
         """
-        running.Running(self, query, may_have_run).start()
+        running.Running(self, query, may_have_run=may_have_run).start()
 
     def _refuse(
         self,
--- a/hyssoptack/policy/callchoice.py
+++ b/hyssoptack/policy/callchoice.py
@@ -1,6 +1,7 @@
 """Whom a part of a request is sent to, first and once more."""
 
 from hyssoptack.core import traffic
+from hyssoptack.policy import attempts
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import callpart
 from hyssoptack.policy import callresult
@@ -20,8 +21,10 @@
         ask: callcommand.Ask,
         knowledge: knowing.Knowledge,
         care: caution.Caution,
+        allowed: attempts.Attempts,
     ):
         self._ask = ask
+        self._attempts = allowed
         self._care = care
         self._know = knowledge
         self._preferred: dict[str, str] = {}
@@ -35,7 +38,7 @@
         upstream = self.other(part, now_ms)
         if upstream is None or not self._ask.may_have_run:
             return upstream
-        if self._ask.attempts_count < 1:
+        if self._attempts.limit_count < 1:
             part.last_reason = "no_attempts_left"
             return None
         if not self._know.extra_calls.spend(part.service, now_ms):
@@ -70,7 +73,7 @@
         When there is no other, or it was sent to as many as may be, one that
         refused is asked again: it has not run the request.
         """
-        if len(part.sent_to) < self._ask.attempts_count:
+        if len(part.sent_to) < self._attempts.limit_count:
             other = self.other(part, now_ms)
             if other is not None:
                 return other
--- a/hyssoptack/policy/callcommand.py
+++ b/hyssoptack/policy/callcommand.py
@@ -20,6 +20,8 @@
         ends_at_ms: When the caller stops waiting, or the route's timeout ends.
         may_have_run: Whether it was begun elsewhere: its first calls then are
             extra ones, and it has an attempt less.
+        awaits_grant: Whether it has one attempt only until its sender grants
+            the others (`policy.attempts`).
         fingerprint: Names its content.
     """
 
@@ -28,6 +30,7 @@
     goal_at_ms: float
     ends_at_ms: float
     may_have_run: bool = False
+    awaits_grant: bool = False
     fingerprint: str = ""
 
     @property
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -12,6 +12,7 @@
 import collections.abc
 
 from hyssoptack.core import traffic
+from hyssoptack.policy import attempts
 from hyssoptack.policy import callchoice
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import calllearning
@@ -64,7 +65,10 @@
             knowledge.mechanisms.dry_hedges,
         )
         self.caution = caution.Caution(knowledge.suspicions, ask.fingerprint)
-        self._choice = callchoice.Choice(ask, knowledge, self.caution)
+        self._attempts = attempts.Attempts(ask)
+        self._choice = callchoice.Choice(
+            ask, knowledge, self.caution, self._attempts
+        )
 
     def start(self, now_ms: float) -> list[callcommand.Command]:
         """Returns the first calls, one for each part.
@@ -100,7 +104,9 @@
 
     def next_time_ms(self) -> float:
         """Returns when `on_time` should be called next."""
-        next_ms = min(self._ends_ms, self._hedges.next_ms())
+        next_ms = self._ends_ms
+        if self._attempts.granted:
+            next_ms = min(next_ms, self._hedges.next_ms())
         if self._answers_at_goal():
             next_ms = min(next_ms, self.ask.goal_at_ms)
         return next_ms
@@ -111,10 +117,24 @@
             return []
         self._know.domains.note_waited(self._tally, now_ms - self._started_ms)
         commands: list[callcommand.Command] = []
-        for call in self._hedges.take_due(now_ms):
-            commands.extend(self._hedge(call, now_ms))
+        if self._attempts.granted:
+            for call in self._hedges.take_due(now_ms):
+                commands.extend(self._hedge(call, now_ms))
         return commands + self._finish_if_due(now_ms)
 
+    def on_granted(self, now_ms: float) -> list[callcommand.Command]:
+        """Takes that the route's other attempts may be made from here."""
+        if self.finished or self._attempts.granted:
+            return []
+        retries, dried_up = self._attempts.grant()
+        commands: list[callcommand.Command] = []
+        for part, why in retries:
+            if part.is_open():
+                commands.extend(self._again(part, why, now_ms))
+        commands.extend(self.on_dried_up(dried_up, now_ms))
+        commands.extend(self._release(now_ms))
+        return commands + self.on_time(now_ms)
+
     def note_relayed(
         self, call_ids: collections.abc.Iterable[int], overdue_ms: float
     ) -> None:
@@ -172,6 +192,9 @@
             call_ids: The calls: those made beside them have been answered.
             now_ms: The time now.
         """
+        if not self._attempts.granted:
+            self._attempts.hold_dried_up(tuple(call_ids))
+            return []
         commands: list[callcommand.Command] = []
         for call_id in call_ids:
             call = self._calls.get(call_id)
@@ -271,6 +294,9 @@
         """
         if part.calls and not self._parts.floor_at_risk():
             return []
+        if not self._attempts.granted:
+            self._attempts.hold_retry(part, why)
+            return []
         upstream = self._choice.next(part, now_ms)
         if upstream is not None:
             if self._know.extra_calls.spend(part.service, now_ms):
@@ -335,7 +361,7 @@
             if held is None:
                 break
             part, extra = held.part, held.extra
-            if len(part.sent_to) < self.ask.attempts_count:
+            if len(part.sent_to) < self._attempts.limit_count:
                 sends = self._send(part, now_ms, extra)
             else:
                 # One that refused before: the route allows no other.
@@ -350,7 +376,7 @@
             and part.is_open()
             and not part.hedged
             and len(part.calls) == 1
-            and len(part.sent_to) < self.ask.attempts_count
+            and len(part.sent_to) < self._attempts.limit_count
         )
 
     def _hedge(
