The calls of a request that are out stand in a module of their own

Moved without a change of behaviour: numbers, standing in placing, waiting and sent, cancelling (policy/opencalls). Tests of policy and gateway pass.

--- a/hyssoptack/gateway/running.py
+++ b/hyssoptack/gateway/running.py
@@ -190,10 +190,10 @@
         call = self._owner.beliefs.pools.call(job, limit_count)
         self._calls[call_id] = call
         if call.connection is None:
-            self._plan.note_waiting(call_id)
+            self._plan.calls.note_waiting(call_id)
 
     def _data(self, call_id: int, upstream: traffic.Upstream) -> bytes:
-        self._plan.note_sent(call_id)
+        self._plan.calls.note_sent(call_id)
         remaining_ms = self._deadline_at_ms - clock.now_ms()
         return headers.upstream_request(self._common, upstream, remaining_ms)
 
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -22,6 +22,7 @@
 from hyssoptack.policy import hedgequeue
 from hyssoptack.policy import hedgetime
 from hyssoptack.policy import knowing
+from hyssoptack.policy import opencalls
 from hyssoptack.policy import reach
 
 HEDGE_KEEP_COUNT = 1.0
@@ -45,8 +46,7 @@
         self._parts = callpart.Parts(
             ask.services, callcommand.floor_count(ask.route, len(ask.services))
         )
-        self._calls: dict[int, callpart.Call] = {}
-        self._next_call_id = 1
+        self.calls = opencalls.OpenCalls(knowledge.placing, ask.route.name)
         self._may_have_run = ask.may_have_run
         self.finished = False
         self._started_ms = now_ms
@@ -144,14 +144,13 @@
             call_ids: The calls.
             overdue_ms: When word of them is overdue.
         """
-        calls = [self._calls[each] for each in call_ids if each in self._calls]
-        self._hedges.note_relayed(calls, overdue_ms)
+        self._hedges.note_relayed(self.calls.some(call_ids), overdue_ms)
 
     def on_outcome(
         self, call_id: int, outcome: callcommand.Outcome, now_ms: float
     ) -> list[callcommand.Command]:
         """Takes what became of a call; an unknown call changes nothing."""
-        call = self._calls.pop(call_id, None)
+        call = self.calls.pop(call_id)
         if call is None:
             return []
         return self._on_outcome(call, outcome, now_ms) + self._release(now_ms)
@@ -162,7 +161,6 @@
         outcome: callcommand.Outcome,
         now_ms: float,
     ) -> list[callcommand.Command]:
-        self._know.placing.ended(call.upstream_id)
         calllearning.learn(
             self._know.placing,
             self.ask.route.name,
@@ -176,7 +174,6 @@
         if self.finished:
             return []
         part = call.part
-        part.calls.pop(call.call_id, None)
         part.last_reason = outcome.reason or outcome.kind.value
         if self.caution.gives_up(call, outcome, now_ms):
             return self._give_up(now_ms)
@@ -196,22 +193,11 @@
             self._attempts.hold_dried_up(tuple(call_ids))
             return []
         commands: list[callcommand.Command] = []
-        for call_id in call_ids:
-            call = self._calls.get(call_id)
-            if call is not None and self._may_hedge(call.part):
+        for call in self.calls.some(call_ids):
+            if self._may_hedge(call.part):
                 commands.extend(self._hedge(call, now_ms))
         return commands
 
-    def note_waiting(self, call_id: int) -> None:
-        """Notes that a call waits for a connection: nothing was sent yet."""
-        if call := self._calls.get(call_id):
-            call.sent = False
-
-    def note_sent(self, call_id: int) -> None:
-        """Notes that a call is being sent."""
-        if call := self._calls.get(call_id):
-            call.sent = True
-
     def on_cut(self, now_ms: float) -> list[callcommand.Command]:
         """Gives up on calls into other failure domains: nothing comes back.
 
@@ -221,7 +207,7 @@
         if self.finished:
             return []
         commands: list[callcommand.Command] = []
-        for call in tuple(self._calls.values()):
+        for call in self.calls.all():
             if call.far and not self.finished:
                 commands.append(callcommand.Cancel(call_id=call.call_id))
                 commands.extend(
@@ -326,26 +312,20 @@
         extra: str,
     ) -> list[callcommand.Command]:
         asked = caution.Held(part=part, upstream=upstream, extra=extra)
-        if self.caution.holds_back(asked, self._calls.values()):
+        if self.caution.holds_back(asked, self.calls.all()):
             return []
-        call_id = self._next_call_id
-        self._next_call_id += 1
-        call = callpart.Call(
-            call_id=call_id,
-            upstream_id=upstream.upstream_id,
-            sent_ms=now_ms,
-            part=part,
+        call = self.calls.open(
+            part,
+            upstream,
+            now_ms,
             far=self._choice.is_far(upstream),
             careful=self.caution.careful,
         )
         self._tally.sent_count += call.far
-        part.calls[call_id] = self._calls[call_id] = call
-        part.sent(upstream.upstream_id)
         self._hedges.add(call)
-        self._know.placing.sent(upstream.upstream_id)
         return [
             callcommand.Send(
-                call_id=call_id,
+                call_id=call.call_id,
                 upstream=upstream,
                 extra=extra,
                 careful=call.careful,
@@ -357,7 +337,7 @@
         """Sends what had to wait while the request was sent with care."""
         commands: list[callcommand.Command] = []
         while not self.finished:
-            held = self.caution.release(self._calls, now_ms)
+            held = self.caution.release(self.calls, now_ms)
             if held is None:
                 break
             part, extra = held.part, held.extra
@@ -396,19 +376,10 @@
     def _cancel_part(
         self, part: callpart.Part, now_ms: float
     ) -> list[callcommand.Command]:
-        commands: list[callcommand.Command] = []
-        for call_id, call in part.calls.items():
-            self._calls.pop(call_id, None)
-            self._know.placing.ended(call.upstream_id)
-            self._know.placing.outlasted(
-                self.ask.route.name,
-                call.upstream_id,
-                now_ms - call.sent_ms,
-                now_ms,
-            )
-            commands.append(callcommand.Cancel(call_id=call_id))
-        part.calls.clear()
-        return commands
+        return [
+            callcommand.Cancel(call_id=call_id)
+            for call_id in self.calls.cancel(part, now_ms)
+        ]
 
     def _cancel_all(self, now_ms: float) -> list[callcommand.Command]:
         commands: list[callcommand.Command] = []
@@ -443,13 +414,11 @@
     def _finish(
         self, now_ms: float, timed_out: bool
     ) -> list[callcommand.Command]:
-        # A call that was sent and is still out may run at any moment.
-        out = any(call.sent for call in self._calls.values())
         result = callresult.result_of(
             self._parts,
             covers_floor=self._parts.covers_floor(),
             timed_out=timed_out,
-            may_have_run=self._may_have_run or out,
+            may_have_run=self._may_have_run or self.calls.any_sent(),
         )
         return self._end(result, now_ms)
 
--- a/hyssoptack/policy/callplan_cut_test.py
+++ b/hyssoptack/policy/callplan_cut_test.py
@@ -121,7 +121,7 @@
     commands = running.on_cut(20.0)
     assert callplan_test.result(commands) is not None
     (again,) = callplan_test.sends(commands)
-    running.note_waiting(again.call_id)
+    running.calls.note_waiting(again.call_id)
 
 
 def test_while_cut_off_a_single_request_stays_near_or_is_refused():
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/policy/callplan_test.py
@@ -366,7 +366,7 @@
     know = knowledge(upstream("a"))
     running = plan(know, idempotent=False)
     (call,) = sends(running.start(0.0))
-    running.note_waiting(call.call_id)
+    running.calls.note_waiting(call.call_id)
     end = result(running.on_time(END_MS))
     assert isinstance(end, callcommand.Refuse)
 
@@ -375,8 +375,8 @@
     know = knowledge(upstream("a"))
     running = plan(know, idempotent=False)
     (call,) = sends(running.start(0.0))
-    running.note_waiting(call.call_id)
-    running.note_sent(call.call_id)
+    running.calls.note_waiting(call.call_id)
+    running.calls.note_sent(call.call_id)
     end = result(running.on_time(END_MS))
     assert isinstance(end, callcommand.Fail)
 
--- a/hyssoptack/policy/caution.py
+++ b/hyssoptack/policy/caution.py
@@ -126,7 +126,7 @@
         return True
 
     def release(
-        self, calls: collections.abc.Collection[object], now_ms: float
+        self, calls: collections.abc.Sized, now_ms: float
     ) -> Held | None:
         """Returns a call to be made now; None if there is none."""
         while self._held and not (self.careful and calls):
