The grant reaches its query: no message between instances falls through unread

Cause: peering passed messages on by a list of kinds, and one that was not on it was dropped without a line. Whatever is no view or list now goes to its reader. attempts_test: a neighbour hedges once its sender has heard of the beginning; failed before, passes.

--- a/hyssoptack/gateway/attempts_test.py
+++ b/hyssoptack/gateway/attempts_test.py
@@ -124,3 +124,16 @@
             assert sum(runs) == SHARD_COUNT
 
     asyncio.run(test())
+
+
+def test_a_neighbour_hedges_once_its_sender_has_heard_of_the_beginning():
+    async def test():
+        async with harness.Site() as site:
+            narrow, _ = await _pair(site)
+            _disagree(site, narrow)
+            got = await site.get("/all/x", "r1", name="narrow")
+            assert got.headers["x-missing-parts"] == "1"
+            assert _widest_count(site, b"r1") == ATTEMPTS_COUNT
+            assert not narrow._pools._lanes.keys() & site.services.keys()
+
+    asyncio.run(test())
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -216,20 +216,10 @@
                     self._on_cut()
                 case notice.ViewWanted():
                     self._answer_wanted(each)
-                case (
-                    notice.QueryAsk()
-                    | notice.QueryTaken()
-                    | notice.QueryAnswer()
-                    | notice.QueryLeft()
-                    | notice.RelayAsk()
-                    | notice.RelayBatch()
-                    | notice.RelayLeft()
-                    | notice.SuspectsNotice()
-                    | notice.SuspectsWanted()
-                ):
-                    self.on_query(each)
                 case notice.CallNotice(seen_calls=seen_calls):
                     self._beliefs.placing.told(seen_calls, clock.now_ms())
+                case _:
+                    self.on_query(each)
         if received.decoded.dropped_count:
             log.write(log.Event.PEER_UNREADABLE, reason=received.decoded.reason)
 
