A restarted instance numbers what it asks others from a random start

Cause: queries handed over and calls relayed are named by their sender's address and a number that began at 1. A neighbour that still ran number 1 of the predecessor took the successor's number 1 for the same, said that it had begun, and sent the old answer; outcomes of relayed calls went to the wrong query alike. The class: a name that is unique within one incarnation, used across two. Now: numbers begin at a random one of 2^48.

--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -19,6 +19,7 @@
 from hyssoptack.core import notice
 from hyssoptack.core import traffic
 from hyssoptack.events import log
+from hyssoptack.gateway import askids
 from hyssoptack.gateway import received
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
@@ -87,7 +88,7 @@
         self.send = send
         self.run_here = run_here
         self.handed: dict[int, Handed] = {}
-        self._next_id = 1
+        self._ask_ids = askids.counter()
         self._taken: dict[tuple[str, int], PeerExchange] = {}
         self._ticked_ms = clock.now_ms()
         self._woke_ms = -math.inf
@@ -110,8 +111,7 @@
                 return False
         if peer is None:
             return False
-        handed = Handed(self, query, peer, self._next_id)
-        self._next_id += 1
+        handed = Handed(self, query, peer, next(self._ask_ids))
         handed.start(version)
         return True
 
--- a/hyssoptack/gateway/relaying.py
+++ b/hyssoptack/gateway/relaying.py
@@ -6,13 +6,13 @@
 
 import collections.abc
 import dataclasses
-import itertools
 import math
 
 from hyssoptack.core import clock
 from hyssoptack.core import member
 from hyssoptack.core import notice
 from hyssoptack.events import log
+from hyssoptack.gateway import askids
 from hyssoptack.platform import headers
 from hyssoptack.policy import callcommand
 from hyssoptack.policy import callresult
@@ -77,7 +77,7 @@
         self.send = send
         self._enabled = enabled
         self.relayed: dict[int, Relayed] = {}
-        self._next_id = itertools.count(1)
+        self._ask_ids = askids.counter()
 
     def gatherer(self, failure_domain: str) -> member.Peer | None:
         """Returns who makes calls in a domain; None to make them from here."""
@@ -92,7 +92,7 @@
         calls: collections.abc.Sequence[callcommand.Send],
     ) -> "Relayed":
         """Lets an instance make calls of a query."""
-        ask_id = next(self._next_id)
+        ask_id = next(self._ask_ids)
         relayed = Relayed(self, peer, query, ask_id)
         self.relayed[ask_id] = relayed
         relayed.start(calls)
--- /dev/null
+++ b/hyssoptack/gateway/restarted_test.py
@@ -0,0 +1,115 @@
+"""Instances that start again while others still work for them."""
+
+import asyncio
+import random
+
+from hyssoptack.core import member
+from hyssoptack.core import notice
+from hyssoptack.gateway import gateway_test
+from hyssoptack.gateway import harness
+from hyssoptack.gateway import relaying
+from hyssoptack.platform import headers
+from hyssoptack.policy import callcommand
+from hyssoptack.policy import callplan_test
+from hyssoptack.policy import gatherers
+
+WAIT_S = 8.0
+SHARD_COUNT = 4
+REPLY_BYTES = 1_250
+WORK_MS = 6_000.0
+GATHERER = member.Peer(
+    instance_id="south", failure_domain="south", address="s:1"
+)
+ROUTE = {**gateway_test.SHARDS, "timeout_ms": 8_000}
+
+
+async def _ready(site, narrow, ready):
+    async with asyncio.timeout(WAIT_S):
+        while not ready():
+            await asyncio.sleep(0.05)
+    narrow._delegating.known.note_reply("route-0", REPLY_BYTES)
+
+
+async def _stamps(site, request_id):
+    """Returns which request the parts of an answer belong to."""
+    got = await site.get("/all/x", request_id, name="narrow")
+    stamps = got.headers.get("x-part-stamps", "").split(", ")
+    return got.status, {each.rpartition(".")[2] for each in stamps}
+
+
+async def _restart(site, ready):
+    """Kills the narrow instance with a query under way and starts it again."""
+    address = site.settings["narrow"].peer_address
+    for each in site.services.values():
+        each.manners.delay_ms = WORK_MS
+    lost = asyncio.create_task(
+        site.get("/all/x", "r1", deadline_ms=8_000, name="narrow")
+    )
+    await asyncio.sleep(0.1)
+    site.kill("narrow")
+    lost.cancel()
+    for each in site.services.values():
+        each.manners.delay_ms = 0.0
+    narrow = await site.start("narrow", link_mbps=0.5, peer_address=address)
+    await _ready(site, narrow, lambda: ready(narrow))
+
+
+def test_a_restarted_instance_gets_no_answer_to_its_predecessors_query():
+    async def test():
+        async with harness.Site() as site:
+            for index in range(SHARD_COUNT):
+                await site.add_upstream(f"i-{index}", f"s{index}")
+            site.configure(ROUTE)
+            narrow = await site.start("narrow", link_mbps=0.5)
+            await site.start("wide", link_mbps=1_000.0)
+
+            def knows(each):
+                return bool(each.readers.neighbours())
+
+            await _ready(site, narrow, lambda: knows(narrow))
+            await _restart(site, knows)
+            assert site.gateways["wide"]._serving.running
+            assert await _stamps(site, "r2") == (200, {"r2"})
+
+    asyncio.run(test())
+
+
+def _relaying(sent):
+    return relaying.Relaying(
+        gatherers.Gatherers(random.Random()),
+        "n:1",
+        lambda _, each: sent.append(each),
+        enabled=True,
+    )
+
+
+def _relay(owner, sink):
+    query = relaying.Query(
+        request_id=b"r",
+        route_name="r",
+        top_count=5,
+        fingerprint="",
+        common=headers.Forwarded(head=b"", body=b""),
+        deadline_at_ms=1_000.0,
+        goal_at_ms=100.0,
+        sink=sink,
+    )
+    call = callcommand.Send(call_id=1, upstream=callplan_test.upstream("u"))
+    owner.relay(GATHERER, query, [call])
+
+
+def test_a_restarted_instance_takes_no_part_of_its_predecessors_query():
+    asked, taken = [], []
+    _relay(_relaying(asked), lambda *_: None)
+    after = _relaying(asked)
+    _relay(after, lambda outcomes, _: taken.append(outcomes))
+    part = notice.RelayedOutcome(
+        call_id=1, kind="answered", reason="", reached=True
+    )
+    batch = notice.RelayBatch(
+        sender_address=GATHERER.address,
+        ask_id=asked[0].ask_id,
+        outcomes=(part,),
+    )
+    after.on_batch(batch)
+    assert not taken
