Soak: gateways that run by turns, links of two widths, a third upstream of each service

Why the soak missed the incident: no gateway had a wide link, so that nothing was handed over; two upstreams a service can't show a third; and gateways stood still for 0.3 s at least, where a word that is 30 ms late matters. Slow gateways (50 ms stopped, 12 ms running, 1 to 3 s long) are drawn apart, so that the other faults of a seed stay as they were. The referee checks upstreams a request ran on against the route's attempts.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,15 @@
 LINK_RANGE_MS = (300.0, 3_000.0)
 DELAY_RANGE_MS = (20.0, 400.0)
 
+SLOW_GAP_MS = 2_500.0
+"""Mean time between two gateways' becoming slow."""
+
+SLOW_RANGE_MS = (1_000.0, 3_000.0)
+SLOW_STOP_MS = 50.0
+SLOW_RUN_MS = 12.0
+"""A slow gateway stands still and runs by turns: longer than a neighbour waits
+for its word, shorter than what counts as a stop."""
+
 
 class Manner(enum.Enum):
     """How a link treats its connections."""
@@ -61,6 +70,14 @@
     for_ms: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Slow:
+    """A gateway gets little processor: it stops and runs by turns."""
+
+    gateway: str
+    for_ms: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Restart:
     """A gateway is killed, or asked to stop, and starts again."""
@@ -99,7 +116,17 @@
     count: int
 
 
-Fault = Link | StoreOut | Pause | Restart | Reload | Configure | Replace | Spoil
+Fault = (
+    Link
+    | StoreOut
+    | Pause
+    | Slow
+    | Restart
+    | Reload
+    | Configure
+    | Replace
+    | Spoil
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -124,7 +151,24 @@
         fault = _draw(dice, gateways, services)
         timed.append(Timed(at_ms=at_ms, fault=fault))
         at_ms += dice.expovariate(1.0 / MEAN_GAP_MS)
-    return tuple(timed)
+    timed.extend(_slow_times(seed, length_ms, gateways))
+    return tuple(sorted(timed, key=lambda each: each.at_ms))
+
+
+def _slow_times(
+    seed: int, length_ms: float, gateways: tuple[str, ...]
+) -> list[Timed]:
+    """Draws when gateways become slow, apart from all other faults."""
+    dice = random.Random(f"slow-{seed}")
+    timed = []
+    at_ms = dice.expovariate(1.0 / SLOW_GAP_MS)
+    while at_ms < length_ms:
+        fault = Slow(
+            gateway=dice.choice(gateways), for_ms=dice.uniform(*SLOW_RANGE_MS)
+        )
+        timed.append(Timed(at_ms=at_ms, fault=fault))
+        at_ms += dice.expovariate(1.0 / SLOW_GAP_MS)
+    return timed
 
 
 def _draw(
--- a/soak/play.py
+++ b/soak/play.py
@@ -24,6 +24,9 @@
 """Services that faults choose from: more often those whose requests may run
 once only, or move with the configuration."""
 
+LINKS_MBPS = (0.5, 1_000.0)
+"""Links of a zone's gateways in turn: queries are handed over to wide ones."""
+
 GRACE_MS = 6_000.0
 KILL_AFTER_S = 8.0
 START_LIMIT_S = 30.0
@@ -151,6 +154,7 @@
             "failure_domains": {"zone-0": "r", "zone-1": "r"},
             "store_address": address,
             "grace_ms": GRACE_MS,
+            "link_mbps": LINKS_MBPS[int(name[2:]) // 2 % len(LINKS_MBPS)],
             "budget": {"ratio": 0.2, "slack_count": 60, "window_ms": 10_000},
             **addresses,
         }
@@ -188,7 +192,9 @@
         if process.returncode is None:
             process.send_signal(number)
         elif name not in self._busy:
-            self._ended.append(f"ended by itself: {name}")
+            self._ended.append(
+                f"ended by itself: {name}, return code {process.returncode}"
+            )
 
     # Faults.
 
@@ -200,21 +206,28 @@
                 await self._harm_link(timed.fault)
             case faults.StoreOut():
                 await self._harm_store(timed.fault)
+            case faults.Configure():
+                self._world.configure()
+            case faults.Replace(service=service, drains=drains):
+                await self._world.replace(service, drains)
+            case faults.Spoil(service=service, how=how, count=count):
+                await self._spoil(service, how, count)
+            case _:
+                await self._harm_gateway(timed.fault)
+
+    async def _harm_gateway(self, fault: faults.Fault) -> None:
+        match fault:
             case faults.Pause():
-                await self._pause(timed.fault)
+                await self._pause(fault)
+            case faults.Slow():
+                await self._slow(fault)
             case faults.Restart():
-                await self._restart(timed.fault)
+                await self._restart(fault)
             case faults.Reload(gateway=gateway) if gateway in self._busy:
                 # Its interpreter may not have come to ignore the signal yet.
                 pass
             case faults.Reload(gateway=gateway):
                 self._signal(gateway, signal.SIGHUP)
-            case faults.Configure():
-                self._world.configure()
-            case faults.Replace(service=service, drains=drains):
-                await self._world.replace(service, drains)
-            case faults.Spoil(service=service, how=how, count=count):
-                await self._spoil(service, how, count)
 
     def _note_harm(self, gateway: str, start_ms: float) -> referee.Harm:
         harm = referee.Harm(
@@ -252,6 +265,20 @@
         self._signal(fault.gateway, signal.SIGCONT)
         self._note_harm(fault.gateway, start_ms)
 
+    async def _slow(self, fault: faults.Slow) -> None:
+        name = fault.gateway
+        if name in self._busy:
+            return
+        start_ms = clock.now_ms()
+        while clock.now_ms() < start_ms + fault.for_ms:
+            if name in self._busy:
+                break
+            self._signal(name, signal.SIGSTOP)
+            await asyncio.sleep(faults.SLOW_STOP_MS / MS_PER_S)
+            self._signal(name, signal.SIGCONT)
+            await asyncio.sleep(faults.SLOW_RUN_MS / MS_PER_S)
+        self._note_harm(name, start_ms)
+
     async def _restart(self, fault: faults.Restart) -> None:
         name = fault.gateway
         if name in self._busy:
--- a/soak/referee.py
+++ b/soak/referee.py
@@ -116,6 +116,18 @@
         allowed = _services(each.path)
         if any(run.service not in allowed for run in runs):
             self._break("ran elsewhere", each, str(runs))
+        self._judge_attempts(each, runs)
+
+    def _judge_attempts(
+        self, each: callers.Asked, runs: list[world.Run]
+    ) -> None:
+        """A request runs on no more upstreams of a service than allowed."""
+        upstreams: dict[str, set[str]] = {}
+        for run in runs:
+            upstreams.setdefault(run.service, set()).add(run.upstream_id)
+        for service, some in upstreams.items():
+            if len(some) > world.ATTEMPTS_COUNT:
+                self._break("too many upstreams", each, f"{service}: {some}")
 
     def _judge_answer(self, each: callers.Asked) -> None:
         if each.got.status in (400, 404):
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -29,6 +29,17 @@
     assert sum(report.counts.values()) > 300
 
 
+def test_slow_gateways_send_no_query_to_more_upstreams_than_allowed(tmp_path):
+    settings = play.Settings(
+        seed=1,
+        length_ms=20_000.0,
+        gateway_count=4,
+        caller_count=16,
+        folder=pathlib.Path(tmp_path),
+    )
+    assert not play.run(settings).broken
+
+
 def test_a_seed_always_gives_the_same_faults():
     names = ("g-0", "g-1")
     planned = faults.plan(7, 20_000.0, names, play.HARMED_SERVICES)
@@ -49,8 +60,8 @@
     )
 
 
-def _run(service, at_ms=10_010.0):
-    name = f"i-{service}-0"
+def _run(service, at_ms=10_010.0, copy=0):
+    name = f"i-{service}-{copy}"
     return world.Run(at_ms=at_ms, upstream_id=name, service=service)
 
 
@@ -84,6 +95,10 @@
             _asked(world.ONCE, status=502),
             {"runs": [_run(_DESK)], "left_ms": {"i-desk-b-0": 1_000.0}},
         ),
+        (
+            _asked(world.ALL, status=502),
+            {"runs": [_run("shard-0", copy=copy) for copy in range(3)]},
+        ),
     ],
 )
 def test_the_referee_sees_what_is_broken(asked, found):
@@ -93,6 +108,8 @@
 def test_the_referee_lets_pass_what_is_right():
     assert not _broken(_asked(world.ONCE, status=502), runs=[_run(_DESK)])
     assert not _broken(_asked(world.ONCE, status=503))
+    twice = [_run("shard-0", copy=copy) for copy in range(2)]
+    assert not _broken(_asked(world.ALL, status=502), runs=twice)
     # A gateway that was harmed a second before may not know who leaves.
     harm = referee.Harm(gateway="g-0", start_ms=8_000.0, end_ms=9_000.0)
     assert not _broken(
--- a/soak/world.py
+++ b/soak/world.py
@@ -18,6 +18,10 @@
 GOOD_TAIL, BAD_TAIL = b"x", b"bad"
 """What follows a route's prefix in requests, and in those that crash."""
 
+COPY_COUNT = 3
+"""Upstreams of a service at first: one more than a request may be sent to."""
+
+ATTEMPTS_COUNT = 2
 TOP_COUNT = 4
 FLOOR_RATIO = 0.6
 UPSTREAM_MS = (2.0, 25.0)
@@ -86,10 +90,10 @@
         self._counts: dict[str, int] = {}
 
     async def start(self) -> None:
-        """Starts the store and two upstreams of each service."""
+        """Starts the store and the upstreams of each service."""
         await self.store.start()
         for name in SERVICES:
-            for _ in range(2):
+            for _ in range(COPY_COUNT):
                 await self.add_upstream(name)
         self.configure()
 
@@ -221,6 +225,6 @@
         "timeout_ms": 1_500,
         "target_latency_ms": 200,
         "priority": 1,
-        "max_attempts": 2,
+        "max_attempts": ATTEMPTS_COUNT,
         **fields,
     }
