The slack of extra calls is a bucket that is empty at an instance's start

What callers would see: BUDGET, extra arrivals of a service in a window, where instances start anew in series beside slow upstreams. Cause: each incarnation of an instance had its share of the window's slack, and two calls of it at once; what its predecessor had spent in the same window is not known to it. By arithmetic 58 instances that start three times hold 333 calls of a slack of 156. Now: the share is a bucket of half of it, empty at the start, that fills by the other half in a window. Any window holds one bucket and what flows in, however often an instance starts.

--- a/hyssoptack/policy/extrawindow.py
+++ b/hyssoptack/policy/extrawindow.py
@@ -2,9 +2,14 @@
 
 All instances together may make, in any window, a part of the requests for a
 service as extra calls, and some more besides (the slack). Each instance spends
-its own part of both and looks only at itself: what it sent within the last
-window, so the slack is there again a window later. (`policy.budget` holds the
-product's own ceiling, which is a ratio alone.)
+its own part of both and looks only at itself. (`policy.budget` is that of the
+product's own interface, a ratio alone.)
+
+Its part of the requests is what it has seen of them within the last window. Its
+part of the slack is a bucket that is empty at first and fills at an even pace:
+what a predecessor spent is not known to an instance that starts anew, and
+however often it does so, any window holds one full bucket and what flows in
+meanwhile.
 
 An instance keeps its part at each moment at which it spends. In a window that
 ends later some requests may be too old to count while the extra calls that they
@@ -21,6 +26,9 @@
 same at any rate. Extra calls are counted for up to a part longer than a window,
 requests for up to a part less."""
 
+BUCKET_RATIO = 0.5
+"""Part of the slack that can be saved up; the rest flows in during a window."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Share:
@@ -28,17 +36,24 @@
 
     Attributes:
         ratio: Extra calls for each request that it serves.
-        slack_count: Extra calls besides, in one window.
-        start_count: How much of that it has at its start: many instances may
-            start at once, whose predecessors have spent theirs.
+        slack_count: Extra calls besides, in any one window.
         window_ms: The window.
     """
 
     ratio: float
     slack_count: float
-    start_count: float
     window_ms: float
 
+    @property
+    def bucket_count(self) -> float:
+        """Extra calls of the slack that can be saved up."""
+        return BUCKET_RATIO * self.slack_count
+
+    @property
+    def refill_count_per_ms(self) -> float:
+        """Extra calls of the slack that come in each millisecond."""
+        return (1.0 - BUCKET_RATIO) * self.slack_count / self.window_ms
+
 
 @dataclasses.dataclass(kw_only=True)
 class _Slot:
@@ -46,16 +61,33 @@
 
     number: int
     request_count: int = 0
-    extra_count: int = 0
+    extra_count: float = 0.0
 
 
 class _Service:
-    """What was sent to one service within about a window."""
+    """What was sent to one service within about a window.
 
-    def __init__(self) -> None:
+    Attributes:
+        request_count: Its requests.
+        extra_count: Extra calls that these have paid for.
+        slack_count: Extra calls that are saved up besides.
+        filled_ms: When that was last reckoned.
+    """
+
+    def __init__(self, started_ms: float) -> None:
         self._slots: collections.deque[_Slot] = collections.deque()
         self.request_count = 0
-        self.extra_count = 0
+        self.extra_count = 0.0
+        self.slack_count = 0.0
+        self.filled_ms = started_ms
+
+    def fill(self, share: Share, now_ms: float) -> None:
+        """Takes the slack that has come in since the last time."""
+        came_count = share.refill_count_per_ms * (now_ms - self.filled_ms)
+        self.slack_count = min(
+            share.bucket_count, self.slack_count + came_count
+        )
+        self.filled_ms = now_ms
 
     def earning_count(self, number: int) -> int:
         """Returns the requests that are no older than a window."""
@@ -84,9 +116,7 @@
 
     def note_request(self, service: str, now_ms: float) -> None:
         """Counts the first call of a request to a service."""
-        found = self._services.get(service)
-        if found is None:
-            found = self._services[service] = _Service()
+        found = self._service(service)
         found.slot(self._number(now_ms)).request_count += 1
         found.request_count += 1
 
@@ -100,25 +130,25 @@
             now_ms: The time now.
             keep_count: Extra calls that must be left after it.
         """
-        found = self._services.get(service)
-        if found is None:
-            found = self._services[service] = _Service()
+        found = self._service(service)
         number = self._number(now_ms)
         slot = found.slot(number)
+        found.fill(self.share, now_ms)
         earned_count = self.share.ratio * found.earning_count(number)
-        allowed_count = self._slack_count(now_ms) + earned_count
-        if found.extra_count + 1.0 + keep_count > allowed_count:
+        earned_count = max(0.0, earned_count - found.extra_count)
+        if earned_count + found.slack_count < 1.0 + keep_count:
             return False
-        slot.extra_count += 1
-        found.extra_count += 1
+        paid_count = min(1.0, earned_count)
+        slot.extra_count += paid_count
+        found.extra_count += paid_count
+        found.slack_count -= 1.0 - paid_count
         return True
 
+    def _service(self, service: str) -> _Service:
+        found = self._services.get(service)
+        if found is None:
+            found = self._services[service] = _Service(self._started_ms)
+        return found
+
     def _number(self, now_ms: float) -> int:
         return int(now_ms * SLOT_COUNT / self.share.window_ms)
-
-    def _slack_count(self, now_ms: float) -> float:
-        age_ratio = (now_ms - self._started_ms) / self.share.window_ms
-        grown_count = self.share.start_count + (
-            self.share.slack_count * age_ratio
-        )
-        return min(self.share.slack_count, grown_count)
