--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -3,13 +3,12 @@
 import asyncio
 import dataclasses
 import json
-import random
-import socket
 
 from hyssoptack.gateway import daemon
 from hyssoptack.http1 import message
 from hyssoptack.settings import gateway
 from hyssoptack.standins import kvstore
+from hyssoptack.standins import ports
 from hyssoptack.standins import service
 
 HOST = "shop.example"
@@ -17,12 +16,6 @@
 SLACK_COUNT = 100_000.0
 """Extra calls in ten seconds: a new instance has some within milliseconds."""
 
-PORT_RANGE = (10_000, 19_000)
-"""Below the system's own range (32768 and up), and off the fleets' ports."""
-
-_GIVEN: set[int] = set()
-"""Ports given out: one that is not listened on yet looks free."""
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Got:
@@ -139,11 +132,11 @@
             instance_id=name,
             failure_domain="north",
             failure_domains={"north": "wales", "south": "wales"},
-            callers_address=f"127.0.0.1:{free_port()}",
-            readiness_address=f"127.0.0.1:{free_port()}",
+            callers_address=f"127.0.0.1:{ports.free_port()}",
+            readiness_address=f"127.0.0.1:{ports.free_port()}",
             store_address=self.store.address,
-            peer_address=f"127.0.0.1:{free_port()}",
-            metrics_address=f"127.0.0.1:{free_port()}",
+            peer_address=f"127.0.0.1:{ports.free_port()}",
+            metrics_address=f"127.0.0.1:{ports.free_port()}",
             budget=gateway.BudgetSettings(
                 ratio=0.2, window_ms=10_000.0, slack_count=SLACK_COUNT
             ),
@@ -225,26 +218,6 @@
     }
 
 
-def free_port() -> int:
-    """Returns a port that is free now, and that no client socket will take.
-
-    Ports that the system hands out are also those of outgoing connections: one
-    of these may take such a port before a gateway listens there.
-    """
-    while True:
-        port = random.randrange(*PORT_RANGE)
-        if port in _GIVEN:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                # Somebody listens there.
-                continue
-        _GIVEN.add(port)
-        return port
-
-
 def request_bytes(
     path: str,
     request_id: str,
--- a/hyssoptack/gateway/reaching_test.py
+++ b/hyssoptack/gateway/reaching_test.py
@@ -6,6 +6,7 @@
 from hyssoptack.gateway import harness
 from hyssoptack.gateway import reaching
 from hyssoptack.policy import reach
+from hyssoptack.standins import ports
 
 
 def test_a_cut_takes_the_instance_out_of_rotation_until_it_ends():
@@ -47,7 +48,7 @@
 
 def test_a_refused_connection_is_no_sign_of_life():
     # A cut may refuse all connections: it went unnoticed for all of its 5.6 s.
-    address = f"127.0.0.1:{harness.free_port()}"
+    address = f"127.0.0.1:{ports.free_port()}"
     assert not asyncio.run(reaching.shows_life(address))
 
 
--- a/hyssoptack/gateway/startup_test.py
+++ b/hyssoptack/gateway/startup_test.py
@@ -11,6 +11,7 @@
 import time
 
 from hyssoptack.gateway import harness
+from hyssoptack.standins import ports
 
 FORBIDDEN = (
     "aiohttp",
@@ -61,7 +62,7 @@
         "failure_domain": "north",
         "failure_domains": {"north": "wales"},
         "callers_address": callers_address,
-        "readiness_address": f"127.0.0.1:{harness.free_port()}",
+        "readiness_address": f"127.0.0.1:{ports.free_port()}",
         "store_address": "127.0.0.1:1",
         "budget": {},
     }
@@ -86,7 +87,7 @@
 def test_callers_may_wait_while_the_process_loads(tmp_path):
     # All instances without power at once: both tries of a caller were refused
     # within milliseconds, 40 of 70 failures of such a day.
-    port = harness.free_port()
+    port = ports.free_port()
     process = _started(tmp_path, f"127.0.0.1:{port}")
     try:
         with _connected(port) as caller:
@@ -108,7 +109,7 @@
 
 def test_a_reload_asked_for_during_the_start_does_not_end_it(tmp_path):
     # Found by the soak: the process was gone before it had said anything.
-    process = _started(tmp_path, f"127.0.0.1:{harness.free_port()}")
+    process = _started(tmp_path, f"127.0.0.1:{ports.free_port()}")
     try:
         limit_s = time.monotonic() + START_LIMIT_S
         while not _ignores_hup(process):
--- a/hyssoptack/standins/service.py
+++ b/hyssoptack/standins/service.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from hyssoptack.http1 import message
+from hyssoptack.standins import ports
 
 NOT_RUN = b"X-Not-Executed: 1\r\n"
 
@@ -67,12 +68,10 @@
 
     async def start(self) -> None:
         """Opens a port on loopback; the same one after a crash."""
-        port = int(self.address.rpartition(":")[2] or 0)
-        self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", port
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
+        if not self.address:
+            self.address = f"127.0.0.1:{ports.free_port()}"
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
 
     def stop(self) -> None:
         """Closes the port; open connections stay."""
--- a/soak/play.py
+++ b/soak/play.py
@@ -9,6 +9,7 @@
 
 from hyssoptack.core import clock
 from hyssoptack.gateway import harness
+from hyssoptack.standins import ports
 from soak import callers
 from soak import faults
 from soak import referee
@@ -141,10 +142,10 @@
     # Processes.
 
     async def _prepare(self, name: str) -> None:
-        ports = ("callers", "readiness", "peer", "metrics")
+        names = ("callers", "readiness", "peer", "metrics")
         addresses = {
-            f"{each}_address": f"127.0.0.1:{harness.free_port()}"
-            for each in ports
+            f"{each}_address": f"127.0.0.1:{ports.free_port()}"
+            for each in names
         }
         address = await self._world.link(name, self._world.store.address)
         self._addresses[name] = addresses
