One way to start a pair of gateways in tests; request_ended names the attempts granted

Three tests waited for the same pair by the same lines; request_ended and the metric of the attempt limit named the route's attempts also where a neighbour was never granted them. Log and metric only; no decision changed.

--- a/hyssoptack/gateway/attempts_test.py
+++ b/hyssoptack/gateway/attempts_test.py
@@ -5,11 +5,9 @@
 from hyssoptack.core import notice
 from hyssoptack.gateway import harness
 
-WAIT_S = 6.0
 SHARD_COUNT = 4
 COPY_COUNT = 4
 ATTEMPTS_COUNT = 2
-REPLY_BYTES = 1_250
 BUSY_COUNT = 6
 LATE_S = 0.1
 LOST_S = 60.0
@@ -30,15 +28,7 @@
         for copy in range(COPY_COUNT):
             await site.add_upstream(f"i-{shard}-{copy}", f"s{shard}", body)
     site.configure({**SHARDS, **changes})
-    narrow = await site.start("narrow", link_mbps=0.5)
-    wide = await site.start("wide", link_mbps=1_000.0)
-    async with asyncio.timeout(WAIT_S):
-        while not narrow.readers.neighbours():
-            await asyncio.sleep(0.05)
-        while narrow.beliefs.version != wide.beliefs.version:
-            await asyncio.sleep(0.05)
-    narrow._delegating.known.note_reply("route-0", REPLY_BYTES)
-    return narrow, wide
+    return await site.start_pair()
 
 
 def _delay(gateway, kinds, delay_s):
--- a/hyssoptack/gateway/delegating_test.py
+++ b/hyssoptack/gateway/delegating_test.py
@@ -11,25 +11,14 @@
 from hyssoptack.gateway import received
 from hyssoptack.policy import delegation
 
-WAIT_S = 6.0
-REPLY_BYTES = 1_250
 
-
-async def _pair(site, second=True):
-    """A narrow instance and a wide one, over four shards of two upstreams."""
+async def _pair(site):
+    """A narrow instance and a wide one, over four shards of one upstream."""
     for index in range(4):
         body = bytes([index]) * 16 + bytes([200 - index]) * 16
         await site.add_upstream(f"i-{index}", f"s{index}", body)
     site.configure(gateway_test.SHARDS)
-    narrow = await site.start("narrow", link_mbps=0.5)
-    if second:
-        wide = await site.start("wide", link_mbps=1_000.0)
-        async with asyncio.timeout(WAIT_S):
-            while not narrow.readers.neighbours():
-                await asyncio.sleep(0.05)
-        while narrow.beliefs.version != wide.beliefs.version:
-            await asyncio.sleep(0.05)
-    narrow._delegating.known.note_reply("route-0", REPLY_BYTES)
+    narrow, _ = await site.start_pair()
     return narrow
 
 
--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -13,6 +13,11 @@
 
 HOST = "shop.example"
 START_TIMEOUT_S = 5.0
+PAIR_TIMEOUT_S = 6.0
+NARROW_MBPS, WIDE_MBPS = 0.5, 1_000.0
+REPLY_BYTES = 1_250
+"""Size of an upstream's reply at which a narrow link hands its queries over."""
+
 SLACK_COUNT = 100_000.0
 """Extra calls in ten seconds: a new instance has some within milliseconds."""
 
@@ -166,6 +171,24 @@
                     self._tasks[name].result()
                 await asyncio.sleep(0.02)
 
+    async def start_pair(
+        self,
+    ) -> tuple[daemon.Gateway, daemon.Gateway]:
+        """Starts a gateway with a narrow link, and one that it hands over to.
+
+        Returns:
+            The narrow one and the wide one, which know each other.
+        """
+        narrow = await self.start("narrow", link_mbps=NARROW_MBPS)
+        wide = await self.start("wide", link_mbps=WIDE_MBPS)
+        async with asyncio.timeout(PAIR_TIMEOUT_S):
+            while not narrow.readers.neighbours():
+                await asyncio.sleep(0.05)
+            while narrow.beliefs.version != wide.beliefs.version:
+                await asyncio.sleep(0.05)
+        narrow._delegating.known.note_reply("route-0", REPLY_BYTES)
+        return narrow, wide
+
     async def _wait_counted(self, gateway: daemon.Gateway) -> None:
         """Waits until a gateway knows its share of the extra calls."""
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/hyssoptack/gateway/running.py
+++ b/hyssoptack/gateway/running.py
@@ -362,7 +362,7 @@
             version=self._version,
             version_age_ms=round(now_ms - self._owner.beliefs.config_ms),
             list_age_ms=round(now_ms - self._owner.beliefs.listed_ms),
-            attempts_count=self._ask.attempts_count,
+            attempts_count=self._plan.attempts.limit_count,
             widest_count=self._plan.widest_count,
             calls=[each.text(started_ms) for each in self._traces.values()],
             **self._named(),
@@ -379,7 +379,7 @@
         labels = {"route": self._route.name}
         counted.requests.inc({**labels, "status": str(status)})
         counted.request_ms.observe(labels, took_ms)
-        if self._plan.widest_count >= self._ask.attempts_count:
+        if self._plan.widest_count >= self._plan.attempts.limit_count:
             counted.requests_at_limit.inc(labels)
 
     def _log_extra(self, command: callcommand.Send) -> None:
--- a/hyssoptack/gateway/suspecting_test.py
+++ b/hyssoptack/gateway/suspecting_test.py
@@ -219,14 +219,7 @@
                     name = f"i-{shard}-{copy}"
                     await site.add_upstream(name, f"s{shard}")
             site.configure(gateway_test.SHARDS)
-            narrow = await site.start("narrow", link_mbps=0.5)
-            wide = await site.start("wide", link_mbps=1_000.0)
-            async with asyncio.timeout(6.0):
-                while not narrow.readers.neighbours():
-                    await asyncio.sleep(0.05)
-                while narrow.beliefs.version != wide.beliefs.version:
-                    await asyncio.sleep(0.05)
-            narrow._delegating.known.note_reply("route-0", 1_250)
+            narrow, wide = await site.start_pair()
             watch = crashing_test._Watch(site, b"/all/bad")
             got = await site.get("/all/bad", "bad-1", name="narrow")
             assert got.status == 502
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/policy/callplan.py
@@ -65,9 +65,9 @@
             knowledge.mechanisms.dry_hedges,
         )
         self.caution = caution.Caution(knowledge.suspicions, ask.fingerprint)
-        self._attempts = attempts.Attempts(ask)
+        self.attempts = attempts.Attempts(ask)
         self._choice = callchoice.Choice(
-            ask, knowledge, self.caution, self._attempts
+            ask, knowledge, self.caution, self.attempts
         )
 
     def start(self, now_ms: float) -> list[callcommand.Command]:
@@ -105,7 +105,7 @@
     def next_time_ms(self) -> float:
         """Returns when `on_time` should be called next."""
         next_ms = self._ends_ms
-        if self._attempts.granted:
+        if self.attempts.granted:
             next_ms = min(next_ms, self._hedges.next_ms())
         if self._answers_at_goal():
             next_ms = min(next_ms, self.ask.goal_at_ms)
@@ -117,16 +117,16 @@
             return []
         self._know.domains.note_waited(self._tally, now_ms - self._started_ms)
         commands: list[callcommand.Command] = []
-        if self._attempts.granted:
+        if self.attempts.granted:
             for call in self._hedges.take_due(now_ms):
                 commands.extend(self._hedge(call, now_ms))
         return commands + self._finish_if_due(now_ms)
 
     def on_granted(self, now_ms: float) -> list[callcommand.Command]:
         """Takes that the route's other attempts may be made from here."""
-        if self.finished or self._attempts.granted:
+        if self.finished or self.attempts.granted:
             return []
-        retries, dried_up = self._attempts.grant()
+        retries, dried_up = self.attempts.grant()
         commands: list[callcommand.Command] = []
         for part, why in retries:
             if part.is_open():
@@ -189,8 +189,8 @@
             call_ids: The calls: those made beside them have been answered.
             now_ms: The time now.
         """
-        if not self._attempts.granted:
-            self._attempts.hold_dried_up(tuple(call_ids))
+        if not self.attempts.granted:
+            self.attempts.hold_dried_up(tuple(call_ids))
             return []
         commands: list[callcommand.Command] = []
         for call in self.calls.some(call_ids):
@@ -280,8 +280,8 @@
         """
         if part.calls and not self._parts.floor_at_risk():
             return []
-        if not self._attempts.granted:
-            self._attempts.hold_retry(part, why)
+        if not self.attempts.granted:
+            self.attempts.hold_retry(part, why)
             return []
         upstream = self._choice.next(part, now_ms)
         if upstream is not None:
@@ -341,7 +341,7 @@
             if held is None:
                 break
             part, extra = held.part, held.extra
-            if len(part.sent_to) < self._attempts.limit_count:
+            if len(part.sent_to) < self.attempts.limit_count:
                 sends = self._send(part, now_ms, extra)
             else:
                 # One that refused before: the route allows no other.
@@ -356,7 +356,7 @@
             and part.is_open()
             and not part.hedged
             and len(part.calls) == 1
-            and len(part.sent_to) < self._attempts.limit_count
+            and len(part.sent_to) < self.attempts.limit_count
         )
 
     def _hedge(
