Soak: recovery is not judged across a stop of the soak's own process

Promises in time are not judged across one as it is; requests that it falls into no longer count for recovery either, and a run of which none is left is still broken. The referee's test holds both ways: three late of 33 count without a stop.

--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -128,3 +128,21 @@
     asked = _asked(world.MOVED, status=502)
     assert _broken(asked, runs=[_run(world.DESKS[0])], versions=versions)
     assert not _broken(asked, runs=[_run(world.DESKS[1])], versions=versions)
+
+
+def test_recovery_is_not_judged_across_a_stop_of_the_soak_itself():
+    stop = referee.Harm(gateway="", start_ms=9_000.0, end_ms=10_010.0)
+    served = [
+        _asked(
+            world.SINGLE,
+            headers={"x-server-stamp": "i-desk-a-0.r1"},
+            sent_ms=20_000.0 + number,
+        )
+        for number in range(30)
+    ]
+    late = [_asked(world.SINGLE, status=504) for _ in range(3)]
+    for harms, broken in (([stop], False), ([], True)):
+        judge = referee.Referee(world.World(1), harms, [], 0.0)
+        lines = judge.judge([*served, *late]).broken
+        found = any(each.startswith("not recovered") for each in lines)
+        assert found is broken
