--- a/hyssoptack/relay/client_test.py
+++ b/hyssoptack/relay/client_test.py
@@ -11,9 +11,9 @@
 from hyssoptack.core import action
 from hyssoptack.relay import client
 
-LEFT_MS = 300.0
+LEFT_MS = 2_000.0
 ANSWERS_AFTER_S = 0.1
-STANDS_STILL_S = 0.8
+STANDS_STILL_S = 2.5
 ASKED = action.Action(
     idempotency_key="key",
     service="service",
@@ -47,6 +47,7 @@
     called = client.UpstreamClient()
     call = asyncio.ensure_future(called.act(upstream, ASKED, "a1", LEFT_MS))
     while not server.arrived.is_set():
+        assert not call.done(), "its time was over before it arrived"
         await asyncio.sleep(0.001)
     time.sleep(STANDS_STILL_S)
     try:
@@ -60,7 +61,7 @@
     # action whose receipt lies in the socket.
     server = http.server.HTTPServer(("127.0.0.1", 0), _Upstream)
     server.arrived = threading.Event()
-    threading.Thread(target=server.handle_request).start()
+    threading.Thread(target=server.handle_request, daemon=True).start()
     result = uvloop.run(_act_beside_a_stall(server))
     server.server_close()
     assert result == client.Ran(receipt="r-1")
