Evacuated failure domains get no request

The watch of the configuration becomes one of all that operators write, at no further call; readers tell evacuations with each view. Upstreams of such a domain leave the lists that calls are placed by; calls that wait for a connection there are sent elsewhere (also for upstreams that drain or are gone: before, they were sent once a connection was free, however late). The store's connections get pools of their own: any change of the list closed idle ones. Evacuations are ordered by era and revision of the store. Ruled out: a separate watch (a call each 4.5 s and reader more).

--- a/hyssoptack/core/notice.py
+++ b/hyssoptack/core/notice.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from hyssoptack.core import member
+from hyssoptack.core import position
 from hyssoptack.core import traffic
 
 
@@ -43,6 +44,8 @@
             has lost in an outage and that may enter themselves again.
         list_age_ms: How long ago the list was read.
         exact_age_ms: Age of the last reading that can't have been an old one.
+        evacuated: Failure domains whose upstreams must get nothing.
+        evacuated_at: Where in the store's history that held.
     """
 
     sender_id: str
@@ -54,6 +57,8 @@
     grace_ms: float = 0.0
     list_age_ms: float = 0.0
     exact_age_ms: float = 0.0
+    evacuated: tuple[str, ...] = ()
+    evacuated_at: position.Position = position.START
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -24,6 +24,11 @@
     CONFIG_IN_FORCE = (2001, "A configuration revision is in force.")
     CONFIG_REFUSED = (2002, "An offered configuration has errors.")
     CONFIG_OLDER = (2003, "An older revision was offered and ignored.")
+    EVACUATIONS_CHANGED = (
+        2004,
+        "Operators evacuated a failure domain, or ended that.",
+    )
+    OPERATOR_KEY_IGNORED = (2005, "A key of the operators names nothing known.")
     STORE_LOST = (2101, "The key-value service stopped answering.")
     STORE_BACK = (2102, "The key-value service answers again.")
     LIST_LOST = (2103, "The instance list stopped answering.")
--- a/hyssoptack/gateway/beliefs.py
+++ b/hyssoptack/gateway/beliefs.py
@@ -7,9 +7,11 @@
 import collections.abc
 import dataclasses
 
+from hyssoptack.core import position
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import pool
+from hyssoptack.policy import evacuation
 from hyssoptack.policy import placing
 from hyssoptack.policy import routetable
 
@@ -29,6 +31,7 @@
         config_ms: When the configuration was taken.
         listed_ms: When the list of upstreams was last read, by whomever.
         list_revision: The store's revision that the list is of.
+        evacuations: Failure domains whose upstreams must get nothing.
         store_back_ms: When the store last returned from an outage.
         on_configuration: Told of each new configuration.
         keeps_lapsed: Whether entries that lapsed in an outage are kept a while.
@@ -46,7 +49,11 @@
     upstreams: dict[str, traffic.Upstream] = dataclasses.field(
         default_factory=dict
     )
+    evacuations: evacuation.Evacuations = dataclasses.field(
+        default_factory=evacuation.Evacuations
+    )
     store_back_ms: float = float("-inf")
+    _evacuated: frozenset[str] = frozenset()
     keeps_lapsed: bool = True
 
     @property
@@ -111,8 +118,51 @@
         self._log_changes(kept)
         self.upstreams = kept
         self.confirm_list(revision, now_ms if read_ms is None else read_ms)
-        self.placing.install(kept, now_ms)
-        self.pools.keep_only(kept)
+        self._install(now_ms)
+
+    def _install(self, now_ms: float) -> None:
+        """Puts the upstreams in use that operators have not evacuated."""
+        usable = {
+            upstream_id: upstream
+            for upstream_id, upstream in self.upstreams.items()
+            if upstream.failure_domain not in self._evacuated
+        }
+        self.placing.install(usable, now_ms)
+        self.pools.keep_only(
+            {
+                upstream_id
+                for upstream_id, upstream in usable.items()
+                if not upstream.draining
+            }
+        )
+
+    def apply_evacuations(self, source: str, now_ms: float) -> bool:
+        """Puts the evacuations in force; tells whether they changed."""
+        current = self.evacuations.current(now_ms)
+        if current == self._evacuated:
+            return False
+        log.write(
+            log.Event.EVACUATIONS_CHANGED,
+            began=sorted(current - self._evacuated),
+            ended=sorted(self._evacuated - current),
+            era=self.evacuations.at.era,
+            revision=self.evacuations.at.revision,
+            source=source,
+        )
+        self._evacuated = current
+        self._install(now_ms)
+        return True
+
+    def take_evacuations(
+        self,
+        domains: frozenset[str],
+        at: position.Position,
+        source: str,
+        now_ms: float,
+    ) -> bool:
+        """Takes a whole list of evacuations; tells whether any changed."""
+        self.evacuations.take_all(domains, at, now_ms)
+        return self.apply_evacuations(source, now_ms)
 
     def grace_ms(self, now_ms: float) -> float:
         """Returns how much longer what is missing may enter itself again."""
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -121,7 +121,9 @@
         shown = pages.Pages(self._metrics, self._is_ready, self._facts)
         self._probes = callerside.Server(handler=shown.answer_probe)
         self._readings = callerside.Server(handler=shown.answer_metrics)
-        self._store = keyvalue.Client(settings.store_address, self._pools)
+        # Connections to the store outlast any change of upstreams.
+        self._store_pools = pool.Pools(headers.REQUEST_ID)
+        self._store = keyvalue.Client(settings.store_address, self._store_pools)
         self._peering = peering.Peering(
             settings,
             self.beliefs,
@@ -302,6 +304,7 @@
                 self._callers.sweep(),
                 self._probes.sweep(),
                 self._pools.sweep(),
+                self._store_pools.sweep(),
             )
         ]
         tasks.extend(loop.create_task(each) for each in self._watches())
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -13,6 +13,7 @@
 
 from hyssoptack.core import clock
 from hyssoptack.core import member
+from hyssoptack.core import position
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import beliefs
@@ -21,6 +22,7 @@
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import wire
 from hyssoptack.policy import backoff
+from hyssoptack.policy import evacuation
 from hyssoptack.policy import gatherers
 from hyssoptack.policy import readership
 from hyssoptack.settings import gateway
@@ -51,6 +53,9 @@
 until then."""
 
 
+IGNORED_LIMIT_COUNT = 1_000
+"""Most keys whose being ignored is remembered, and so logged."""
+
 OnStored = collections.abc.Callable[
     [list[keyvalue.Item]], collections.abc.Awaitable[None]
 ]
@@ -83,6 +88,7 @@
         self._read_count = 1
         self._lease_ms = max(settings.lease_ms, settings.lease_min_ms)
         self._unreadable: dict[str, str] = {}
+        self._ignored: set[str] = set()
 
     # The list of upstreams.
 
@@ -105,6 +111,7 @@
                     self._readers.read(asked_ms, exact)
                     self._note_back()
                     self._take_list(listing)
+                    self._beliefs.apply_evacuations("time", clock.now_ms())
                     self._peers.tell()
                     await self._pause(self._list_pause_ms(clock.now_ms()))
                 case expression.Result(error=failure):
@@ -188,32 +195,71 @@
     async def _read_configuration(
         self, stale: bool
     ) -> expression.Result[int, keyvalue.Failure]:
-        result = await self._store.list(wire.CONFIGURATION_KEY, stale)
-        return result.map(
-            lambda found: self._take_items(
-                found.items, found.store_revision, "store"
-            )
-        )
+        result = await self._store.list(wire.OPERATOR_PREFIX, stale)
+        return result.map(self._take_operators_keys)
 
     async def _watch_configuration(
         self, revision: int
     ) -> expression.Result[int, keyvalue.Failure]:
         result = await self._store.watch(
-            wire.CONFIGURATION_KEY, revision, self._readers.pace.watch_ms
+            wire.OPERATOR_PREFIX, revision, self._readers.pace.watch_ms
         )
-        return result.map(
-            lambda found: self._take_items(
-                found.events, found.current_rev, "watch"
-            )
+        return result.map(self._take_operators_changes)
+
+    def _take_operators_keys(self, found: keyvalue.Listing) -> int:
+        """Takes all that operators have written; returns its revision."""
+        domains = set()
+        for item in found.items:
+            domain = self._evacuated_domain(item)
+            if domain is not None:
+                domains.add(domain)
+        changed = self._beliefs.take_evacuations(
+            frozenset(domains), found.position, "store", clock.now_ms()
         )
-
-    def _take_items(
-        self, items: list[keyvalue.Item], revision: int, source: str
-    ) -> int:
+        self._take_written(found.items, "store")
+        if changed:
+            self._peers.tell()
+        return found.store_revision
+
+    def _take_operators_changes(self, found: keyvalue.Changes) -> int:
+        """Takes what operators have changed; returns the revision reached."""
+        evacuations = self._beliefs.evacuations
+        for item in found.events:
+            domain = self._evacuated_domain(item)
+            if domain is not None:
+                at = position.Position(found.era, item.revision)
+                evacuations.take_change(
+                    evacuation.Change(
+                        failure_domain=domain, ended=item.removed, at=at
+                    )
+                )
+        evacuations.confirm(position.Position(found.era, found.current_rev))
+        changed = self._beliefs.apply_evacuations("watch", clock.now_ms())
+        self._take_written(found.events, "watch")
+        if changed:
+            self._peers.tell()
+        return found.current_rev
+
+    def _evacuated_domain(self, item: keyvalue.Item) -> str | None:
+        """Returns the domain that a key evacuates; logs an unknown key once."""
+        domain = wire.evacuated_domain(item.key)
+        known = domain in self._settings.failure_domains
+        if item.key != wire.CONFIGURATION_KEY and not known:
+            self._note_ignored(item.key)
+        return domain
+
+    def _note_ignored(self, key: str) -> None:
+        if (
+            key not in self._ignored
+            and len(self._ignored) < IGNORED_LIMIT_COUNT
+        ):
+            self._ignored.add(key)
+            log.write(log.Event.OPERATOR_KEY_IGNORED, key=key)
+
+    def _take_written(self, items: list[keyvalue.Item], source: str) -> None:
         for item in items:
             if item.key == wire.CONFIGURATION_KEY and not item.removed:
                 self._take_configuration(item.value, source)
-        return revision
 
     def _take_configuration(self, value: bytes, source: str) -> None:
         match wire.configuration(value):
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -137,6 +137,8 @@
             grace_ms=self._beliefs.grace_ms(now_ms),
             list_age_ms=now_ms - self._beliefs.listed_ms,
             exact_age_ms=self.readers.exact_age_ms(now_ms),
+            evacuated=tuple(self._beliefs.evacuations.current(now_ms)),
+            evacuated_at=self._beliefs.evacuations.at,
         )
         self._told[address] = _Told(
             version=self._beliefs.version, digest=change.digest
@@ -224,6 +226,12 @@
             log.write(log.Event.PEER_UNREADABLE, reason=received.decoded.reason)
 
     def _take(self, view: notice.ViewNotice) -> None:
+        self._beliefs.take_evacuations(
+            frozenset(view.evacuated),
+            view.evacuated_at,
+            f"peer {view.sender_id}",
+            clock.now_ms(),
+        )
         if view.configuration and view.version > self._beliefs.version:
             self._take_configuration(view)
         behind = view.revision < self._beliefs.list_revision
--- a/hyssoptack/gateway/pool.py
+++ b/hyssoptack/gateway/pool.py
@@ -30,6 +30,9 @@
 
 SWEEP_S = 0.5
 
+WITHDRAWN = "upstream_withdrawn"
+"""Reason of a call that was not sent, as its upstream may get nothing more."""
+
 CHECK_TIMEOUT_MS = 50.0
 """Longest look at whether an upstream has ended. One that has refuses at once
 (0.2 to 4 ms for the way there and back); a living one accepts within 15 ms. Who
@@ -125,11 +128,12 @@
         return lane.start(job)
 
     def keep_only(self, upstream_ids: collections.abc.Container[str]) -> None:
-        """Closes idle connections to upstreams that are not listed any more."""
-        for upstream_id in tuple(self._lanes):
+        """Withdraws from all other upstreams: they get nothing new."""
+        for upstream_id, lane in tuple(self._lanes.items()):
             if upstream_id not in upstream_ids:
-                self._lanes[upstream_id].close_idle(0.0)
-                if self._lanes[upstream_id].empty:
+                lane.close_idle(0.0)
+                lane.withdraw()
+                if lane.empty:
                     del self._lanes[upstream_id]
 
     async def sweep(self) -> None:
@@ -340,6 +344,13 @@
         self._idle.append(connection)
         self.released()
 
+    def withdraw(self) -> None:
+        """Ends the calls that wait for a connection: none was sent."""
+        waiting = tuple(self._waiting)
+        self._waiting.clear()
+        for call in waiting:
+            call.end(upstreamside.Broken(reason=WITHDRAWN, sent=False))
+
     def released(self) -> None:
         """Starts a call that waited for a connection."""
         while self._waiting and self._waiting[0].over:
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from hyssoptack.core import clock
+from hyssoptack.core import position
 from hyssoptack.core import traffic
 from hyssoptack.gateway import pool
 from hyssoptack.http1 import message
@@ -33,6 +34,8 @@
 """An answer handled this long after its timeout was kept waiting by a stop of
 the whole process, not by the network."""
 
+_ERA = b"store-era"
+
 CONNECTION_LIMIT_COUNT = 6
 PAGE_LIMIT_COUNT = 400
 """Most pages of one range: 200,000 items, far over what is kept there."""
@@ -69,11 +72,18 @@
 class Listing(msgspec.Struct):
     """Items under a prefix.
 
-    `store_revision` is the store's own at the time of the first page.
+    `store_revision` is the store's own at the time of the first page, `era`
+    the store's, as in `core.position`.
     """
 
     items: list[Item]
     store_revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> position.Position:
+        """Where in the store's history this was read."""
+        return position.Position(self.era, self.store_revision)
 
 
 class _Page(msgspec.Struct):
@@ -88,6 +98,7 @@
 
     events: list[Item]
     current_rev: int
+    era: int = 0
 
 
 class _Lease(msgspec.Struct):
@@ -164,25 +175,29 @@
             The items, or what went wrong.
         """
         items: list[Item] = []
-        store_revision: int | None = None
+        first: _Page | None = None
+        era = 0
         query = {"prefix": prefix} | ({"allow_stale": "1"} if stale else {})
         for _ in range(PAGE_LIMIT_COUNT):
             result = await self._call("GET", "kv-range", query, timeout_ms)
             match result:
-                case expression.Result(tag="ok", ok=body):
-                    page = _decoded(_PAGE, body)
+                case expression.Result(tag="ok", ok=reply):
+                    page = _decoded(_PAGE, reply.body)
                 case expression.Result(error=failure):
                     return expression.Error(failure)
             if isinstance(page, Failure):
                 return expression.Error(page)
+            if first is None:
+                first, era = page, _era(reply)
+            if _era(reply) != era:
+                return expression.Error(_ERA_CHANGED)
             items.extend(page.items)
-            if store_revision is None:
-                store_revision = page.current_rev
             if not page.has_more or not page.items:
                 break
             query = query | {"after": page.items[-1].key}
+        store_revision = first.current_rev if first else 0
         return expression.Ok(
-            Listing(items=items, store_revision=store_revision or 0)
+            Listing(items=items, store_revision=store_revision, era=era)
         )
 
     async def watch(
@@ -197,7 +212,10 @@
         result = await self._call(
             "GET", "kv-watch", query, wait_ms + WATCH_MARGIN_MS
         )
-        return _read(result, _CHANGES)
+        changes = _read(result, _CHANGES)
+        if changes.is_ok():
+            changes.ok.era = _era(result.ok)
+        return changes
 
     async def grant(self, ttl_ms: float) -> expression.Result[int, Failure]:
         """Takes a lease; returns its number."""
@@ -205,19 +223,21 @@
         result = await self._call("POST", "kv-lease", {}, body=body)
         return _read(result, _LEASE).map(lambda found: found.lease)
 
-    async def keep(self, lease: int) -> expression.Result[bytes, Failure]:
+    async def keep(
+        self, lease: int
+    ) -> expression.Result[message.Reply, Failure]:
         """Renews a lease."""
         return await self._call("POST", f"kv-keep/{lease}", {})
 
     async def put(
         self, key: str, value: bytes, lease: int
-    ) -> expression.Result[bytes, Failure]:
+    ) -> expression.Result[message.Reply, Failure]:
         """Writes a key that goes with a lease."""
         return await self.put_all({key: value}, lease)
 
     async def put_all(
         self, values: dict[str, bytes], lease: int
-    ) -> expression.Result[bytes, Failure]:
+    ) -> expression.Result[message.Reply, Failure]:
         """Writes up to 32 keys that go with a lease."""
         writes = [
             _Write(key=key, value=value, lease=lease)
@@ -229,7 +249,7 @@
 
     async def delete(
         self, keys: collections.abc.Sequence[str]
-    ) -> expression.Result[bytes, Failure]:
+    ) -> expression.Result[message.Reply, Failure]:
         """Removes up to 32 keys."""
         return await self._change(
             _Transaction(expect=[], writes=[], deletes=[*keys])
@@ -237,7 +257,7 @@
 
     async def _change(
         self, change: _Transaction
-    ) -> expression.Result[bytes, Failure]:
+    ) -> expression.Result[message.Reply, Failure]:
         body = _ENCODER.encode(change)
         return await self._call("POST", "kv-txn", {}, body=body)
 
@@ -248,7 +268,7 @@
         query: dict[str, str],
         timeout_ms: float = CALL_TIMEOUT_MS,
         body: bytes = b"",
-    ) -> expression.Result[bytes, Failure]:
+    ) -> expression.Result[message.Reply, Failure]:
         self.call_count += 1
         path = f"/hyssoptack/{name}"
         if query:
@@ -261,7 +281,7 @@
             outcome = upstreamside.Broken(reason="answer_too_old", sent=True)
         match outcome:
             case message.Reply(status=200):
-                return expression.Ok(outcome.body)
+                return expression.Ok(outcome)
             case message.Reply(status=status):
                 trouble = _TROUBLES.get(status, Trouble.REFUSED)
                 detail = f"{method} {name}: status {status}"
@@ -306,12 +326,24 @@
             call.cancel()
 
 
+def _era(reply: message.Reply) -> int:
+    """Returns the store's era; 0 where it tells none."""
+    told = reply.value(_ERA)
+    return int(told) if told.isdigit() else 0
+
+
+_ERA_CHANGED = Failure(
+    trouble=Trouble.COMPACTED, detail="the store changed its era meanwhile"
+)
+
+
 def _read(
-    result: expression.Result[bytes, Failure], decoder: msgspec.json.Decoder[T]
+    result: expression.Result[message.Reply, Failure],
+    decoder: msgspec.json.Decoder[T],
 ) -> expression.Result[T, Failure]:
     match result:
-        case expression.Result(tag="ok", ok=body):
-            found = _decoded(decoder, body)
+        case expression.Result(tag="ok", ok=reply):
+            found = _decoded(decoder, reply.body)
             if isinstance(found, Failure):
                 return expression.Error(found)
             return expression.Ok(found)
--- a/hyssoptack/platform/wire.py
+++ b/hyssoptack/platform/wire.py
@@ -10,7 +10,11 @@
 
 from hyssoptack.core import traffic
 
-CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+"""All that operators write: instances read it in one."""
+
+CONFIGURATION_KEY = OPERATOR_PREFIX + "config"
+_EVACUATION_PREFIX = OPERATOR_PREFIX + "evacuate/"
 UPSTREAM_PREFIX = "servers/"
 OWN_PREFIX = "hyssoptack/"
 """All that instances of ours store: they read it in one."""
@@ -189,5 +193,11 @@
     )
 
 
+def evacuated_domain(key: str) -> str | None:
+    """Returns the failure domain that a key evacuates; None for other keys."""
+    domain = key.removeprefix(_EVACUATION_PREFIX)
+    return domain if domain != key and _is_plain(domain) else None
+
+
 def _is_plain(name: str) -> bool:
     return bool(name) and all(ord(each) in _VISIBLE_ASCII for each in name)
--- /dev/null
+++ b/hyssoptack/policy/evacuation.py
@@ -0,0 +1,80 @@
+"""Failure domains that operators have evacuated: their upstreams get nothing.
+
+What was read later holds, whoever read it. After the store's return from an
+older copy an evacuation that the copy lacks is kept until operators had time to
+write it again; its removal there ends it at once.
+"""
+
+import dataclasses
+
+from hyssoptack.core import position
+
+REWRITE_MS = 2_000.0
+"""Time that operators need to write an evacuation again after such a return."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Change:
+    """One evacuation that was asked for, or ended.
+
+    Attributes:
+        failure_domain: The failure domain.
+        ended: Whether its upstreams may be called again.
+        at: Where in the store's history.
+    """
+
+    failure_domain: str
+    ended: bool
+    at: position.Position
+
+
+class Evacuations:
+    """One instance's view of the evacuated failure domains."""
+
+    def __init__(self) -> None:
+        self.at = position.START
+        self._listed: frozenset[str] = frozenset()
+        self._kept_until_ms: dict[str, float] = {}
+
+    def current(self, now_ms: float) -> frozenset[str]:
+        """Returns the failure domains whose upstreams must get nothing."""
+        kept = (
+            domain
+            for domain, until_ms in self._kept_until_ms.items()
+            if until_ms > now_ms
+        )
+        return self._listed.union(kept)
+
+    def take_all(
+        self, domains: frozenset[str], at: position.Position, now_ms: float
+    ) -> None:
+        """Takes the whole list, unless what is known is newer.
+
+        Args:
+            domains: All failure domains that are evacuated.
+            at: Where in the store's history it was read.
+            now_ms: The time now.
+        """
+        if at < self.at:
+            return
+        if at.era > self.at.era:
+            until_ms = now_ms + REWRITE_MS
+            for domain in self.current(now_ms) - domains:
+                self._kept_until_ms[domain] = until_ms
+        self._listed = domains
+        self.at = at
+
+    def take_change(self, change: Change) -> None:
+        """Takes one change, unless what is known is newer."""
+        if change.at <= self.at:
+            return
+        if change.ended:
+            self._listed -= {change.failure_domain}
+            self._kept_until_ms.pop(change.failure_domain, None)
+        else:
+            self._listed |= {change.failure_domain}
+        self.at = change.at
+
+    def confirm(self, at: position.Position) -> None:
+        """Takes that nothing else had changed up to a later position."""
+        self.at = max(self.at, at)
--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -55,6 +55,8 @@
         leaving_bound_ms: After it an upstream that said that it leaves must
             get nothing more.
         configuration_bound_ms: After it a new configuration must be in force.
+        evacuation_bound_ms: After it an evacuated failure domain's upstreams
+            must get nothing more.
         budget: The budget for extra calls.
         link_mbps: What this instance's network link carries; 0 where that is
             not known: queries are then never handed to others, or taken.
@@ -77,6 +79,7 @@
     grace_ms: float = 6_000.0
     leaving_bound_ms: float = 3_000.0
     configuration_bound_ms: float = 3_000.0
+    evacuation_bound_ms: float = 5_000.0
     lease_min_ms: float = 1_000.0
     lease_ms: float = 20_000.0
     peer_address: str = ""
@@ -89,7 +92,11 @@
     @property
     def belief_bound_ms(self) -> float:
         """The time in which any change in the store has to be heeded."""
-        return min(self.leaving_bound_ms, self.configuration_bound_ms)
+        return min(
+            self.leaving_bound_ms,
+            self.configuration_bound_ms,
+            self.evacuation_bound_ms,
+        )
 
 
 def load(path: str) -> expression.Result[GatewaySettings, str]:
@@ -149,6 +156,7 @@
         "grace_ms": settings.grace_ms,
         "leaving_bound_ms": settings.leaving_bound_ms,
         "configuration_bound_ms": settings.configuration_bound_ms,
+        "evacuation_bound_ms": settings.evacuation_bound_ms,
         "lease_ms": settings.lease_ms,
         "budget.window_ms": settings.budget.window_ms,
     }
