--- a/hyssoptack/gateway/evacuation_test.py
+++ b/hyssoptack/gateway/evacuation_test.py
@@ -29,6 +29,7 @@
         {"prefix": "/most/", "min_shard_fraction": 0.6, **shards},
         {"prefix": "/all/", "min_shard_fraction": 1.0, **shards},
         gateway_test.SINGLE,
+        gateway_test.ONCE,
     )
 
 
@@ -142,7 +143,9 @@
             gateway.beliefs.placing.standings["n3"].ejected_until_ms = 1e15
             site.services["s3"].manners.delay_ms = 700.0
             calls = [
-                asyncio.create_task(site.get("/one/x", f"r{index}"))
+                asyncio.create_task(
+                    site.get("/once/x", f"r{index}", method="POST", body=b"b")
+                )
                 for index in range(3)
             ]
             await asyncio.sleep(0.1)
