--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -146,6 +146,7 @@
             settings.peer_address,
             self._peering.send,
             self._serving.run_here,
+            self._serving.can_take_back,
         )
         self._serving.delegating = self._delegating
         self._relaying = relaying.Relaying(
--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -73,6 +73,9 @@
 """Runs a query here; told whether a neighbour may have run some of it."""
 
 
+CanTakeBack = collections.abc.Callable[[received.Request], bool]
+
+
 class Delegating:
     """Queries of this instance at neighbours, and of neighbours here."""
 
@@ -82,7 +85,18 @@
         own_address: str,
         send: Send,
         run_here: RunHere,
+        can_take_back: CanTakeBack,
     ):
+        """Makes the queries of one instance, of which there are none yet.
+
+        Args:
+            known: Chooses whom queries are handed to.
+            own_address: Where this instance takes messages.
+            send: Sends a message to an address.
+            run_here: Runs a query here.
+            can_take_back: Whether one that may have begun could be run here.
+        """
+        self.can_take_back = can_take_back
         self.known = known
         self.own_address = own_address
         self.send = send
@@ -262,6 +276,7 @@
         self._peer = peer
         self._ask_id = ask_id
         self._state = _State.SENT
+        self._version = 0
         self._hop_ms = owner.known.hops.usual_ms
         self._goal_at_ms = query.goal_at_ms(clock.now_ms())
         self._timer: asyncio.TimerHandle | None = None
@@ -271,6 +286,7 @@
         self._owner.handed[self._ask_id] = self
         self._owner.known.handed(self._peer.address)
         self._query.exchange.on_left = self._left
+        self._version = version
         self._ask(version, fresh=True)
         self._wait(delegation.BEGUN_WAIT_MS, self._not_begun)
 
@@ -305,6 +321,14 @@
         self._timer = loop.call_later(wait_ms / message.MS_PER_S, function)
 
     def _not_begun(self) -> None:
+        """Takes the query back, or waits on where it could not be run here."""
+        now_ms = clock.now_ms()
+        if now_ms < self._goal_at_ms and not self._owner.can_take_back(
+            self._query
+        ):
+            self._ask(self._version, fresh=True)
+            self._wait(delegation.BEGUN_WAIT_MS, self._not_begun)
+            return
         self._say_left()
         self._back("not_begun", may_have_run=True)
 
--- a/hyssoptack/gateway/delegating_test.py
+++ b/hyssoptack/gateway/delegating_test.py
@@ -1,6 +1,7 @@
 """Queries that neighbours run: answered, taken back, cancelled, declined."""
 
 import asyncio
+import dataclasses
 import random
 import types
 
@@ -139,6 +140,29 @@
     asyncio.run(test())
 
 
+def test_a_query_that_can_not_be_paid_for_here_stays_with_a_slow_neighbour():
+    # After all instances had lost power, queries taken back from neighbours
+    # that were starting too failed, as nothing was left for extra calls.
+    async def test():
+        async with harness.Site() as site:
+            narrow = await _pair(site)
+            narrow._extra_calls.share = dataclasses.replace(
+                narrow._extra_calls.share, slack_count=0.0
+            )
+            for each in narrow._extra_calls._services.values():
+                each.slack_count = 0.0
+            wide = site.gateways["wide"]._peering
+            take = wide.on_query
+            loop = asyncio.get_running_loop()
+            wide.on_query = lambda each: loop.call_later(0.1, take, each)
+            got = await site.get("/all/x", "r1", name="narrow")
+            assert got.status == 200
+            runs = [s.runs[b"r1"] for s in site.services.values()]
+            assert runs == [1, 1, 1, 1]
+
+    asyncio.run(test())
+
+
 def _ask():
     return notice.QueryAsk(
         sender_address="n:1",
@@ -160,6 +184,7 @@
         "w:1",
         lambda _, each: sent.append(each),
         None,
+        None,
     )
     held._ticked_ms -= 2 * delegating.STALL_MS
     assert held.take(_ask(), willing=True) is None
@@ -181,6 +206,7 @@
         "w:1",
         lambda _, each: sent.append(each),
         None,
+        None,
     )
     held._ticked_ms -= 2 * delegating.STALL_MS
 
--- a/hyssoptack/gateway/serving.py
+++ b/hyssoptack/gateway/serving.py
@@ -17,6 +17,7 @@
 from hyssoptack.http1 import callerside
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
+from hyssoptack.policy import callcommand
 from hyssoptack.policy import callertime
 from hyssoptack.policy import comeback
 from hyssoptack.policy import connections
@@ -119,6 +120,20 @@
         """
         running.Running(self, query, may_have_run=may_have_run).start()
 
+    def can_take_back(self, query: received.Request) -> bool:
+        """Whether a query that a neighbour may have begun could be run here.
+
+        Each part of it would be an extra call.
+        """
+        services = query.found.services
+        now_ms = clock.now_ms()
+        paid_count = sum(
+            self._knowledge.extra_calls.can_spend(each, now_ms)
+            for each in services
+        )
+        floor_count = callcommand.floor_count(query.found.route, len(services))
+        return paid_count >= floor_count
+
     def _refuse(
         self,
         exchange: received.Exchange,
--- a/hyssoptack/policy/extrawindow.py
+++ b/hyssoptack/policy/extrawindow.py
@@ -131,11 +131,8 @@
             keep_count: Extra calls that must be left after it.
         """
         found = self._service(service)
-        number = self._number(now_ms)
-        slot = found.slot(number)
-        found.fill(self.share, now_ms)
-        earned_count = self.share.ratio * found.earning_count(number)
-        earned_count = max(0.0, earned_count - found.extra_count)
+        slot = found.slot(self._number(now_ms))
+        earned_count = self._earned_count(found, now_ms)
         if earned_count + found.slack_count < 1.0 + keep_count:
             return False
         paid_count = min(1.0, earned_count)
@@ -144,6 +141,23 @@
         found.slack_count -= 1.0 - paid_count
         return True
 
+    def can_spend(self, service: str, now_ms: float) -> bool:
+        """Whether an extra call to a service could be made now."""
+        found = self._service(service)
+        earned_count = self._earned_count(found, now_ms)
+        return earned_count + found.slack_count >= 1.0
+
+    def _earned_count(self, found: _Service, now_ms: float) -> float:
+        """Returns the extra calls that requests paid for and are left.
+
+        The slack of the service is brought up to date as well.
+        """
+        number = self._number(now_ms)
+        found.slot(number)
+        found.fill(self.share, now_ms)
+        earned_count = self.share.ratio * found.earning_count(number)
+        return max(0.0, earned_count - found.extra_count)
+
     def _service(self, service: str) -> _Service:
         found = self._services.get(service)
         if found is None:
