--- a/hyssoptack/peers/link.py
+++ b/hyssoptack/peers/link.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import math
 import queue
 import threading
 import typing
@@ -25,6 +26,9 @@
 RECONNECT_MAX_MS = 1_000
 BATCH_LIMIT_COUNT = 64
 
+HEARD_LIMIT_COUNT = 1_000
+"""Most peers whose last word is remembered."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Outgoing:
@@ -91,6 +95,7 @@
         self._on_received = on_received
         self._on_undelivered = on_undelivered
         self._on_lost = on_lost
+        self._heard_ms: dict[str, float] = {}
         self._outbox: queue.SimpleQueue[Outgoing | None] = queue.SimpleQueue()
         self._stopping = threading.Event()
         self._pull = pynng.Pull0(
@@ -134,6 +139,8 @@
 
     def _hand_over(self, data: bytes) -> None:
         decoded = self._codec.read(data)
+        for each in decoded.messages:
+            self._note_heard(getattr(each, "sender_address", ""))
         self.traffic.received_frame_count += 1
         self.traffic.received_message_count += len(decoded.messages)
         self.traffic.received_bytes += len(data)
@@ -141,6 +148,11 @@
         received = Received(decoded=decoded, byte_count=len(data))
         self._call_soon(self._on_received, received)
 
+    def _note_heard(self, address: str) -> None:
+        """Notes that a peer runs: it has sent something."""
+        if address in self._heard_ms or len(self._heard_ms) < HEARD_LIMIT_COUNT:
+            self._heard_ms[address] = clock.now_ms()
+
     def _call_soon(self, function: collections.abc.Callable, *args) -> None:
         if not self._loop.is_closed():
             self._loop.call_soon_threadsafe(function, *args)
@@ -188,6 +200,10 @@
         if link is None:
             link = links[address] = self._dial(address)
         link.used_ms = clock.now_ms()
+        heard_ms = self._heard_ms.get(address, -math.inf)
+        if link.pipe_count < 1 and heard_ms > link.dialled_ms:
+            # The next try of the dialer may be a second away.
+            self._redial(link, address)
         settled = link.used_ms - link.dialled_ms > DIAL_GRACE_MS
         if settled and link.pipe_count < 1:
             self._undelivered(address, group)
@@ -229,6 +245,13 @@
         socket.dial(f"tcp://{address}", block=False)
         return link
 
+    def _redial(self, link: _Link, address: str) -> None:
+        """Dials a peer at once; messages that wait for it are kept."""
+        for dialer in tuple(link.socket.dialers):
+            dialer.close()
+        link.dialled_ms = clock.now_ms()
+        link.socket.dial(f"tcp://{address}", block=False)
+
     def _close_idle(self, links: dict[str, _Link]) -> None:
         horizon_ms = clock.now_ms() - self._link_idle_ms
         for address in [
--- /dev/null
+++ b/hyssoptack/peers/link_test.py
@@ -0,0 +1,73 @@
+"""Links between instances that start and end."""
+
+import asyncio
+import dataclasses
+
+from hyssoptack.peers import codec
+from hyssoptack.peers import link
+from hyssoptack.standins import ports
+
+LATE_COUNT = 8
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Word:
+    """A message that names its sender."""
+
+    sender_address: str
+    text: str
+
+
+def links(address, received):
+    """Returns links that note the texts that they get."""
+
+    def on_received(frame):
+        received.extend(each.text for each in frame.decoded.messages)
+
+    return link.Links(
+        address,
+        60_000.0,
+        asyncio.get_running_loop(),
+        codec.Codec({1: Word}),
+        on_received,
+        lambda _address, _body: None,
+    )
+
+
+async def until(condition, limit_s):
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def test_a_peer_that_was_dialled_before_it_ran_is_answered_at_once():
+    # After a loss of power wide instances start first; their answers to
+    # others waited up to a second for the next try to connect.
+    async def test():
+        early = f"127.0.0.1:{ports.free_port()}"
+        late = [f"127.0.0.1:{ports.free_port()}" for _ in range(LATE_COUNT)]
+        heard, answered = [], [[] for _ in late]
+        running = [links(early, heard)]
+        running[0].start()
+        for address in late:
+            running[0].send(
+                address, Word(sender_address=early, text="too early")
+            )
+        await asyncio.sleep(1.5)
+        for address, texts in zip(late, answered, strict=True):
+            running.append(links(address, texts))
+            running[-1].start()
+            running[-1].send(early, Word(sender_address=address, text="asked"))
+        await until(lambda: len(heard) == LATE_COUNT, 1.0)
+        for address in late:
+            running[0].send(
+                address, Word(sender_address=early, text="answered")
+            )
+        try:
+            await until(lambda: all("answered" in a for a in answered), 0.15)
+        finally:
+            for each in running:
+                each.stop()
+        assert answered == [["too early", "answered"]] * LATE_COUNT
+
+    asyncio.run(test())
