--- a/hyssoptack/reports/margins.py
+++ b/hyssoptack/reports/margins.py
@@ -11,19 +11,12 @@
 
 import cyclopts
 
+from hyssoptack.reports import calls
 from hyssoptack.reports import story
 
 SHOWN_COUNT = 5
 """Most requests and services that are named for each limit."""
 
-UNSENT_PREFIXES = (
-    "connect_failed",
-    "connect_timeout",
-    "gatherer_declined",
-    "not_listed_there",
-)
-"""Outcomes of calls that no upstream has seen."""
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Spread:
@@ -73,29 +66,6 @@
     return known
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Call:
-    """A call as `calltrace.Trace.text` writes it."""
-
-    upstream_id: str
-    why: str
-    outcome: str
-
-    @property
-    def sent(self) -> bool:
-        """Whether an upstream may have seen it."""
-        return not self.outcome.startswith(UNSENT_PREFIXES)
-
-
-def _calls(entry: story.Entry) -> list[_Call]:
-    found = []
-    for text in entry.fields.get("calls", ()):
-        where, why, _, _, outcome = text.split(" ", 4)
-        upstream_id = where.partition("@")[0]
-        found.append(_Call(upstream_id=upstream_id, why=why, outcome=outcome))
-    return found
-
-
 def spreads(entries: list[story.Entry]) -> list[Spread]:
     """Returns each request's spread over upstreams, the widest first."""
     known = services(entries)
@@ -109,7 +79,7 @@
         if each.kind != "request_ended":
             continue
         parts = seen.setdefault(str(each.fields["request_id"]), {})
-        for call in _calls(each):
+        for call in calls.of(each):
             service = known.get(call.upstream_id, call.upstream_id)
             if call.sent:
                 upstreams = parts.setdefault(service, {})
@@ -149,7 +119,7 @@
     for each in entries:
         if each.kind != "request_ended":
             continue
-        for call in _calls(each):
+        for call in calls.of(each):
             service = known.get(call.upstream_id, call.upstream_id)
             if call.why == "first":
                 firsts[service].append(each.time_s)
