Half of the slack of extra calls goes by the width of links

Cause: the slack is shared evenly, 1/88 each; 6 instances with wide links run four of five queries and so had a 15th of it. Queries of 54 shards then missed their floor for want of a hedge. Calls of queries draw on a part that goes by half evenly, by half by the instance's link over its domain's, each domain as much; single calls as before. Ruled out: all of it by link (a narrow instance whose wide neighbour is gone can't take a query back: two tests of delegating_test fail).

--- a/hyssoptack/core/traffic.py
+++ b/hyssoptack/core/traffic.py
@@ -142,6 +142,16 @@
     services: dict[str, Service]
     limits: Limits
 
+    @property
+    def gathered_services(self) -> frozenset[str]:
+        """The services that queries go to as shards of an index."""
+        return frozenset(
+            shard
+            for route in self.routes
+            if isinstance(route.target, AllShards)
+            for shard in route.target.shards
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Upstream:
--- a/hyssoptack/gateway/budgetshare.py
+++ b/hyssoptack/gateway/budgetshare.py
@@ -1,6 +1,8 @@
 """One instance's part of the extra calls that all may make together."""
 
+from hyssoptack.gateway import parts
 from hyssoptack.policy import extrawindow
+from hyssoptack.policy import readership
 from hyssoptack.settings import gateway
 
 INSTANCES_LEAST_COUNT = 12
@@ -11,6 +13,9 @@
 """Part of the slack that is used at all: calls arrive later than they are paid
 for, so that a window may hold some of the one before."""
 
+BY_LINK_RATIO = 0.5
+"""Part of the slack for calls of queries that goes by width of links."""
+
 EXTRA_RATIO_SHARE = 0.9
 """Part of the budget's ratio that is used: the instances' fullest windows
 differ (`policy.extrawindow`)."""
@@ -19,7 +24,7 @@
 def share(
     shared: gateway.BudgetSettings, known_count: int
 ) -> extrawindow.Share:
-    """Returns an instance's part.
+    """Returns an instance's part where each has as much.
 
     Args:
         shared: What all have together.
@@ -27,9 +32,57 @@
             there may be any number.
     """
     instances_count = max(INSTANCES_LEAST_COUNT, known_count)
-    slack_count = SLACK_SHARE_RATIO * shared.slack_count / instances_count
-    if not known_count:
-        slack_count = 0.0
+    return _share(shared, 1.0 / instances_count if known_count else 0.0)
+
+
+def gather_share(
+    shared: gateway.BudgetSettings,
+    known_count: int,
+    domain_count: int,
+    link_ratio: float,
+) -> extrawindow.Share:
+    """Returns an instance's part for calls of queries.
+
+    Queries are handed to those with wide links, and so is half of the slack,
+    as much in each failure domain. All others need theirs where they have to
+    run what they have handed over.
+
+    Args:
+        shared: What all have together.
+        known_count: Instances that are known.
+        domain_count: Failure domains.
+        link_ratio: The instance's link over all of its failure domain.
+    """
+    even_ratio = 1.0 / max(INSTANCES_LEAST_COUNT, known_count)
+    wide_ratio = min(link_ratio / domain_count, 1.0 / INSTANCES_LEAST_COUNT)
+    return _share(
+        shared,
+        (1.0 - BY_LINK_RATIO) * even_ratio + BY_LINK_RATIO * wide_ratio,
+    )
+
+
+def install(
+    book: extrawindow.Book,
+    settings: gateway.GatewaySettings,
+    readers: readership.Readership,
+) -> None:
+    """Gives an instance its parts, from the instances that it knows of."""
+    even = share(settings.budget, readers.most_count)
+    book.share = book.gather_share = even
+    own_mbps = parts.own_link_mbps(settings)
+    if own_mbps and readers.most_mbps:
+        book.gather_share = gather_share(
+            settings.budget,
+            readers.most_count,
+            len(settings.failure_domains),
+            own_mbps / (own_mbps + readers.most_mbps),
+        )
+
+
+def _share(
+    shared: gateway.BudgetSettings, slack_ratio: float
+) -> extrawindow.Share:
+    slack_count = SLACK_SHARE_RATIO * shared.slack_count * slack_ratio
     return extrawindow.Share(
         ratio=EXTRA_RATIO_SHARE * shared.ratio,
         slack_count=slack_count,
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -109,7 +109,7 @@
             readership.pace(settings.belief_bound_ms),
         )
         self._extra_calls = extrawindow.Book(
-            self._budget_share(), clock.now_ms()
+            budgetshare.share(settings.budget, 0), clock.now_ms()
         )
         self._reach = reach.Reach()
         self._suspicions = suspicion.Suspicions(
@@ -229,6 +229,7 @@
     def _on_configuration(self, offered: traffic.Configuration) -> None:
         self._callers.limits = offered.limits
         self._warmups.install_services(offered.services)
+        self._extra_calls.gathered = offered.gathered_services
 
     def _on_reach(self) -> None:
         """Lets callers find another instance while this one is cut off."""
@@ -381,7 +382,7 @@
         self._placing.settings = parts.placing_settings(settings)
         self._warmups.limits = parts.warmup_limits(settings)
         self._delegating.known.link_mbps = parts.own_link_mbps(settings)
-        self._extra_calls.share = self._budget_share()
+        budgetshare.install(self._extra_calls, self._settings, self.readers)
         self._suspicions.trust(settings.trusted_fingerprints, clock.now_ms())
 
     def _on_instances(self, far_gatherers: tuple[member.Peer, ...]) -> None:
@@ -396,10 +397,7 @@
             own_count=own_count,
             other_count=max(0, self.readers.total_count - own_count),
         )
-        self._extra_calls.share = self._budget_share()
-
-    def _budget_share(self) -> extrawindow.Share:
-        return budgetshare.share(self._settings.budget, self.readers.most_count)
+        budgetshare.install(self._extra_calls, self._settings, self.readers)
 
     def _has_work(self) -> bool:
         """Whether queries of neighbours run here, or calls of their queries."""
--- a/hyssoptack/policy/extrawindow.py
+++ b/hyssoptack/policy/extrawindow.py
@@ -110,7 +110,15 @@
     """The extra calls of one instance, by service."""
 
     def __init__(self, share: Share, started_ms: float):
+        """Makes a book without entries.
+
+        Args:
+            share: The instance's part of the budget.
+            started_ms: When the instance started.
+        """
         self.share = share
+        self.gather_share = share
+        self.gathered: frozenset[str] = frozenset()
         self._started_ms = started_ms
         self._services: dict[str, _Service] = {}
 
@@ -132,7 +140,7 @@
         """
         found = self._service(service)
         slot = found.slot(self._number(now_ms))
-        earned_count = self._earned_count(found, now_ms)
+        earned_count = self._earned_count(service, found, now_ms)
         if earned_count + found.slack_count < 1.0 + keep_count:
             return False
         paid_count = min(1.0, earned_count)
@@ -144,18 +152,25 @@
     def can_spend(self, service: str, now_ms: float) -> bool:
         """Whether an extra call to a service could be made now."""
         found = self._service(service)
-        earned_count = self._earned_count(found, now_ms)
+        earned_count = self._earned_count(service, found, now_ms)
         return earned_count + found.slack_count >= 1.0
 
-    def _earned_count(self, found: _Service, now_ms: float) -> float:
+    def _share_for(self, service: str) -> Share:
+        """Returns the part of the budget that calls to a service draw on."""
+        return self.gather_share if service in self.gathered else self.share
+
+    def _earned_count(
+        self, service: str, found: _Service, now_ms: float
+    ) -> float:
         """Returns the extra calls that requests paid for and are left.
 
         The slack of the service is brought up to date as well.
         """
         number = self._number(now_ms)
         found.slot(number)
-        found.fill(self.share, now_ms)
-        earned_count = self.share.ratio * found.earning_count(number)
+        share = self._share_for(service)
+        found.fill(share, now_ms)
+        earned_count = share.ratio * found.earning_count(number)
         return max(0.0, earned_count - found.extra_count)
 
     def _service(self, service: str) -> _Service:
--- a/hyssoptack/policy/extrawindow_test.py
+++ b/hyssoptack/policy/extrawindow_test.py
@@ -167,3 +167,27 @@
     assert budgetshare.share(shared, 0).slack_count == 0.0
     book = old_book(budgetshare.share(shared, 0))
     assert spent_count(book, 0.0) == 0
+
+
+def test_those_who_gather_have_most_of_the_slack_and_all_no_more_than_it():
+    # Of 87 instances 6 gathered nearly all queries, with a 15th of the slack.
+    shared = gateway.BudgetSettings(
+        ratio=RATIO, window_ms=WINDOW_MS, slack_count=216.0
+    )
+    links = [140.0] * 2 + [14.0] * 27
+    shares = [
+        budgetshare.gather_share(shared, 87, 3, each / sum(links)).slack_count
+        for each in links
+    ]
+    even = budgetshare.share(shared, 87).slack_count
+    assert shares[0] > 3.0 * even
+    assert shares[-1] > 0.5 * even
+    assert 3 * sum(shares) <= 216.0
+
+
+def test_the_slack_of_queries_and_that_of_single_calls_are_apart():
+    book = old_book(share(slack_count=0.0))
+    book.gather_share = share(slack_count=8.0)
+    book.gathered = frozenset(("s",))
+    assert spent_count(book, 0.0) == 4
+    assert not book.spend("desk", 0.0)
--- a/hyssoptack/policy/readership.py
+++ b/hyssoptack/policy/readership.py
@@ -123,6 +123,7 @@
         self._neighbours: tuple[member.Peer, ...] = ()
         self.total_count = 0
         self.most_count = 0
+        self.most_mbps = 0.0
 
     def install(
         self, neighbours: tuple[member.Peer, ...], total_count: int
@@ -140,6 +141,9 @@
         # Entries may lapse while their instances live: shares of what all may
         # spend together go by the most that were ever seen.
         self.most_count = max(self.most_count, total_count)
+        links_mbps = [each.link_mbps for each in self._neighbours]
+        if all(links_mbps):
+            self.most_mbps = max(self.most_mbps, sum(links_mbps))
 
     def neighbours(self) -> tuple[member.Peer, ...]:
         """Returns the other instances of the own failure domain."""
