--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -91,7 +91,7 @@
         self._pools = pool.Pools(headers.REQUEST_ID)
         self._warmups = warmup.Warmups(
             parts.own_peer(settings),
-            parts.warmup_limits(settings),
+            settings.warmup,
             clock.now_ms(),
         )
         self._placing = placing.Placing(
@@ -380,7 +380,7 @@
         self._store.move(settings.store_address)
         self.readers.pace = readership.pace(settings.belief_bound_ms)
         self._placing.settings = parts.placing_settings(settings)
-        self._warmups.limits = parts.warmup_limits(settings)
+        self._warmups.limits = settings.warmup
         self._delegating.known.link_mbps = parts.own_link_mbps(settings)
         budgetshare.install(self._extra_calls, self._settings, self.readers)
         self._suspicions.trust(settings.trusted_fingerprints, clock.now_ms())
--- a/hyssoptack/gateway/parts.py
+++ b/hyssoptack/gateway/parts.py
@@ -2,7 +2,6 @@
 
 from hyssoptack.core import member
 from hyssoptack.policy import placing
-from hyssoptack.policy import warmup
 from hyssoptack.settings import gateway
 
 
@@ -17,14 +16,6 @@
     )
 
 
-def warmup_limits(settings: gateway.GatewaySettings) -> warmup.Limits:
-    """Returns what cold upstreams may get."""
-    return warmup.Limits(
-        overage_ratio=settings.warmup.overage_ratio,
-        slack_count=settings.warmup.slack_count,
-    )
-
-
 def own_peer(settings: gateway.GatewaySettings) -> member.Peer:
     """Returns an instance as others know it."""
     return member.Peer(
--- a/hyssoptack/gateway/warmup_test.py
+++ b/hyssoptack/gateway/warmup_test.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
+from hyssoptack.core import warmuplimits
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
 from hyssoptack.policy import warmup
-from hyssoptack.settings import gateway
 
 PER_S = 4.0
 ALL_COUNT = PER_S * warmup.SHARED_RATIO
@@ -19,7 +19,7 @@
         await site.add_upstream("warm", "desk")
     site.configure(gateway_test.SINGLE)
     for name in ("g-1", "g-2"):
-        await site.start(name, warmup=gateway.WarmupSettings())
+        await site.start(name, warmup=warmuplimits.WarmupLimits())
     await asyncio.sleep(SETTLED_S)
     site.enter("cold", "desk", cold_ms=8_000.0)
     async with asyncio.timeout(SETTLED_S):
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -21,8 +21,7 @@
 from hyssoptack.policy import warmup
 
 PRIOR_MS = 15.0
-"""Assumed time of a call before any was measured: the middle of what the users'
-services take (4 to 30 ms); one call replaces it."""
+"""Assumed time of a call before any was measured."""
 
 EJECTION_MS = 1_000.0
 """No calls for this long after a failure to connect; doubles up to the most."""
@@ -35,11 +34,11 @@
 that fail part of their calls are then avoided like slow ones."""
 
 COLD_RATIO = 1.6
-"""How much slower an upstream is after its start (users' site files)."""
+"""How much slower an upstream is after its start."""
 
 SHED_QUIET_MS = 150.0
 """An upstream that refused for want of room is left alone for about as long as
-its queue takes to clear: 18 calls on 3 slots of 10 to 30 ms."""
+its queue takes to clear."""
 
 SHED_SLOWNESS_RATIO = 6.0
 """A refused call counts as one that took this many times the usual, here and at
@@ -60,8 +59,7 @@
 
 PREFERRED_RATIO = 0.2
 """What a call to the preferred failure domain gains, in typical times: enough
-to choose among upstreams that look alike, less than one slow call shows (0.25
-of what it was slower)."""
+to choose among upstreams that look alike, less than one slow call shows."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/policy/slowness.py
+++ b/hyssoptack/policy/slowness.py
@@ -6,25 +6,21 @@
 from hyssoptack.policy import standings
 
 SMOOTHING_RATIO = 0.25
-"""Weight of the newest call in an upstream's slowness: some slow calls in a row
-show a slow upstream, one pause of it does not."""
+"""Weight of the newest call in an upstream's slowness."""
 
 SLOWNESS_MAX_RATIO = 6.0
 """A call is taken as at most this many times slow, or one long pause would
 outweigh dozens of quick calls."""
 
 SLOW_RATIO = 2.5
-"""From here on a call counts as slow rather than as one of the usual spread:
-1 call in 100 of the users' services is slower than this by itself."""
+"""From here on a call counts as slow rather than as one of the usual spread."""
 
 PAUSE_MS = 200.0
-"""Slow calls within this time count once: an upstream that pauses, for 100 to
-200 ms each few seconds, delays all calls that it has, and is well after it."""
+"""Slow calls within this time count once: an upstream that pauses delays all
+calls that it has, and is well after it."""
 
 FADE_HALF_LIFE_MS = 4_000.0
-"""How fast a slowness is forgotten without calls: slow spells last 5 to 10 s on
-the users' days, so a slow upstream is tried once or twice during one. With half
-of it each instance tried it every 1.5 s."""
+"""How fast a slowness is forgotten without calls."""
 
 SUSPECT_RATIO = 1.3
 """Of an upstream that looks this slow quick calls are told as well: a pause is
--- a/hyssoptack/policy/warmup.py
+++ b/hyssoptack/policy/warmup.py
@@ -16,6 +16,7 @@
 
 from hyssoptack.core import member
 from hyssoptack.core import traffic
+from hyssoptack.core import warmuplimits
 from hyssoptack.policy import rendezvous
 
 SHARED_RATIO = 0.5
@@ -43,25 +44,6 @@
 """How long a request counts as of late."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Limits:
-    """What all instances together may send a cold upstream in a second.
-
-    Attributes:
-        overage_ratio: Requests for each that the service says it bears.
-        slack_count: Requests besides.
-    """
-
-    overage_ratio: float = 1.0
-    slack_count: float = 0.0
-
-    def limit_count(self, service: traffic.Service) -> float:
-        """Returns the limit for an upstream of a service; inf for none."""
-        if not service.warmup_per_s:
-            return math.inf
-        return service.warmup_per_s * self.overage_ratio + self.slack_count
-
-
 def share_count(
     own: member.Peer, others: tuple[member.Peer, ...], limit_count: float
 ) -> int:
@@ -97,7 +79,12 @@
 class Warmups:
     """One instance's shares of the cold upstreams of its failure domain."""
 
-    def __init__(self, own: member.Peer, limits: Limits, started_ms: float):
+    def __init__(
+        self,
+        own: member.Peer,
+        limits: warmuplimits.WarmupLimits,
+        started_ms: float,
+    ):
         self.limits = limits
         self._own = own
         self._started_ms = started_ms
--- a/hyssoptack/policy/warmup_test.py
+++ b/hyssoptack/policy/warmup_test.py
@@ -7,11 +7,12 @@
 
 from hyssoptack.core import member
 from hyssoptack.core import traffic
+from hyssoptack.core import warmuplimits
 from hyssoptack.policy import callplan_test
 from hyssoptack.policy import placing
 from hyssoptack.policy import warmup
 
-LIMITS = warmup.Limits(overage_ratio=1.5, slack_count=5.0)
+LIMITS = warmuplimits.WarmupLimits(overage_ratio=1.5, slack_count=5.0)
 PER_S = 10.0
 LIMIT_COUNT = LIMITS.limit_count(
     traffic.Service(name="s", max_connections_count=1, warmup_per_s=PER_S)
--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -13,6 +13,7 @@
 
 from hyssoptack.core import mechanism
 from hyssoptack.core import traffic
+from hyssoptack.core import warmuplimits
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -33,19 +34,6 @@
     slack_count: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class WarmupSettings:
-    """What all instances together may send a cold upstream in a second.
-
-    Attributes:
-        overage_ratio: Requests for each that its service says it bears.
-        slack_count: Requests besides.
-    """
-
-    overage_ratio: float = 1.0
-    slack_count: float = 0.0
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class GatewaySettings:
     """One gateway's settings.
@@ -90,7 +78,7 @@
     readiness_address: str
     store_address: str
     budget: BudgetSettings
-    warmup: WarmupSettings = WarmupSettings()
+    warmup: warmuplimits.WarmupLimits = warmuplimits.WarmupLimits()
     grace_ms: float = 6_000.0
     leaving_bound_ms: float = 3_000.0
     configuration_bound_ms: float = 3_000.0
