--- a/hyssoptack/policy/extrawindow_test.py
+++ b/hyssoptack/policy/extrawindow_test.py
@@ -191,3 +191,32 @@
     book.gathered = frozenset(("s",))
     assert spent_count(book, 0.0) == 4
     assert not book.spend("desk", 0.0)
+
+
+def _served_ratio(part, seed):
+    """Plays a wide instance's queries while a quarter of all parts is lost.
+
+    Returns the share of them that miss at most 2 of 54 parts.
+    """
+    source = random.Random(seed)
+    book = old_book(part)
+    served_count = 0
+    for number in range(90):
+        now_ms = number * 110.0
+        missing_count = 0
+        for shard in range(54):
+            book.note_request(f"s{shard}", now_ms)
+            if source.random() < 0.25:
+                missing_count += not book.spend(f"s{shard}", now_ms)
+        served_count += missing_count <= 2
+    return served_count / 90
+
+
+def test_queries_reach_their_floor_while_answers_are_lost():
+    shared = gateway.BudgetSettings(
+        ratio=RATIO, window_ms=WINDOW_MS, slack_count=216.0
+    )
+    by_link = budgetshare.gather_share(shared, 87, 3, 140.0 / 658.0)
+    for seed in range(5):
+        assert _served_ratio(by_link, seed) > 0.8
+        assert _served_ratio(budgetshare.share(shared, 87), seed) < 0.7
