Evacuations of one write are all taken; a query left with a silent neighbour is logged

Found by reading: changes of one transaction stand at one revision, and the second was taken for known. The test fails on the code before. Also: the upstream that may be called by its id is found by usable, not callable.

--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -57,6 +57,10 @@
         6108,
         "A neighbour answered a query that it is not asked for any more.",
     )
+    QUERY_LEFT_THERE = (
+        6109,
+        "A query stays with a silent neighbour: it can't be paid for here.",
+    )
     SUSPICION_BEGAN = (
         6201,
         "A request may crash upstreams: an end, no answer.",
--- a/hyssoptack/gateway/delegating.py
+++ b/hyssoptack/gateway/delegating.py
@@ -326,6 +326,13 @@
         if now_ms < self._goal_at_ms and not self._owner.can_take_back(
             self._query
         ):
+            log.write(
+                log.Event.QUERY_LEFT_THERE,
+                request_id=self._query.request_id,
+                neighbour=self._peer.instance_id,
+                ask_id=self._ask_id,
+                to_goal_ms=round(self._goal_at_ms - now_ms),
+            )
             self._ask(self._version, fresh=True)
             self._wait(delegation.BEGUN_WAIT_MS, self._not_begun)
             return
--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -233,17 +233,17 @@
 
     def _take_operators_changes(self, found: keyvalue.Changes) -> int:
         """Takes what operators have changed; returns the revision reached."""
-        evacuations = self._beliefs.evacuations
-        for item in found.events:
-            domain = self._evacuated_domain(item)
-            if domain is not None:
-                at = position.Position(found.era, item.revision)
-                evacuations.take_change(
-                    evacuation.Change(
-                        failure_domain=domain, ended=item.removed, at=at
-                    )
-                )
-        evacuations.confirm(position.Position(found.era, found.current_rev))
+        changes = [
+            evacuation.Change(
+                failure_domain=domain,
+                ended=item.removed,
+                at=position.Position(found.era, item.revision),
+            )
+            for item in found.events
+            if (domain := self._evacuated_domain(item)) is not None
+        ]
+        reached = position.Position(found.era, found.current_rev)
+        self._beliefs.evacuations.take_changes(changes, reached)
         changed = self._beliefs.apply_evacuations("watch", clock.now_ms())
         self._take_written(found.events, "watch")
         if changed:
--- a/hyssoptack/gateway/gathering.py
+++ b/hyssoptack/gateway/gathering.py
@@ -123,7 +123,7 @@
     def start(self) -> None:
         """Makes the calls."""
         for each in self._ask.calls:
-            upstream = self._owner.beliefs.placing.callable(
+            upstream = self._owner.beliefs.placing.usable(
                 each.upstream_id, RELAYED_RANK, self._started_ms
             )
             if upstream is None:
--- a/hyssoptack/policy/callchoice.py
+++ b/hyssoptack/policy/callchoice.py
@@ -83,7 +83,7 @@
         if not self._know.mechanisms.resends:
             return None
         part.resend_count += 1
-        return self._know.placing.callable(
+        return self._know.placing.usable(
             part.shed_by.pop(0), self._ask.route.rank, now_ms
         )
 
--- a/hyssoptack/policy/evacuation.py
+++ b/hyssoptack/policy/evacuation.py
@@ -5,6 +5,7 @@
 write it again; its removal there ends it at once.
 """
 
+import collections.abc
 import dataclasses
 
 from hyssoptack.core import position
@@ -64,17 +65,25 @@
         self._listed = domains
         self.at = at
 
-    def take_change(self, change: Change) -> None:
-        """Takes one change, unless what is known is newer."""
-        if change.at <= self.at:
-            return
-        if change.ended:
-            self._listed -= {change.failure_domain}
-            self._kept_until_ms.pop(change.failure_domain, None)
-        else:
-            self._listed |= {change.failure_domain}
-        self.at = change.at
-
-    def confirm(self, at: position.Position) -> None:
-        """Takes that nothing else had changed up to a later position."""
+    def take_changes(
+        self,
+        changes: collections.abc.Iterable[Change],
+        at: position.Position,
+    ) -> None:
+        """Takes all changes up to a position, but those known already.
+
+        Args:
+            changes: The changes in their order; several may be of one write,
+                and so stand at one position.
+            at: Up to where nothing else had changed.
+        """
+        known_at = self.at
+        for change in changes:
+            if change.at <= known_at:
+                continue
+            if change.ended:
+                self._listed -= {change.failure_domain}
+                self._kept_until_ms.pop(change.failure_domain, None)
+            else:
+                self._listed |= {change.failure_domain}
         self.at = max(self.at, at)
--- a/hyssoptack/policy/evacuation_test.py
+++ b/hyssoptack/policy/evacuation_test.py
@@ -7,28 +7,27 @@
 NONE = frozenset()
 
 
-def change(domain, ended, revision, era=0):
-    return evacuation.Change(
-        failure_domain=domain,
-        ended=ended,
-        at=position.Position(era, revision),
-    )
+def note(known, domain, ended, revision, era=0):
+    """Takes one change, as a watch tells it."""
+    at = position.Position(era, revision)
+    change = evacuation.Change(failure_domain=domain, ended=ended, at=at)
+    known.take_changes([change], at)
 
 
 def test_news_that_is_older_changes_nothing():
     known = evacuation.Evacuations()
-    known.take_change(change("north", False, 7))
+    note(known, "north", False, 7)
     known.take_all(NONE, position.Position(0, 6), 0.0)
-    known.take_change(change("north", True, 5))
+    note(known, "north", True, 5)
     assert known.current(0.0) == NORTH
-    known.take_change(change("north", True, 8))
-    known.take_change(change("north", False, 7))
+    note(known, "north", True, 8)
+    note(known, "north", False, 7)
     assert known.current(0.0) == NONE
 
 
 def test_a_whole_list_replaces_what_was_known():
     known = evacuation.Evacuations()
-    known.take_change(change("north", False, 7))
+    note(known, "north", False, 7)
     known.take_all(frozenset(("south",)), position.Position(0, 9), 0.0)
     assert known.current(0.0) == {"south"}
 
@@ -47,7 +46,7 @@
     known = evacuation.Evacuations()
     known.take_all(NORTH, position.Position(0, 90), 0.0)
     known.take_all(NONE, position.Position(1, 40), 1_000.0)
-    known.take_change(change("north", False, 41, era=1))
+    note(known, "north", False, 41, era=1)
     assert known.current(60_000.0) == NORTH
 
 
@@ -55,7 +54,7 @@
     known = evacuation.Evacuations()
     known.take_all(NORTH, position.Position(0, 90), 0.0)
     known.take_all(NONE, position.Position(1, 40), 1_000.0)
-    known.take_change(change("north", True, 41, era=1))
+    note(known, "north", True, 41, era=1)
     assert known.current(1_001.0) == NONE
 
 
@@ -64,3 +63,14 @@
     known.take_all(NORTH, position.Position(1, 40), 0.0)
     known.take_all(NONE, position.Position(0, 95), 1.0)
     assert known.current(1.0) == NORTH
+
+
+def test_two_domains_evacuated_by_one_write_are_both():
+    known = evacuation.Evacuations()
+    at = position.Position(0, 7)
+    changes = [
+        evacuation.Change(failure_domain=domain, ended=False, at=at)
+        for domain in ("north", "south")
+    ]
+    known.take_changes(changes, at)
+    assert known.current(0.0) == {"north", "south"}
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -274,7 +274,7 @@
             return True
         return self._warmups.allows(standing.upstream, rank, now_ms)
 
-    def callable(
+    def usable(
         self, upstream_id: str, rank: int, now_ms: float
     ) -> traffic.Upstream | None:
         """Returns an upstream by its id; None if it may get nothing now."""
