A try to connect to a peer is given 150 ms before another one

Cause: since each message for a peer whose link is not up closed the dialer and dialled anew where the peer had been heard since, also while the connection was being made; with many instances connections could so be begun again with each message. Test: 20 messages over a link that is being opened dial once; 20 times before.

--- a/hyssoptack/peers/link.py
+++ b/hyssoptack/peers/link.py
@@ -26,6 +26,10 @@
 RECONNECT_MAX_MS = 1_000
 BATCH_LIMIT_COUNT = 64
 
+REDIAL_MIN_MS = 150.0
+"""A try to connect is not given up for another one before this: it may only be
+slow."""
+
 HEARD_LIMIT_COUNT = 1_000
 """Most peers whose last word is remembered."""
 
@@ -201,7 +205,12 @@
             link = links[address] = self._dial(address)
         link.used_ms = clock.now_ms()
         heard_ms = self._heard_ms.get(address, -math.inf)
-        if link.pipe_count < 1 and heard_ms > link.dialled_ms:
+        waited_ms = link.used_ms - link.dialled_ms
+        if (
+            link.pipe_count < 1
+            and heard_ms > link.dialled_ms
+            and waited_ms > REDIAL_MIN_MS
+        ):
             # The next try of the dialer may be a second away.
             self._redial(link, address)
         settled = link.used_ms - link.dialled_ms > DIAL_GRACE_MS
--- a/hyssoptack/peers/link_test.py
+++ b/hyssoptack/peers/link_test.py
@@ -71,3 +71,25 @@
         assert answered == [["too early", "answered"]] * LATE_COUNT
 
     asyncio.run(test())
+
+
+def test_a_link_that_is_being_opened_is_not_dialled_anew_by_each_message():
+    async def test():
+        first = links(f"127.0.0.1:{ports.free_port()}", [])
+        # Takes connections and never speaks.
+        silent = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        host, port = silent.sockets[0].getsockname()
+        address = f"{host}:{port}"
+        dials = []
+        redial = first._redial
+        first._redial = lambda *args: (dials.append(1), redial(*args))
+        first.start()
+        for _ in range(20):
+            first._note_heard(address)
+            first.send(address, Word(sender_address="", text="again"))
+            await asyncio.sleep(0.005)
+        first.stop()
+        silent.close()
+        assert not dials
+
+    asyncio.run(test())
