--- a/hyssoptack/policy/extrawindow.py
+++ b/hyssoptack/policy/extrawindow.py
@@ -138,9 +138,7 @@
             now_ms: The time now.
             keep_count: Extra calls that must be left after it.
         """
-        found = self._service(service)
-        slot = found.slot(self._number(now_ms))
-        earned_count = self._earned_count(service, found, now_ms)
+        found, slot, earned_count = self._account(service, now_ms)
         if earned_count + found.slack_count < 1.0 + keep_count:
             return False
         paid_count = min(1.0, earned_count)
@@ -151,27 +149,29 @@
 
     def can_spend(self, service: str, now_ms: float) -> bool:
         """Whether an extra call to a service could be made now."""
-        found = self._service(service)
-        earned_count = self._earned_count(service, found, now_ms)
+        found, _, earned_count = self._account(service, now_ms)
         return earned_count + found.slack_count >= 1.0
 
     def _share_for(self, service: str) -> Share:
         """Returns the part of the budget that calls to a service draw on."""
         return self.gather_share if service in self.gathered else self.share
 
-    def _earned_count(
-        self, service: str, found: _Service, now_ms: float
-    ) -> float:
-        """Returns the extra calls that requests paid for and are left.
+    def _account(
+        self, service: str, now_ms: float
+    ) -> tuple[_Service, _Slot, float]:
+        """Brings a service's counts up to date.
 
-        The slack of the service is brought up to date as well.
+        Returns:
+            The counts, their current slot, and the extra calls that requests
+            have paid for and are left.
         """
+        found = self._service(service)
         number = self._number(now_ms)
-        found.slot(number)
+        slot = found.slot(number)
         share = self._share_for(service)
         found.fill(share, now_ms)
         earned_count = share.ratio * found.earning_count(number)
-        return max(0.0, earned_count - found.extra_count)
+        return found, slot, max(0.0, earned_count - found.extra_count)
 
     def _service(self, service: str) -> _Service:
         found = self._services.get(service)
