One rule for whose links are about the widest

Shares of cold upstreams had a second copy of the ratio and the filter by which gatherers are chosen. Both call gatherers.widest now; tests unchanged.

--- a/hyssoptack/policy/gatherers.py
+++ b/hyssoptack/policy/gatherers.py
@@ -30,8 +30,8 @@
 about as many calls for others then as it would for itself."""
 
 ALIKE_RATIO = 0.5
-"""A gatherer's link is at least this part of the widest in its domain, else the
-wide ones do it alone."""
+"""Links of at least this part of the widest count as about as wide; where there
+are narrower ones, the wide ones gather alone."""
 
 REPORT_RATIO = 0.4
 """A gatherer tells what it has at this part of the time to the goal, be it
@@ -70,16 +70,20 @@
 
     found: list[member.Peer] = []
     for members in domains.values():
-        widest_mbps = max(each.link_mbps for each in members)
-        alike = [
-            each
-            for each in members
-            if each.link_mbps >= ALIKE_RATIO * widest_mbps
-        ]
-        found.extend(sorted(alike, key=order)[:most_count])
+        found.extend(sorted(widest(members), key=order)[:most_count])
     return tuple(found)
 
 
+def widest(
+    peers: collections.abc.Sequence[member.Peer],
+) -> list[member.Peer]:
+    """Returns those of some instances whose links are about the widest."""
+    widest_mbps = max(each.link_mbps for each in peers)
+    return [
+        each for each in peers if each.link_mbps >= ALIKE_RATIO * widest_mbps
+    ]
+
+
 @dataclasses.dataclass(kw_only=True)
 class _Standing:
     """What relaying over one gatherer has shown."""
--- a/hyssoptack/policy/warmup.py
+++ b/hyssoptack/policy/warmup.py
@@ -17,14 +17,12 @@
 from hyssoptack.core import member
 from hyssoptack.core import traffic
 from hyssoptack.core import warmuplimits
+from hyssoptack.policy import gatherers
 from hyssoptack.policy import rendezvous
 
 SHARED_RATIO = 0.5
 """Part of the limit that the instances share out."""
 
-ALIKE_RATIO = 0.5
-"""Those whose links are at least this part of the widest share it."""
-
 WINDOW_MS = 1_250.0
 """An upstream counts by the second; requests that wait for a connection come
 somewhat later than they were decided on."""
@@ -57,14 +55,12 @@
     if limit_count < 1.0:
         return 0
     total_count = max(1, int(SHARED_RATIO * limit_count))
-    peers = (own, *others)
-    widest_mbps = max(each.link_mbps for each in peers)
     name = f"warmup/{own.failure_domain}"
-    alike = sorted(
-        (e for e in peers if e.link_mbps >= ALIKE_RATIO * widest_mbps),
+    ranked = sorted(
+        gatherers.widest((own, *others)),
         key=lambda each: rendezvous.rank(name, each.instance_id),
     )
-    sharing = alike[:total_count]
+    sharing = ranked[:total_count]
     return total_count // len(sharing) if own in sharing else 0
 
 
