Neighbours are told once of what one reading brought

A reading or a watch that held a configuration and an evacuation told all neighbours twice, and one that held several configurations told each of them. Both end in one place now, which tells once, after everything is taken. Also: changes know their position in the store's history as listings do; a listing keeps its first page's position rather than page and era; milliseconds a second come from http1.message.

--- a/hyssoptack/gateway/following.py
+++ b/hyssoptack/gateway/following.py
@@ -218,16 +218,16 @@
 
     def _take_operators_keys(self, found: keyvalue.Listing) -> int:
         """Takes all that operators have written; returns its revision."""
-        domains = set()
-        for item in found.items:
-            domain = self._evacuated_domain(item)
-            if domain is not None:
-                domains.add(domain)
-        changed = self._beliefs.take_evacuations(
-            frozenset(domains), found.position, "store", clock.now_ms()
+        domains = frozenset(
+            domain
+            for item in found.items
+            if (domain := self._evacuated_domain(item)) is not None
+        )
+        evacuated = self._beliefs.take_evacuations(
+            domains, found.position, "store", clock.now_ms()
         )
-        self._take_written(found.items, "store")
-        if changed:
+        configured = self._take_configurations(found.items, "store")
+        if evacuated or configured:
             self._peers.tell()
         return found.store_revision
 
@@ -242,11 +242,10 @@
             for item in found.events
             if (domain := self._evacuated_domain(item)) is not None
         ]
-        reached = position.Position(found.era, found.current_rev)
-        self._beliefs.evacuations.take_changes(changes, reached)
-        changed = self._beliefs.apply_evacuations("watch", clock.now_ms())
-        self._take_written(found.events, "watch")
-        if changed:
+        self._beliefs.evacuations.take_changes(changes, found.position)
+        evacuated = self._beliefs.apply_evacuations("watch", clock.now_ms())
+        configured = self._take_configurations(found.events, "watch")
+        if evacuated or configured:
             self._peers.tell()
         return found.current_rev
 
@@ -266,20 +265,31 @@
             self._ignored.add(key)
             log.write(log.Event.OPERATOR_KEY_IGNORED, key=key)
 
-    def _take_written(self, items: list[keyvalue.Item], source: str) -> None:
-        for item in items:
-            if item.key == wire.CONFIGURATION_KEY and not item.removed:
-                self._take_configuration(item.value, source)
+    def _take_configurations(
+        self, items: list[keyvalue.Item], source: str
+    ) -> bool:
+        """Takes configurations among items; tells whether one is in force."""
+        taken = [
+            self._take_configuration(item.value, source)
+            for item in items
+            if item.key == wire.CONFIGURATION_KEY and not item.removed
+        ]
+        return any(taken)
 
-    def _take_configuration(self, value: bytes, source: str) -> None:
+    def _take_configuration(self, value: bytes, source: str) -> bool:
+        """Takes a configuration as stored; tells whether it is now in force."""
         match wire.configuration(value):
             case expression.Result(tag="ok", ok=offered):
                 now_ms = clock.now_ms()
-                if self._beliefs.take_configuration(offered, source, now_ms):
+                taken = self._beliefs.take_configuration(
+                    offered, source, now_ms
+                )
+                if taken:
                     self._peers.keep_configuration(value)
-                    self._peers.tell()
+                return taken
             case expression.Result(error=detail):
                 log.write(log.Event.CONFIG_REFUSED, errors=[detail])
+                return False
 
     # The list of instances.
 
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -100,6 +100,11 @@
     current_rev: int
     era: int = 0
 
+    @property
+    def position(self) -> position.Position:
+        """Up to where in the store's history this reaches."""
+        return position.Position(self.era, self.current_rev)
+
 
 class _Lease(msgspec.Struct):
     lease: int
@@ -175,8 +180,7 @@
             The items, or what went wrong.
         """
         items: list[Item] = []
-        first: _Page | None = None
-        era = 0
+        read_at: position.Position | None = None
         query = {"prefix": prefix} | ({"allow_stale": "1"} if stale else {})
         for _ in range(PAGE_LIMIT_COUNT):
             result = await self._call("GET", "kv-range", query, timeout_ms)
@@ -187,17 +191,19 @@
                     return expression.Error(failure)
             if isinstance(page, Failure):
                 return expression.Error(page)
-            if first is None:
-                first, era = page, _era(reply)
-            if _era(reply) != era:
+            era = _era(reply)
+            if read_at is None:
+                read_at = position.Position(era, page.current_rev)
+            if era != read_at.era:
                 return expression.Error(_ERA_CHANGED)
             items.extend(page.items)
             if not page.has_more or not page.items:
                 break
             query = query | {"after": page.items[-1].key}
-        store_revision = first.current_rev if first else 0
         return expression.Ok(
-            Listing(items=items, store_revision=store_revision, era=era)
+            Listing(
+                items=items, store_revision=read_at.revision, era=read_at.era
+            )
         )
 
     async def watch(
--- a/hyssoptack/platform/wire.py
+++ b/hyssoptack/platform/wire.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from hyssoptack.core import traffic
+from hyssoptack.http1 import message
 
 OPERATOR_PREFIX = "op/"
 """All that operators write: instances read it in one."""
@@ -24,7 +25,6 @@
 
 _IDEMPOTENT = "idempotent"
 _DRAINING = "draining"
-_MS_PER_S = 1_000.0
 _VISIBLE_ASCII = range(0x21, 0x7F)
 
 
@@ -150,7 +150,7 @@
     return traffic.Service(
         name=raw.name,
         max_connections_count=raw.max_connections,
-        warmup_ms=max(0.0, raw.warmup_s) * _MS_PER_S,
+        warmup_ms=max(0.0, raw.warmup_s) * message.MS_PER_S,
         warmup_per_s=max(0.0, raw.warmup_per_s),
     )
 
