--- a/hyssoptack/peers/link.py
+++ b/hyssoptack/peers/link.py
@@ -144,7 +144,8 @@
     def _hand_over(self, data: bytes) -> None:
         decoded = self._codec.read(data)
         for each in decoded.messages:
-            self._note_heard(getattr(each, "sender_address", ""))
+            if address := getattr(each, "sender_address", ""):
+                self._note_heard(address)
         self.traffic.received_frame_count += 1
         self.traffic.received_message_count += len(decoded.messages)
         self.traffic.received_bytes += len(data)
@@ -154,8 +155,11 @@
 
     def _note_heard(self, address: str) -> None:
         """Notes that a peer runs: it has sent something."""
-        if address in self._heard_ms or len(self._heard_ms) < HEARD_LIMIT_COUNT:
-            self._heard_ms[address] = clock.now_ms()
+        # Taken out first, so that the oldest word stands in front.
+        self._heard_ms.pop(address, None)
+        self._heard_ms[address] = clock.now_ms()
+        if len(self._heard_ms) > HEARD_LIMIT_COUNT:
+            del self._heard_ms[next(iter(self._heard_ms))]
 
     def _call_soon(self, function: collections.abc.Callable, *args) -> None:
         if not self._loop.is_closed():
