Names: a measured call, told apart from the one that neighbours are told of

Two records were called SeenCall since slowness moved out of placing. What is in force of the evacuations is no argument of Beliefs.

--- a/bench/workscale.py
+++ b/bench/workscale.py
@@ -2,7 +2,7 @@
 
 Plays calls of one instance to the three upstreams of a shard, one of them in
 its own failure domain, in simulated time. The work of a call is varied from a
-third to ten times that of the users' searches.
+third to seventeen times that of the users' urgent searches.
 """
 
 import dataclasses
--- a/hyssoptack/gateway/beliefs.py
+++ b/hyssoptack/gateway/beliefs.py
@@ -53,7 +53,9 @@
         default_factory=evacuation.Evacuations
     )
     store_back_ms: float = float("-inf")
-    _evacuated: frozenset[str] = frozenset()
+    _evacuated: frozenset[str] = dataclasses.field(
+        default=frozenset(), init=False
+    )
     keeps_lapsed: bool = True
 
     @property
--- a/hyssoptack/policy/admission.py
+++ b/hyssoptack/policy/admission.py
@@ -78,7 +78,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Everyone:
-    """Admit everything: a baseline for the bench."""
+    """Admit everything: a baseline for measurements."""
 
 
 Policy = Adaptive | Everyone
--- a/hyssoptack/policy/hedging.py
+++ b/hyssoptack/policy/hedging.py
@@ -21,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NoHedge:
-    """Never hedge: a baseline for the bench."""
+    """Never hedge: a baseline for measurements."""
 
 
 Hedging = HedgeAfterQuantile | HedgeAfterDelay | NoHedge
--- a/hyssoptack/policy/placing.py
+++ b/hyssoptack/policy/placing.py
@@ -400,7 +400,7 @@
         standing = self.standings.get(upstream_id)
         if standing is not None:
             standing.shed_until_ms = now_ms + SHED_QUIET_MS
-            standing.own_call = standings.SeenCall(
+            standing.own_call = standings.MeasuredCall(
                 ratio=SHED_SLOWNESS_RATIO, end_ms=now_ms, refused=True
             )
             slowness.blend(standing, SHED_SLOWNESS_RATIO, now_ms)
--- a/hyssoptack/policy/slowness.py
+++ b/hyssoptack/policy/slowness.py
@@ -38,7 +38,7 @@
     """Takes an own call; keeps for neighbours what they should know."""
     suspect = of(standing, now_ms) > SUSPECT_RATIO
     if suspect or ratio > SLOW_RATIO:
-        standing.own_call = standings.SeenCall(ratio=ratio, end_ms=now_ms)
+        standing.own_call = standings.MeasuredCall(ratio=ratio, end_ms=now_ms)
     take(standing, ratio, now_ms, now_ms)
 
 
--- a/hyssoptack/policy/standings.py
+++ b/hyssoptack/policy/standings.py
@@ -6,7 +6,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class SeenCall:
+class MeasuredCall:
     """One call: how many times the usual it took, and when it ended.
 
     `refused` tells one that the upstream itself refused: no fault of ours.
@@ -45,4 +45,4 @@
     shed_until_ms: float = 0.0
     slow_ms: float = float("-inf")
     quick_ms: float = float("-inf")
-    own_call: SeenCall | None = None
+    own_call: MeasuredCall | None = None
