Teams: keys identify callers at the first instance

Cause: no code knew teams or keys. The caller's key was passed to upstreams with whatever team the caller named, and unknown keys were served. Ruled out: checking the key again at each instance that handles a query: the key would then travel between instances. Change: a configuration's teams become records of core; the first instance replaces the key by the team's name and answers 401 to unknown keys. Delegated queries carry the team and the version that decided it. A team's priority precedes the route's. Without teams in the configuration nothing changes.

--- a/hyssoptack/core/gatewaymessage.py
+++ b/hyssoptack/core/gatewaymessage.py
@@ -8,6 +8,7 @@
 
 from hyssoptack.core import member
 from hyssoptack.core import position
+from hyssoptack.core import ratelimitmessage
 from hyssoptack.core import traffic
 
 
@@ -155,6 +156,8 @@
             that delegation adds.
         fresh: Whether the neighbour may start the query; if not, the sender
             only asks whether it is still running.
+        team: Name of the caller's team, which the sender determined by this
+            version; empty if there is none.
     """
 
     sender_address: str
@@ -168,6 +171,7 @@
     elapsed_ms: float
     away_ms: float = 0.0
     fresh: bool = True
+    team: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -415,6 +419,7 @@
     | RelayCancel
     | SuspectsNotice
     | SuspectsRequest
+    | ratelimitmessage.Message
 )
 
 KINDS: dict[int, type] = {
@@ -433,6 +438,7 @@
     24: SuspectsNotice,
     25: SuspectsRequest,
     26: DelegationCommit,
+    **ratelimitmessage.KINDS,
 }
 """Message classes by number for `peers.codec`. A number is never reused for
 another class; 10 and 11 belonged to removed notices with complete lists."""
--- a/hyssoptack/core/traffic.py
+++ b/hyssoptack/core/traffic.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 
+from hyssoptack.core import teams
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class OneService:
@@ -74,6 +76,8 @@
         max_attempts_count: Maximum number of upstreams (of each shard) that a
             request may be sent to.
         target: Services that requests are sent to.
+        allows_anonymous: Whether requests need no key where the configuration
+            has teams.
     """
 
     name: str
@@ -85,6 +89,7 @@
     priority: int
     max_attempts_count: int
     target: Target
+    allows_anonymous: bool = False
 
     @property
     def is_rerunnable(self) -> bool:
@@ -139,12 +144,15 @@
         routes: All routes.
         services: Services by name.
         limits: Limits for callers.
+        team_directory: Teams of callers; None if the configuration has no
+            teams, so that callers need no keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
+    team_directory: teams.Directory | None = None
 
     @property
     def shard_services(self) -> frozenset[str]:
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -68,6 +68,10 @@
         2005,
         "An unknown key under the operators' prefix was ignored.",
     )
+    TEAMS_AMBIGUOUS = (
+        2006,
+        "A team's name or one of its keys belongs to an earlier team.",
+    )
     STORE_LOST = (
         2101,
         "The key-value service does not answer any more.",
--- a/hyssoptack/gateway/inbound.py
+++ b/hyssoptack/gateway/inbound.py
@@ -5,6 +5,7 @@
 import typing
 
 from hyssoptack.core import fingerprint
+from hyssoptack.core import teams
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
 from hyssoptack.policy import routetable
@@ -25,6 +26,11 @@
         """Sends the answer to the sender of the request."""
 
 
+def team_fields(team_name: str) -> dict[str, str]:
+    """Returns the log field of a team; no field if the name is empty."""
+    return {"team": team_name} if team_name else {}
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RoutedRequest:
     """A request to be served, with its metadata and route.
@@ -36,6 +42,8 @@
         caller_spent_ms: Time that the caller had spent on earlier attempts
             before it sent this request.
         transit_margin_ms: Part of the latency goal reserved for transit.
+        team: The caller's team; None if it is anonymous or the configuration
+            has no teams.
     """
 
     exchange: Exchange
@@ -43,6 +51,19 @@
     route_match: routetable.RouteMatch
     caller_spent_ms: float = 0.0
     transit_margin_ms: float = 0.0
+    team: teams.Team | None = None
+
+    @property
+    def priority(self) -> int:
+        """Priority of the request, 0 the most urgent."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route_match.route.priority
+
+    @property
+    def team_name(self) -> str:
+        """Name of the caller's team; empty if there is none."""
+        return self.team.name if self.team is not None else ""
 
     @property
     def reserved_ms(self) -> float:
--- a/hyssoptack/gateway/querydelegation.py
+++ b/hyssoptack/gateway/querydelegation.py
@@ -271,6 +271,7 @@
         self._query = query
         self._peer = peer
         self._ask_id = ask_id
+        self._received_ms = query.exchange.request.received_ms
         self._state = _State.SENT
         self._hop_ms = delegator.selector.hop_delays.estimate_ms
         self._goal_ms = query.goal_at_ms(clock.now_ms())
@@ -300,9 +301,10 @@
             target=request.target,
             headers=request.headers,
             body=request.body,
-            elapsed_ms=clock.now_ms() - request.received_ms,
+            elapsed_ms=clock.now_ms() - self._received_ms,
             away_ms=self._query.reserved_ms + self._hop_ms,
             fresh=fresh,
+            team=self._query.team_name,
         )
         self._parent.send(self._peer.address, delegation_request)
 
@@ -346,9 +348,8 @@
             case _State.SENT, True:
                 self._state = _State.BEGUN
                 self._send_commit()
-                request = self._query.exchange.request
                 due_ms = (
-                    request.received_ms
+                    self._received_ms
                     + self._query.route_match.route.latency_goal_ms
                 )
                 left_ms = max(0.0, due_ms - clock.now_ms())
@@ -395,7 +396,6 @@
         reply = message.Reply(
             status=answer.status, headers=answer.headers, body=answer.body
         )
-        request = self._query.exchange.request
         self._query.exchange.answer(reply)
         if headers.has_missing_parts(reply):
             # A partial answer leaves at the goal: lateness is travel time.
@@ -406,7 +406,8 @@
             request_id=self._query.request_id,
             neighbour=self._peer.instance_id,
             status=answer.status,
-            took_ms=round(clock.now_ms() - request.received_ms, 1),
+            took_ms=round(clock.now_ms() - self._received_ms, 1),
+            **inbound.team_fields(self._query.team_name),
         )
 
     def _take_back(self, reason: str, may_have_run: bool) -> None:
--- a/hyssoptack/gateway/replicatedview.py
+++ b/hyssoptack/gateway/replicatedview.py
@@ -107,6 +107,15 @@
             source=source,
             route_count=len(offered.routes),
         )
+        if (
+            offered.team_directory is not None
+            and offered.team_directory.ambiguous_names
+        ):
+            log.write(
+                log.Event.TEAMS_AMBIGUOUS,
+                revision=offered.version,
+                teams=offered.team_directory.ambiguous_names,
+            )
         return True
 
     def apply_list(
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -94,16 +94,46 @@
                     route_match=match_result,
                 )
                 if delegation_request is None:
-                    self._serve_caller(request)
+                    self._identify_caller(request)
                 else:
-                    prepared = dataclasses.replace(
-                        request, transit_margin_ms=delegation_request.away_ms
-                    )
-                    run = requestrun.RequestRun(
-                        self, prepared, awaits_grant=True
-                    )
-                    exchange.on_commit = run.on_attempts_granted
-                    run.start()
+                    self._run_delegated(request, delegation_request)
+
+    def _run_delegated(
+        self,
+        request: inbound.RoutedRequest,
+        delegation_request: gatewaymessage.DelegationRequest,
+    ) -> None:
+        directory = self._view.route_table.configuration.team_directory
+        prepared = dataclasses.replace(
+            request,
+            transit_margin_ms=delegation_request.away_ms,
+            team=directory.by_name.get(delegation_request.team)
+            if directory
+            else None,
+        )
+        run = requestrun.RequestRun(self, prepared, awaits_grant=True)
+        request.exchange.on_commit = run.on_attempts_granted
+        run.start()
+
+    def _identify_caller(self, request: inbound.RoutedRequest) -> None:
+        """Serves a caller's request if its key or its route allows it."""
+        directory = self._view.route_table.configuration.team_directory
+        if directory is None:
+            self._serve_caller(request)
+            return
+        exchange = request.exchange
+        key = headers.caller_key(exchange.request)
+        team = directory.find(key) if key is not None else None
+        if team is None and not request.route_match.route.allows_anonymous:
+            reason = "no_key" if key is None else "unknown_key"
+            self._refuse(
+                exchange, request.metadata, http.HTTPStatus.UNAUTHORIZED, reason
+            )
+            return
+        # Removed here, so that nothing that handles the request from now on
+        # can pass the key on or log it.
+        exchange.request = headers.identified_request(exchange.request, team)
+        self._serve_caller(dataclasses.replace(request, team=team))
 
     def _serve_caller(self, request: inbound.RoutedRequest) -> None:
         timed = dataclasses.replace(
@@ -160,10 +190,16 @@
         status: int,
         reason: str,
     ) -> None:
-        can_retry = status == http.HTTPStatus.SERVICE_UNAVAILABLE
-        wait_ms = self.retry_delay_ms(reason) if can_retry else None
+        match status:
+            case http.HTTPStatus.SERVICE_UNAVAILABLE:
+                wait_ms = self.retry_delay_ms(reason)
+                reply = message.problem_reply(status, reason, wait_ms)
+            case http.HTTPStatus.UNAUTHORIZED:
+                reply = headers.unauthorized_reply(reason)
+            case _:
+                reply = message.problem_reply(status, reason)
         self.metrics.requests.inc({"route": "", "status": str(status)})
-        exchange.answer(message.problem_reply(status, reason, wait_ms))
+        exchange.answer(reply)
         log.write(
             log.Event.REQUEST_ENDED,
             request_id=metadata.request_id.decode("latin-1"),
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -60,6 +60,7 @@
         self._now_ms = clock.now_ms()
         received_ms = exchange.request.received_ms
         self._spent_ms = request.caller_spent_ms
+        self._team_name = request.team_name
         self._time_limit_ms = route_match.route.timeout_ms
         if metadata.deadline_ms is not None:
             self._time_limit_ms = min(self._time_limit_ms, metadata.deadline_ms)
@@ -76,6 +77,7 @@
             may_have_run=may_have_run,
             awaits_grant=awaits_grant,
             fingerprint=request.fingerprint,
+            team_priority=request.team.priority if request.team else None,
         )
         self._plan = callplan.CallPlan(
             self._plan_request, handler.plan_context, self._now_ms
@@ -394,6 +396,7 @@
             widest_count=self._plan.max_reached_count,
             calls=[each.describe(started_ms) for each in self._traces.values()],
             **self._target_fields(),
+            **inbound.team_fields(self._team_name),
         )
 
     def _target_fields(self) -> dict[str, str]:
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -4,7 +4,9 @@
 """
 
 import dataclasses
+import http
 
+from hyssoptack.core import teams
 from hyssoptack.core import traffic
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
@@ -20,6 +22,11 @@
 _PART_SIGNATURES = b"X-Part-Stamps"
 _MISSING_PARTS = b"X-Missing-Parts"
 _NOT_EXECUTED = b"x-not-executed"
+_AUTHORIZATION = b"authorization"
+_TEAM = b"X-Tenant-Id"
+_KEY_SCHEME = b"bearer"
+
+_IDENTITY_HEADERS = frozenset((_AUTHORIZATION, _TEAM.lower()))
 
 _NOT_FORWARDED_HEADERS = frozenset((_DEADLINE, _EXPECTED_INSTANCE, b"expect"))
 
@@ -79,6 +86,49 @@
         return None
 
 
+def caller_key(request: message.Request) -> bytes | None:
+    """Returns the key of a request's caller; None if it has none.
+
+    A repeated header, another scheme or a key with spaces counts as no key.
+    """
+    values = request.values(_AUTHORIZATION)
+    if len(values) != 1:
+        return None
+    words = values[0].split()
+    if len(words) != 2 or words[0].lower() != _KEY_SCHEME:
+        return None
+    return words[1]
+
+
+def identified_request(
+    request: message.Request, team: teams.Team | None
+) -> message.Request:
+    """Replaces the caller's key by the name of its team.
+
+    Args:
+        request: The request as the caller sent it.
+        team: The caller's team; None if it is anonymous.
+
+    Returns:
+        The request without the key, and without any team that the caller named.
+    """
+    kept = tuple(
+        each
+        for each in request.headers
+        if each[0].lower() not in _IDENTITY_HEADERS
+    )
+    if team is not None:
+        kept += ((_TEAM, team.name.encode()),)
+    return dataclasses.replace(request, headers=kept)
+
+
+def unauthorized_reply(reason: str) -> message.Reply:
+    """Builds the reply to a request whose key belongs to no team."""
+    reply = message.problem_reply(http.HTTPStatus.UNAUTHORIZED, reason)
+    challenge = (b"WWW-Authenticate", b"Bearer")
+    return dataclasses.replace(reply, headers=(*reply.headers, challenge))
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ForwardedRequest:
     """The bytes that all upstream calls of one request share.
--- a/hyssoptack/platform/storeformat.py
+++ b/hyssoptack/platform/storeformat.py
@@ -8,6 +8,7 @@
 import expression
 import msgspec
 
+from hyssoptack.core import teams
 from hyssoptack.core import traffic
 from hyssoptack.http1 import message
 
@@ -48,6 +49,7 @@
     fanout_services: list[str] | None = None
     top_k: int = 0
     min_shard_fraction: float = 0.0
+    allow_anonymous: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -66,11 +68,21 @@
     idle_timeout_ms: float
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+    # 0 means that the team is not limited.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Configuration(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    tenants: list[_Tenant] | None = None
 
 
 class _Server(msgspec.Struct):
@@ -108,6 +120,7 @@
                 routes=tuple(_route(each) for each in raw.routes),
                 services={each.name: _service(each) for each in raw.services},
                 limits=_limits(raw.limits),
+                team_directory=_team_directory(raw.tenants),
             )
         )
     except (msgspec.DecodeError, ValueError) as error:
@@ -125,6 +138,7 @@
         priority=raw.priority,
         max_attempts_count=max(1, raw.max_attempts),
         target=_target(raw),
+        allows_anonymous=raw.allow_anonymous,
     )
 
 
@@ -157,6 +171,32 @@
     )
 
 
+def _team_directory(raw: list[_Tenant] | None) -> teams.Directory | None:
+    if raw is None:
+        return None
+    for each in raw:
+        if not _is_visible_ascii(each.name):
+            # The name is sent in a header of each call.
+            raise ValueError(
+                f"team {each.name!r}: expected a name of visible ASCII"
+            )
+    return teams.new_directory(
+        (_team(each), [key.encode() for key in each.api_keys]) for each in raw
+    )
+
+
+def _team(raw: _Tenant) -> teams.Team:
+    return teams.Team(
+        name=raw.name,
+        priority=raw.priority,
+        rate_limit=teams.RateLimit(
+            rate_per_s=raw.rate_per_s, burst_count=max(0.0, raw.burst)
+        )
+        if raw.rate_per_s > 0
+        else None,
+    )
+
+
 def _limits(raw: _Limits) -> traffic.Limits:
     return traffic.Limits(
         max_header_bytes=raw.max_header_bytes,
--- a/hyssoptack/policy/callcommand.py
+++ b/hyssoptack/policy/callcommand.py
@@ -26,6 +26,8 @@
         awaits_grant: Whether the request is limited to one attempt until its
             sender grants the others (`policy.attempts`).
         fingerprint: Identifier of the request's content.
+        team_priority: Priority of the caller's team; None if the route's
+            priority applies.
     """
 
     route: traffic.Route
@@ -35,6 +37,14 @@
     may_have_run: bool = False
     awaits_grant: bool = False
     fingerprint: str = ""
+    team_priority: int | None = None
+
+    @property
+    def priority(self) -> int:
+        """Priority of the request, 0 the most urgent."""
+        if self.team_priority is not None:
+            return self.team_priority
+        return self.route.priority
 
     @property
     def max_attempts_count(self) -> int:
--- a/hyssoptack/policy/upstreamchoice.py
+++ b/hyssoptack/policy/upstreamchoice.py
@@ -67,7 +67,7 @@
             # If the request crashes the upstream, as few other requests as
             # possible should be lost with it.
             prefer_idle=self._probe_guard.is_probing,
-            priority=self._request.route.priority,
+            priority=self._request.priority,
         )
         if partitioned and upstream is None:
             part.last_reason = callresult.PARTITIONED
@@ -92,7 +92,7 @@
             return None
         part.resend_count += 1
         return self._context.load_balancer.usable_upstream(
-            part.shed_upstream_ids.pop(0), self._request.route.priority, now_ms
+            part.shed_upstream_ids.pop(0), self._request.priority, now_ms
         )
 
     def is_cross_domain_only(self, part: callpart.Part) -> bool:
--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -34,6 +34,36 @@
     slack_count: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RateLimitSettings:
+    """How operators check the rate limits of teams.
+
+    In any window, upstreams may run (rate x window + burst) x
+    (1 + `overage_ratio`) + `slack_count` requests of a team.
+
+    Attributes:
+        window_ms: Length of the window.
+        overage_ratio: Tolerated excess, as a part of the limit.
+        slack_count: Further tolerated requests in each window.
+    """
+
+    window_ms: float = 5_000.0
+    overage_ratio: float = 0.0
+    slack_count: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AdmissionSettings:
+    """Admission control of an instance.
+
+    Attributes:
+        enabled: Whether requests are queued and refused when the instance or
+            the upstreams lack capacity.
+    """
+
+    enabled: bool = False
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class GatewaySettings:
     """One gateway's settings.
@@ -62,6 +92,9 @@
             failure domain must get no more requests.
         budget: Budget for extra calls.
         warmup: Limits on requests to cold upstreams.
+        rate_limit: How rate limits of teams are checked; None if the platform
+            checks none, and teams are then not limited.
+        admission: Admission control.
         link_mbps: Capacity of this instance's network link in Mbit/s; 0 if
             unknown: queries are then neither delegated nor accepted.
         crossing_ratio: Latency that a call into another failure domain must
@@ -82,6 +115,8 @@
     store_address: str
     budget: BudgetSettings
     warmup: warmuplimits.WarmupLimits = warmuplimits.WarmupLimits()
+    rate_limit: RateLimitSettings | None = None
+    admission: AdmissionSettings = AdmissionSettings()
     grace_ms: float = 6_000.0
     leaving_bound_ms: float = 3_000.0
     configuration_bound_ms: float = 3_000.0
@@ -182,4 +217,13 @@
             "warmup.overage_ratio, warmup.slack_count: expected 0 or more for "
             "both"
         )
+    if settings.rate_limit is not None:
+        rate_limit = settings.rate_limit
+        if rate_limit.window_ms <= 0 or (
+            min(rate_limit.overage_ratio, rate_limit.slack_count) < 0
+        ):
+            return expression.Error(
+                "rate_limit: expected window_ms above 0, overage_ratio and "
+                "slack_count of 0 or more"
+            )
     return expression.Ok(settings)
