--- a/bench/baseline_entry.py
+++ b/bench/baseline_entry.py
@@ -5,9 +5,9 @@
 
 import cyclopts
 
+from hyssoptack.admission import admission
 from hyssoptack.entry import daemon
-from hyssoptack.policy import admission
-from hyssoptack.policy import hedging
+from hyssoptack.hedging import hedging
 from hyssoptack.settings import instance
 
 application = cyclopts.App(name="baseline-entry")
--- a/bench/proofs/callers.py
+++ b/bench/proofs/callers.py
@@ -10,7 +10,7 @@
 
 from bench import fleet
 from hyssoptack.core import keyspace
-from hyssoptack.policy import ownership
+from hyssoptack.membership import ownership
 from hyssoptack.standins import records
 
 CALL_LIMIT_S = 20.0
--- a/bench/slopes/gossip.py
+++ b/bench/slopes/gossip.py
@@ -20,10 +20,10 @@
 from hyssoptack.core import member
 from hyssoptack.core import message
 from hyssoptack.entry import state
+from hyssoptack.hedging import hedging
 from hyssoptack.peers import codec
 from hyssoptack.peers import gossip
 from hyssoptack.peers import link
-from hyssoptack.policy import hedging
 from hyssoptack.revisions import configuration
 from hyssoptack.settings import catalog as catalog_settings
 from hyssoptack.settings import instance
--- a/bench/slopes/memory.py
+++ b/bench/slopes/memory.py
@@ -5,9 +5,9 @@
 
 from bench.slopes import fit
 from hyssoptack.core import member
-from hyssoptack.policy import example
-from hyssoptack.policy import membership
-from hyssoptack.policy import queryplan
+from hyssoptack.membership import membership
+from hyssoptack.planning import example
+from hyssoptack.planning import queryplan
 
 UPSTREAM_COUNTS = (1_000, 5_000, 11_000, 22_000)
 MEMBER_COUNTS = (100, 400, 1_600, 3_200)
--- a/bench/slopes/plan.py
+++ b/bench/slopes/plan.py
@@ -4,9 +4,9 @@
 import statistics
 
 from bench.slopes import fit
-from hyssoptack.policy import example
-from hyssoptack.policy import querycommand
-from hyssoptack.policy import queryplan
+from hyssoptack.planning import example
+from hyssoptack.planning import querycommand
+from hyssoptack.planning import queryplan
 
 SIZES = (30, 90, 185, 370)
 ROUNDS = 41
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -17,10 +17,10 @@
 from bench import measures
 from hyssoptack.core import query
 from hyssoptack.core import refusal
-from hyssoptack.policy import example
-from hyssoptack.policy import hedging
-from hyssoptack.policy import querycommand
-from hyssoptack.policy import queryplan
+from hyssoptack.hedging import hedging
+from hyssoptack.planning import example
+from hyssoptack.planning import querycommand
+from hyssoptack.planning import queryplan
 
 FOLDER = fleet.ROOT / "traces"
 KEEP_COUNT = 120
--- a/bench/traces_test.py
+++ b/bench/traces_test.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench import traces
-from hyssoptack.policy import hedging
+from hyssoptack.hedging import hedging
 
 _PRODUCT = hedging.HedgeAfterQuantile()
 _NONE = hedging.NoHedge()
--- a/bench/workscale.py
+++ b/bench/workscale.py
@@ -9,8 +9,8 @@
 import heapq
 import random
 
+from hyssoptack.balancing import loadbalancer
 from hyssoptack.core import traffic
-from hyssoptack.policy import loadbalancer
 
 WORK_MS = (4.6, 14.0, 42.0, 140.0, 235.0)
 CALLS_PER_S = 10.0
--- /dev/null
+++ b/hyssoptack/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission control: which requests run now."""
--- a/hyssoptack/policy/admission_test.py
+++ b/hyssoptack/admission/admission_test.py
@@ -3,9 +3,9 @@
 import dataclasses
 import random
 
+from hyssoptack.admission import admission
 from hyssoptack.core import query
-from hyssoptack.policy import admission
-from hyssoptack.policy import example
+from hyssoptack.planning import example
 
 _URGENT = query.Urgency.URGENT
 _BROWSING = query.Urgency.BROWSING
--- /dev/null
+++ b/hyssoptack/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Load balancing: which upstream gets a call."""
--- a/hyssoptack/policy/callfeedback.py
+++ b/hyssoptack/balancing/callfeedback.py
@@ -1,8 +1,8 @@
 """Reports the outcomes of calls to the load balancer."""
 
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callresult
-from hyssoptack.policy import loadbalancer
+from hyssoptack.balancing import loadbalancer
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callresult
 
 NO_FAULT_REASONS = callresult.GATHERER_FAULTS | {
     callresult.CRASHES_UPSTREAMS,
--- a/hyssoptack/policy/connections_test.py
+++ b/hyssoptack/balancing/connections_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hyssoptack.policy import connections
+from hyssoptack.balancing import connections
 
 
 @pytest.mark.parametrize(
--- a/hyssoptack/policy/domaincover.py
+++ b/hyssoptack/balancing/domaincover.py
@@ -10,7 +10,7 @@
 import collections
 import collections.abc
 
-from hyssoptack.policy import rendezvous
+from hyssoptack.membership import rendezvous
 
 
 def preferred_domains(
--- a/hyssoptack/policy/domaincover_test.py
+++ b/hyssoptack/balancing/domaincover_test.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from hyssoptack.policy import domaincover
+from hyssoptack.balancing import domaincover
 
 DOMAINS = tuple(f"d{number}" for number in range(7))
 
--- a/hyssoptack/policy/evacuation_test.py
+++ b/hyssoptack/balancing/evacuation_test.py
@@ -1,7 +1,7 @@
 """Evacuations with reordered changes and restores of the store."""
 
+from hyssoptack.balancing import evacuation
 from hyssoptack.core import position
-from hyssoptack.policy import evacuation
 
 NORTH = frozenset(("north",))
 NONE = frozenset()
--- a/hyssoptack/policy/health.py
+++ b/hyssoptack/balancing/health.py
@@ -2,8 +2,8 @@
 
 Latency estimates decay towards the service's typical latency, so that an
 upstream that was slow is tried again without a probe. If all candidates are
-ejected or draining, `policy.routing` still uses the ejected ones, because the
-fault may lie in this instance.
+ejected or draining, `balancing.routing` still uses the ejected ones, because
+the fault may lie in this instance.
 """
 
 import collections
--- a/hyssoptack/policy/loadbalancer.py
+++ b/hyssoptack/balancing/loadbalancer.py
@@ -11,14 +11,14 @@
 import collections.abc
 import dataclasses
 
+from hyssoptack.balancing import domaincover
+from hyssoptack.balancing import latencyestimate
+from hyssoptack.balancing import slowness
+from hyssoptack.balancing import upstreamstate
+from hyssoptack.balancing import warmup
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import mechanism
 from hyssoptack.core import traffic
-from hyssoptack.policy import domaincover
-from hyssoptack.policy import latencyestimate
-from hyssoptack.policy import slowness
-from hyssoptack.policy import upstreamstate
-from hyssoptack.policy import warmup
 
 DEFAULT_CALL_MS = 15.0
 """Assumed time of a call before any call of the route was answered."""
--- a/hyssoptack/policy/loadbalancer_test.py
+++ b/hyssoptack/balancing/loadbalancer_test.py
@@ -3,10 +3,10 @@
 import collections
 import dataclasses
 
+from hyssoptack.balancing import loadbalancer
+from hyssoptack.balancing import slowness
 from hyssoptack.core import gatewaymessage
-from hyssoptack.policy import callplan_test
-from hyssoptack.policy import loadbalancer
-from hyssoptack.policy import slowness
+from hyssoptack.planning import callplan_test
 
 upstream = callplan_test.upstream
 
--- a/hyssoptack/policy/routing.py
+++ b/hyssoptack/balancing/routing.py
@@ -9,10 +9,10 @@
 import collections
 import dataclasses
 
+from hyssoptack.balancing import health
 from hyssoptack.core import catalog
 from hyssoptack.core import member
-from hyssoptack.policy import health
-from hyssoptack.policy import ownership
+from hyssoptack.membership import ownership
 
 OVERHEAD_SMOOTHING_RATIO = 0.1
 REMOTE_PRIOR_MS = 4.0
--- a/hyssoptack/policy/routing_test.py
+++ b/hyssoptack/balancing/routing_test.py
@@ -1,7 +1,7 @@
 """Tests of path selection and of the upstream health that it uses."""
 
 from hyssoptack.core import message
-from hyssoptack.policy import example
+from hyssoptack.planning import example
 
 _FAILED = message.CallStatus.FAILED
 
--- a/hyssoptack/policy/slowness.py
+++ b/hyssoptack/balancing/slowness.py
@@ -4,7 +4,7 @@
 typical time of the route's calls. Without new calls it decays towards 1.
 """
 
-from hyssoptack.policy import upstreamstate
+from hyssoptack.balancing import upstreamstate
 
 SMOOTHING_RATIO = 0.25
 """Weight of the newest call in an upstream's slowness ratio."""
--- a/hyssoptack/policy/warmup.py
+++ b/hyssoptack/balancing/warmup.py
@@ -18,8 +18,8 @@
 from hyssoptack.core import member
 from hyssoptack.core import traffic
 from hyssoptack.core import warmuplimits
-from hyssoptack.policy import gatherers
-from hyssoptack.policy import rendezvous
+from hyssoptack.delegation import gatherers
+from hyssoptack.membership import rendezvous
 
 SHARED_RATIO = 0.5
 """Part of the limit that is divided among the instances."""
--- a/hyssoptack/policy/warmup_test.py
+++ b/hyssoptack/balancing/warmup_test.py
@@ -5,12 +5,12 @@
 
 import pytest
 
+from hyssoptack.balancing import loadbalancer
+from hyssoptack.balancing import warmup
 from hyssoptack.core import member
 from hyssoptack.core import traffic
 from hyssoptack.core import warmuplimits
-from hyssoptack.policy import callplan_test
-from hyssoptack.policy import loadbalancer
-from hyssoptack.policy import warmup
+from hyssoptack.planning import callplan_test
 
 LIMITS = warmuplimits.WarmupLimits(overage_ratio=1.5, slack_count=5.0)
 PER_S = 10.0
--- /dev/null
+++ b/hyssoptack/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets for extra calls."""
--- a/hyssoptack/policy/windowbudget.py
+++ b/hyssoptack/budget/windowbudget.py
@@ -2,8 +2,8 @@
 
 In any window all instances together may make extra calls up to a ratio of the
 requests for a service, plus a fixed number (the slack). Each instance spends
-its own share of both and considers only its own calls. (`policy.budget` limits
-the extra calls of `policy.queryplan`, by a ratio alone.)
+its own share of both and considers only its own calls. (`budget.budget` limits
+the extra calls of `planning.queryplan`, by a ratio alone.)
 
 The ratio applies to the requests that the instance has seen within the last
 window. Its share of the slack is a token bucket that starts empty and refills
--- a/hyssoptack/policy/windowbudget_test.py
+++ b/hyssoptack/budget/windowbudget_test.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
+from hyssoptack.budget import windowbudget
 from hyssoptack.gateway import budgetshare
-from hyssoptack.policy import windowbudget
 from hyssoptack.settings import gateway
 
 WINDOW_MS = 10_000.0
--- a/hyssoptack/core/clock.py
+++ b/hyssoptack/core/clock.py
@@ -1,4 +1,4 @@
-"""Monotonic clock for tasks; `policy` takes `now_ms` as an argument instead."""
+"""Monotonic clock for tasks; decisions take `now_ms` as an argument instead."""
 
 import time
 
--- a/hyssoptack/core/gatewaymessage.py
+++ b/hyssoptack/core/gatewaymessage.py
@@ -274,7 +274,7 @@
 
     Attributes:
         call_id: Number of the call in its query.
-        kind: Kind of the outcome, as in `policy.callcommand`.
+        kind: Kind of the outcome, as in `planning.callcommand`.
         reason: Observed cause, for logs.
         reached: Whether the upstream may have received the request.
         signature: Signature of the upstream's reply.
--- /dev/null
+++ b/hyssoptack/delegation/__init__.py
@@ -0,0 +1,1 @@
+"""Work that other instances do: delegated queries and relayed calls."""
--- a/hyssoptack/policy/delayestimate_test.py
+++ b/hyssoptack/delegation/delayestimate_test.py
@@ -1,6 +1,6 @@
 """The estimate of the usual delay inside an instance."""
 
-from hyssoptack.policy import delayestimate
+from hyssoptack.delegation import delayestimate
 
 
 def test_the_estimate_is_a_high_quantile_of_the_recent_delays():
--- a/hyssoptack/policy/delegation.py
+++ b/hyssoptack/delegation/delegation.py
@@ -15,9 +15,9 @@
 import dataclasses
 import random
 
+from hyssoptack.balancing import ejectionstate
 from hyssoptack.core import member
-from hyssoptack.policy import delayestimate
-from hyssoptack.policy import ejectionstate
+from hyssoptack.delegation import delayestimate
 
 MIN_BANDWIDTH_RATIO = 2.0
 """Smallest ratio of a neighbour's link bandwidth to this instance's at which
--- a/hyssoptack/policy/delegation_test.py
+++ b/hyssoptack/delegation/delegation_test.py
@@ -3,7 +3,7 @@
 import random
 
 from hyssoptack.core import member
-from hyssoptack.policy import delegation
+from hyssoptack.delegation import delegation
 
 SLOW_MBPS = 7.7
 FAST_MBPS = 70.0
--- a/hyssoptack/policy/gatherers.py
+++ b/hyssoptack/delegation/gatherers.py
@@ -17,10 +17,10 @@
 import dataclasses
 import random
 
+from hyssoptack.balancing import ejectionstate
+from hyssoptack.balancing import latencyestimate
 from hyssoptack.core import member
-from hyssoptack.policy import ejectionstate
-from hyssoptack.policy import latencyestimate
-from hyssoptack.policy import rendezvous
+from hyssoptack.membership import rendezvous
 
 GATHERERS_PER_DOMAIN_COUNT = 3
 """Gatherers of one failure domain that another domain uses: one may be lost and
--- a/hyssoptack/policy/gatherers_test.py
+++ b/hyssoptack/delegation/gatherers_test.py
@@ -3,7 +3,7 @@
 import random
 
 from hyssoptack.core import member
-from hyssoptack.policy import gatherers
+from hyssoptack.delegation import gatherers
 
 FAST_MBPS = 200.0
 SLOW_MBPS = 20.0
--- a/hyssoptack/entry/actioncoordinator.py
+++ b/hyssoptack/entry/actioncoordinator.py
@@ -11,6 +11,7 @@
 import itertools
 import random
 
+from hyssoptack.balancing import routing
 from hyssoptack.charts import chart
 from hyssoptack.core import action
 from hyssoptack.core import catalog
@@ -23,8 +24,7 @@
 from hyssoptack.entry import claimstore
 from hyssoptack.entry import state
 from hyssoptack.events import log
-from hyssoptack.policy import claim
-from hyssoptack.policy import routing
+from hyssoptack.planning import claim
 from hyssoptack.relay import relay
 
 OUTCOME_RESERVE_RATIO = 0.3
--- a/hyssoptack/entry/actioncoordinator_test.py
+++ b/hyssoptack/entry/actioncoordinator_test.py
@@ -3,14 +3,14 @@
 import asyncio
 import types
 
+from hyssoptack.balancing import routing
 from hyssoptack.core import action
 from hyssoptack.core import clock
 from hyssoptack.core import message
 from hyssoptack.core import refusal
 from hyssoptack.entry import actioncoordinator
-from hyssoptack.policy import example
-from hyssoptack.policy import membership
-from hyssoptack.policy import routing
+from hyssoptack.membership import membership
+from hyssoptack.planning import example
 
 EXECUTOR_ID = "plateau-2"
 SUSPECT_AFTER_MS = 3_000.0
--- a/hyssoptack/entry/actionexecutor.py
+++ b/hyssoptack/entry/actionexecutor.py
@@ -2,7 +2,7 @@
 
 Claims the idempotency key in the platform's key-value service before any byte
 is sent to the upstream, sends the request once, and records the outcome.
-`policy.claim` makes the decisions; this module makes the calls.
+`planning.claim` makes the decisions; this module makes the calls.
 """
 
 import asyncio
@@ -22,7 +22,7 @@
 from hyssoptack.entry import claimstore
 from hyssoptack.entry import state
 from hyssoptack.events import log
-from hyssoptack.policy import claim
+from hyssoptack.planning import claim
 from hyssoptack.relay import client
 from hyssoptack.relay import relay
 from hyssoptack.revisions import store
--- a/hyssoptack/entry/daemon.py
+++ b/hyssoptack/entry/daemon.py
@@ -9,6 +9,7 @@
 
 import uvloop
 
+from hyssoptack.admission import admission
 from hyssoptack.charts import chart
 from hyssoptack.core import clock
 from hyssoptack.core import message
@@ -22,11 +23,10 @@
 from hyssoptack.entry import querycoordinator
 from hyssoptack.entry import state
 from hyssoptack.events import log
+from hyssoptack.hedging import hedging
 from hyssoptack.peers import codec
 from hyssoptack.peers import gossip
 from hyssoptack.peers import link
-from hyssoptack.policy import admission
-from hyssoptack.policy import hedging
 from hyssoptack.relay import client
 from hyssoptack.relay import relay
 from hyssoptack.revisions import configuration
--- a/hyssoptack/entry/querycoordinator.py
+++ b/hyssoptack/entry/querycoordinator.py
@@ -6,6 +6,8 @@
 import itertools
 import random
 
+from hyssoptack.admission import admission
+from hyssoptack.balancing import routing
 from hyssoptack.core import catalog
 from hyssoptack.core import clock
 from hyssoptack.core import message
@@ -15,10 +17,8 @@
 from hyssoptack.entry import metrics
 from hyssoptack.entry import state
 from hyssoptack.events import log
-from hyssoptack.policy import admission
-from hyssoptack.policy import querycommand
-from hyssoptack.policy import queryplan
-from hyssoptack.policy import routing
+from hyssoptack.planning import querycommand
+from hyssoptack.planning import queryplan
 from hyssoptack.relay import relay
 
 MS_PER_S = 1000.0
--- a/hyssoptack/entry/state.py
+++ b/hyssoptack/entry/state.py
@@ -3,18 +3,18 @@
 import collections
 import secrets
 
+from hyssoptack.balancing import health
+from hyssoptack.balancing import routing
+from hyssoptack.budget import budget
 from hyssoptack.charts import chart
 from hyssoptack.core import catalog
 from hyssoptack.core import clock
 from hyssoptack.core import member
 from hyssoptack.events import log
-from hyssoptack.policy import budget
-from hyssoptack.policy import health
-from hyssoptack.policy import hedging
-from hyssoptack.policy import membership
-from hyssoptack.policy import ownership
-from hyssoptack.policy import queryplan
-from hyssoptack.policy import routing
+from hyssoptack.hedging import hedging
+from hyssoptack.membership import membership
+from hyssoptack.membership import ownership
+from hyssoptack.planning import queryplan
 from hyssoptack.relay import relay
 from hyssoptack.settings import instance
 
--- a/hyssoptack/gateway/budgetshare.py
+++ b/hyssoptack/gateway/budgetshare.py
@@ -1,8 +1,8 @@
 """Computes an instance's share of the site-wide budget of extra calls."""
 
+from hyssoptack.budget import windowbudget
 from hyssoptack.gateway import derivedsettings
-from hyssoptack.policy import readerelection
-from hyssoptack.policy import windowbudget
+from hyssoptack.membership import readerelection
 from hyssoptack.settings import gateway
 
 MIN_INSTANCE_COUNT = 12
@@ -18,7 +18,7 @@
 
 USED_EXTRA_RATIO = 0.9
 """Part of the budget's ratio that is used, as the instances' fullest windows
-are at different times (`policy.windowbudget`)."""
+are at different times (`budget.windowbudget`)."""
 
 
 def even_share(
--- a/hyssoptack/gateway/callrelay.py
+++ b/hyssoptack/gateway/callrelay.py
@@ -1,7 +1,7 @@
 """Relays calls of queries to gatherers: instances in other failure domains.
 
-`policy.gatherers` selects the gatherer. The query's plan decides on each call
-and receives its outcome as if this instance had made the call.
+`delegation.gatherers` selects the gatherer. The query's plan decides on each
+call and receives its outcome as if this instance had made the call.
 """
 
 import collections.abc
@@ -11,12 +11,12 @@
 from hyssoptack.core import clock
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import member
+from hyssoptack.delegation import gatherers
 from hyssoptack.events import log
 from hyssoptack.gateway import correlationids
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callresult
 from hyssoptack.platform import headers
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callresult
-from hyssoptack.policy import gatherers
 
 Send = collections.abc.Callable[[str, gatewaymessage.Message], None]
 """Sends a message to the instance at an address."""
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -10,10 +10,16 @@
 import expression
 import uvloop
 
+from hyssoptack.balancing import connections
+from hyssoptack.balancing import loadbalancer
+from hyssoptack.balancing import warmup
+from hyssoptack.budget import windowbudget
 from hyssoptack.core import clock
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import member
 from hyssoptack.core import traffic
+from hyssoptack.delegation import delegation
+from hyssoptack.delegation import gatherers
 from hyssoptack.events import log
 from hyssoptack.gateway import budgetshare
 from hyssoptack.gateway import callrelay
@@ -35,19 +41,13 @@
 from hyssoptack.gateway import storewatch
 from hyssoptack.http1 import httpserver
 from hyssoptack.http1 import message
+from hyssoptack.membership import partitiondetector
+from hyssoptack.membership import readerelection
+from hyssoptack.planning import plancontext
 from hyssoptack.platform import headers
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import storeformat
-from hyssoptack.policy import connections
-from hyssoptack.policy import delegation
-from hyssoptack.policy import gatherers
-from hyssoptack.policy import loadbalancer
-from hyssoptack.policy import partitiondetector
-from hyssoptack.policy import plancontext
-from hyssoptack.policy import quarantine
-from hyssoptack.policy import readerelection
-from hyssoptack.policy import warmup
-from hyssoptack.policy import windowbudget
+from hyssoptack.quarantine import quarantine
 from hyssoptack.settings import gateway
 
 RESTART_FIELDS = frozenset(
--- a/hyssoptack/gateway/delegation_attempts_test.py
+++ b/hyssoptack/gateway/delegation_attempts_test.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from hyssoptack.core import gatewaymessage
+from hyssoptack.delegation import delegation
 from hyssoptack.gateway import harness
-from hyssoptack.policy import delegation
 
 SHARD_COUNT = 4
 UPSTREAM_COUNT = 4
--- a/hyssoptack/gateway/derivedsettings.py
+++ b/hyssoptack/gateway/derivedsettings.py
@@ -1,7 +1,7 @@
 """Derives settings of a gateway's components from the gateway settings."""
 
+from hyssoptack.balancing import loadbalancer
 from hyssoptack.core import member
-from hyssoptack.policy import loadbalancer
 from hyssoptack.settings import gateway
 
 
--- a/hyssoptack/gateway/gathererservice.py
+++ b/hyssoptack/gateway/gathererservice.py
@@ -2,7 +2,7 @@
 
 Each call is made once. Answers are reported together when all have arrived,
 when they have stopped arriving, or at 0.4 of the time to the latency goal
-(`policy.gatherers.REPORT_RATIO`). Failures, and answers after that, are
+(`delegation.gatherers.REPORT_RATIO`). Failures, and answers after that, are
 reported at once. The requesting instance decides on retries and timeouts of
 calls.
 """
@@ -11,21 +11,21 @@
 import collections.abc
 import sys
 
+from hyssoptack.balancing import callfeedback
 from hyssoptack.core import clock
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import traffic
+from hyssoptack.delegation import gatherers
 from hyssoptack.gateway import pool
 from hyssoptack.gateway import replicatedview
+from hyssoptack.hedging import hedgetiming
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callresult
+from hyssoptack.planning import records
 from hyssoptack.platform import headers
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callfeedback
-from hyssoptack.policy import callresult
-from hyssoptack.policy import gatherers
-from hyssoptack.policy import hedgetiming
-from hyssoptack.policy import quarantine
-from hyssoptack.policy import records
+from hyssoptack.quarantine import quarantine
 
 RELAYED_RANK = sys.maxsize
 """Priority of relayed calls to upstreams that are warming up, the lowest one:
--- a/hyssoptack/gateway/inbound.py
+++ b/hyssoptack/gateway/inbound.py
@@ -7,8 +7,8 @@
 from hyssoptack.core import fingerprint
 from hyssoptack.core import teams
 from hyssoptack.http1 import message
+from hyssoptack.planning import routetable
 from hyssoptack.platform import headers
-from hyssoptack.policy import routetable
 
 
 class Exchange(typing.Protocol):
--- a/hyssoptack/gateway/partitionmonitor.py
+++ b/hyssoptack/gateway/partitionmonitor.py
@@ -10,7 +10,7 @@
 from hyssoptack.gateway import pool
 from hyssoptack.gateway import replicatedview
 from hyssoptack.http1 import message
-from hyssoptack.policy import partitiondetector
+from hyssoptack.membership import partitiondetector
 
 CHECK_PERIOD_S = 0.05
 """Interval at which the detector's state is examined, and pause between two
@@ -22,9 +22,8 @@
 domains are used again."""
 
 PROBE_COUNT = 6
-"""Number of upstreams probed in one check
-(`policy.partitiondetector.FAILED_CHECK_COUNT` is the number of failed checks
-that show a partition)."""
+"""Number of upstreams probed in one check. A partition is assumed after
+`membership.partitiondetector.FAILED_CHECK_COUNT` failed checks."""
 
 
 async def accepts_connection(address: str) -> bool:
--- a/hyssoptack/gateway/partitionmonitor_test.py
+++ b/hyssoptack/gateway/partitionmonitor_test.py
@@ -5,7 +5,7 @@
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
 from hyssoptack.gateway import partitionmonitor
-from hyssoptack.policy import partitiondetector
+from hyssoptack.membership import partitiondetector
 from hyssoptack.standins import ports
 
 
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -12,11 +12,11 @@
 from hyssoptack.core import member
 from hyssoptack.events import log
 from hyssoptack.gateway import replicatedview
+from hyssoptack.membership import listdelta
+from hyssoptack.membership import readerelection
 from hyssoptack.peers import codec
 from hyssoptack.peers import link
 from hyssoptack.platform import storeformat
-from hyssoptack.policy import listdelta
-from hyssoptack.policy import readerelection
 from hyssoptack.settings import gateway
 
 LINK_IDLE_MS = 60_000.0
--- a/hyssoptack/gateway/quarantinestore.py
+++ b/hyssoptack/gateway/quarantinestore.py
@@ -20,8 +20,8 @@
 from hyssoptack.events import log
 from hyssoptack.http1 import message
 from hyssoptack.platform import keyvalue
-from hyssoptack.policy import quarantine
-from hyssoptack.policy import suspectrecord
+from hyssoptack.quarantine import quarantine
+from hyssoptack.quarantine import suspectrecord
 
 STORED_COUNT = 32
 """Maximum number of requests that are written at a time, newest first. The
--- a/hyssoptack/gateway/quarantinesync.py
+++ b/hyssoptack/gateway/quarantinesync.py
@@ -1,6 +1,6 @@
 """Shares records of requests that crash upstreams between instances (gossip).
 
-`policy.quarantine` holds the records of suspected and quarantined requests;
+`quarantine.quarantine` holds the records of suspected and quarantined requests;
 this module logs and sends them. New records go at once to some instances of the
 own failure domain and of others, which forward those that are new to them.
 Each second, a sample of all records goes to one instance of the own failure
@@ -20,7 +20,7 @@
 from hyssoptack.events import log
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import pool
-from hyssoptack.policy import quarantine
+from hyssoptack.quarantine import quarantine
 
 ROUND_PERIOD_S = 1.0
 """How often a sample of all records is sent. As each of the other instances
--- a/hyssoptack/gateway/querydelegation.py
+++ b/hyssoptack/gateway/querydelegation.py
@@ -1,6 +1,6 @@
 """Delegates queries to neighbours and accepts queries that they delegate.
 
-`policy.delegation` selects the neighbour; this module exchanges the messages.
+`delegation.delegation` selects the neighbour; this module exchanges messages.
 The neighbour's complete answer is the answer to a delegated query. The query is
 taken back and run on this instance if the neighbour declines, is unreachable,
 or does not report in time that it has started. Once started, the query may have
@@ -19,12 +19,12 @@
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import member
 from hyssoptack.core import traffic
+from hyssoptack.delegation import delegation
 from hyssoptack.events import log
 from hyssoptack.gateway import correlationids
 from hyssoptack.gateway import inbound
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
-from hyssoptack.policy import delegation
 
 Send = collections.abc.Callable[[str, gatewaymessage.Message], None]
 """Sends a message to the instance at an address."""
--- a/hyssoptack/gateway/querydelegation_test.py
+++ b/hyssoptack/gateway/querydelegation_test.py
@@ -6,11 +6,11 @@
 import types
 
 from hyssoptack.core import gatewaymessage
+from hyssoptack.delegation import delegation
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
 from hyssoptack.gateway import inbound
 from hyssoptack.gateway import querydelegation
-from hyssoptack.policy import delegation
 
 
 async def _start_pair(site):
--- a/hyssoptack/gateway/replicatedview.py
+++ b/hyssoptack/gateway/replicatedview.py
@@ -8,13 +8,13 @@
 import collections.abc
 import dataclasses
 
+from hyssoptack.balancing import evacuation
+from hyssoptack.balancing import loadbalancer
 from hyssoptack.core import position
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import pool
-from hyssoptack.policy import evacuation
-from hyssoptack.policy import loadbalancer
-from hyssoptack.policy import routetable
+from hyssoptack.planning import routetable
 
 REREGISTRATION_GRACE_MS = 2_000.0
 """Time within which a running upstream registers again after the store's
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -4,6 +4,7 @@
 import http
 import random
 
+from hyssoptack.balancing import connections
 from hyssoptack.core import clock
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import traffic
@@ -16,13 +17,12 @@
 from hyssoptack.gateway import requestrun
 from hyssoptack.http1 import httpserver
 from hyssoptack.http1 import message
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callerlatency
+from hyssoptack.planning import plancontext
+from hyssoptack.planning import retrydelay
+from hyssoptack.planning import routetable
 from hyssoptack.platform import headers
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callerlatency
-from hyssoptack.policy import connections
-from hyssoptack.policy import plancontext
-from hyssoptack.policy import retrydelay
-from hyssoptack.policy import routetable
 
 
 def log_unreadable_request(status: int, reason: str) -> None:
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -13,11 +13,11 @@
 from hyssoptack.gateway import pool
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callplan
+from hyssoptack.planning import callresult
+from hyssoptack.planning import records
 from hyssoptack.platform import headers
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callplan
-from hyssoptack.policy import callresult
-from hyssoptack.policy import records
 
 if typing.TYPE_CHECKING:
     from hyssoptack.gateway import requesthandler
--- a/hyssoptack/gateway/restarted_test.py
+++ b/hyssoptack/gateway/restarted_test.py
@@ -5,13 +5,13 @@
 
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import member
+from hyssoptack.delegation import gatherers
 from hyssoptack.gateway import callrelay
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callplan_test
 from hyssoptack.platform import headers
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callplan_test
-from hyssoptack.policy import gatherers
 
 WAIT_S = 8.0
 SHARD_COUNT = 4
--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -1,7 +1,7 @@
 """Keeps the replicated view up to date from the platform's store.
 
 Only a few instances read the store; they publish what they read to the others
-(`policy.readerelection`).
+(`membership.readerelection`).
 """
 
 import asyncio
@@ -13,20 +13,20 @@
 import expression
 import msgspec
 
+from hyssoptack.balancing import evacuation
 from hyssoptack.core import clock
 from hyssoptack.core import member
 from hyssoptack.core import position
 from hyssoptack.core import traffic
+from hyssoptack.delegation import gatherers
 from hyssoptack.events import log
 from hyssoptack.gateway import peering
 from hyssoptack.gateway import replicatedview
 from hyssoptack.http1 import message
+from hyssoptack.membership import readerelection
+from hyssoptack.planning import backoff
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import storeformat
-from hyssoptack.policy import backoff
-from hyssoptack.policy import evacuation
-from hyssoptack.policy import gatherers
-from hyssoptack.policy import readerelection
 from hyssoptack.settings import gateway
 
 GRACE_MIN_LIST_AGE_MS = 2_000.0
--- a/hyssoptack/gateway/storewatch_test.py
+++ b/hyssoptack/gateway/storewatch_test.py
@@ -8,6 +8,7 @@
 
 import expression
 
+from hyssoptack.balancing import loadbalancer
 from hyssoptack.core import clock
 from hyssoptack.core import gatewaymessage
 from hyssoptack.events import log
@@ -15,11 +16,10 @@
 from hyssoptack.gateway import pool
 from hyssoptack.gateway import replicatedview
 from hyssoptack.gateway import storewatch
+from hyssoptack.membership import listdelta
+from hyssoptack.membership import readerelection
+from hyssoptack.planning import callplan_test
 from hyssoptack.platform import keyvalue
-from hyssoptack.policy import callplan_test
-from hyssoptack.policy import listdelta
-from hyssoptack.policy import loadbalancer
-from hyssoptack.policy import readerelection
 
 
 def store_watcher(list_age_ms):
--- a/hyssoptack/gateway/warmup_test.py
+++ b/hyssoptack/gateway/warmup_test.py
@@ -2,10 +2,10 @@
 
 import asyncio
 
+from hyssoptack.balancing import warmup
 from hyssoptack.core import warmuplimits
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
-from hyssoptack.policy import warmup
 
 PER_S = 4.0
 ALL_COUNT = PER_S * warmup.SHARED_RATIO
--- /dev/null
+++ b/hyssoptack/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Hedging: when a late call is sent to a second upstream."""
--- a/hyssoptack/policy/hedgequeue.py
+++ b/hyssoptack/hedging/hedgequeue.py
@@ -1,7 +1,7 @@
 """A queue of the calls of one request that may still be hedged, by due time.
 
 Calls that this instance makes are hedged according to the latencies that it
-observes (`policy.hedgetiming`). These say nothing about calls that another
+observes (`hedging.hedgetiming`). These say nothing about calls that another
 instance makes: those are hedged when that instance reports them as stalled, or
 when its report is overdue.
 """
@@ -10,8 +10,8 @@
 import collections.abc
 import math
 
-from hyssoptack.policy import callpart
-from hyssoptack.policy import hedgetiming
+from hyssoptack.hedging import hedgetiming
+from hyssoptack.planning import callpart
 
 MayHedge = collections.abc.Callable[[callpart.Part], bool]
 """A function that returns whether a part may be hedged."""
--- a/hyssoptack/policy/hedgetiming.py
+++ b/hyssoptack/hedging/hedgetiming.py
@@ -14,7 +14,7 @@
 no call has been answered at all, hedges wait for twice the usual time.
 """
 
-from hyssoptack.policy import latencyestimate
+from hyssoptack.balancing import latencyestimate
 
 QUANTILE_RATIO = 0.97
 """Quantile of the route's call times after which a call is hedged. Upstreams
--- a/hyssoptack/policy/hedgetiming_test.py
+++ b/hyssoptack/hedging/hedgetiming_test.py
@@ -1,8 +1,8 @@
 """Calls are hedged for delays of upstreams, not of this instance."""
 
-from hyssoptack.policy import callplan_test
-from hyssoptack.policy import hedgetiming
-from hyssoptack.policy import latencyestimate
+from hyssoptack.balancing import latencyestimate
+from hyssoptack.hedging import hedgetiming
+from hyssoptack.planning import callplan_test
 
 PART_COUNT = 42
 GOAL_MS = 80.0
--- a/hyssoptack/policy/listdelta_test.py
+++ b/hyssoptack/membership/listdelta_test.py
@@ -4,9 +4,9 @@
 from hypothesis import strategies
 
 from hyssoptack.core import gatewaymessage
+from hyssoptack.membership import listdelta
 from hyssoptack.peers import codec
-from hyssoptack.policy import callplan_test
-from hyssoptack.policy import listdelta
+from hyssoptack.planning import callplan_test
 
 
 def upstreams(*names):
--- a/hyssoptack/policy/membership_test.py
+++ b/hyssoptack/membership/membership_test.py
@@ -1,7 +1,7 @@
 """Tests which instances may hold shares and which get new work."""
 
 from hyssoptack.core import member
-from hyssoptack.policy import membership
+from hyssoptack.membership import membership
 
 LAG_MS = 2_000.0
 SUSPECT_MS = 3_000.0
--- a/hyssoptack/policy/ownership.py
+++ b/hyssoptack/membership/ownership.py
@@ -18,7 +18,7 @@
 import dataclasses
 
 from hyssoptack.core import catalog
-from hyssoptack.policy import rendezvous
+from hyssoptack.membership import rendezvous
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/policy/ownership_test.py
+++ b/hyssoptack/membership/ownership_test.py
@@ -5,7 +5,7 @@
 
 from hyssoptack.core import catalog
 from hyssoptack.core import keyspace
-from hyssoptack.policy import ownership
+from hyssoptack.membership import ownership
 
 INSTANCE_COUNT = 3_200
 UPSTREAM_COUNT = 22_000
--- a/hyssoptack/policy/partitiondetector_test.py
+++ b/hyssoptack/membership/partitiondetector_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hyssoptack.policy import partitiondetector
+from hyssoptack.membership import partitiondetector
 
 ALL_SILENT = partitiondetector.CheckResult(
     others_alive=False, store_alive=False
--- a/hyssoptack/policy/readerelection.py
+++ b/hyssoptack/membership/readerelection.py
@@ -11,7 +11,7 @@
 import dataclasses
 
 from hyssoptack.core import member
-from hyssoptack.policy import rendezvous
+from hyssoptack.membership import rendezvous
 
 LIST_PERIOD_RATIO = 1 / 3
 """Interval between two reads of the upstream list, as a part of the time within
--- a/hyssoptack/policy/readerelection_test.py
+++ b/hyssoptack/membership/readerelection_test.py
@@ -4,7 +4,7 @@
 
 from hyssoptack.core import member
 from hyssoptack.gateway import storewatch
-from hyssoptack.policy import readerelection
+from hyssoptack.membership import readerelection
 
 NAMES = ("g1", "g2", "g3", "g4")
 TIMINGS = readerelection.read_timings(3_000.0)
--- /dev/null
+++ b/hyssoptack/planning/__init__.py
@@ -0,0 +1,1 @@
+"""The course of one request: routes, calls, outcomes and results."""
--- a/hyssoptack/policy/attempts.py
+++ b/hyssoptack/planning/attempts.py
@@ -7,8 +7,8 @@
 up to the route's limit even if messages are late or lost.
 """
 
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callpart
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callpart
 
 Retry = tuple[callpart.Part, str]
 """A part to retry, and the reason."""
--- a/hyssoptack/policy/attempts_test.py
+++ b/hyssoptack/planning/attempts_test.py
@@ -3,9 +3,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callplan
-from hyssoptack.policy import callplan_test as plans
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callplan
+from hyssoptack.planning import callplan_test as plans
 
 COPY_COUNT = 5
 GOAL_MS = plans.GOAL_MS
--- a/hyssoptack/policy/backoff_test.py
+++ b/hyssoptack/planning/backoff_test.py
@@ -1,6 +1,6 @@
 """Waits double with each failure, up to the longest wait."""
 
-from hyssoptack.policy import backoff
+from hyssoptack.planning import backoff
 
 
 def test_waits_double_up_to_the_longest():
--- a/hyssoptack/policy/callcommand.py
+++ b/hyssoptack/planning/callcommand.py
@@ -1,7 +1,7 @@
 """Inputs and outputs of a call plan: outcomes of calls, and commands.
 
 The runner passes outcomes to the plan and executes the commands that the plan
-returns (`policy.callplan`).
+returns (`planning.callplan`).
 """
 
 import dataclasses
@@ -24,7 +24,7 @@
             first calls are then paid from the budget for extra calls, and it
             has one attempt less.
         awaits_grant: Whether the request is limited to one attempt until its
-            sender grants the others (`policy.attempts`).
+            sender grants the others (`planning.attempts`).
         fingerprint: Identifier of the request's content.
         team_priority: Priority of the caller's team; None if the route's
             priority applies.
--- a/hyssoptack/policy/callerlatency.py
+++ b/hyssoptack/planning/callerlatency.py
@@ -12,7 +12,7 @@
 import collections
 import dataclasses
 
-from hyssoptack.policy import delayestimate
+from hyssoptack.delegation import delayestimate
 
 TIMER_MARGIN_MS = 2.0
 """Smallest margin for timers that fire late and for writing the answer."""
--- a/hyssoptack/policy/callerlatency_test.py
+++ b/hyssoptack/planning/callerlatency_test.py
@@ -1,6 +1,6 @@
 """Tests the estimates of elapsed time and round trip from callers' waits."""
 
-from hyssoptack.policy import callerlatency
+from hyssoptack.planning import callerlatency
 
 
 def test_a_new_connection_gives_the_round_trip_and_the_elapsed_time():
--- a/hyssoptack/policy/callpart.py
+++ b/hyssoptack/planning/callpart.py
@@ -19,7 +19,7 @@
         overdue_at_ms: Time after which the outcome is overdue if another
             instance makes the call; None if this instance makes it.
         is_probe: Whether the call uses a new connection
-            (`policy.probeguard`).
+            (`quarantine.probeguard`).
     """
 
     call_id: int
--- a/hyssoptack/policy/callplan.py
+++ b/hyssoptack/planning/callplan.py
@@ -11,19 +11,19 @@
 
 import collections.abc
 
+from hyssoptack.balancing import callfeedback
 from hyssoptack.core import traffic
-from hyssoptack.policy import attempts
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callfeedback
-from hyssoptack.policy import callpart
-from hyssoptack.policy import callresult
-from hyssoptack.policy import hedgequeue
-from hyssoptack.policy import hedgetiming
-from hyssoptack.policy import opencalls
-from hyssoptack.policy import partitiondetector
-from hyssoptack.policy import plancontext
-from hyssoptack.policy import probeguard
-from hyssoptack.policy import upstreamchoice
+from hyssoptack.hedging import hedgequeue
+from hyssoptack.hedging import hedgetiming
+from hyssoptack.membership import partitiondetector
+from hyssoptack.planning import attempts
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callpart
+from hyssoptack.planning import callresult
+from hyssoptack.planning import opencalls
+from hyssoptack.planning import plancontext
+from hyssoptack.planning import upstreamchoice
+from hyssoptack.quarantine import probeguard
 
 HEDGE_RESERVE_COUNT = 1.0
 """Tokens that a hedge must leave in the budget for retries after failures and
--- a/hyssoptack/policy/callplan_crash_test.py
+++ b/hyssoptack/planning/callplan_crash_test.py
@@ -1,8 +1,8 @@
 """Tests call plans of requests that crash the upstreams that run them."""
 
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callplan_test
-from hyssoptack.policy import callresult
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callplan_test
+from hyssoptack.planning import callresult
 
 SHARD_COUNT = 4
 COPY_COUNT = 3
--- a/hyssoptack/policy/callplan_cross_test.py
+++ b/hyssoptack/planning/callplan_cross_test.py
@@ -1,7 +1,7 @@
 """Tests which calls of a query are relayed by instances of other domains."""
 
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callplan_test
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callplan_test
 
 SHARD_COUNT = 6
 
--- a/hyssoptack/policy/callplan_partition_test.py
+++ b/hyssoptack/planning/callplan_partition_test.py
@@ -1,9 +1,9 @@
 """Tests call plans during a network partition between failure domains."""
 
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callplan_test
-from hyssoptack.policy import callresult
-from hyssoptack.policy import partitiondetector
+from hyssoptack.membership import partitiondetector
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callplan_test
+from hyssoptack.planning import callresult
 
 
 def _start_partitioned(floor_ratio):
--- a/hyssoptack/policy/callplan_test.py
+++ b/hyssoptack/planning/callplan_test.py
@@ -3,14 +3,14 @@
 import dataclasses
 import sys
 
+from hyssoptack.balancing import loadbalancer
+from hyssoptack.budget import windowbudget
 from hyssoptack.core import traffic
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callplan
-from hyssoptack.policy import hedgetiming
-from hyssoptack.policy import loadbalancer
-from hyssoptack.policy import plancontext
-from hyssoptack.policy import upstreamchoice
-from hyssoptack.policy import windowbudget
+from hyssoptack.hedging import hedgetiming
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callplan
+from hyssoptack.planning import plancontext
+from hyssoptack.planning import upstreamchoice
 
 GOAL_MS = 100.0
 END_MS = 1_000.0
--- a/hyssoptack/policy/callresult.py
+++ b/hyssoptack/planning/callresult.py
@@ -1,7 +1,7 @@
 """Builds a request's result from the state of its parts."""
 
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callpart
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callpart
 
 PARTITIONED = "failure_domain_cut_off"
 """Reason for a part or call that cannot reach an upstream in another failure
@@ -21,7 +21,7 @@
 
 CRASHES_UPSTREAMS = "crashes_upstreams"
 """Reason for a request that this instance or its gatherer rejects: upstreams
-exited each time that it ran (`policy.quarantine`)."""
+exited each time that it ran (`quarantine.quarantine`)."""
 
 NOT_LISTED_AT_GATHERER = "not_listed_there"
 """Reason for a call that was not made: the gatherer does not know the upstream,
--- a/hyssoptack/policy/claim_test.py
+++ b/hyssoptack/planning/claim_test.py
@@ -2,7 +2,7 @@
 
 from hyssoptack.core import action
 from hyssoptack.core import refusal
-from hyssoptack.policy import claim
+from hyssoptack.planning import claim
 
 _DIGEST = "d"
 
--- a/hyssoptack/policy/example.py
+++ b/hyssoptack/planning/example.py
@@ -4,17 +4,17 @@
 of traces and for tests.
 """
 
+from hyssoptack.balancing import health
+from hyssoptack.balancing import routing
+from hyssoptack.budget import budget
 from hyssoptack.core import catalog
 from hyssoptack.core import keyspace
 from hyssoptack.core import member
 from hyssoptack.core import message
 from hyssoptack.core import query
-from hyssoptack.policy import budget
-from hyssoptack.policy import health
-from hyssoptack.policy import hedging
-from hyssoptack.policy import querycommand
-from hyssoptack.policy import queryplan
-from hyssoptack.policy import routing
+from hyssoptack.hedging import hedging
+from hyssoptack.planning import querycommand
+from hyssoptack.planning import queryplan
 
 OWN_ID = "plateau-1"
 """Id of the instance that makes the decisions."""
--- a/hyssoptack/policy/opencalls.py
+++ b/hyssoptack/planning/opencalls.py
@@ -2,9 +2,9 @@
 
 import collections.abc
 
+from hyssoptack.balancing import loadbalancer
 from hyssoptack.core import traffic
-from hyssoptack.policy import callpart
-from hyssoptack.policy import loadbalancer
+from hyssoptack.planning import callpart
 
 
 class OpenCalls:
--- a/hyssoptack/policy/plancontext.py
+++ b/hyssoptack/planning/plancontext.py
@@ -3,11 +3,11 @@
 import dataclasses
 import random
 
+from hyssoptack.balancing import loadbalancer
+from hyssoptack.budget import windowbudget
 from hyssoptack.core import mechanism
-from hyssoptack.policy import loadbalancer
-from hyssoptack.policy import partitiondetector
-from hyssoptack.policy import quarantine
-from hyssoptack.policy import windowbudget
+from hyssoptack.membership import partitiondetector
+from hyssoptack.quarantine import quarantine
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/policy/querycommand.py
+++ b/hyssoptack/planning/querycommand.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
+from hyssoptack.balancing import routing
 from hyssoptack.core import query
 from hyssoptack.core import refusal
-from hyssoptack.policy import routing
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/policy/queryplan.py
+++ b/hyssoptack/planning/queryplan.py
@@ -9,19 +9,19 @@
 import collections.abc
 import dataclasses
 
+from hyssoptack.balancing import health
+from hyssoptack.balancing import routing
+from hyssoptack.budget import budget
 from hyssoptack.core import catalog
 from hyssoptack.core import keyspace
 from hyssoptack.core import message
 from hyssoptack.core import query
 from hyssoptack.core import refusal
-from hyssoptack.policy import budget
-from hyssoptack.policy import health
-from hyssoptack.policy import hedging
-from hyssoptack.policy import merge
-from hyssoptack.policy import querycommand
-from hyssoptack.policy import routing
-from hyssoptack.policy import shardstate
-from hyssoptack.policy import versionchoice
+from hyssoptack.hedging import hedging
+from hyssoptack.planning import merge
+from hyssoptack.planning import querycommand
+from hyssoptack.planning import shardstate
+from hyssoptack.planning import versionchoice
 
 ANSWER_RESERVE_MS = 5.0
 """Part of the deadline reserved for merging and writing the answer."""
--- a/hyssoptack/policy/queryplan_test.py
+++ b/hyssoptack/planning/queryplan_test.py
@@ -3,9 +3,9 @@
 from hyssoptack.core import message
 from hyssoptack.core import query
 from hyssoptack.core import refusal
-from hyssoptack.policy import example
-from hyssoptack.policy import querycommand
-from hyssoptack.policy import queryplan
+from hyssoptack.planning import example
+from hyssoptack.planning import querycommand
+from hyssoptack.planning import queryplan
 
 _SHED = message.CallStatus.SHED
 _FAILED = message.CallStatus.FAILED
--- a/hyssoptack/policy/records_test.py
+++ b/hyssoptack/planning/records_test.py
@@ -3,7 +3,7 @@
 import hypothesis
 import hypothesis.strategies
 
-from hyssoptack.policy import records
+from hyssoptack.planning import records
 
 _bodies = hypothesis.strategies.lists(
     hypothesis.strategies.binary(max_size=70), max_size=5
--- a/hyssoptack/policy/retrydelay.py
+++ b/hyssoptack/planning/retrydelay.py
@@ -9,8 +9,8 @@
 import enum
 import random
 
-from hyssoptack.policy import callresult
-from hyssoptack.policy import routetable
+from hyssoptack.planning import callresult
+from hyssoptack.planning import routetable
 
 BALANCER_REMOVAL_MS = 2_200.0
 """Time from the start of a partition until the external load balancer sends
--- a/hyssoptack/policy/retrydelay_test.py
+++ b/hyssoptack/planning/retrydelay_test.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from hyssoptack.policy import callresult
-from hyssoptack.policy import retrydelay
+from hyssoptack.planning import callresult
+from hyssoptack.planning import retrydelay
 
 
 def delays_ms(reason, partitioned_for_ms=0.0):
--- a/hyssoptack/policy/routetable_test.py
+++ b/hyssoptack/planning/routetable_test.py
@@ -3,7 +3,7 @@
 import collections
 
 from hyssoptack.core import traffic
-from hyssoptack.policy import routetable
+from hyssoptack.planning import routetable
 
 
 def route(name, prefix, target, host="a.example"):
--- a/hyssoptack/policy/shardstate.py
+++ b/hyssoptack/planning/shardstate.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
+from hyssoptack.balancing import routing
 from hyssoptack.core import catalog
-from hyssoptack.policy import routing
 
 MISSING_SHOWN_COUNT = 12
 """Largest number of shards that a refusal lists, so that its text fits on one
--- a/hyssoptack/policy/upstreamchoice.py
+++ b/hyssoptack/planning/upstreamchoice.py
@@ -1,12 +1,12 @@
 """Chooses the upstreams for first calls and retries of a request's parts."""
 
 from hyssoptack.core import traffic
-from hyssoptack.policy import attempts
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callpart
-from hyssoptack.policy import callresult
-from hyssoptack.policy import plancontext
-from hyssoptack.policy import probeguard
+from hyssoptack.planning import attempts
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callpart
+from hyssoptack.planning import callresult
+from hyssoptack.planning import plancontext
+from hyssoptack.quarantine import probeguard
 
 MAX_RESEND_COUNT = 2
 """Largest number of calls per part to upstreams that shed the request before:
--- a/hyssoptack/policy/versionchoice_test.py
+++ b/hyssoptack/planning/versionchoice_test.py
@@ -1,8 +1,8 @@
 """Tests of the choice of an index version."""
 
 from hyssoptack.core import query
-from hyssoptack.policy import example
-from hyssoptack.policy import versionchoice
+from hyssoptack.planning import example
+from hyssoptack.planning import versionchoice
 
 
 def _held(current, *versions):
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -10,7 +10,7 @@
 from hyssoptack.core import traffic
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
-from hyssoptack.policy import callcommand
+from hyssoptack.planning import callcommand
 
 READINESS_PATH = b"/hyssoptack/readiness"
 REQUEST_ID = b"x-request-id"
--- a/hyssoptack/platform/headers_test.py
+++ b/hyssoptack/platform/headers_test.py
@@ -3,9 +3,9 @@
 import pytest
 
 from hyssoptack.http1 import message
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callplan_test
 from hyssoptack.platform import headers
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callplan_test
 
 
 def reply(status, *fields):
--- a/hyssoptack/policy/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Decision logic, free of sockets, clocks and threads."""
--- /dev/null
+++ b/hyssoptack/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash upstreams."""
--- a/hyssoptack/policy/probeguard.py
+++ b/hyssoptack/quarantine/probeguard.py
@@ -1,8 +1,8 @@
 """Sends one request as a probe while it is suspected to crash upstreams.
 
 A probe is one call at a time, over a connection opened for it, until one call
-is answered (`policy.quarantine` has the reasons). The request's other calls are
-queued here meanwhile.
+is answered (`quarantine.quarantine` has the reasons). The request's other calls
+are queued here meanwhile.
 """
 
 import collections
@@ -10,11 +10,11 @@
 import dataclasses
 
 from hyssoptack.core import traffic
-from hyssoptack.policy import callcommand
-from hyssoptack.policy import callpart
-from hyssoptack.policy import callresult
-from hyssoptack.policy import quarantine
-from hyssoptack.policy import suspectrecord
+from hyssoptack.planning import callcommand
+from hyssoptack.planning import callpart
+from hyssoptack.planning import callresult
+from hyssoptack.quarantine import quarantine
+from hyssoptack.quarantine import suspectrecord
 
 HEDGE = "hedge"
 """Reason of a call that is sent in parallel to another one of its part."""
--- a/hyssoptack/policy/quarantine.py
+++ b/hyssoptack/quarantine/quarantine.py
@@ -29,7 +29,7 @@
 import random
 
 from hyssoptack.core import gatewaymessage
-from hyssoptack.policy import suspectrecord
+from hyssoptack.quarantine import suspectrecord
 
 PROBE_JITTER_RATIO = 0.5
 """Random extra delay before an instance's probe, at most this part of the
--- a/hyssoptack/policy/quarantine_test.py
+++ b/hyssoptack/quarantine/quarantine_test.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from hyssoptack.policy import quarantine
-from hyssoptack.policy import suspectrecord
+from hyssoptack.quarantine import quarantine
+from hyssoptack.quarantine import suspectrecord
 
 BAD = "00c0ffee"
 UNRESTRICTED, PROBE, REFUSED = (
--- a/hyssoptack/relay/relay.py
+++ b/hyssoptack/relay/relay.py
@@ -7,13 +7,13 @@
 import collections.abc
 import dataclasses
 
+from hyssoptack.balancing import health
 from hyssoptack.core import action
 from hyssoptack.core import catalog
 from hyssoptack.core import clock
 from hyssoptack.core import message
 from hyssoptack.core import query
-from hyssoptack.policy import health
-from hyssoptack.policy import ownership
+from hyssoptack.membership import ownership
 from hyssoptack.relay import client
 from hyssoptack.relay import upstreamqueue
 from hyssoptack.settings import instance
--- a/hyssoptack/revisions/change.py
+++ b/hyssoptack/revisions/change.py
@@ -14,7 +14,7 @@
 import expression
 
 from hyssoptack.core import catalog
-from hyssoptack.policy import revision
+from hyssoptack.planning import revision
 from hyssoptack.revisions import configuration
 from hyssoptack.revisions import store
 from hyssoptack.settings import catalog as catalog_settings
--- a/hyssoptack/revisions/configuration.py
+++ b/hyssoptack/revisions/configuration.py
@@ -13,7 +13,7 @@
 from hyssoptack.charts import chart
 from hyssoptack.core import catalog
 from hyssoptack.events import log
-from hyssoptack.policy import revision
+from hyssoptack.planning import revision
 from hyssoptack.settings import catalog as catalog_settings
 
 HEAD_KEY = "config/head"
--- a/hyssoptack/revisions/platformwatch.py
+++ b/hyssoptack/revisions/platformwatch.py
@@ -15,9 +15,9 @@
 from hyssoptack.core import clock
 from hyssoptack.entry import state
 from hyssoptack.events import log
-from hyssoptack.policy import backoff
-from hyssoptack.policy import membership
-from hyssoptack.policy import ownership
+from hyssoptack.membership import membership
+from hyssoptack.membership import ownership
+from hyssoptack.planning import backoff
 from hyssoptack.revisions import configuration
 from hyssoptack.revisions import members
 from hyssoptack.revisions import store
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 
-from hyssoptack.policy import records
+from hyssoptack.planning import records
 from soak import callers
 from soak import environment
 
