--- /dev/null
+++ b/hyssoptack/gateway/ownerchanges.py
@@ -0,0 +1,325 @@
+"""Begins, hands over and ends the buckets of the teams that an instance owns.
+
+An instance owns the bucket of each team for which it ranks first. One that has
+joined asks the former owner for its tokens. One that ranks lower begins as a
+substitute only while those above it do not answer.
+"""
+
+import collections.abc
+import dataclasses
+
+from hyssoptack.core import clock
+from hyssoptack.core import member
+from hyssoptack.core import ratelimitmessage
+from hyssoptack.core import teams
+from hyssoptack.gateway import ratelimitcheck
+from hyssoptack.gateway import ratelimitcontext
+from hyssoptack.gateway import tokencollection
+from hyssoptack.http1 import message
+from hyssoptack.ratelimit import share
+
+HANDOVER_TIMEOUT_MS = 20.0
+"""Time after which an instance that joined begins without the tokens of the
+former owner (specified)."""
+
+HANDOVER_PEER_COUNT = 2
+"""Instances that are asked for their tokens: the next one in the ranking may
+have joined as well, and the former owner is then the one after it."""
+
+REDIRECT_MS = 15_000.0
+"""Time for which a former owner names its successor. Lists of instances differ
+for up to 10 s after a change."""
+
+SUBSTITUTE_IDLE_MS = 2_000.0
+"""Time without requests after which a substitute drops its bucket. Askers skip
+an owner for 1 s at a time, so that by then the owner answers again; two buckets
+would otherwise fill up side by side."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Here:
+    """This instance owns the bucket."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Elsewhere:
+    """Another instance owns the bucket.
+
+    Attributes:
+        peer: That instance.
+    """
+
+    peer: member.Peer
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Starting:
+    """This instance awaits the tokens of the former owner."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Contested:
+    """All instances above this one are said not to answer.
+
+    Attributes:
+        peers: Those instances, best first.
+    """
+
+    peers: tuple[member.Peer, ...]
+
+
+Place = Here | Elsewhere | Starting | Contested
+
+OnStarted = collections.abc.Callable[[], None]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Redirect:
+    """The instance to which a bucket was handed over.
+
+    Attributes:
+        peer: That instance.
+        since_ms: Time of the handover.
+    """
+
+    peer: member.Peer
+    since_ms: float
+
+
+class OwnerChanges:
+    """Determines which instance owns a team's bucket and changes the owner."""
+
+    def __init__(
+        self,
+        context: ratelimitcontext.RateLimitContext,
+        collector: tokencollection.TokenCollector,
+    ):
+        self._context = context
+        self._collector = collector
+        self._starting: dict[str, list[OnStarted]] = {}
+        self._redirects: dict[str, _Redirect] = {}
+        self._substitute_used_ms: dict[str, float] = {}
+
+    def locate(
+        self,
+        team_name: str,
+        limit: teams.RateLimit,
+        skipped_ids: collections.abc.Collection[str],
+        now_ms: float,
+    ) -> Place:
+        """Returns where a team's bucket is; begins it here if it belongs here.
+
+        Args:
+            team_name: Name of the team.
+            limit: Its limit.
+            skipped_ids: Instances that are said not to answer.
+            now_ms: The current time.
+        """
+        ranking = self._context.ranking
+        if self._context.ledger.owns(team_name):
+            return Here()
+        if team_name in self._starting:
+            return Starting()
+        redirect = self._redirects.get(team_name)
+        if redirect is not None and (
+            redirect.peer.instance_id in skipped_ids
+            or now_ms - redirect.since_ms > REDIRECT_MS
+        ):
+            del self._redirects[team_name]
+            redirect = None
+        if redirect is not None:
+            return Elsewhere(peer=redirect.peer)
+        above_ids = ranking.ids_above_own(team_name, now_ms)
+        for each in above_ids:
+            if each not in skipped_ids:
+                return Elsewhere(peer=ranking.peer(each))
+        if above_ids:
+            return Contested(peers=tuple(map(ranking.peer, above_ids)))
+        if ranking.has_joined_recently(now_ms):
+            self._request_handover(team_name, limit, now_ms)
+        else:
+            self._begin_leading(team_name, limit, now_ms)
+        return Here() if self._context.ledger.owns(team_name) else Starting()
+
+    def await_start(self, team_name: str, on_started: OnStarted) -> None:
+        """Calls a function when the start of a bucket is over."""
+        self._starting[team_name].append(on_started)
+
+    def _begin_leading(
+        self, team_name: str, limit: teams.RateLimit, now_ms: float
+    ) -> None:
+        """Begins a bucket with the tokens of the time as first in the ranking.
+
+        No other instance has created tokens of this team in that time, so that
+        a team that was idle finds a bucket as full as if it had been kept.
+        """
+        domain = share.domain_share(
+            limit, self._context.bounds, self._context.domain_count
+        )
+        ranking = self._context.ranking
+        start_count = 0.0 if ranking.was_stopped else domain.start_count
+        lead_s = ranking.lead_ms(now_ms) / message.MS_PER_S
+        token_count = min(
+            domain.capacity_count, start_count + domain.rate_per_s * lead_s
+        )
+        self._begin(team_name, limit, token_count, "leads", now_ms)
+
+    def _begin(
+        self,
+        team_name: str,
+        limit: teams.RateLimit,
+        token_count: float | None,
+        how: str,
+        now_ms: float,
+    ) -> None:
+        self._context.ledger.begin(team_name, limit, now_ms, token_count)
+        self._context.report.log_begun(team_name, how, token_count)
+
+    def begin_as_substitute(
+        self, team_name: str, limit: teams.RateLimit, now_ms: float
+    ) -> None:
+        """Begins a bucket because the instances above this one do not answer."""
+        if not self._context.ledger.owns(team_name):
+            self._begin(team_name, limit, None, "substitute", now_ms)
+            self._substitute_used_ms[team_name] = now_ms
+
+    def record_use(self, team_name: str, now_ms: float) -> None:
+        """Records that this instance was asked for permits of a team."""
+        if team_name in self._substitute_used_ms:
+            self._substitute_used_ms[team_name] = now_ms
+
+    def end_substitutions(self, now_ms: float) -> None:
+        """Drops the buckets of teams that are served by their owner again."""
+        for name, used_ms in tuple(self._substitute_used_ms.items()):
+            above_ids = self._context.ranking.ids_above_own(name, now_ms)
+            if not above_ids:
+                # The list no longer contains the owner.
+                del self._substitute_used_ms[name]
+            elif now_ms - used_ms > SUBSTITUTE_IDLE_MS:
+                self._end(name, above_ids[0], now_ms)
+
+    def _end(self, team_name: str, new_owner_id: str, now_ms: float) -> float:
+        """Stops owning a bucket; returns its tokens."""
+        self._substitute_used_ms.pop(team_name, None)
+        token_count = self._context.ledger.hand_over(team_name, now_ms)
+        self._context.report.log_ended(team_name, new_owner_id, token_count)
+        return token_count
+
+    # Handovers.
+
+    def _request_handover(
+        self, team_name: str, limit: teams.RateLimit, now_ms: float
+    ) -> None:
+        """Asks the former owner for its tokens and then begins."""
+        context = self._context
+        below_ids = context.ranking.ids_below_own(team_name, now_ms)
+        peers = [
+            context.ranking.peer(each)
+            for each in below_ids[:HANDOVER_PEER_COUNT]
+        ]
+        if not peers:
+            self._begin(team_name, limit, None, "joined", now_ms)
+            return
+        counts_by_id: dict[str, float] = {}
+
+        def on_tokens(sender_id: str, token_count: float) -> bool:
+            counts_by_id[sender_id] = token_count
+            return True
+
+        def on_end() -> None:
+            # Only the next instance in the ranking knows the bucket's state if
+            # nobody has used it lately.
+            known = peers[0].instance_id in counts_by_id
+            token_count = sum(counts_by_id.values()) if known else None
+            self._on_handover_ended(team_name, limit, token_count)
+
+        self._starting[team_name] = []
+        self._collector.collect(
+            peers,
+            lambda ask_id: ratelimitmessage.HandoverRequest(
+                sender_id=context.own.instance_id,
+                sender_address=context.own.address,
+                ask_id=ask_id,
+                team=team_name,
+            ),
+            HANDOVER_TIMEOUT_MS,
+            tokencollection.Collection(
+                team=team_name, on_tokens=on_tokens, on_end=on_end
+            ),
+        )
+
+    def _on_handover_ended(
+        self,
+        team_name: str,
+        limit: teams.RateLimit,
+        token_count: float | None,
+    ) -> None:
+        waiting = self._starting.pop(team_name)
+        # An instance of higher rank may have asked for the bucket meanwhile.
+        if team_name not in self._redirects:
+            now_ms = clock.now_ms()
+            self._begin(team_name, limit, token_count, "joined", now_ms)
+        for on_started in waiting:
+            on_started()
+
+    def on_handover_request(
+        self, received: ratelimitmessage.HandoverRequest, now_ms: float
+    ) -> None:
+        """Hands a bucket over to an instance of higher rank."""
+        context = self._context
+        team_name = received.team
+        if not context.ranking.has_list:
+            # The sender begins with a start bucket when it gets no answer.
+            return
+        newest = context.limits.newest(team_name, now_ms)
+        own_id = context.own.instance_id
+        if isinstance(newest, ratelimitcheck.UnknownTeam):
+            self._ignore(received, "unknown_team", now_ms)
+            return
+        if not context.ranking.ranks_above(
+            team_name, received.sender_id, own_id
+        ):
+            self._ignore(received, "lower_rank", now_ms)
+            return
+        above_ids = context.ranking.ids_above_own(team_name, now_ms)
+        leads = all(each == received.sender_id for each in above_ids)
+        if not context.ledger.owns(team_name) and leads and newest.limit:
+            has_redirect = team_name in self._redirects
+            if not has_redirect and team_name not in self._starting:
+                self._begin_leading(team_name, newest.limit, now_ms)
+        token_count = 0.0
+        if context.ledger.owns(team_name):
+            token_count = self._end(team_name, received.sender_id, now_ms)
+        self._redirects[team_name] = _Redirect(
+            peer=member.Peer(
+                instance_id=received.sender_id,
+                failure_domain=context.own.failure_domain,
+                address=received.sender_address,
+            ),
+            since_ms=now_ms,
+        )
+        reply = ratelimitmessage.TokenReply(
+            sender_id=own_id,
+            ask_id=received.ask_id,
+            team=team_name,
+            token_count=token_count,
+        )
+        context.send(received.sender_address, reply)
+
+    def _ignore(
+        self,
+        received: ratelimitmessage.HandoverRequest,
+        reason: str,
+        now_ms: float,
+    ) -> None:
+        self._context.report.log_ignored(
+            received.team, received.sender_id, reason, now_ms
+        )
+
+    def drop_idle(self, now_ms: float) -> None:
+        """Removes outdated redirects."""
+        self._redirects = {
+            name: each
+            for name, each in self._redirects.items()
+            if now_ms - each.since_ms <= REDIRECT_MS
+        }
