Rate limits: decisions of owners and askers

The pure decisions behind the rate limits across all instances, with the signatures that the messages and timers build on. Not tested yet.

--- /dev/null
+++ b/hyssoptack/ratelimit/ownership.py
@@ -0,0 +1,74 @@
+"""Ranks the instances of a failure domain as owners of a team's bucket."""
+
+import collections
+import collections.abc
+
+from hyssoptack.membership import rendezvous
+
+CACHED_TEAM_LIMIT_COUNT = 1_024
+"""Teams whose candidates are kept. Ranking 1,100 instances takes about 0.5 ms,
+so it is not repeated for each request."""
+
+CANDIDATE_COUNT = 4
+"""Instances kept for a team: the owner and those that replace it in turn."""
+
+
+def rank(team_name: str, instance_id: str) -> tuple[int, str]:
+    """Returns an instance's rank for a team; the highest owns the bucket."""
+    return rendezvous.rank(f"team/{team_name}", instance_id), instance_id
+
+
+def ranking(
+    team_name: str, instance_ids: collections.abc.Iterable[str]
+) -> list[str]:
+    """Returns the instances in the order in which they own the bucket."""
+    return sorted(
+        set(instance_ids), key=lambda each: rank(team_name, each), reverse=True
+    )
+
+
+def ranks_above(team_name: str, instance_id: str, other_id: str) -> bool:
+    """Returns whether an instance ranks above another for a team.
+
+    A handover is honoured only if the sender ranks above the receiver, which
+    may not have the sender in its list yet.
+    """
+    return rank(team_name, instance_id) > rank(team_name, other_id)
+
+
+class OwnerCandidates:
+    """The highest-ranking instances of recently used teams."""
+
+    def __init__(self) -> None:
+        self._instance_ids: frozenset[str] = frozenset()
+        self._by_team: collections.OrderedDict[str, tuple[str, ...]] = (
+            collections.OrderedDict()
+        )
+
+    def set_instances(
+        self, instance_ids: collections.abc.Iterable[str]
+    ) -> bool:
+        """Replaces the instances of the domain; returns whether they differ."""
+        updated = frozenset(instance_ids)
+        if updated == self._instance_ids:
+            return False
+        self._instance_ids = updated
+        self._by_team.clear()
+        return True
+
+    def of(self, team_name: str) -> tuple[str, ...]:
+        """Returns a team's owner and the instances that replace it, in order.
+
+        At most `CANDIDATE_COUNT` are returned.
+        """
+        found = self._by_team.get(team_name)
+        if found is None:
+            found = tuple(
+                ranking(team_name, self._instance_ids)[:CANDIDATE_COUNT]
+            )
+            self._by_team[team_name] = found
+            if len(self._by_team) > CACHED_TEAM_LIMIT_COUNT:
+                self._by_team.popitem(last=False)
+        else:
+            self._by_team.move_to_end(team_name)
+        return found
--- /dev/null
+++ b/hyssoptack/ratelimit/permits.py
@@ -0,0 +1,251 @@
+"""The asker's side of the rate limits: the permits that one instance holds.
+
+Permits are held ahead of demand, so that most requests of a team within its
+limit need no message. A permit is valid for 2 s from its request, and one of a
+refused attempt for a shorter time, so that few are carried from one window of
+the operator's check into the next.
+"""
+
+import collections
+import dataclasses
+import math
+import random
+
+from hyssoptack.ratelimit import demand
+from hyssoptack.ratelimit import retryslots
+
+EXPIRY_MS = 2_000.0
+"""Validity of a permit, from its request."""
+
+REFUND_EXPIRY_MS = 250.0
+"""Validity of a permit of an attempt that was not run, from its refund. With
+longer ones, refusals of a whole burst are carried into the next window."""
+
+HELD_LIMIT_COUNT = 8
+"""Largest number of permits held for a team ahead of demand."""
+
+AHEAD_S = 0.5
+"""Recent demand for which permits are held, in seconds."""
+
+DEMAND_AVERAGE_MS = 1_000.0
+"""Time over which the demand of a team is averaged."""
+
+USED_MS = 2_000.0
+"""Time after a request within which at least one permit is held."""
+
+NO_PERMIT_PAUSE_MS = 250.0
+"""Time without requests ahead of demand after one that yielded no permit."""
+
+DENIAL_MAX_MS = 100.0
+"""Longest time for which a denial by the owner is applied to further requests
+without asking again. It bounds the messages about a team far over its limit to
+10 a second and instance."""
+
+IDLE_MS = 60_000.0
+"""Time without requests after which a team's state is dropped."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Permit:
+    expires_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Pending:
+    asked_ms: float
+    permit_count: int
+
+
+class _TeamPermits:
+    """The permits held for one team, the one to expire first at the left."""
+
+    def __init__(self, now_ms: float):
+        self.permits: collections.deque[_Permit] = collections.deque()
+        self.pending: list[_Pending] = []
+        self.demand = demand.Demand(DEMAND_AVERAGE_MS)
+        self.used_ms = now_ms
+        self.paused_until_ms = -math.inf
+        self.denied_until_ms = -math.inf
+        self.interval_ms = 0.0
+        self.retry_slots = retryslots.RetrySlots()
+
+    def expire(self, now_ms: float) -> None:
+        while self.permits and self.permits[0].expires_ms <= now_ms:
+            self.permits.popleft()
+        self.pending = [
+            each for each in self.pending if now_ms - each.asked_ms < EXPIRY_MS
+        ]
+
+    def insert(self, permit_count: int, expires_ms: float) -> None:
+        added = [_Permit(expires_ms=expires_ms)] * permit_count
+        self.permits = collections.deque(
+            sorted([*self.permits, *added], key=lambda each: each.expires_ms)
+        )
+
+
+class PermitCache:
+    """The permits that an instance holds, for all teams."""
+
+    def __init__(self, rng: random.Random):
+        """Creates an empty cache; `rng` gives the jitter of retry delays."""
+        self._rng = rng
+        self._by_team: dict[str, _TeamPermits] = {}
+
+    @property
+    def active_count(self) -> int:
+        """Number of teams with requests within the last minute."""
+        return len(self._by_team)
+
+    def try_spend(
+        self, team_name: str, now_ms: float, waited: bool = False
+    ) -> bool:
+        """Spends a permit for a request, if one is held.
+
+        Args:
+            team_name: The team.
+            now_ms: The current time.
+            waited: Whether the request has waited for a reply, and was counted
+                as demand by an earlier call.
+
+        Returns:
+            Whether a permit was spent.
+        """
+        found = self._by_team.get(team_name)
+        if found is None:
+            found = self._by_team[team_name] = _TeamPermits(now_ms)
+        found.used_ms = now_ms
+        if not waited:
+            found.demand.record(1.0, now_ms)
+        found.expire(now_ms)
+        if not found.permits:
+            return False
+        found.permits.popleft()
+        return True
+
+    def record_ask(
+        self, team_name: str, permit_count: int, now_ms: float
+    ) -> None:
+        """Records a request for permits that has been sent.
+
+        Permits that may still arrive count as held until then, so that they
+        are not requested twice and the owner does not grant more than it may.
+
+        Args:
+            team_name: The team.
+            permit_count: Wanted and prefetched permits of the request.
+            now_ms: The time passed to `add` as `asked_ms`.
+        """
+        found = self._by_team.get(team_name)
+        if found is not None:
+            found.pending.append(
+                _Pending(asked_ms=now_ms, permit_count=permit_count)
+            )
+
+    def add(
+        self,
+        team_name: str,
+        permit_count: int,
+        asked_ms: float,
+        now_ms: float,
+    ) -> None:
+        """Adds granted permits; they expire 2 s after the request for them.
+
+        Args:
+            team_name: The team.
+            permit_count: The permits; 0 if the owner granted none.
+            asked_ms: Time of the request.
+            now_ms: The current time.
+        """
+        found = self._by_team.get(team_name)
+        if found is None:
+            return
+        for each in found.pending:
+            if each.asked_ms == asked_ms:
+                found.pending.remove(each)
+                break
+        if permit_count <= 0:
+            found.paused_until_ms = now_ms + NO_PERMIT_PAUSE_MS
+            return
+        found.denied_until_ms = -math.inf
+        found.insert(permit_count, min(asked_ms, now_ms) + EXPIRY_MS)
+        found.expire(now_ms)
+
+    def refund(self, team_name: str, now_ms: float) -> None:
+        """Adds the permit of an attempt that was refused or never sent."""
+        found = self._by_team.get(team_name)
+        if found is None:
+            return
+        found.expire(now_ms)
+        if len(found.permits) < HELD_LIMIT_COUNT:
+            found.insert(1, now_ms + REFUND_EXPIRY_MS)
+
+    def refill_count(self, team_name: str, now_ms: float) -> int:
+        """Returns the permits to ask for ahead of demand; 0 for none."""
+        found = self._by_team.get(team_name)
+        if found is None or now_ms - found.used_ms >= USED_MS:
+            return 0
+        if now_ms < max(found.paused_until_ms, found.denied_until_ms):
+            return 0
+        target_count = min(
+            HELD_LIMIT_COUNT,
+            max(1, round(AHEAD_S * found.demand.per_s(now_ms))),
+        )
+        held_count = self.held_count(team_name, now_ms)
+        # Asking at half of the target halves the messages.
+        return (
+            target_count - held_count if 2 * held_count <= target_count else 0
+        )
+
+    def record_denial(
+        self, team_name: str, retry_after_ms: float, now_ms: float
+    ) -> None:
+        """Records that the owner refused a request.
+
+        Args:
+            team_name: The team.
+            retry_after_ms: Retry delay of the refused request.
+            now_ms: The current time.
+        """
+        found = self._by_team.get(team_name)
+        if found is None or not retry_after_ms > 0.0:
+            return
+        pause_ms = min(retry_after_ms, DENIAL_MAX_MS)
+        found.denied_until_ms = now_ms + pause_ms
+        found.interval_ms = retry_after_ms
+
+    def denied_for_ms(self, team_name: str, now_ms: float) -> float:
+        """Returns the retry delay of a request to refuse without asking.
+
+        Returns:
+            The delay; 0 if the owner is to be asked.
+        """
+        found = self._by_team.get(team_name)
+        if found is None or now_ms >= found.denied_until_ms:
+            return 0.0
+        return found.retry_slots.next_delay_ms(
+            found.interval_ms, 0.0, now_ms, self._rng
+        )
+
+    def held_count(self, team_name: str, now_ms: float) -> int:
+        """Returns the permits that are held or may still arrive."""
+        found = self._by_team.get(team_name)
+        if found is None:
+            return 0
+        found.expire(now_ms)
+        return len(found.permits) + sum(
+            each.permit_count for each in found.pending
+        )
+
+    def clear(self) -> None:
+        """Drops all permits, after the process was stopped."""
+        for each in self._by_team.values():
+            each.permits.clear()
+
+    def drop_idle(self, now_ms: float) -> None:
+        """Drops permits beyond the limit, and teams without requests."""
+        for team_name, each in list(self._by_team.items()):
+            each.expire(now_ms)
+            while len(each.permits) > HELD_LIMIT_COUNT:
+                each.permits.popleft()
+            if now_ms - each.used_ms >= IDLE_MS:
+                del self._by_team[team_name]
