Rate limits across instances: messages, timers, logs and metrics

Requests of teams with a rate limit obtain a permit before they are delegated or run; owners of buckets answer other instances, take over from former owners, and stand in for those that do not answer.

No tests of the new modules yet but team labels.

--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -200,6 +200,30 @@
         6206,
         "Blocked requests were written to the store, or the write failed.",
     )
+    RATE_LIMITED = (
+        6301,
+        "A request was refused because its team is over its rate limit.",
+    )
+    BUCKET_BEGUN = (
+        6302,
+        "This instance begins to own the bucket of a team's rate limit.",
+    )
+    BUCKET_ENDED = (
+        6303,
+        "This instance has handed over or given up a team's bucket.",
+    )
+    OWNER_SKIPPED = (
+        6304,
+        "The owner of a bucket does not answer and is skipped for a while.",
+    )
+    BUCKETS_EMPTIED = (
+        6305,
+        "This process was stopped for a while and emptied its buckets.",
+    )
+    RATE_MESSAGE_IGNORED = (
+        6306,
+        "A message about rate limits was ignored: its content is invalid.",
+    )
     REQUEST_FAULT = (
         7001,
         "An internal error occurred; a request may have failed.",
--- /dev/null
+++ b/hyssoptack/gateway/bucketowner.py
@@ -0,0 +1,448 @@
+"""The owner's side: answers requests for permits and for tokens.
+
+A request for permits that finds too few tokens waits for a transfer from the
+other failure domains. A request that names an owner as unreachable waits until
+this instance has asked that owner itself.
+"""
+
+import collections.abc
+import dataclasses
+import random
+
+from hyssoptack.core import clock
+from hyssoptack.core import member
+from hyssoptack.core import ratelimitmessage
+from hyssoptack.core import teams
+from hyssoptack.gateway import ownerchanges
+from hyssoptack.gateway import ratelimitcheck
+from hyssoptack.gateway import ratelimitcontext
+from hyssoptack.gateway import tokencollection
+from hyssoptack.ratelimit import ledger
+
+PROBE_TIMEOUT_MS = 15.0
+"""Time in which an owner that an asker could not reach must answer this
+instance (specified)."""
+
+TRANSFER_TIMEOUT_MS = 8.0
+"""Time in which other domains must answer: a round trip takes 2 ms, and askers
+wait for 15 ms."""
+
+TRANSFER_COUNT = 3
+"""Most transfers for which one request waits."""
+
+TOKEN_TOLERANCE = 1e-6
+"""Excess of the tokens of a reply over those requested that is a rounding
+error."""
+
+OnReply = collections.abc.Callable[[ratelimitmessage.PermitReply], None]
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Ask:
+    """A request for permits that is being decided.
+
+    Attributes:
+        request: The request.
+        limit: The limit that applies.
+        on_reply: Receives the reply.
+        transfer_count: Transfers that it has waited for.
+    """
+
+    request: ratelimitmessage.PermitRequest
+    limit: teams.RateLimit
+    on_reply: OnReply
+    transfer_count: int = 0
+
+    @property
+    def permit_ask(self) -> ledger.PermitAsk:
+        """The request as the ledger takes it."""
+        return ledger.PermitAsk(
+            asker_id=self.request.sender_id,
+            wanted_count=self.request.wanted_count,
+            prefetch_count=self.request.prefetch_count,
+            held_count=self.request.held_count,
+        )
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Probe:
+    """Requests to owners that the asker of a request could not reach.
+
+    Attributes:
+        ask: The request.
+        owner: The owner that ranks first.
+        pending: Address of each instance that has not answered, by ask id.
+        timeout: Ends the probe.
+    """
+
+    ask: _Ask
+    owner: member.Peer
+    pending: dict[int, str]
+    timeout: tokencollection.Timeout | None = None
+
+
+class BucketOwner:
+    """Answers the requests that reach one instance."""
+
+    def __init__(self, context: ratelimitcontext.RateLimitContext):
+        self._context = context
+        self._collector = tokencollection.TokenCollector(context.send)
+        self.changes = ownerchanges.OwnerChanges(context, self._collector)
+        self._transfers: dict[str, list[_Ask]] = {}
+        self._probes: dict[int, _Probe] = {}
+        self._random = random.Random()
+
+    # Requests for permits.
+
+    def on_permit_request(
+        self, request: ratelimitmessage.PermitRequest, on_reply: OnReply
+    ) -> None:
+        """Decides on a request for permits.
+
+        Args:
+            request: The request.
+            on_reply: Receives the reply, at once or later.
+        """
+        context, now_ms = self._context, clock.now_ms()
+        newest = context.limits.learn(request.team, request.limit, now_ms)
+        if isinstance(newest, ratelimitcheck.UnknownTeam):
+            context.report.log_ignored(
+                request.team, request.sender_id, "unknown_team", now_ms
+            )
+            return
+        if not request.wanted_count and not request.prefetch_count:
+            # A check whether this instance runs and may own buckets.
+            if context.ranking.has_list:
+                on_reply(self._reply(request))
+            return
+        if newest.limit is None:
+            on_reply(self._reply(request, request.wanted_count))
+            return
+        if not context.ranking.has_list:
+            on_reply(self._reply(request))
+            return
+        ask = _Ask(request=request, limit=newest.limit, on_reply=on_reply)
+        self._place(ask, now_ms)
+
+    def _reply(
+        self,
+        request: ratelimitmessage.PermitRequest,
+        permit_count: int = 0,
+        retry_after_ms: float = 0.0,
+    ) -> ratelimitmessage.PermitReply:
+        return ratelimitmessage.PermitReply(
+            sender_id=self._context.own.instance_id,
+            ask_id=request.ask_id,
+            team=request.team,
+            permit_count=permit_count,
+            retry_after_ms=retry_after_ms,
+        )
+
+    def _place(self, ask: _Ask, now_ms: float) -> None:
+        """Decides on a request here, or refers it to the owner."""
+        request = ask.request
+        place = self.changes.locate(
+            request.team, ask.limit, request.skipped_ids, now_ms
+        )
+        match place:
+            case ownerchanges.Here():
+                self.changes.substitutions.record_use(request.team, now_ms)
+                self._decide(ask, now_ms)
+            case ownerchanges.Elsewhere(peer=peer):
+                redirect = dataclasses.replace(
+                    self._reply(request),
+                    redirect_id=peer.instance_id,
+                    redirect_address=peer.address,
+                )
+                ask.on_reply(redirect)
+            case ownerchanges.Starting():
+                self.changes.await_start(
+                    request.team, lambda: self._place(ask, clock.now_ms())
+                )
+            case ownerchanges.Contested(peers=peers):
+                self._probe(ask, peers)
+
+    def _decide(self, ask: _Ask, now_ms: float) -> None:
+        context, request = self._context, ask.request
+        decision = context.ledger.ask(
+            request.team, ask.limit, ask.permit_ask, now_ms
+        )
+        match decision:
+            case ledger.Granted(permit_count=permit_count):
+                ask.on_reply(self._reply(request, permit_count))
+                self._transfer_ahead(request.team, ask.limit, now_ms)
+            case ledger.Denied():
+                self._deny(ask, decision)
+            case ledger.Short(missing_count=missing_count):
+                self._await_transfer(ask, missing_count, now_ms)
+
+    def _deny(self, ask: _Ask, denied: ledger.Denied) -> None:
+        ask.on_reply(
+            self._reply(ask.request, denied.permit_count, denied.retry_after_ms)
+        )
+
+    # Requests to owners that others could not reach.
+
+    def _probe(self, ask: _Ask, peers: tuple[member.Peer, ...]) -> None:
+        """Asks the owners above this instance in the asker's place."""
+        request = ask.request
+        if not request.wanted_count:
+            ask.on_reply(self._reply(request))
+            return
+        probe = _Probe(ask=ask, owner=peers[0], pending={})
+        probe.timeout = tokencollection.Timeout(
+            PROBE_TIMEOUT_MS, lambda: self._on_unanswered(probe)
+        )
+        for peer in peers:
+            ask_id = next(self._context.ask_ids)
+            probe.pending[ask_id] = peer.address
+            self._probes[ask_id] = probe
+            forwarded = dataclasses.replace(
+                request,
+                sender_id=self._context.own.instance_id,
+                sender_address=self._context.own.address,
+                ask_id=ask_id,
+                prefetch_count=0,
+                held_count=0,
+                skipped_ids=(),
+            )
+            self._context.send(peer.address, forwarded)
+
+    def on_reply(self, reply: ratelimitmessage.PermitReply) -> bool:
+        """Handles the reply to a probe; returns whether it was one."""
+        if self.changes.substitutions.on_reply(reply, clock.now_ms()):
+            return True
+        probe = self._probes.get(reply.ask_id)
+        if probe is None:
+            return False
+        request = probe.ask.request
+        if reply.team != request.team:
+            return True
+        own_id = self._context.own.instance_id
+        decided = (
+            reply.permit_count or reply.retry_after_ms or reply.redirect_id
+        )
+        if not decided or reply.redirect_id == own_id:
+            self._remove_probe(reply.ask_id)
+            return True
+        self._end_probe(probe)
+        probe.ask.on_reply(dataclasses.replace(reply, ask_id=request.ask_id))
+        return True
+
+    def _remove_probe(self, ask_id: int) -> None:
+        """Records that an instance gives no answer."""
+        probe = self._probes.pop(ask_id)
+        del probe.pending[ask_id]
+        if not probe.pending:
+            self._on_unanswered(probe)
+
+    def _end_probe(self, probe: _Probe) -> None:
+        probe.timeout.cancel()
+        for ask_id in probe.pending:
+            del self._probes[ask_id]
+        probe.pending.clear()
+
+    def _on_unanswered(self, probe: _Probe) -> None:
+        """Takes the place of an owner that does not answer."""
+        self._end_probe(probe)
+        ask, now_ms = probe.ask, clock.now_ms()
+        stated = ratelimitmessage.VersionedLimit(
+            version=self._context.limits.newest_version(
+                ask.request.team, now_ms
+            ),
+            limit=ask.limit,
+        )
+        self.changes.substitutions.begin(
+            ask.request.team, stated, probe.owner, now_ms
+        )
+        self._place(ask, now_ms)
+
+    # Tokens of other domains.
+
+    def _await_transfer(
+        self, ask: _Ask, missing_count: float, now_ms: float
+    ) -> None:
+        """Decides on a request once other domains have sent tokens."""
+        team_name = ask.request.team
+        if ask.transfer_count >= TRANSFER_COUNT:
+            self._deny_short(ask, now_ms)
+            return
+        ask.transfer_count += 1
+        waiting = self._transfers.get(team_name)
+        if waiting is not None:
+            waiting.append(ask)
+            return
+        ahead_count = self._context.ledger.transfer_count(team_name, now_ms)
+        self._transfer(
+            team_name, ask.limit, max(missing_count, ahead_count), [ask]
+        )
+
+    def _deny_short(self, ask: _Ask, now_ms: float) -> None:
+        denied = self._context.ledger.deny(
+            ask.request.team, ask.limit, now_ms, ask.permit_ask
+        )
+        self._deny(ask, denied)
+
+    def _transfer_ahead(
+        self, team_name: str, limit: teams.RateLimit, now_ms: float
+    ) -> None:
+        """Requests tokens before the bucket is empty."""
+        if team_name in self._transfers:
+            return
+        wanted_count = self._context.ledger.transfer_count(team_name, now_ms)
+        if wanted_count > 0:
+            self._transfer(team_name, limit, wanted_count, [])
+
+    def _transfer(
+        self,
+        team_name: str,
+        limit: teams.RateLimit,
+        wanted_count: float,
+        waiting: list[_Ask],
+    ) -> None:
+        """Requests tokens from the owner in each other domain.
+
+        Args:
+            team_name: Name of the team.
+            limit: Its limit.
+            wanted_count: Tokens that can be used here.
+            waiting: Requests for permits that wait for the tokens.
+        """
+        context = self._context
+        received_counts: list[float] = []
+
+        def on_tokens(sender_id: str, token_count: float) -> bool:
+            now_ms = clock.now_ms()
+            if token_count > wanted_count + TOKEN_TOLERANCE:
+                context.report.log_ignored(
+                    team_name, sender_id, "more_than_requested", now_ms
+                )
+                return True
+            received_counts.append(token_count)
+            if token_count > 0:
+                context.report.count("transfers_received")
+                context.ledger.receive(team_name, limit, token_count, now_ms)
+            return sum(received_counts) < wanted_count
+
+        def on_end() -> None:
+            self._on_transfer_ended(team_name, sum(received_counts))
+
+        self._transfers[team_name] = waiting
+        stated = ratelimitmessage.VersionedLimit(
+            version=context.limits.newest_version(team_name, clock.now_ms()),
+            limit=limit,
+        )
+        context.report.count("transfers_requested")
+        self._collector.collect(
+            self._far_peers(),
+            lambda ask_id: ratelimitmessage.TransferRequest(
+                sender_id=context.own.instance_id,
+                sender_address=context.own.address,
+                ask_id=ask_id,
+                team=team_name,
+                limit=stated,
+                wanted_count=wanted_count,
+            ),
+            TRANSFER_TIMEOUT_MS,
+            tokencollection.Collection(
+                team=team_name, on_tokens=on_tokens, on_end=on_end
+            ),
+        )
+
+    def _far_peers(self) -> list[member.Peer]:
+        """Returns a random known instance of each other domain."""
+        by_domain: dict[str, list[member.Peer]] = {}
+        for each in self._context.far_peers():
+            by_domain.setdefault(each.failure_domain, []).append(each)
+        return [self._random.choice(each) for each in by_domain.values()]
+
+    def _on_transfer_ended(self, team_name: str, token_count: float) -> None:
+        waiting = self._transfers.pop(team_name)
+        now_ms = clock.now_ms()
+        if not token_count:
+            self._context.ledger.record_failed_transfer(team_name, now_ms)
+        for ask in waiting:
+            # The bucket may have been handed over meanwhile.
+            self._place(ask, now_ms)
+
+    def on_transfer_request(
+        self, request: ratelimitmessage.TransferRequest
+    ) -> None:
+        """Gives tokens to another domain, or forwards its request once."""
+        context, now_ms = self._context, clock.now_ms()
+        newest = context.limits.learn(request.team, request.limit, now_ms)
+        if isinstance(newest, ratelimitcheck.UnknownTeam):
+            context.report.log_ignored(
+                request.team, request.sender_id, "unknown_team", now_ms
+            )
+            return
+        if newest.limit is None or not context.ranking.has_list:
+            self._give(request, None)
+            return
+        place = self.changes.locate(request.team, newest.limit, (), now_ms)
+        match place:
+            case ownerchanges.Here():
+                self._give(request, newest.limit)
+            case ownerchanges.Starting():
+                self.changes.await_start(
+                    request.team, lambda: self._give(request, newest.limit)
+                )
+            case ownerchanges.Elsewhere(peer=peer) if not request.forwarded:
+                context.send(
+                    peer.address, dataclasses.replace(request, forwarded=True)
+                )
+            case _:
+                self._give(request, None)
+
+    def _give(
+        self,
+        request: ratelimitmessage.TransferRequest,
+        limit: teams.RateLimit | None,
+    ) -> None:
+        """Answers with the tokens that are not needed here."""
+        context, team_name = self._context, request.team
+        token_count = 0.0
+        if limit is not None and context.ledger.owns(team_name):
+            token_count = context.ledger.give(
+                team_name, limit, request.wanted_count, clock.now_ms()
+            )
+        if token_count > 0:
+            context.report.count("transfers_given")
+        reply = ratelimitmessage.TokenReply(
+            sender_id=context.own.instance_id,
+            ask_id=request.ask_id,
+            team=team_name,
+            token_count=token_count,
+        )
+        context.send(request.sender_address, reply)
+
+    # Further messages and events.
+
+    def on_token_reply(self, reply: ratelimitmessage.TokenReply) -> None:
+        """Handles tokens from another instance."""
+        self._collector.on_reply(reply)
+
+    def on_undelivered(self, undelivered: ratelimitmessage.Message) -> None:
+        """Handles a request of this instance that could not be delivered."""
+        own_id = self._context.own.instance_id
+        match undelivered:
+            case ratelimitmessage.PermitRequest(ask_id=ask_id):
+                if ask_id in self._probes:
+                    self._remove_probe(ask_id)
+            case (
+                ratelimitmessage.TransferRequest(
+                    sender_id=sender_id, ask_id=ask_id
+                )
+                | ratelimitmessage.HandoverRequest(
+                    sender_id=sender_id, ask_id=ask_id
+                )
+            ) if sender_id == own_id:
+                self._collector.on_undelivered(ask_id)
+
+    def on_link_lost(self, address: str) -> None:
+        """Handles the loss of the connection to an instance."""
+        self._collector.on_link_lost(address)
+        for ask_id, probe in tuple(self._probes.items()):
+            if probe.pending.get(ask_id) == address:
+                self._remove_probe(ask_id)
+        self.changes.substitutions.on_link_lost(address, clock.now_ms())
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -15,7 +15,6 @@
 from hyssoptack.balancing import warmup
 from hyssoptack.budget import windowbudget
 from hyssoptack.core import clock
-from hyssoptack.core import gatewaymessage
 from hyssoptack.core import member
 from hyssoptack.core import traffic
 from hyssoptack.delegation import delegation
@@ -24,23 +23,25 @@
 from hyssoptack.gateway import budgetshare
 from hyssoptack.gateway import callrelay
 from hyssoptack.gateway import derivedsettings
+from hyssoptack.gateway import draining
 from hyssoptack.gateway import earlyport
 from hyssoptack.gateway import exceptionlog
 from hyssoptack.gateway import gathererservice
 from hyssoptack.gateway import listeners
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import partitionmonitor
+from hyssoptack.gateway import peerdispatch
 from hyssoptack.gateway import peering
 from hyssoptack.gateway import pool
 from hyssoptack.gateway import quarantinestore
 from hyssoptack.gateway import quarantinesync
 from hyssoptack.gateway import querydelegation
+from hyssoptack.gateway import ratelimiter
 from hyssoptack.gateway import replicatedview
 from hyssoptack.gateway import requesthandler
 from hyssoptack.gateway import statuspages
 from hyssoptack.gateway import storewatch
 from hyssoptack.http1 import httpserver
-from hyssoptack.http1 import message
 from hyssoptack.membership import partitiondetector
 from hyssoptack.membership import readerelection
 from hyssoptack.planning import plancontext
@@ -62,16 +63,6 @@
 )
 """Settings that take effect only at a restart."""
 
-IDLE_CLOSE_DELAY_MS = 2_600.0
-"""Time from a stop signal to closing idle connections: the platform's balancer
-needs two probes, a second apart, to see that an instance is not ready."""
-
-KILL_MARGIN_MS = 400.0
-"""Time before the platform's kill at which the process ends by itself."""
-
-DRAIN_CHECK_MS = 50.0
-"""Pause between two checks for unfinished work while the process drains."""
-
 SETTINGS_CHECK_S = 2.0
 """How often the settings file is checked for changes: it may change without a
 signal, and no setting is needed sooner."""
@@ -173,9 +164,16 @@
             self._suspect_registry, self._store, storeformat.BLOCKED_PREFIX
         )
         self._pools.on_upstream_exit = self._quarantine_sync.on_upstream_exit
-        self._peering.on_message = self._on_peer_message
-        self._peering.on_undelivered = self._on_undelivered
-        self._peering.on_link_lost = self._on_link_lost
+        self._rate_limiter = ratelimiter.for_instance(
+            settings,
+            self.view,
+            self._peering.send,
+            self._call_relay.selector.peers,
+        )
+        if self._rate_limiter is not None:
+            self._request_handler.limit_rates(self._rate_limiter)
+            self._metrics.on_render.append(self._rate_limiter.render)
+        self._connect_peers()
         self._partition_monitor = partitionmonitor.PartitionMonitor(
             self.view,
             self._partition_detector,
@@ -195,35 +193,22 @@
             suspect_registry=self._suspect_registry,
         )
 
-    def _on_peer_message(self, peer_message: gatewaymessage.Message) -> None:
-        ready = self.view.is_complete and not self._stopping.is_set()
-        match peer_message:
-            case gatewaymessage.DelegationRequest():
-                self._request_handler.serve_delegated(peer_message, ready)
-            case gatewaymessage.RelayRequest():
-                self._gatherer_service.accept(peer_message, ready)
-            case gatewaymessage.RelayBatch():
-                self._call_relay.on_batch(peer_message)
-            case gatewaymessage.RelayCancel():
-                self._gatherer_service.on_cancel(peer_message)
-            case (
-                gatewaymessage.SuspectsNotice()
-                | gatewaymessage.SuspectsRequest()
-            ):
-                self._quarantine_sync.on_message(peer_message)
-            case _:
-                self._delegator.on_message(peer_message)
-
-    def _on_undelivered(self, peer_message: gatewaymessage.Message) -> None:
-        match peer_message:
-            case gatewaymessage.RelayRequest():
-                self._call_relay.on_undelivered(peer_message)
-            case _:
-                self._delegator.on_undelivered(peer_message)
-
-    def _on_link_lost(self, address: str) -> None:
-        self._delegator.on_link_lost(address)
-        self._call_relay.on_link_lost(address)
+    def _connect_peers(self) -> None:
+        """Passes the messages of peers to the components."""
+        dispatch = peerdispatch.PeerDispatch(
+            is_serving=lambda: (
+                self.view.is_complete and not self._stopping.is_set()
+            ),
+            request_handler=self._request_handler,
+            delegator=self._delegator,
+            call_relay=self._call_relay,
+            gatherer_service=self._gatherer_service,
+            quarantine_sync=self._quarantine_sync,
+            rate_limiter=self._rate_limiter,
+        )
+        self._peering.on_message = dispatch.on_message
+        self._peering.on_undelivered = dispatch.on_undelivered
+        self._peering.on_link_lost = dispatch.on_link_lost
 
     def _on_configuration(self, configuration: traffic.Configuration) -> None:
         self._caller_server.limits = configuration.limits
@@ -295,7 +280,19 @@
         self._peering.start()
         try:
             await self._serve_until_stopped(callers_port)
-            await self._drain()
+            # `grace_ms` is the time until the platform kills the process, not
+            # the grace period for upstreams (`replicatedview`).
+            took_ms = await draining.drain(
+                self._caller_server,
+                self._listeners,
+                self._has_work,
+                self._settings.grace_ms,
+            )
+            log.write(
+                log.Event.STOPPED,
+                took_ms=round(took_ms),
+                unfinished=len(self._request_handler.active_runs),
+            )
         finally:
             self._peering.stop()
 
@@ -345,6 +342,8 @@
             tasks.append(self._quarantine_sync.share_periodically())
         if self._settings.mechanisms.cut_belief:
             tasks.append(self._partition_monitor.watch())
+        if self._rate_limiter is not None:
+            tasks.append(self._rate_limiter.run_periodically())
         return tasks
 
     def stop(self) -> None:
@@ -409,6 +408,10 @@
             self.reader_election.neighbours()
         )
         self._call_relay.selector.set_gatherers(far_gatherers)
+        if self._rate_limiter is not None and (
+            self.reader_election.instance_count
+        ):
+            self._rate_limiter.set_neighbours(self.reader_election.neighbours())
         self._warmups.update_instances(
             self.reader_election.neighbours(), clock.now_ms()
         )
@@ -430,27 +433,6 @@
             or self._gatherer_service.active_gathers
         )
 
-    async def _drain(self) -> None:
-        """Closes connections to callers, finishes the work and closes ports."""
-        started_ms = clock.now_ms()
-        self._caller_server.closing = True
-        # `grace_ms` is the time until the platform kills the process, not the
-        # grace period for upstreams (`replicatedview`).
-        end_ms = started_ms + self._settings.grace_ms - KILL_MARGIN_MS
-        idle_close_ms = min(started_ms + IDLE_CLOSE_DELAY_MS, end_ms)
-        await asyncio.sleep((idle_close_ms - clock.now_ms()) / message.MS_PER_S)
-        while clock.now_ms() < end_ms:
-            self._caller_server.close_idle()
-            if not self._caller_server.connections and not self._has_work():
-                break
-            await asyncio.sleep(DRAIN_CHECK_MS / message.MS_PER_S)
-        self._listeners.close()
-        log.write(
-            log.Event.STOPPED,
-            took_ms=round(clock.now_ms() - started_ms),
-            unfinished=len(self._request_handler.active_runs),
-        )
-
 
 def run(
     settings: gateway.GatewaySettings,
--- a/hyssoptack/gateway/metrics.py
+++ b/hyssoptack/gateway/metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of a gateway, collected with aioprometheus."""
 
 import collections
+import collections.abc
 
 import aioprometheus
 
@@ -15,7 +16,11 @@
 
 
 class Metrics:
-    """The metric collectors of one gateway, updated on its event loop."""
+    """The metric collectors of one gateway, updated on its event loop.
+
+    Attributes:
+        on_render: Called before the metrics are rendered, to update them.
+    """
 
     def __init__(self) -> None:
         self._calls: collections.Counter[tuple[str, str]] = (
@@ -51,6 +56,22 @@
             "hyssoptack_suspicions_total",
             "Requests suspected, blocked, refused, tried, cleared, forgotten.",
         )
+        self.rate_limit_refusals = self._counter(
+            "hyssoptack_rate_limit_refusals_total",
+            "Requests refused because of a rate limit, by team and cause.",
+        )
+        self.rate_limit_events = self._counter(
+            "hyssoptack_rate_limit_events_total",
+            "Permits asked for, tokens transferred, owners changed.",
+        )
+        self.rate_limit_tokens = self._gauge(
+            "hyssoptack_rate_limit_tokens",
+            "Tokens in the buckets that this instance owns, by team.",
+        )
+        self.rate_limit_permits = self._gauge(
+            "hyssoptack_rate_limit_permits",
+            "Permits that this instance holds ahead of demand, by team.",
+        )
         self.request_ms = self._histogram(
             "hyssoptack_request_ms",
             "Time from a request's first byte to its answer, by route.",
@@ -59,15 +80,17 @@
             "hyssoptack_upstream_call_ms",
             "Time of an answered call, by service.",
         )
-        self.instance_gauges = aioprometheus.Gauge(
-            "hyssoptack_gateway",
-            "Facts of this instance, by name.",
-            registry=self._registry,
+        self.instance_gauges = self._gauge(
+            "hyssoptack_gateway", "Facts of this instance, by name."
         )
+        self.on_render: list[collections.abc.Callable[[Metrics], None]] = []
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self._registry)
 
+    def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(name, doc, registry=self._registry)
+
     def _histogram(self, name: str, doc: str) -> aioprometheus.Histogram:
         return aioprometheus.Histogram(
             name, doc, buckets=LATENCY_BUCKETS_MS, registry=self._registry
@@ -103,5 +126,7 @@
     def render_text(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
         self._flush_calls()
+        for update in self.on_render:
+            update(self)
         content, _ = aioprometheus.render(self._registry, ["text/plain"])
         return content
--- a/hyssoptack/gateway/ownerchanges.py
+++ b/hyssoptack/gateway/ownerchanges.py
@@ -14,8 +14,10 @@
 from hyssoptack.core import teams
 from hyssoptack.gateway import ratelimitcheck
 from hyssoptack.gateway import ratelimitcontext
+from hyssoptack.gateway import substitutions
 from hyssoptack.gateway import tokencollection
 from hyssoptack.http1 import message
+from hyssoptack.ratelimit import ownership
 from hyssoptack.ratelimit import share
 
 HANDOVER_TIMEOUT_MS = 20.0
@@ -30,11 +32,6 @@
 """Time for which a former owner names its successor. Lists of instances differ
 for up to 10 s after a change."""
 
-SUBSTITUTE_IDLE_MS = 2_000.0
-"""Time without requests after which a substitute drops its bucket. Askers skip
-an owner for 1 s at a time, so that by then the owner answers again; two buckets
-would otherwise fill up side by side."""
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Here:
@@ -87,7 +84,11 @@
 
 
 class OwnerChanges:
-    """Determines which instance owns a team's bucket and changes the owner."""
+    """Determines which instance owns a team's bucket and changes the owner.
+
+    Attributes:
+        substitutions: Buckets owned in place of other instances.
+    """
 
     def __init__(
         self,
@@ -98,7 +99,7 @@
         self._collector = collector
         self._starting: dict[str, list[OnStarted]] = {}
         self._redirects: dict[str, _Redirect] = {}
-        self._substitute_used_ms: dict[str, float] = {}
+        self.substitutions = substitutions.Substitutions(context)
 
     def locate(
         self,
@@ -129,7 +130,7 @@
             redirect = None
         if redirect is not None:
             return Elsewhere(peer=redirect.peer)
-        above_ids = ranking.ids_above_own(team_name, now_ms)
+        above_ids = ranking.ids_above_own(team_name)
         for each in above_ids:
             if each not in skipped_ids:
                 return Elsewhere(peer=ranking.peer(each))
@@ -175,32 +176,9 @@
         self._context.ledger.begin(team_name, limit, now_ms, token_count)
         self._context.report.log_begun(team_name, how, token_count)
 
-    def begin_as_substitute(
-        self, team_name: str, limit: teams.RateLimit, now_ms: float
-    ) -> None:
-        """Begins a bucket because the instances above this one do not answer."""
-        if not self._context.ledger.owns(team_name):
-            self._begin(team_name, limit, None, "substitute", now_ms)
-            self._substitute_used_ms[team_name] = now_ms
-
-    def record_use(self, team_name: str, now_ms: float) -> None:
-        """Records that this instance was asked for permits of a team."""
-        if team_name in self._substitute_used_ms:
-            self._substitute_used_ms[team_name] = now_ms
-
-    def end_substitutions(self, now_ms: float) -> None:
-        """Drops the buckets of teams that are served by their owner again."""
-        for name, used_ms in tuple(self._substitute_used_ms.items()):
-            above_ids = self._context.ranking.ids_above_own(name, now_ms)
-            if not above_ids:
-                # The list no longer contains the owner.
-                del self._substitute_used_ms[name]
-            elif now_ms - used_ms > SUBSTITUTE_IDLE_MS:
-                self._end(name, above_ids[0], now_ms)
-
     def _end(self, team_name: str, new_owner_id: str, now_ms: float) -> float:
         """Stops owning a bucket; returns its tokens."""
-        self._substitute_used_ms.pop(team_name, None)
+        self.substitutions.forget(team_name)
         token_count = self._context.ledger.hand_over(team_name, now_ms)
         self._context.report.log_ended(team_name, new_owner_id, token_count)
         return token_count
@@ -212,7 +190,7 @@
     ) -> None:
         """Asks the former owner for its tokens and then begins."""
         context = self._context
-        below_ids = context.ranking.ids_below_own(team_name, now_ms)
+        below_ids = context.ranking.ids_below_own(team_name)
         peers = [
             context.ranking.peer(each)
             for each in below_ids[:HANDOVER_PEER_COUNT]
@@ -276,12 +254,10 @@
         if isinstance(newest, ratelimitcheck.UnknownTeam):
             self._ignore(received, "unknown_team", now_ms)
             return
-        if not context.ranking.ranks_above(
-            team_name, received.sender_id, own_id
-        ):
+        if not ownership.ranks_above(team_name, received.sender_id, own_id):
             self._ignore(received, "lower_rank", now_ms)
             return
-        above_ids = context.ranking.ids_above_own(team_name, now_ms)
+        above_ids = context.ranking.ids_above_own(team_name)
         leads = all(each == received.sender_id for each in above_ids)
         if not context.ledger.owns(team_name) and leads and newest.limit:
             has_redirect = team_name in self._redirects
--- a/hyssoptack/gateway/ratelimitcheck.py
+++ b/hyssoptack/gateway/ratelimitcheck.py
@@ -141,6 +141,11 @@
             return learned.limit
         return self.own(team_name) or UNKNOWN_TEAM
 
+    def newest_version(self, team_name: str, now_ms: float) -> int:
+        """Returns the version that `newest` is of."""
+        newest = self.newest(team_name, now_ms)
+        return 0 if isinstance(newest, UnknownTeam) else newest.version
+
     def learn(
         self,
         team_name: str,
--- a/hyssoptack/gateway/ratelimitreport.py
+++ b/hyssoptack/gateway/ratelimitreport.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import aioprometheus
+
 from hyssoptack.events import log
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import teamlabels
@@ -107,15 +109,26 @@
         self._ignored_log_due_ms = now_ms + IGNORED_LOG_PERIOD_MS
         log.write(
             log.Event.RATE_MESSAGE_IGNORED,
-            team=team_name[: MAX_LOGGED_LENGTH],
-            sender=sender_id[: MAX_LOGGED_LENGTH],
+            team=team_name[:MAX_LOGGED_LENGTH],
+            sender=sender_id[:MAX_LOGGED_LENGTH],
             reason=reason,
             count=self._unlogged_count,
         )
         self._unlogged_count = 0
 
-    def render(self, collectors: metrics.Metrics) -> None:
-        """Copies the counts to the metric collectors."""
+    def render(
+        self,
+        collectors: metrics.Metrics,
+        token_counts: dict[str, float],
+        held_counts: dict[str, float],
+    ) -> None:
+        """Copies counts and levels to the metric collectors.
+
+        Args:
+            collectors: The collectors.
+            token_counts: Tokens in the buckets owned here, by team.
+            held_counts: Permits held here, by team.
+        """
         collectors.rate_limit_refusals.values.clear()
         for (label, cause), count in self.refusals.by_label().items():
             collectors.rate_limit_refusals.set(
@@ -123,3 +136,15 @@
             )
         for what, count in self._events.items():
             collectors.rate_limit_events.set({"what": what}, count)
+        self._set_levels(collectors.rate_limit_tokens, token_counts)
+        self._set_levels(collectors.rate_limit_permits, held_counts)
+
+    def _set_levels(
+        self, gauge: aioprometheus.Gauge, levels: dict[str, float]
+    ) -> None:
+        by_label: collections.Counter[str] = collections.Counter()
+        for name, level in levels.items():
+            by_label[self.labels.label(name)] += level
+        gauge.values.clear()
+        for label, level in by_label.items():
+            gauge.set({"team": label}, round(level, 2))
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -13,7 +13,9 @@
 from hyssoptack.gateway import inbound
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import querydelegation
+from hyssoptack.gateway import ratelimiter
 from hyssoptack.gateway import replicatedview
+from hyssoptack.gateway import requestpermits
 from hyssoptack.gateway import requestrun
 from hyssoptack.http1 import httpserver
 from hyssoptack.http1 import message
@@ -50,6 +52,7 @@
         self._caller_latency = callerlatency.CallerLatency()
         self.delegator: querydelegation.Delegator | None = None
         self.call_relay: callrelay.CallRelay | None = None
+        self._request_permits: requestpermits.RequestPermits | None = None
 
     def handle(self, exchange: httpserver.Exchange) -> None:
         """Handles a request received from a caller."""
@@ -119,7 +122,7 @@
         """Serves a caller's request if its key or its route allows it."""
         directory = self._view.route_table.configuration.team_directory
         if directory is None:
-            self._serve_caller(request)
+            self._serve_caller(request, self._view.version)
             return
         exchange = request.exchange
         key = headers.caller_key(exchange.request)
@@ -133,9 +136,22 @@
         # Removed here, so that nothing that handles the request from now on
         # can pass the key on or log it.
         exchange.request = headers.identified_request(exchange.request, team)
-        self._serve_caller(dataclasses.replace(request, team=team))
+        identified = dataclasses.replace(request, team=team)
+        if self._request_permits is None:
+            self._serve_caller(identified, self._view.version)
+        else:
+            self._request_permits.serve(identified, self._view.version)
 
-    def _serve_caller(self, request: inbound.RoutedRequest) -> None:
+    def limit_rates(self, limiter: ratelimiter.RateLimiter) -> None:
+        """Lets requests of teams with a rate limit wait for permits."""
+        self._request_permits = requestpermits.RequestPermits(
+            limiter, self._serve_caller, self._refuse_limited
+        )
+
+    def _serve_caller(
+        self, request: inbound.RoutedRequest, version: int
+    ) -> None:
+        """Serves a request routed by the configuration version `version`."""
         timed = dataclasses.replace(
             request, transit_margin_ms=self._caller_latency.margin_ms
         )
@@ -146,7 +162,6 @@
                 request.exchange.request.is_first,
             )
             timed = dataclasses.replace(timed, caller_spent_ms=spent_ms)
-        version = self._view.version
         suspect_registry = self._plan_context.suspect_registry
         keep_local = self.delegator is None or (
             suspect_registry.has_entries
@@ -198,6 +213,33 @@
                 reply = headers.unauthorized_reply(reason)
             case _:
                 reply = message.problem_reply(status, reason)
+        self._answer_refusal(exchange, metadata, reply, reason)
+
+    def _refuse_limited(
+        self,
+        request: inbound.RoutedRequest,
+        status: int,
+        reason: str,
+        retry_after_ms: float,
+    ) -> None:
+        """Refuses a request because of its team's rate limit."""
+        self._answer_refusal(
+            request.exchange,
+            request.metadata,
+            message.problem_reply(status, reason, retry_after_ms),
+            reason,
+            request.team_name,
+        )
+
+    def _answer_refusal(
+        self,
+        exchange: inbound.Exchange,
+        metadata: headers.RequestMetadata,
+        reply: message.Reply,
+        reason: str,
+        team_name: str = "",
+    ) -> None:
+        status = reply.status
         self.metrics.requests.inc({"route": "", "status": str(status)})
         exchange.answer(reply)
         log.write(
@@ -208,6 +250,7 @@
             status=status,
             reason=reason,
             version=self._view.version,
+            **inbound.team_fields(team_name),
         )
 
     def record_lateness(self, late_ms: float) -> None:
--- a/hyssoptack/gateway/tokencollection.py
+++ b/hyssoptack/gateway/tokencollection.py
@@ -115,7 +115,9 @@
         if not peers:
             collection.end()
             return
-        collection.timeout = Timeout(timeout_ms, lambda: self._on_timeout(collection))
+        collection.timeout = Timeout(
+            timeout_ms, lambda: self._on_timeout(collection)
+        )
         for peer in peers:
             ask_id = next(self._ask_ids)
             collection.addresses[ask_id] = peer.address
