--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -224,6 +224,10 @@
         6306,
         "A message about rate limits was ignored: its content is invalid.",
     )
+    RATE_LIMITS_ISOLATED = (
+        6307,
+        "This owner of buckets reaches no other instance, or does so again.",
+    )
     REQUEST_FAULT = (
         7001,
         "An internal error occurred; a request may have failed.",
--- a/hyssoptack/gateway/ownerchanges.py
+++ b/hyssoptack/gateway/ownerchanges.py
@@ -205,10 +205,8 @@
             return True
 
         def on_end() -> None:
-            # Only the next instance in the ranking knows the bucket's state if
-            # nobody has used it lately.
-            known = peers[0].instance_id in counts_by_id
-            token_count = sum(counts_by_id.values()) if known else None
+            # Instances that did not own the bucket answer with 0 tokens.
+            token_count = sum(counts_by_id.values()) or None
             self._on_handover_ended(team_name, limit, token_count)
 
         self._starting[team_name] = []
@@ -257,8 +255,8 @@
         if not ownership.ranks_above(team_name, received.sender_id, own_id):
             self._ignore(received, "lower_rank", now_ms)
             return
-        above_ids = context.ranking.ids_above_own(team_name)
-        leads = all(each == received.sender_id for each in above_ids)
+        # Only while the list lacks the sender was this instance the owner.
+        leads = not context.ranking.ids_above_own(team_name)
         if not context.ledger.owns(team_name) and leads and newest.limit:
             has_redirect = team_name in self._redirects
             if not has_redirect and team_name not in self._starting:
--- a/hyssoptack/gateway/ratelimiter.py
+++ b/hyssoptack/gateway/ratelimiter.py
@@ -16,6 +16,7 @@
 from hyssoptack.gateway import bucketowner
 from hyssoptack.gateway import correlationids
 from hyssoptack.gateway import derivedsettings
+from hyssoptack.gateway import isolationwatch
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import ownerranking
 from hyssoptack.gateway import permitasker
@@ -96,6 +97,7 @@
         self._asker = permitasker.PermitAsker(
             context, self._cache, self._owner.on_permit_request
         )
+        self._isolation = isolationwatch.IsolationWatch(context)
         self._alive_ms: float | None = None
 
     # Requests of callers.
@@ -138,6 +140,7 @@
                 received.team, received.sender_id, "implausible", now_ms
             )
             return True
+        self._isolation.record_received(now_ms)
         match received:
             case ratelimitmessage.PermitRequest(sender_address=address):
                 self._owner.on_permit_request(
@@ -177,6 +180,7 @@
             now_ms = clock.now_ms()
             self._observe(now_ms)
             self._owner.changes.substitutions.check(now_ms)
+            self._isolation.check(now_ms)
             if now_ms >= idle_due_ms:
                 idle_due_ms = now_ms + IDLE_PERIOD_MS
                 self._drop_idle(now_ms)
@@ -197,6 +201,7 @@
         self._ledger.empty(now_ms)
         self._cache.clear()
         self._ranking.record_stop(now_ms)
+        self._isolation.record_received(now_ms)
         self.report.log_emptied(now_ms - before_ms)
 
     def _drop_idle(self, now_ms: float) -> None:
--- a/hyssoptack/gateway/ratelimitharness.py
+++ b/hyssoptack/gateway/ratelimitharness.py
@@ -67,6 +67,9 @@
     try:
         loop.run_until_complete(test())
     finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
         clock.now_ms = real_now_ms
         loop.close()
 
--- a/hyssoptack/gateway/substitutions.py
+++ b/hyssoptack/gateway/substitutions.py
@@ -2,8 +2,8 @@
 
 Such a bucket creates no tokens until the owner must have lost its own: it has
 been silent for as long as the stop after which a process empties its buckets,
-or the link to it is lost. It ends when the owner answers before that, when the
-owner asks for it, or when nobody has used it for a while.
+or the link to it is lost. It ends when the owner answers or asks for it, or
+when nobody has used it for a while.
 """
 
 import dataclasses
@@ -37,6 +37,8 @@
         used_ms: Time of the last request.
         pinged_ms: Time of the last check of the owner.
         confirmed: Whether the owner has lost its tokens.
+        has_died: Whether the link to the owner was lost. It then asks for the
+            tokens when it has restarted.
     """
 
     owner: member.Peer
@@ -45,6 +47,7 @@
     used_ms: float
     pinged_ms: float
     confirmed: bool = False
+    has_died: bool = False
 
 
 class Substitutions:
@@ -105,7 +108,7 @@
         if team_name is None:
             return False
         found = self._by_team.get(team_name)
-        if found is not None and not found.confirmed:
+        if found is not None:
             self._end(team_name, found, now_ms)
         return True
 
@@ -113,6 +116,7 @@
         """Handles the loss of the connection to an instance."""
         for name, each in self._by_team.items():
             if each.owner.address == address:
+                each.has_died = True
                 self._confirm(name, each, now_ms)
 
     def check(self, now_ms: float) -> None:
@@ -124,7 +128,7 @@
                 del self._by_team[name]
             elif now_ms - each.used_ms > IDLE_MS:
                 self._end(name, each, now_ms)
-            elif not each.confirmed:
+            elif not each.has_died:
                 self._check_owner(name, each, now_ms)
         if not self._by_team:
             self._pings.clear()
@@ -134,7 +138,7 @@
     ) -> None:
         if now_ms - each.begun_ms >= CONFIRM_MS:
             self._confirm(team_name, each, now_ms)
-        elif now_ms - each.pinged_ms >= PING_PERIOD_MS:
+        if now_ms - each.pinged_ms >= PING_PERIOD_MS:
             self._ping(team_name, each, now_ms)
 
     def _confirm(
