--- a/hyssoptack/gateway/bucketowner.py
+++ b/hyssoptack/gateway/bucketowner.py
@@ -246,14 +246,8 @@
         """Takes the place of an owner that does not answer."""
         self._end_probe(probe)
         ask, now_ms = probe.ask, clock.now_ms()
-        stated = ratelimitmessage.VersionedLimit(
-            version=self._context.limits.newest_version(
-                ask.request.team, now_ms
-            ),
-            limit=ask.limit,
-        )
         self.changes.substitutions.begin(
-            ask.request.team, stated, probe.owner, now_ms
+            ask.request.team, ask.limit, probe.owner, now_ms
         )
         self._place(ask, now_ms)
 
@@ -328,10 +322,10 @@
             self._on_transfer_ended(team_name, sum(received_counts))
 
         self._transfers[team_name] = waiting
-        stated = ratelimitmessage.VersionedLimit(
-            version=context.limits.newest_version(team_name, clock.now_ms()),
-            limit=limit,
-        )
+        stated = context.limits.stated(team_name, clock.now_ms())
+        if isinstance(stated, ratelimitcheck.UnknownTeam):
+            on_end()
+            return
         context.report.count("transfers_requested")
         self._collector.collect(
             self._far_peers(),
--- a/hyssoptack/gateway/isolationwatch.py
+++ b/hyssoptack/gateway/isolationwatch.py
@@ -11,7 +11,6 @@
 from hyssoptack.core import member
 from hyssoptack.core import ratelimitmessage
 from hyssoptack.events import log
-from hyssoptack.gateway import ratelimitcheck
 from hyssoptack.gateway import ratelimitcontext
 from hyssoptack.ratelimit import share
 
@@ -70,22 +69,19 @@
             self._set_isolated(True, now_ms)
         self._pinged_ms = now_ms
         self._unanswered_count += 1
-        newest = self._context.limits.newest(team_name, now_ms)
+        stated = self._context.limits.own(team_name)
         for peer in peers:
-            self._context.send(peer.address, self._ping(team_name, newest))
+            self._context.send(peer.address, self._ping(team_name, stated))
 
     def _filling_team(self, now_ms: float) -> str | None:
         """Returns a team whose bucket is not nearly full; None if all are."""
         context = self._context
         for name, token_count in context.ledger.token_counts(now_ms).items():
-            newest = context.limits.newest(name, now_ms)
-            if (
-                isinstance(newest, ratelimitcheck.UnknownTeam)
-                or newest.limit is None
-            ):
+            own = context.limits.own(name)
+            if own is None or own.limit is None:
                 continue
             domain = share.domain_share(
-                newest.limit, context.bounds, context.domain_count
+                own.limit, context.bounds, context.domain_count
             )
             if token_count < FULL_RATIO * domain.capacity_count:
                 return name
--- a/hyssoptack/gateway/permitasker.py
+++ b/hyssoptack/gateway/permitasker.py
@@ -16,6 +16,7 @@
 from hyssoptack.core import teams
 from hyssoptack.gateway import ownerskips
 from hyssoptack.gateway import permitdecision
+from hyssoptack.gateway import ratelimitcheck
 from hyssoptack.gateway import ratelimitcontext
 from hyssoptack.gateway import tokencollection
 from hyssoptack.http1 import message
@@ -215,15 +216,17 @@
         wanted_count = len(state.waiters)
         if not wanted_count and not prefetch_count:
             return
+        stated = context.limits.stated(name, now_ms)
+        if isinstance(stated, ratelimitcheck.UnknownTeam):
+            # The team was removed while its requests waited.
+            self._leave_undecided(state)
+            return
         request = ratelimitmessage.PermitRequest(
             sender_id=own.instance_id,
             sender_address=own.address,
             ask_id=next(context.ask_ids),
             team=name,
-            limit=ratelimitmessage.VersionedLimit(
-                version=context.limits.newest_version(name, now_ms),
-                limit=state.team.rate_limit,
-            ),
+            limit=stated,
             wanted_count=wanted_count,
             prefetch_count=prefetch_count,
             held_count=self.cache.held_count(name, now_ms),
--- a/hyssoptack/gateway/ratelimitcheck.py
+++ b/hyssoptack/gateway/ratelimitcheck.py
@@ -141,10 +141,16 @@
             return learned.limit
         return self.own(team_name) or UNKNOWN_TEAM
 
-    def newest_version(self, team_name: str, now_ms: float) -> int:
-        """Returns the version that `newest` is of."""
-        newest = self.newest(team_name, now_ms)
-        return 0 if isinstance(newest, UnknownTeam) else newest.version
+    def stated(
+        self, team_name: str, now_ms: float
+    ) -> ratelimitmessage.VersionedLimit | UnknownTeam:
+        """Returns the limit that messages of this instance state.
+
+        That is the limit in force here. A limit learned from others is passed
+        on only if the team is unknown here: instances would otherwise confirm
+        to each other a version that does not exist.
+        """
+        return self.own(team_name) or self.newest(team_name, now_ms)
 
     def learn(
         self,
--- a/hyssoptack/gateway/ratelimiter_test.py
+++ b/hyssoptack/gateway/ratelimiter_test.py
@@ -205,9 +205,30 @@
             await asker.send_steadily(40, 10), permitdecision.Permitted
         )
         assert permitted <= 2 * 10 + 10
-        # A version that nobody has does not bind for ever.
-        asker.teams, asker.version = {"team": ratelimitharness.TEAM}, 1
-        await asyncio.sleep(30)
+
+    ratelimitharness.run(test)
+
+
+def test_a_version_that_no_instance_has_does_not_bind_for_ever():
+    async def test():
+        network = _start()
+        owner, _, asker = await _warm_up(network)
+        low = teams.RateLimit(rate_per_s=2.0, burst_count=2.0)
+        owner.limiter.on_message(
+            ratelimitmessage.PermitRequest(
+                sender_id="north-9",
+                sender_address="north-9:1",
+                ask_id=1,
+                team="team",
+                limit=ratelimitmessage.VersionedLimit(version=9, limit=low),
+                wanted_count=1,
+            )
+        )
+        permitted = _count(
+            await asker.send_steadily(20, 10), permitdecision.Permitted
+        )
+        assert permitted <= 30
+        await asker.send_steadily(20, 15)
         permitted = _count(
             await asker.send_steadily(20, 5), permitdecision.Permitted
         )
@@ -216,6 +237,58 @@
     ratelimitharness.run(test)
 
 
+def test_an_isolated_owner_fills_its_bucket_slower():
+    async def test():
+        network = _start()
+        owner, second, asker = await _warm_up(network)
+        await asker.send_steadily(100, 3)
+        owner.is_silent = True
+        await asyncio.sleep(1)
+        assert owner.tokens() < 0.5 * 23
+        owner.is_silent = False
+        # Its own callers are served at the rate of the domain again.
+        assert (
+            _count(await owner.send_steadily(20, 5), permitdecision.Permitted)
+            > 80
+        )
+
+    ratelimitharness.run(test)
+
+
+def test_a_substitute_whose_owner_is_used_again_drops_its_bucket():
+    async def test():
+        network = _start()
+        owner, second, asker = await _warm_up(network)
+        owner.is_silent = True
+        await asyncio.sleep(3)
+        await asker.acquire()
+        assert second.limiter._ledger.owns("team")
+        owner.is_silent = False
+        network.is_lost = lambda sender, receiver, _: (
+            {sender, receiver} == {owner, second}
+        )
+        await asker.send_steadily(5, 5)
+        assert not second.limiter._ledger.owns("team")
+
+    ratelimitharness.run(test)
+
+
+def test_requests_do_not_wait_for_an_owner_whose_link_is_lost():
+    async def test():
+        network = _start()
+        owner, _, asker = await _warm_up(network)
+        await asyncio.sleep(3)
+        owner.is_silent = True
+        waiting = asyncio.create_task(_elapsed_ms(asker.acquire()))
+        await asyncio.sleep(0.002)
+        network.kill(owner)
+        decision, waited_ms = await waiting
+        assert isinstance(decision, permitdecision.Permitted)
+        assert waited_ms < 25
+
+    ratelimitharness.run(test)
+
+
 def test_an_owner_ignores_the_limit_of_an_older_version():
     async def test():
         network = _start()
--- a/hyssoptack/gateway/substitutions.py
+++ b/hyssoptack/gateway/substitutions.py
@@ -11,6 +11,7 @@
 from hyssoptack.core import member
 from hyssoptack.core import ratelimitmessage
 from hyssoptack.core import teams
+from hyssoptack.gateway import ratelimitcheck
 from hyssoptack.gateway import ratelimitcontext
 
 PING_PERIOD_MS = 100.0
@@ -32,7 +33,6 @@
 
     Attributes:
         owner: The instance that should own it.
-        limit: The limit at the begin.
         begun_ms: Time of the begin.
         used_ms: Time of the last request.
         pinged_ms: Time of the last check of the owner.
@@ -42,7 +42,6 @@
     """
 
     owner: member.Peer
-    limit: ratelimitmessage.VersionedLimit
     begun_ms: float
     used_ms: float
     pinged_ms: float
@@ -61,7 +60,7 @@
     def begin(
         self,
         team_name: str,
-        limit: ratelimitmessage.VersionedLimit,
+        limit: teams.RateLimit,
         owner: member.Peer,
         now_ms: float,
     ) -> None:
@@ -69,20 +68,18 @@
 
         Args:
             team_name: Name of the team.
-            limit: Its limit; not None in this version.
+            limit: Its limit.
             owner: The instance that ranks first.
             now_ms: The current time.
         """
         if self._context.ledger.owns(team_name):
             return
-        in_force: teams.RateLimit = limit.limit
         self._context.ledger.begin(
-            team_name, in_force, now_ms, None, provisional=True
+            team_name, limit, now_ms, None, provisional=True
         )
         self._context.report.log_begun(team_name, "substitute", None)
         begun = _Substitution(
             owner=owner,
-            limit=limit,
             begun_ms=now_ms,
             used_ms=now_ms,
             pinged_ms=now_ms,
@@ -150,6 +147,9 @@
 
     def _ping(self, team_name: str, each: _Substitution, now_ms: float) -> None:
         each.pinged_ms = now_ms
+        stated = self._context.limits.stated(team_name, now_ms)
+        if isinstance(stated, ratelimitcheck.UnknownTeam):
+            return
         ask_id = next(self._context.ask_ids)
         self._pings[ask_id] = team_name
         ping = ratelimitmessage.PermitRequest(
@@ -157,7 +157,7 @@
             sender_address=self._context.own.address,
             ask_id=ask_id,
             team=team_name,
-            limit=each.limit,
+            limit=stated,
             wanted_count=0,
         )
         self._context.send(each.owner.address, ping)
