--- a/hyssoptack/ratelimit/bucket.py
+++ b/hyssoptack/ratelimit/bucket.py
@@ -15,14 +15,24 @@
 """Recent demand that is kept back from other domains, in seconds. A domain that
 runs short receives tokens again within a round trip of some milliseconds."""
 
+RESERVE_CAPACITY_RATIO = 0.5
+"""Largest reserve as a part of the capacity. With a larger one, a domain with
+much demand kept its bucket full, so that further tokens were lost, while others
+refused requests."""
+
 TRANSFER_AHEAD_S = 1.0
 """Recent demand for which tokens of other domains are requested, in seconds."""
 
-TRANSFER_BELOW_RATIO = 0.5
-"""Level, as a part of the capacity, below which tokens of other domains are
-requested before the bucket is empty, so that no request waits for them."""
+TRANSFER_TO_RATIO = 0.65
+"""Level, as a part of the capacity, up to which tokens of other domains are
+requested ahead of demand. Buckets that are filled up lose the tokens that they
+create next."""
+
+TRANSFER_BELOW_RATIO = 0.8
+"""Part of that level below which they are requested, so that few requests have
+to wait for them."""
 
-PREFETCH_ABOVE_RATIO = 0.5
+PREFETCH_ABOVE_RATIO = 0.25
 """Level, as a part of the capacity, down to which permits are granted ahead of
 demand. Below it the tokens are kept for requests that wait: a permit held by an
 instance without another request would be lost."""
@@ -121,16 +131,24 @@
             0, min(wanted_count, math.floor(min(spare_count, room_count)))
         )
 
-    def reserve_count(self, now_ms: float) -> float:
-        """Returns the tokens that other domains cannot have."""
-        return RESERVE_S * self.wanted.per_s(now_ms)
+    def spare_count(self, now_ms: float) -> float:
+        """Returns the tokens that another domain may have.
+
+        One token is spared although it is part of the reserve: the other domain
+        may have a request that waits for it.
+        """
+        reserve_count = min(
+            RESERVE_S * self.wanted.per_s(now_ms),
+            RESERVE_CAPACITY_RATIO * self.domain_share.capacity_count,
+        )
+        return max(self.token_count - reserve_count, min(1.0, self.token_count))
 
     def transfer_count(self, now_ms: float) -> float:
         """Returns the tokens to request from other domains; 0 if none."""
-        capacity_count = self.domain_share.capacity_count
-        needed_count = TRANSFER_AHEAD_S * self.wanted.per_s(now_ms)
-        if self.token_count >= min(
-            TRANSFER_BELOW_RATIO * capacity_count, needed_count
-        ):
+        target_count = min(
+            TRANSFER_AHEAD_S * self.wanted.per_s(now_ms),
+            TRANSFER_TO_RATIO * self.domain_share.capacity_count,
+        )
+        if self.token_count >= TRANSFER_BELOW_RATIO * target_count:
             return 0.0
-        return min(capacity_count - self.token_count, max(1.0, needed_count))
+        return target_count - self.token_count
--- a/hyssoptack/ratelimit/ledger.py
+++ b/hyssoptack/ratelimit/ledger.py
@@ -82,6 +82,11 @@
     permit_count: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NotOwned:
+    """This instance does not own the team's bucket, for instance any more."""
+
+
 class Ledger:
     """The buckets of the teams that an instance owns in its failure domain."""
 
@@ -183,11 +188,9 @@
         limit: teams.RateLimit,
         ask: PermitAsk,
         now_ms: float,
-    ) -> Granted | Short | Denied:
+    ) -> Granted | Short | Denied | NotOwned:
         """Decides on a request for permits.
 
-        A team that is not owned begins with a start bucket.
-
         Args:
             team_name: The team.
             limit: The limit of the highest version known.
@@ -199,7 +202,9 @@
             with `receive` and the request is repeated, or `deny` is called.
         """
         found = self._current(team_name, limit, now_ms)
-        if found is None or not ask.is_plausible:
+        if found is None:
+            return NotOwned()
+        if not ask.is_plausible:
             return Denied(retry_after_ms=retryslots.DELAY_MAX_MS)
         found.used_ms = now_ms
         found.outstanding.state(ask.asker_id, ask.held_count, now_ms)
@@ -220,7 +225,7 @@
         limit: teams.RateLimit,
         now_ms: float,
         ask: PermitAsk | None = None,
-    ) -> Denied:
+    ) -> Denied | NotOwned:
         """Refuses a request after a transfer yielded too few tokens.
 
         Args:
@@ -232,13 +237,11 @@
         """
         found = self._current(team_name, limit, now_ms)
         if found is None:
-            return Denied(retry_after_ms=retryslots.DELAY_MAX_MS)
+            return NotOwned()
         found.transfer_failed_ms = now_ms
         if ask is None or not ask.is_plausible:
             ask = PermitAsk(asker_id="", wanted_count=1)
-            return dataclasses.replace(
-                self._deny(found, ask, now_ms, grants=False), permit_count=0
-            )
+            return self._deny(found, ask, now_ms, grants=False)
         return self._deny(found, ask, now_ms)
 
     def receive(
@@ -269,18 +272,14 @@
     ) -> float:
         """Removes and returns tokens for another domain.
 
-        What the own recent demand needs is kept back. Less than one token is
-        given only if no more is wanted, as a part of a token serves no request.
-        A team that is not owned begins with a start bucket.
+        What the own recent demand needs is kept back. Nothing is given of a
+        bucket that this instance does not own.
         """
         found = self._current(team_name, limit, now_ms)
         if found is None or not share.is_plausible(wanted_count):
             return 0.0
         found.used_ms = now_ms
-        spare_count = found.token_count - found.reserve_count(now_ms)
-        if spare_count < min(1.0, wanted_count):
-            return 0.0
-        given_count = min(wanted_count, spare_count)
+        given_count = min(wanted_count, found.spare_count(now_ms))
         found.token_count -= given_count
         return given_count
 
@@ -386,15 +385,15 @@
     def _current(
         self, team_name: str, limit: teams.RateLimit, now_ms: float
     ) -> bucket.Bucket | None:
-        """Returns the bucket, refilled and under the limit in force."""
-        if not share.is_plausible_limit(limit):
-            return None
+        """Returns the bucket, refilled and under the limit in force.
+
+        A limit that cannot be applied changes nothing.
+        """
         found = self._restored(team_name, now_ms)
         if found is None:
-            self.begin(team_name, limit, now_ms, None)
-            return self._buckets[team_name]
+            return None
         found.refill(now_ms, self._isolated)
-        if found.limit != limit:
+        if found.limit != limit and share.is_plausible_limit(limit):
             found.set_limit(limit, self._share(limit))
         return found
 
@@ -412,11 +411,11 @@
         )
         found.token_count -= permit_count
         found.wanted.record(ask.wanted_count, now_ms)
-        interval_ms = found.token_interval_ms(now_ms)
-        delay_ms = 0.0
-        for index in range(max(1, ask.wanted_count - permit_count)):
-            slot_ms = found.retry_slots.next_delay_ms(
-                found.missing_ms(1.0, now_ms), interval_ms, now_ms, self._rng
-            )
-            delay_ms = delay_ms if index else slot_ms
+        delay_ms = found.retry_slots.next_delay_ms(
+            found.missing_ms(1.0, now_ms),
+            found.token_interval_ms(now_ms),
+            now_ms,
+            self._rng,
+            max(1, ask.wanted_count - permit_count),
+        )
         return Denied(retry_after_ms=delay_ms, permit_count=permit_count)
--- a/hyssoptack/ratelimit/retryslots.py
+++ b/hyssoptack/ratelimit/retryslots.py
@@ -28,22 +28,26 @@
         interval_ms: float,
         now_ms: float,
         rng: random.Random,
+        caller_count: int = 1,
     ) -> float:
-        """Returns the delay for the next refused caller.
+        """Returns the delay for the next refused callers.
 
         Args:
             first_ms: Time until the bucket has a token.
             interval_ms: Time between two tokens.
             now_ms: The current time.
             rng: Gives the random addition.
+            caller_count: Callers that are refused together.
 
         Returns:
-            A delay from `DELAY_MIN_MS` to `DELAY_MAX_MS`.
+            The delay of the first of them, from `DELAY_MIN_MS` to
+            `DELAY_MAX_MS`.
         """
         longest_ms = DELAY_MAX_MS / (1.0 + SPREAD_RATIO)
         delay_ms = max(first_ms, self._last_slot_ms + interval_ms - now_ms)
         delay_ms = min(delay_ms, longest_ms)
-        self._last_slot_ms = now_ms + delay_ms
+        last_ms = delay_ms + (caller_count - 1) * interval_ms
+        self._last_slot_ms = now_ms + min(last_ms, longest_ms)
         return min(
             DELAY_MAX_MS,
             max(DELAY_MIN_MS, delay_ms) * rng.uniform(1.0, 1.0 + SPREAD_RATIO),
--- a/hyssoptack/ratelimit/share.py
+++ b/hyssoptack/ratelimit/share.py
@@ -14,6 +14,12 @@
 PREFETCH_EXCESS_RATIO = 0.4
 """Part of the excess that permits held ahead of demand may use."""
 
+CAPACITY_SLACK_RATIO = 0.1
+"""Part of the slack by which all buckets together hold more than the burst. One
+that is full loses tokens while another is empty, the more the smaller they are:
+of a team with a rate and burst of 5 at 0.8 of its rate, 96 requests in 1,000
+were refused wrongly without it and 7 with it (`simulation`, 68 instances)."""
+
 START_SLACK_RATIO = 0.25
 """Part of the slack that one start of the owners in all domains may use."""
 
@@ -95,20 +101,21 @@
     """Returns the share of each of `domain_count` failure domains.
 
     A bucket holds at least one token, so that a burst below the number of
-    domains uses some of the slack.
+    domains uses more of the slack.
     """
     rate_per_s = limit.rate_per_s / domain_count
-    capacity_count = max(1.0, limit.burst_count / domain_count)
+    slack_count = bounds.slack_count / domain_count
+    capacity_count = (
+        max(1.0, limit.burst_count / domain_count)
+        + CAPACITY_SLACK_RATIO * slack_count
+    )
     excess = excess_count(limit, bounds)
     window_s = bounds.window_ms / 1_000.0
     return DomainShare(
         rate_per_s=rate_per_s,
         capacity_count=capacity_count,
         prefetch_count=PREFETCH_EXCESS_RATIO * excess / domain_count,
-        start_count=min(
-            capacity_count,
-            START_SLACK_RATIO * bounds.slack_count / domain_count,
-        ),
+        start_count=min(capacity_count, START_SLACK_RATIO * slack_count),
         isolated_rate_per_s=min(
             rate_per_s, ISOLATED_EXCESS_RATIO * excess / window_s
         ),
