--- a/hyssoptack/gateway/bucketowner.py
+++ b/hyssoptack/gateway/bucketowner.py
@@ -171,15 +171,20 @@
             case ledger.Granted(permit_count=permit_count):
                 ask.on_reply(self._reply(request, permit_count))
                 self._transfer_ahead(request.team, ask.limit, now_ms)
-            case ledger.Denied():
+            case ledger.Denied() | ledger.NotOwned():
                 self._deny(ask, decision)
             case ledger.Short(missing_count=missing_count):
                 self._await_transfer(ask, missing_count, now_ms)
 
-    def _deny(self, ask: _Ask, denied: ledger.Denied) -> None:
-        ask.on_reply(
-            self._reply(ask.request, denied.permit_count, denied.retry_after_ms)
-        )
+    def _deny(self, ask: _Ask, denied: ledger.Denied | ledger.NotOwned) -> None:
+        match denied:
+            case ledger.Denied():
+                reply = self._reply(
+                    ask.request, denied.permit_count, denied.retry_after_ms
+                )
+            case ledger.NotOwned():
+                reply = self._reply(ask.request)
+        ask.on_reply(reply)
 
     # Requests to owners that others could not reach.
 
--- a/hyssoptack/gateway/isolationwatch.py
+++ b/hyssoptack/gateway/isolationwatch.py
@@ -14,15 +14,16 @@
 from hyssoptack.gateway import ratelimitcontext
 from hyssoptack.ratelimit import share
 
-SILENCE_MS = 100.0
+SILENCE_MS = 90.0
 """Time without messages after which others are asked to answer."""
 
 FULL_RATIO = 0.5
 """Level of a bucket, as a part of its capacity, above which it is not watched:
 it creates few tokens before it is full."""
 
-PING_PERIOD_MS = 100.0
-"""Time between two rounds of requests to answer."""
+PING_PERIOD_MS = 90.0
+"""Time between two rounds of requests to answer: slightly less than the period
+of the checks."""
 
 ISOLATED_PERIOD_MS = 500.0
 """Time between two rounds while the instance is isolated."""
@@ -56,13 +57,13 @@
 
     def check(self, now_ms: float) -> None:
         """Asks others to answer if nothing has been received lately."""
-        if now_ms - self._received_ms < SILENCE_MS:
-            return
         period_ms = ISOLATED_PERIOD_MS if self._is_isolated else PING_PERIOD_MS
-        if now_ms - self._pinged_ms < period_ms:
+        if (
+            now_ms - self._received_ms < SILENCE_MS
+            or now_ms - self._pinged_ms < period_ms
+        ):
             return
-        peers = self._sample()
-        team_name = self._filling_team(now_ms)
+        peers, team_name = self._sample(), self._watched_team(now_ms)
         if not peers or team_name is None:
             return
         if self._unanswered_count >= UNANSWERED_COUNT:
@@ -73,8 +74,12 @@
         for peer in peers:
             self._context.send(peer.address, self._ping(team_name, stated))
 
-    def _filling_team(self, now_ms: float) -> str | None:
-        """Returns a team whose bucket is not nearly full; None if all are."""
+    def _watched_team(self, now_ms: float) -> str | None:
+        """Returns a team whose bucket is to be watched; None if there is none.
+
+        Once others have been asked, the level of the buckets does not matter
+        until one answers.
+        """
         context = self._context
         for name, token_count in context.ledger.token_counts(now_ms).items():
             own = context.limits.own(name)
@@ -83,7 +88,8 @@
             domain = share.domain_share(
                 own.limit, context.bounds, context.domain_count
             )
-            if token_count < FULL_RATIO * domain.capacity_count:
+            is_filling = token_count < FULL_RATIO * domain.capacity_count
+            if is_filling or self._unanswered_count:
                 return name
         return None
 
--- a/hyssoptack/gateway/ratelimitcheck.py
+++ b/hyssoptack/gateway/ratelimitcheck.py
@@ -99,8 +99,16 @@
 
 
 def enforced(limit: teams.RateLimit | None) -> teams.RateLimit | None:
-    """Returns a limit, or None if it does not limit requests."""
-    return limit if limit is not None and limit.rate_per_s > 0 else None
+    """Returns a limit that can be applied; None if requests are not limited.
+
+    A rate above any plausible one does not limit requests.
+    """
+    if limit is None or not 0.0 < limit.rate_per_s <= MAX_RATE_PER_S:
+        return None
+    if 0.0 <= limit.burst_count <= MAX_RATE_PER_S:
+        return limit
+    burst_count = MAX_RATE_PER_S if limit.burst_count > 0.0 else 0.0
+    return dataclasses.replace(limit, burst_count=burst_count)
 
 
 class LimitVersions:
--- a/hyssoptack/gateway/ratelimitharness.py
+++ b/hyssoptack/gateway/ratelimitharness.py
@@ -17,6 +17,7 @@
 from hyssoptack.gateway import permitdecision
 from hyssoptack.gateway import ratelimiter
 from hyssoptack.http1 import message
+from hyssoptack.ratelimit import share
 from hyssoptack.settings import gateway
 
 NEAR_MS, FAR_MS = 0.1, 0.9
@@ -30,8 +31,20 @@
     rate_limit=teams.RateLimit(rate_per_s=23.0, burst_count=23.0),
 )
 
+LIMIT = TEAM.rate_limit
+BOUNDS = share.LimitBounds(
+    window_ms=SETTINGS.window_ms,
+    overage_ratio=SETTINGS.overage_ratio,
+    slack_count=SETTINGS.slack_count,
+)
+ALLOWED_COUNT = share.allowed_count(LIMIT, BOUNDS)
+"""Requests of the team that operators allow in a window."""
+
 FAR_PEER_COUNT = 3
 
+JOINED_S = 25.0
+"""Time after which an instance that joined no longer asks former owners."""
+
 
 class _SimulatedSelector(selectors.DefaultSelector):
     """Advances the simulated time instead of waiting."""
@@ -261,3 +274,49 @@
             sum(0 <= t - start < SETTINGS.window_ms for t in times)
             for start in times
         )
+
+
+def start(
+    count: int = 3,
+    domain_count: int = 1,
+    domain: str = "north",
+    network: Network | None = None,
+) -> Network:
+    """Starts the instances of a domain, with their lists.
+
+    Args:
+        count: Number of instances.
+        domain_count: Number of domains of a new network.
+        domain: The domain.
+        network: The network to add them to; None for a new one.
+    """
+    network = network or Network(domain_count)
+    for index in range(count):
+        network.add(f"{domain}-{index}", domain)
+    network.publish_lists()
+    return network
+
+
+async def warm_up(network: Network) -> list[Node]:
+    """Lets the first instance of the ranking begin; returns the ranking."""
+    ranked = network.ranked()
+    await asyncio.sleep(JOINED_S)
+    await ranked[-1].acquire()
+    assert ranked[0].limiter._ledger.owns(TEAM.name)
+    return ranked
+
+
+def count_of(
+    decisions: collections.abc.Iterable[permitdecision.Decision], kind: type
+) -> int:
+    """Returns the number of decisions of a kind."""
+    return sum(isinstance(each, kind) for each in decisions)
+
+
+async def elapsed_ms(
+    awaitable: collections.abc.Awaitable[typing.Any],
+) -> tuple[typing.Any, float]:
+    """Returns the result of an awaitable and the time that it took."""
+    started_ms = clock.now_ms()
+    result = await awaitable
+    return result, clock.now_ms() - started_ms
