Rate limits: transfers in their own module, fewer messages

Owners whose domains are all short asked each other after each permit, and owners of low limits checked for isolation without need.

--- a/hyssoptack/gateway/bucketowner.py
+++ b/hyssoptack/gateway/bucketowner.py
@@ -1,13 +1,12 @@
-"""The owner's side: answers requests for permits and for tokens.
+"""The owner's side: answers requests for permits.
 
-A request for permits that finds too few tokens waits for a transfer from the
-other failure domains. A request that names an owner as unreachable waits until
+A request that finds too few tokens waits for a transfer from the other failure
+domains. A request that names an owner as unreachable waits until
 this instance has asked that owner itself.
 """
 
 import collections.abc
 import dataclasses
-import random
 
 from hyssoptack.core import clock
 from hyssoptack.core import member
@@ -17,23 +16,16 @@
 from hyssoptack.gateway import ratelimitcheck
 from hyssoptack.gateway import ratelimitcontext
 from hyssoptack.gateway import tokencollection
+from hyssoptack.gateway import tokentransfers
 from hyssoptack.ratelimit import ledger
 
 PROBE_TIMEOUT_MS = 15.0
 """Time in which an owner that an asker could not reach must answer this
 instance (specified)."""
 
-TRANSFER_TIMEOUT_MS = 8.0
-"""Time in which other domains must answer: a round trip takes 2 ms, and askers
-wait for 15 ms."""
-
 TRANSFER_COUNT = 3
 """Most transfers for which one request waits."""
 
-TOKEN_TOLERANCE = 1e-6
-"""Excess of the tokens of a reply over those requested that is a rounding
-error."""
-
 OnReply = collections.abc.Callable[[ratelimitmessage.PermitReply], None]
 
 
@@ -88,9 +80,10 @@
         self._context = context
         self._collector = tokencollection.TokenCollector(context.send)
         self.changes = ownerchanges.OwnerChanges(context, self._collector)
-        self._transfers: dict[str, list[_Ask]] = {}
+        self.transfers = tokentransfers.TokenTransfers(
+            context, self._collector, self.changes
+        )
         self._probes: dict[int, _Probe] = {}
-        self._random = random.Random()
 
     # Requests for permits.
 
@@ -170,7 +163,7 @@
         match decision:
             case ledger.Granted(permit_count=permit_count):
                 ask.on_reply(self._reply(request, permit_count))
-                self._transfer_ahead(request.team, ask.limit, now_ms)
+                self.transfers.request_ahead(request.team, ask.limit, now_ms)
             case ledger.Denied() | ledger.NotOwned():
                 self._deny(ask, decision)
             case ledger.Short(missing_count=missing_count):
@@ -267,13 +260,12 @@
             self._deny_short(ask, now_ms)
             return
         ask.transfer_count += 1
-        waiting = self._transfers.get(team_name)
-        if waiting is not None:
-            waiting.append(ask)
-            return
-        ahead_count = self._context.ledger.transfer_count(team_name, now_ms)
-        self._transfer(
-            team_name, ask.limit, max(missing_count, ahead_count), [ask]
+        # The bucket may be handed over meanwhile.
+        self.transfers.request(
+            team_name,
+            ask.limit,
+            missing_count,
+            lambda: self._place(ask, clock.now_ms()),
         )
 
     def _deny_short(self, ask: _Ask, now_ms: float) -> None:
@@ -282,145 +274,17 @@
         )
         self._deny(ask, denied)
 
-    def _transfer_ahead(
-        self, team_name: str, limit: teams.RateLimit, now_ms: float
-    ) -> None:
-        """Requests tokens before the bucket is empty."""
-        if team_name in self._transfers:
-            return
-        wanted_count = self._context.ledger.transfer_count(team_name, now_ms)
-        if wanted_count > 0:
-            self._transfer(team_name, limit, wanted_count, [])
-
-    def _transfer(
-        self,
-        team_name: str,
-        limit: teams.RateLimit,
-        wanted_count: float,
-        waiting: list[_Ask],
-    ) -> None:
-        """Requests tokens from the owner in each other domain.
-
-        Args:
-            team_name: Name of the team.
-            limit: Its limit.
-            wanted_count: Tokens that can be used here.
-            waiting: Requests for permits that wait for the tokens.
-        """
-        context = self._context
-        received_counts: list[float] = []
-
-        def on_tokens(sender_id: str, token_count: float) -> bool:
-            now_ms = clock.now_ms()
-            if token_count > wanted_count + TOKEN_TOLERANCE:
-                context.report.log_ignored(
-                    team_name, sender_id, "more_than_requested", now_ms
-                )
-                return True
-            received_counts.append(token_count)
-            if token_count > 0:
-                context.report.count("transfers_received")
-                context.ledger.receive(team_name, limit, token_count, now_ms)
-            return sum(received_counts) < wanted_count
-
-        def on_end() -> None:
-            self._on_transfer_ended(team_name, sum(received_counts))
-
-        self._transfers[team_name] = waiting
-        stated = context.limits.stated(team_name, clock.now_ms())
-        if isinstance(stated, ratelimitcheck.UnknownTeam):
-            on_end()
-            return
-        context.report.count("transfers_requested")
-        self._collector.collect(
-            self._far_peers(),
-            lambda ask_id: ratelimitmessage.TransferRequest(
-                sender_id=context.own.instance_id,
-                sender_address=context.own.address,
-                ask_id=ask_id,
-                team=team_name,
-                limit=stated,
-                wanted_count=wanted_count,
-            ),
-            TRANSFER_TIMEOUT_MS,
-            tokencollection.Collection(
-                team=team_name, on_tokens=on_tokens, on_end=on_end
-            ),
-        )
-
-    def _far_peers(self) -> list[member.Peer]:
-        """Returns a random known instance of each other domain."""
-        by_domain: dict[str, list[member.Peer]] = {}
-        for each in self._context.far_peers():
-            by_domain.setdefault(each.failure_domain, []).append(each)
-        return [self._random.choice(each) for each in by_domain.values()]
-
-    def _on_transfer_ended(self, team_name: str, token_count: float) -> None:
-        waiting = self._transfers.pop(team_name)
-        now_ms = clock.now_ms()
-        if not token_count:
-            self._context.ledger.record_failed_transfer(team_name, now_ms)
-        for ask in waiting:
-            # The bucket may have been handed over meanwhile.
-            self._place(ask, now_ms)
-
-    def on_transfer_request(
-        self, request: ratelimitmessage.TransferRequest
-    ) -> None:
-        """Gives tokens to another domain, or forwards its request once."""
-        context, now_ms = self._context, clock.now_ms()
-        newest = context.limits.learn(request.team, request.limit, now_ms)
-        if isinstance(newest, ratelimitcheck.UnknownTeam):
-            context.report.log_ignored(
-                request.team, request.sender_id, "unknown_team", now_ms
-            )
-            return
-        if newest.limit is None or not context.ranking.has_list:
-            self._give(request, None)
-            return
-        place = self.changes.locate(request.team, newest.limit, (), now_ms)
-        match place:
-            case ownerchanges.Here():
-                self._give(request, newest.limit)
-            case ownerchanges.Starting():
-                self.changes.await_start(
-                    request.team, lambda: self._give(request, newest.limit)
-                )
-            case ownerchanges.Elsewhere(peer=peer) if not request.forwarded:
-                context.send(
-                    peer.address, dataclasses.replace(request, forwarded=True)
-                )
-            case _:
-                self._give(request, None)
-
-    def _give(
-        self,
-        request: ratelimitmessage.TransferRequest,
-        limit: teams.RateLimit | None,
-    ) -> None:
-        """Answers with the tokens that are not needed here."""
-        context, team_name = self._context, request.team
-        token_count = 0.0
-        if limit is not None and context.ledger.owns(team_name):
-            token_count = context.ledger.give(
-                team_name, limit, request.wanted_count, clock.now_ms()
-            )
-        if token_count > 0:
-            context.report.count("transfers_given")
-        reply = ratelimitmessage.TokenReply(
-            sender_id=context.own.instance_id,
-            ask_id=request.ask_id,
-            team=team_name,
-            token_count=token_count,
-        )
-        context.send(request.sender_address, reply)
-
     # Further messages and events.
 
     def on_token_reply(self, reply: ratelimitmessage.TokenReply) -> None:
         """Handles tokens from another instance."""
         self._collector.on_reply(reply)
 
+    def drop_idle(self, now_ms: float) -> None:
+        """Removes outdated state."""
+        self.changes.drop_idle(now_ms)
+        self.transfers.drop_idle(now_ms)
+
     def on_undelivered(self, undelivered: ratelimitmessage.Message) -> None:
         """Handles a request of this instance that could not be delivered."""
         own_id = self._context.own.instance_id
--- a/hyssoptack/gateway/isolationwatch.py
+++ b/hyssoptack/gateway/isolationwatch.py
@@ -88,6 +88,9 @@
             domain = share.domain_share(
                 own.limit, context.bounds, context.domain_count
             )
+            if domain.isolated_rate_per_s >= domain.rate_per_s:
+                # The limit is so low that its bucket may fill at full speed.
+                continue
             is_filling = token_count < FULL_RATIO * domain.capacity_count
             if is_filling or self._unanswered_count:
                 return name
--- a/hyssoptack/gateway/ratelimiter.py
+++ b/hyssoptack/gateway/ratelimiter.py
@@ -150,7 +150,7 @@
                 if not self._owner.on_reply(received):
                     self._asker.on_reply(received)
             case ratelimitmessage.TransferRequest():
-                self._owner.on_transfer_request(received)
+                self._owner.transfers.on_request(received)
             case ratelimitmessage.HandoverRequest():
                 self._owner.changes.on_handover_request(received, now_ms)
             case ratelimitmessage.TokenReply():
@@ -207,7 +207,7 @@
     def _drop_idle(self, now_ms: float) -> None:
         self._ledger.drop_idle(now_ms)
         self._limits.drop_outdated(now_ms)
-        self._owner.changes.drop_idle(now_ms)
+        self._owner.drop_idle(now_ms)
         self._asker.drop_idle(now_ms)
 
     def gauge_values(self) -> dict[str, float]:
