Rate limits: starts of many instances, and former owners that nobody asks

A bucket that another instance should own, and that nobody has used for 12 s, is given up. Tokens of a transfer that arrive after the time-out are kept.

--- a/hyssoptack/gateway/bucketowner.py
+++ b/hyssoptack/gateway/bucketowner.py
@@ -1,8 +1,8 @@
 """The owner's side: answers requests for permits.
 
 A request that finds too few tokens waits for a transfer from the other failure
-domains. A request that names an owner as unreachable waits until
-this instance has asked that owner itself.
+domains. A request that names an owner as unreachable waits until this instance
+has asked that owner itself.
 """
 
 import collections.abc
@@ -139,7 +139,7 @@
         )
         match place:
             case ownerchanges.Here():
-                self.changes.substitutions.record_use(request.team, now_ms)
+                self.changes.record_use(request.team, now_ms)
                 self._decide(ask, now_ms)
             case ownerchanges.Elsewhere(peer=peer):
                 redirect = dataclasses.replace(
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -58,6 +58,7 @@
         "instance_id",
         "metrics_address",
         "peer_address",
+        "rate_limit",
         "readiness_address",
     )
 )
--- a/hyssoptack/gateway/ownerchanges.py
+++ b/hyssoptack/gateway/ownerchanges.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from hyssoptack.core import clock
 from hyssoptack.core import member
@@ -28,6 +29,17 @@
 """Instances that are asked for their tokens: the next one in the ranking may
 have joined as well, and the former owner is then the one after it."""
 
+DOUBTFUL_START_COUNT = 1.0
+"""Largest start bucket of an instance that may not know of the owner. If 69
+instances start at once and a team sends 8 times its rate to all of them, 180
+requests run in 5 s (193 with the usual start bucket, 139 with 0.8 tokens, where
+171.8 are allowed); if it uses 30 of them, 136. With less than one token a single
+new instance would refuse a team's first request."""
+
+LIST_LAG_MS = 12_000.0
+"""Time after which a former owner that nobody has asked gives up its bucket.
+By then the lists of all instances name the new owner."""
+
 REDIRECT_MS = 15_000.0
 """Time for which a former owner names its successor. Lists of instances differ
 for up to 10 s after a change."""
@@ -99,6 +111,8 @@
         self._collector = collector
         self._starting: dict[str, list[OnStarted]] = {}
         self._redirects: dict[str, _Redirect] = {}
+        self._unsettled: set[str] = set()
+        self._used_ms: dict[str, float] = {}
         self.substitutions = substitutions.Substitutions(context)
 
     def locate(
@@ -118,7 +132,9 @@
         """
         ranking = self._context.ranking
         if self._context.ledger.owns(team_name):
-            return Here()
+            if not self._is_former(team_name, now_ms):
+                return Here()
+            self._end(team_name, ranking.ids_above_own(team_name)[0], now_ms)
         if team_name in self._starting:
             return Starting()
         redirect = self._redirects.get(team_name)
@@ -142,6 +158,37 @@
             self._begin_leading(team_name, limit, now_ms)
         return Here() if self._context.ledger.owns(team_name) else Starting()
 
+    def _is_former(self, team_name: str, now_ms: float) -> bool:
+        """Returns whether an owned bucket is out of use.
+
+        Another instance ranks first, and nobody has asked this one lately.
+        """
+        used_ms = self._used_ms.get(team_name, -math.inf)
+        return (
+            now_ms - used_ms > LIST_LAG_MS
+            and bool(self._context.ranking.ids_above_own(team_name))
+            and not self.substitutions.has(team_name)
+        )
+
+    def record_use(self, team_name: str, now_ms: float) -> None:
+        """Records that this instance was asked for permits of a team."""
+        self._used_ms[team_name] = now_ms
+        self.substitutions.record_use(team_name, now_ms)
+
+    def check(self, now_ms: float) -> None:
+        """Ends what waits for a time: substitutions, and starts in doubt."""
+        self.substitutions.check(now_ms)
+        ranking = self._context.ranking
+        if not self._unsettled or not ranking.is_settled(now_ms):
+            return
+        unsettled, self._unsettled = self._unsettled, set()
+        for name in unsettled:
+            above_ids = ranking.ids_above_own(name)
+            if above_ids and not self.substitutions.has(name):
+                self._end(name, above_ids[0], now_ms)
+            else:
+                self._context.ledger.confirm(name, now_ms)
+
     def await_start(self, team_name: str, on_started: OnStarted) -> None:
         """Calls a function when the start of a bucket is over."""
         self._starting[team_name].append(on_started)
@@ -173,12 +220,29 @@
         how: str,
         now_ms: float,
     ) -> None:
-        self._context.ledger.begin(team_name, limit, now_ms, token_count)
+        # Each of many instances that start at once may take itself for the
+        # owner. None of them creates tokens until their lists agree.
+        in_doubt = token_count is None and not self._context.ranking.is_settled(
+            now_ms
+        )
+        if in_doubt:
+            domain = share.domain_share(
+                limit, self._context.bounds, self._context.domain_count
+            )
+            token_count = min(DOUBTFUL_START_COUNT, domain.start_count)
+        self._context.ledger.begin(
+            team_name, limit, now_ms, token_count, provisional=in_doubt
+        )
+        if in_doubt:
+            self._unsettled.add(team_name)
+        self._used_ms[team_name] = now_ms
         self._context.report.log_begun(team_name, how, token_count)
 
     def _end(self, team_name: str, new_owner_id: str, now_ms: float) -> float:
         """Stops owning a bucket; returns its tokens."""
         self.substitutions.forget(team_name)
+        self._unsettled.discard(team_name)
+        self._used_ms.pop(team_name, None)
         token_count = self._context.ledger.hand_over(team_name, now_ms)
         self._context.report.log_ended(team_name, new_owner_id, token_count)
         return token_count
@@ -256,7 +320,10 @@
             self._ignore(received, "lower_rank", now_ms)
             return
         # Only while the list lacks the sender was this instance the owner.
-        leads = not context.ranking.ids_above_own(team_name)
+        leads = not (
+            context.ranking.ids_above_own(team_name)
+            or context.ranking.has_joined_recently(now_ms)
+        )
         if not context.ledger.owns(team_name) and leads and newest.limit:
             has_redirect = team_name in self._redirects
             if not has_redirect and team_name not in self._starting:
@@ -291,7 +358,16 @@
         )
 
     def drop_idle(self, now_ms: float) -> None:
-        """Removes outdated redirects."""
+        """Removes outdated state, and buckets that are out of use."""
+        for name in self._context.ledger.token_counts(now_ms):
+            if self._is_former(name, now_ms):
+                above_ids = self._context.ranking.ids_above_own(name)
+                self._end(name, above_ids[0], now_ms)
+        self._used_ms = {
+            name: used_ms
+            for name, used_ms in self._used_ms.items()
+            if now_ms - used_ms <= LIST_LAG_MS
+        }
         self._redirects = {
             name: each
             for name, each in self._redirects.items()
--- a/hyssoptack/gateway/ownerchanges_test.py
+++ b/hyssoptack/gateway/ownerchanges_test.py
@@ -216,3 +216,44 @@
         assert second.limiter._ledger.owns("team")
 
     ratelimitharness.run(test)
+
+
+def test_instances_that_start_at_once_do_not_all_own_the_bucket():
+    async def test():
+        network = ratelimitharness.Network(3)
+        for domain in ("north", "south", "west"):
+            for index in range(5):
+                network.add(f"{domain}-{index}", domain)
+        for node in network.nodes.values():
+            # The first list contains no other instance.
+            node.limiter.set_neighbours(())
+        tasks = [
+            asyncio.create_task(node.send_steadily(8 * 23 / 15, 8))
+            for node in network.nodes.values()
+        ]
+        await asyncio.sleep(1.5)
+        network.publish_lists()
+        await asyncio.gather(*tasks)
+        assert network.max_window_count() <= ratelimitharness.ALLOWED_COUNT
+        owners = [
+            node
+            for node in network.nodes.values()
+            if node.limiter._ledger.owns("team")
+        ]
+        assert len(owners) == 3
+
+    ratelimitharness.run(test)
+
+
+def test_a_former_owner_gives_up_a_bucket_that_nobody_uses():
+    async def test():
+        network = ratelimitharness.start()
+        former, _, _ = await ratelimitharness.warm_up(network)
+        new_owner = _add_new_owner(network)
+        network.publish_lists()
+        # No request reaches the new owner while it would ask for the tokens.
+        await asyncio.sleep(30)
+        await new_owner.acquire()
+        assert not former.limiter._ledger.owns("team")
+
+    ratelimitharness.run(test)
--- a/hyssoptack/gateway/ownerranking.py
+++ b/hyssoptack/gateway/ownerranking.py
@@ -10,6 +10,15 @@
 tokens. All lists contain it after 10 s; an owner that it did not ask by then
 gets no requests any more."""
 
+SETTLE_MS = 2_000.0
+"""Time after its first list in which an instance may not know of instances that
+started at the same time: its third read of the list is then over."""
+
+SECOND_LIST_MS = 400.0
+"""Time after the first list from which a further one contains most instances
+that started at the same time: the second read follows 500 ms after the first.
+"""
+
 
 class OwnerRanking:
     """The candidates for owner of each team's bucket.
@@ -26,6 +35,7 @@
         self._peers: dict[str, member.Peer] = {}
         self._candidates = ownership.OwnerCandidates()
         self._first_list_ms: float | None = None
+        self._has_second_list = False
         self._leads_since_ms = math.inf
 
     @property
@@ -39,6 +49,8 @@
         """Replaces the list of the other instances of the domain."""
         if self._first_list_ms is None:
             self._first_list_ms = self._leads_since_ms = now_ms
+        if now_ms - self._first_list_ms >= SECOND_LIST_MS:
+            self._has_second_list = True
         before = self._peers
         self._peers = {each.instance_id: each for each in neighbours}
         self._peers[self.own.instance_id] = self.own
@@ -79,12 +91,22 @@
         own_id = self.own.instance_id
         return [each for name, each in self._peers.items() if name != own_id]
 
+    def is_settled(self, now_ms: float) -> bool:
+        """Returns whether the list contains those that started with this one.
+
+        When all instances start at once, each may at first know of no other.
+        """
+        return self._has_second_list or self._listed_ms(now_ms) >= SETTLE_MS
+
+    def _listed_ms(self, now_ms: float) -> float:
+        """Returns the time since the first list; 0 if there is none."""
+        if self._first_list_ms is None:
+            return 0.0
+        return now_ms - self._first_list_ms
+
     def has_joined_recently(self, now_ms: float) -> bool:
         """Returns whether former owners may hold tokens of this instance."""
-        return (
-            self._first_list_ms is not None
-            and now_ms - self._first_list_ms < JOIN_WINDOW_MS
-        )
+        return self.has_list and self._listed_ms(now_ms) < JOIN_WINDOW_MS
 
     def lead_ms(self, now_ms: float) -> float:
         """Returns for how long this instance has certainly been the owner.
--- a/hyssoptack/gateway/ratelimiter.py
+++ b/hyssoptack/gateway/ratelimiter.py
@@ -179,7 +179,7 @@
         while True:
             now_ms = clock.now_ms()
             self._observe(now_ms)
-            self._owner.changes.substitutions.check(now_ms)
+            self._owner.changes.check(now_ms)
             self._isolation.check(now_ms)
             if now_ms >= idle_due_ms:
                 idle_due_ms = now_ms + IDLE_PERIOD_MS
@@ -210,13 +210,6 @@
         self._owner.drop_idle(now_ms)
         self._asker.drop_idle(now_ms)
 
-    def gauge_values(self) -> dict[str, float]:
-        """Returns gauges by name for the metrics page."""
-        return {
-            "rate_limit_owned_count": self._ledger.active_count,
-            "rate_limit_team_count": self._cache.active_count,
-        }
-
     def render(self, collectors: metrics.Metrics) -> None:
         """Copies the counts and levels of teams to the metric collectors."""
         now_ms = clock.now_ms()
--- a/hyssoptack/gateway/ratelimiter_test.py
+++ b/hyssoptack/gateway/ratelimiter_test.py
@@ -154,3 +154,22 @@
         assert waited_ms == 0
 
     ratelimitharness.run(test)
+
+
+def test_tokens_that_arrive_late_are_not_lost(monkeypatch):
+    async def test():
+        network = ratelimitharness.start(domain_count=2)
+        ratelimitharness.start(2, domain="south", network=network)
+        ranked = await ratelimitharness.warm_up(network)
+        await ranked[0].acquire_many(30)
+        monkeypatch.setattr(ratelimitharness, "FAR_MS", 15.0)
+        await asyncio.sleep(0.3)
+        before = ranked[0].tokens()
+        await ranked[0].acquire_many(int(before) + 1)
+        await asyncio.sleep(0.05)
+        report = ranked[0].limiter.report
+        received = report.event_count("transfers_received")
+        monkeypatch.setattr(ratelimitharness, "FAR_MS", 0.9)
+        assert received >= 1
+
+    ratelimitharness.run(test)
--- a/hyssoptack/gateway/ratelimits_test.py
+++ b/hyssoptack/gateway/ratelimits_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from hyssoptack.core import clock
 from hyssoptack.core import ratelimitmessage
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
@@ -39,6 +40,15 @@
                 await asyncio.sleep(0.02)
 
 
+async def _wait_settled(site):
+    """Waits until owners that have just started create tokens."""
+    async with asyncio.timeout(LIST_TIMEOUT_S):
+        for each in site.gateways.values():
+            ranking = each._rate_limiter._ranking
+            while not ranking.is_settled(clock.now_ms()):
+                await asyncio.sleep(0.02)
+
+
 async def _get(site, team, request_id, name="n1", path="/one/x"):
     fields = ((b"Authorization", b"Bearer key-" + team.encode()),)
     return await site.get(path, request_id, name=name, fields=fields)
@@ -51,6 +61,7 @@
     await site.start("n2", rate_limit=SETTINGS)
     await site.start("s1", rate_limit=SETTINGS, failure_domain="south")
     await _wait_for_lists(site, {"n1": 1, "n2": 1})
+    await _wait_settled(site)
 
 
 def _record_sent(site):
@@ -211,6 +222,7 @@
                 gateway_test.SINGLE, tenants=[_team("busy", 2.0, 2.0)]
             )
             started = await site.start("n1", rate_limit=SETTINGS)
+            await _wait_settled(site)
             version = started.view.version
             site.store.faults.down = True
             # Ends the watch that is in progress.
--- a/hyssoptack/gateway/substitutions.py
+++ b/hyssoptack/gateway/substitutions.py
@@ -87,6 +87,10 @@
         self._by_team[team_name] = begun
         self._ping(team_name, begun, now_ms)
 
+    def has(self, team_name: str) -> bool:
+        """Returns whether a team's bucket is owned in another's place."""
+        return team_name in self._by_team
+
     def forget(self, team_name: str) -> None:
         """Removes a team whose bucket was handed over."""
         self._by_team.pop(team_name, None)
--- a/hyssoptack/gateway/tokencollection.py
+++ b/hyssoptack/gateway/tokencollection.py
@@ -64,9 +64,10 @@
         on_tokens: Called with the sender's id and the count of each reply;
             returns whether the other replies are still needed.
         on_end: Called once, when no further reply is needed or expected. Tokens
-            that arrive between then and the time-out still reach `on_tokens`.
+            that arrive after that still reach `on_tokens`.
         addresses: Address of each instance that has not answered, by ask id.
         timeout: Ends the collection.
+        late_ms: Time after the time-out in which tokens are still accepted.
         has_ended: Whether `on_end` has been called.
     """
 
@@ -75,6 +76,7 @@
     on_end: collections.abc.Callable[[], None]
     addresses: dict[int, str] = dataclasses.field(default_factory=dict)
     timeout: Timeout | None = None
+    late_ms: float = 0.0
     has_ended: bool = False
 
     def end(self) -> None:
@@ -155,5 +157,12 @@
             collection.end()
 
     def _on_timeout(self, collection: Collection) -> None:
+        collection.end()
+        if collection.late_ms:
+            late_ms, collection.late_ms = collection.late_ms, 0.0
+            collection.timeout = Timeout(
+                late_ms, lambda: self._on_timeout(collection)
+            )
+            return
         for ask_id in tuple(collection.addresses):
             self._remove(ask_id, collection)
--- a/hyssoptack/gateway/tokentransfers.py
+++ b/hyssoptack/gateway/tokentransfers.py
@@ -22,6 +22,10 @@
 """Time in which other domains must answer: a round trip takes 2 ms, and askers
 wait for 15 ms."""
 
+LATE_MS = 500.0
+"""Time after that in which tokens are still added to the bucket: opening a
+connection between domains takes several milliseconds."""
+
 AHEAD_PAUSE_MS = 250.0
 """Time after a transfer in which tokens are requested only for requests that
 wait. Where all domains are short of tokens, their owners would otherwise ask
@@ -143,7 +147,10 @@
             ),
             TRANSFER_TIMEOUT_MS,
             tokencollection.Collection(
-                team=team_name, on_tokens=on_tokens, on_end=on_end
+                team=team_name,
+                on_tokens=on_tokens,
+                on_end=on_end,
+                late_ms=LATE_MS,
             ),
         )
 
