--- a/hyssoptack/gateway/ownerchanges.py
+++ b/hyssoptack/gateway/ownerchanges.py
@@ -33,8 +33,8 @@
 """Largest start bucket of an instance that may not know of the owner. If 69
 instances start at once and a team sends 8 times its rate to all of them, 180
 requests run in 5 s (193 with the usual start bucket, 139 with 0.8 tokens, where
-171.8 are allowed); if it uses 30 of them, 136. With less than one token a single
-new instance would refuse a team's first request."""
+171.8 are allowed); if it uses 30 of them, 136. With less than one token, a
+single new instance would refuse a team's first request."""
 
 LIST_LAG_MS = 12_000.0
 """Time after which a former owner that nobody has asked gives up its bucket.
