Rate limits: only the second in the ranking may replace an owner

Now only the first is skipped and only the second replaces it, and gives the bucket back once the first answers.

--- a/hyssoptack/ratelimit/ownership.py
+++ b/hyssoptack/ratelimit/ownership.py
@@ -36,6 +36,28 @@
     return rank(team_name, instance_id) > rank(team_name, other_id)
 
 
+def may_replace(
+    candidates: collections.abc.Sequence[str],
+    own_id: str,
+    skipped_ids: collections.abc.Collection[str],
+) -> bool:
+    """Returns whether an instance may own a bucket instead of a skipped owner.
+
+    Only the second in the ranking may. If the third replaced a slow second, and
+    so on, all instances would soon own a bucket of the team.
+
+    Args:
+        candidates: The candidates of the instance's own list.
+        own_id: The instance.
+        skipped_ids: Instances that the asker could not reach.
+    """
+    return (
+        len(candidates) > 1
+        and candidates[1] == own_id
+        and candidates[0] in skipped_ids
+    )
+
+
 class OwnerCandidates:
     """The highest-ranking instances of recently used teams."""
 
@@ -48,7 +70,12 @@
     def set_instances(
         self, instance_ids: collections.abc.Iterable[str]
     ) -> bool:
-        """Replaces the instances of the domain; returns whether they differ."""
+        """Replaces the instances of the domain; returns whether they differ.
+
+        Args:
+            instance_ids: The listed instances except those to which the link is
+                lost, and the own.
+        """
         updated = frozenset(instance_ids)
         if updated == self._instance_ids:
             return False
--- a/hyssoptack/ratelimit/share.py
+++ b/hyssoptack/ratelimit/share.py
@@ -2,8 +2,9 @@
 
 In any window the operator allows (rate x window + burst) x (1 + overage) +
 slack requests. The shares of all domains together create rate x window tokens
-and hold at most the burst. The rest, the excess, covers permits that are held
-ahead of demand, start buckets, and instances that cannot reach their domain.
+and hold little more than the burst. The rest, the excess, covers that little,
+permits that are held ahead of demand, start buckets, and owners that cannot
+reach their domain.
 """
 
 import dataclasses
--- a/hyssoptack/ratelimit/simulation.py
+++ b/hyssoptack/ratelimit/simulation.py
@@ -32,7 +32,9 @@
         nodes: Running instances by id.
         limits: Limits of the teams.
         cut_sites: Sites that cannot reach the others.
+        isolated_ids: Instances that reach no other instance.
         lost_ratio: Part of the messages that is lost.
+        late_ratio: Part of the messages that is 10 to 150 ms late.
         message_counts: Messages sent, by type.
         message_bytes: Their encoded sizes, by type.
     """
@@ -43,7 +45,9 @@
         self.nodes: dict[str, object] = {}
         self.limits: dict[str, teams.RateLimit] = {}
         self.cut_sites: set[int] = set()
+        self.isolated_ids: set[str] = set()
         self.lost_ratio = 0.0
+        self.late_ratio = LATE_MESSAGE_RATIO
         self.message_counts: collections.Counter = collections.Counter()
         self.message_bytes: collections.Counter = collections.Counter()
         self._codec = codec.Codec(ratelimitmessage.KINDS)
@@ -70,18 +74,19 @@
         """Sends a message; returns False if the link is known to be lost."""
         gone_ms = self._gone_ms.get(target_id)
         if gone_ms is not None and self.now_ms > gone_ms + LINK_LOSS_NOTICE_MS:
+            source.set_lost(target_id)
             return False
         kind = type(message).__name__
         self.message_counts[kind] += 1
         self.message_bytes[kind] += len(self._codec.encode(message)[1])
         target = self.nodes.get(target_id)
-        if target is None or self._is_cut(source.site, target.site):
+        if target is None or self._is_cut(source, target):
             return True
         if self.rng.random() < self.lost_ratio:
             return True
         delay_ms = 0.1 if source.site == target.site else 0.9
         delay_ms += self.rng.expovariate(1.0 / LOOP_DELAY_MEAN_MS)
-        if self.rng.random() < LATE_MESSAGE_RATIO:
+        if self.rng.random() < self.late_ratio:
             delay_ms += self.rng.uniform(10.0, 150.0)
         self.at(self.now_ms + delay_ms, self._deliver, target_id, message)
         return True
@@ -92,8 +97,11 @@
         if link_loss_is_seen:
             self._gone_ms[node_id] = self.now_ms
 
-    def _is_cut(self, site, other_site):
-        return site != other_site and bool(self.cut_sites & {site, other_site})
+    def _is_cut(self, source, target):
+        sites = {source.site, target.site}
+        return (len(sites) > 1 and bool(self.cut_sites & sites)) or bool(
+            self.isolated_ids & {source.node_id, target.node_id}
+        )
 
     def _deliver(self, target_id, message):
         target = self.nodes.get(target_id)
@@ -109,6 +117,7 @@
         spent_ms: Times at which requests were permitted.
         counts: Requests by outcome.
         wrong_count: Refusals while the team was within its limit.
+        wrong_ms: Times of these refusals.
         waits_ms: Waiting times of permitted requests.
     """
 
@@ -117,6 +126,7 @@
         default_factory=collections.Counter
     )
     wrong_count: int = 0
+    wrong_ms: list = dataclasses.field(default_factory=list)
     waits_ms: list = dataclasses.field(default_factory=list)
 
 
@@ -148,6 +158,8 @@
     Attributes:
         results: Results by team.
         load: Each team's demand as a part of its rate.
+        refund_ratio: Part of the permitted requests that is refused within
+            200 ms, for which the permit is refunded.
     """
 
     def __init__(self, world, retry_count=1):
@@ -158,6 +170,7 @@
         }
         self.results = {name: TeamResult() for name in world.limits}
         self.load = dict.fromkeys(world.limits, 0.6)
+        self.refund_ratio = 0.0
 
     def start(self, team_name, node_ids):
         """Starts one caller for each of some instances."""
@@ -192,13 +205,24 @@
             node.acquire,
             team_name,
             lambda outcome, retry_ms: self._decided(
-                team_name, begin_ms, outcome, retry_ms, tries_left
+                team_name, node, begin_ms, outcome, retry_ms, tries_left
             ),
         )
 
-    def _decided(self, team_name, begin_ms, outcome, retry_ms, tries_left):
+    def _decided(
+        self, team_name, node, begin_ms, outcome, retry_ms, tries_left
+    ):
         now_ms = self._world.now_ms
         result = self.results[team_name]
+        if outcome == "permitted" and (
+            self._world.rng.random() < self.refund_ratio
+        ):
+            node.after(
+                self._world.rng.uniform(0.0, 200.0),
+                lambda: node.cache.refund(team_name, self._world.now_ms),
+            )
+            result.counts["refunded"] += 1
+            return
         result.counts[outcome] += 1
         if outcome == "permitted":
             result.spent_ms.append(now_ms)
@@ -207,6 +231,7 @@
             return
         if self._exact[team_name].level(now_ms) >= 1.0:
             result.wrong_count += 1
+            result.wrong_ms.append(now_ms)
         if tries_left and retry_ms < 1_000.0:
             other = self._world.rng.choice(list(self._world.nodes))
             self._world.at(
@@ -218,6 +243,11 @@
             )
 
 
+def address(node_id) -> str:
+    """Returns an address of realistic length for the encoded messages."""
+    return f"10.20.{len(node_id)}.17:{30_000 + len(node_id)}"
+
+
 def worst_excess(times_ms, limit, bounds=BOUNDS) -> float:
     """Returns the largest number of requests above the allowed in a window."""
     allowed = share.allowed_count(limit, bounds)
