Rate limits: only the second in the ranking replaces an owner

With every instance skipping one slow instance after another, many owned a bucket of the same team (simulation of ratelimit). An instance to which the connection is lost is no candidate until it sends a message, so that a domain in which owner and second were killed still decides. Links that are closed because they are idle no longer count as lost.

--- a/hyssoptack/gateway/bucketowner.py
+++ b/hyssoptack/gateway/bucketowner.py
@@ -58,19 +58,17 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _Probe:
-    """Requests to owners that the asker of a request could not reach.
+    """A request to an owner that the asker of a request could not reach.
 
     Attributes:
         ask: The request.
-        owner: The owner that ranks first.
-        pending: Address of each instance that has not answered, by ask id.
+        owner: The owner.
         timeout: Ends the probe.
     """
 
     ask: _Ask
     owner: member.Peer
-    pending: dict[int, str]
-    timeout: tokencollection.Timeout | None = None
+    timeout: tokencollection.Timeout
 
 
 class BucketOwner:
@@ -152,8 +150,8 @@
                 self.changes.await_start(
                     request.team, lambda: self._place(ask, clock.now_ms())
                 )
-            case ownerchanges.Contested(peers=peers):
-                self._probe(ask, peers)
+            case ownerchanges.Contested(owner=owner):
+                self._probe(ask, owner)
 
     def _decide(self, ask: _Ask, now_ms: float) -> None:
         context, request = self._context, ask.request
@@ -181,30 +179,30 @@
 
     # Requests to owners that others could not reach.
 
-    def _probe(self, ask: _Ask, peers: tuple[member.Peer, ...]) -> None:
-        """Asks the owners above this instance in the asker's place."""
+    def _probe(self, ask: _Ask, owner: member.Peer) -> None:
+        """Asks the owner in the asker's place."""
         request = ask.request
         if not request.wanted_count:
             ask.on_reply(self._reply(request))
             return
-        probe = _Probe(ask=ask, owner=peers[0], pending={})
-        probe.timeout = tokencollection.Timeout(
-            PROBE_TIMEOUT_MS, lambda: self._on_unanswered(probe)
+        ask_id = next(self._context.ask_ids)
+        self._probes[ask_id] = _Probe(
+            ask=ask,
+            owner=owner,
+            timeout=tokencollection.Timeout(
+                PROBE_TIMEOUT_MS, lambda: self._on_unanswered(ask_id)
+            ),
         )
-        for peer in peers:
-            ask_id = next(self._context.ask_ids)
-            probe.pending[ask_id] = peer.address
-            self._probes[ask_id] = probe
-            forwarded = dataclasses.replace(
-                request,
-                sender_id=self._context.own.instance_id,
-                sender_address=self._context.own.address,
-                ask_id=ask_id,
-                prefetch_count=0,
-                held_count=0,
-                skipped_ids=(),
-            )
-            self._context.send(peer.address, forwarded)
+        forwarded = dataclasses.replace(
+            request,
+            sender_id=self._context.own.instance_id,
+            sender_address=self._context.own.address,
+            ask_id=ask_id,
+            prefetch_count=0,
+            held_count=0,
+            skipped_ids=(),
+        )
+        self._context.send(owner.address, forwarded)
 
     def on_reply(self, reply: ratelimitmessage.PermitReply) -> bool:
         """Handles the reply to a probe; returns whether it was one."""
@@ -221,33 +219,25 @@
             reply.permit_count or reply.retry_after_ms or reply.redirect_id
         )
         if not decided or reply.redirect_id == own_id:
-            self._remove_probe(reply.ask_id)
+            # The owner has restarted, or considers this instance the owner.
+            self._on_unanswered(reply.ask_id)
             return True
-        self._end_probe(probe)
+        self._end_probe(reply.ask_id)
         probe.ask.on_reply(dataclasses.replace(reply, ask_id=request.ask_id))
         return True
 
-    def _remove_probe(self, ask_id: int) -> None:
-        """Records that an instance gives no answer."""
+    def _end_probe(self, ask_id: int) -> _Probe:
         probe = self._probes.pop(ask_id)
-        del probe.pending[ask_id]
-        if not probe.pending:
-            self._on_unanswered(probe)
-
-    def _end_probe(self, probe: _Probe) -> None:
         probe.timeout.cancel()
-        for ask_id in probe.pending:
-            del self._probes[ask_id]
-        probe.pending.clear()
+        return probe
 
-    def _on_unanswered(self, probe: _Probe) -> None:
+    def _on_unanswered(self, ask_id: int) -> None:
         """Takes the place of an owner that does not answer."""
-        self._end_probe(probe)
-        ask, now_ms = probe.ask, clock.now_ms()
+        probe, now_ms = self._end_probe(ask_id), clock.now_ms()
         self.changes.substitutions.begin(
-            ask.request.team, ask.limit, probe.owner, now_ms
+            probe.ask.request.team, probe.ask.limit, probe.owner, now_ms
         )
-        self._place(ask, now_ms)
+        self._place(probe.ask, now_ms)
 
     # Tokens of other domains.
 
@@ -291,7 +281,7 @@
         match undelivered:
             case ratelimitmessage.PermitRequest(ask_id=ask_id):
                 if ask_id in self._probes:
-                    self._remove_probe(ask_id)
+                    self._on_unanswered(ask_id)
             case (
                 ratelimitmessage.TransferRequest(
                     sender_id=sender_id, ask_id=ask_id
@@ -306,6 +296,6 @@
         """Handles the loss of the connection to an instance."""
         self._collector.on_link_lost(address)
         for ask_id, probe in tuple(self._probes.items()):
-            if probe.pending.get(ask_id) == address:
-                self._remove_probe(ask_id)
+            if probe.owner.address == address:
+                self._on_unanswered(ask_id)
         self.changes.substitutions.on_link_lost(address, clock.now_ms())
--- a/hyssoptack/gateway/ownerchanges.py
+++ b/hyssoptack/gateway/ownerchanges.py
@@ -40,6 +40,10 @@
 """Time after which a former owner that nobody has asked gives up its bucket.
 By then the lists of all instances name the new owner."""
 
+HANDED_OVER_MS = 600_000.0
+"""Time for which an instance remembers that it has given up a bucket. A bucket
+that it begins later fills within seconds."""
+
 REDIRECT_MS = 15_000.0
 """Time for which a former owner names its successor. Lists of instances differ
 for up to 10 s after a change."""
@@ -68,13 +72,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Contested:
-    """All instances above this one are said not to answer.
+    """The owner is said not to answer, and this instance may replace it.
 
     Attributes:
-        peers: Those instances, best first.
+        owner: The owner.
     """
 
-    peers: tuple[member.Peer, ...]
+    owner: member.Peer
 
 
 Place = Here | Elsewhere | Starting | Contested
@@ -113,6 +117,7 @@
         self._redirects: dict[str, _Redirect] = {}
         self._unsettled: set[str] = set()
         self._used_ms: dict[str, float] = {}
+        self._handed_over_ms: dict[str, float] = {}
         self.substitutions = substitutions.Substitutions(context)
 
     def locate(
@@ -146,12 +151,12 @@
             redirect = None
         if redirect is not None:
             return Elsewhere(peer=redirect.peer)
-        above_ids = ranking.ids_above_own(team_name)
-        for each in above_ids:
-            if each not in skipped_ids:
-                return Elsewhere(peer=ranking.peer(each))
-        if above_ids:
-            return Contested(peers=tuple(map(ranking.peer, above_ids)))
+        ids = ranking.ids(team_name)
+        if ownership.may_replace(ids, ranking.own.instance_id, skipped_ids):
+            return Contested(owner=ranking.peer(ids[0]))
+        if ids[0] != ranking.own.instance_id:
+            other_id = ids[ids[0] in skipped_ids and len(ids) > 1]
+            return Elsewhere(peer=ranking.peer(other_id))
         if ranking.has_joined_recently(now_ms):
             self._request_handover(team_name, limit, now_ms)
         else:
@@ -199,8 +204,12 @@
         """Begins a bucket with the tokens of the time as first in the ranking.
 
         No other instance has created tokens of this team in that time, so that
-        a team that was idle finds a bucket as full as if it had been kept.
+        a team that was idle finds a bucket as full as if it had been kept. That
+        does not hold for a bucket that was handed over.
         """
+        if self._handed_over_ms.pop(team_name, None) is not None:
+            self._begin(team_name, limit, None, "leads", now_ms)
+            return
         domain = share.domain_share(
             limit, self._context.bounds, self._context.domain_count
         )
@@ -243,6 +252,7 @@
         self.substitutions.forget(team_name)
         self._unsettled.discard(team_name)
         self._used_ms.pop(team_name, None)
+        self._handed_over_ms[team_name] = now_ms
         token_count = self._context.ledger.hand_over(team_name, now_ms)
         self._context.report.log_ended(team_name, new_owner_id, token_count)
         return token_count
@@ -368,6 +378,11 @@
             for name, used_ms in self._used_ms.items()
             if now_ms - used_ms <= LIST_LAG_MS
         }
+        self._handed_over_ms = {
+            name: handed_over_ms
+            for name, handed_over_ms in self._handed_over_ms.items()
+            if now_ms - handed_over_ms <= HANDED_OVER_MS
+        }
         self._redirects = {
             name: each
             for name, each in self._redirects.items()
--- a/hyssoptack/gateway/ownerranking.py
+++ b/hyssoptack/gateway/ownerranking.py
@@ -10,6 +10,11 @@
 tokens. All lists contain it after 10 s; an owner that it did not ask by then
 gets no requests any more."""
 
+LOST_MS = 20_000.0
+"""Time after the loss of a connection in which an instance that sends nothing
+is no candidate: the duration of the lease under which a killed one is listed.
+"""
+
 SETTLE_MS = 2_000.0
 """Time after its first list in which an instance may not know of instances that
 started at the same time: its third read of the list is then over."""
@@ -34,6 +39,7 @@
         self.was_stopped = False
         self._peers: dict[str, member.Peer] = {}
         self._candidates = ownership.OwnerCandidates()
+        self._lost_ms: dict[str, float] = {}
         self._first_list_ms: float | None = None
         self._has_second_list = False
         self._leads_since_ms = math.inf
@@ -54,12 +60,39 @@
         before = self._peers
         self._peers = {each.instance_id: each for each in neighbours}
         self._peers[self.own.instance_id] = self.own
-        self._candidates.set_instances(self._peers)
+        self._update_candidates(now_ms)
         if before.keys() - self._peers.keys():
             # This instance may now be the owner in place of a removed one.
             self._leads_since_ms = now_ms
             self.was_stopped = False
 
+    def _update_candidates(self, now_ms: float) -> None:
+        self._lost_ms = {
+            instance_id: lost_ms
+            for instance_id, lost_ms in self._lost_ms.items()
+            if instance_id in self._peers and now_ms - lost_ms < LOST_MS
+        }
+        self._candidates.set_instances(
+            self._peers.keys() - self._lost_ms.keys()
+        )
+
+    def record_lost(self, address: str, now_ms: float) -> None:
+        """Records the loss of the connection to an instance."""
+        for instance_id, peer in self._peers.items():
+            if peer.address == address and peer is not self.own:
+                self._lost_ms[instance_id] = now_ms
+                self._update_candidates(now_ms)
+                # This instance may now be the owner in its place.
+                self._leads_since_ms = now_ms
+                self.was_stopped = False
+                return
+
+    def record_received(self, instance_id: str, now_ms: float) -> None:
+        """Records a message of an instance: it runs."""
+        if instance_id in self._lost_ms:
+            del self._lost_ms[instance_id]
+            self._update_candidates(now_ms)
+
     def record_stop(self, now_ms: float) -> None:
         """Records that this process was stopped until now."""
         if self.has_list:
--- a/hyssoptack/gateway/ownerskips.py
+++ b/hyssoptack/gateway/ownerskips.py
@@ -40,25 +40,31 @@
 
     def choose(
         self, team_name: str, now_ms: float
-    ) -> tuple[str, tuple[str, ...]] | None:
+    ) -> tuple[str, tuple[str, ...]]:
         """Returns whom to ask, and the skipped instances that rank above.
 
-        None if all candidates are skipped.
+        Only the first of the ranking is skipped, as only the second may replace
+        it (`ratelimit.ownership.may_replace`).
         """
         ids = self._ranking.ids(team_name)
-        chosen_id = next(
-            (each for each in ids if not self.is_skipped(each, now_ms)), None
-        )
-        if chosen_id is None:
-            return None
-        # A skipped instance may not be listed here: a former owner named it.
-        skipped_ids = tuple(
+        is_skipped = len(ids) > 1 and self.is_skipped(ids[0], now_ms)
+        chosen_id = ids[1] if is_skipped else ids[0]
+        return chosen_id, self.skipped_above(team_name, chosen_id, now_ms)
+
+    def skipped_above(
+        self, team_name: str, instance_id: str, now_ms: float
+    ) -> tuple[str, ...]:
+        """Returns the skipped instances that rank above another.
+
+        They need not be listed here: a former owner may have named its
+        successor.
+        """
+        return tuple(
             each
             for each in self._until_ms
             if self.is_skipped(each, now_ms)
-            and ownership.ranks_above(team_name, each, chosen_id)
+            and ownership.ranks_above(team_name, each, instance_id)
         )
-        return chosen_id, skipped_ids
 
     def drop_expired(self, now_ms: float) -> None:
         """Removes instances that are no longer skipped."""
--- a/hyssoptack/gateway/permitasker.py
+++ b/hyssoptack/gateway/permitasker.py
@@ -189,13 +189,12 @@
     # Messages to owners.
 
     def _ask_next(self, state: _TeamState, attempt: int) -> None:
-        """Asks the first instance of the ranking that is not skipped."""
+        """Asks the owner, or the second in the ranking if it is skipped."""
         name, now_ms = state.team.name, clock.now_ms()
-        chosen = self._skips.choose(name, now_ms)
-        if chosen is None or attempt > ATTEMPT_COUNT:
+        if attempt > ATTEMPT_COUNT:
             self._leave_undecided(state)
             return
-        chosen_id, skipped_ids = chosen
+        chosen_id, skipped_ids = self._skips.choose(name, now_ms)
         peer = self._context.ranking.peer(chosen_id)
         self._ask(state, peer, skipped_ids, attempt, 0)
 
--- a/hyssoptack/gateway/ratelimiter.py
+++ b/hyssoptack/gateway/ratelimiter.py
@@ -141,6 +141,7 @@
             )
             return True
         self._isolation.record_received(now_ms)
+        self._ranking.record_received(received.sender_id, now_ms)
         match received:
             case ratelimitmessage.PermitRequest(sender_address=address):
                 self._owner.on_permit_request(
@@ -167,8 +168,9 @@
 
     def on_link_lost(self, address: str) -> None:
         """Handles the loss of the connection to an instance."""
-        self._asker.on_link_lost(address)
+        self._ranking.record_lost(address, clock.now_ms())
         self._owner.on_link_lost(address)
+        self._asker.on_link_lost(address)
 
     # Periodic work.
 
--- a/hyssoptack/peers/link.py
+++ b/hyssoptack/peers/link.py
@@ -74,12 +74,14 @@
         dialled_ms: Time of the last dial.
         used_ms: Time of the last send.
         pipe_count: Number of open connections: 0 while not connected.
+        is_closed: Whether this process has closed the link.
     """
 
     socket: pynng.Push0
     dialled_ms: float
     used_ms: float
     pipe_count: int = 0
+    is_closed: bool = False
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -292,7 +294,9 @@
 
         def on_disconnected(_pipe: pynng.Pipe) -> None:
             link.pipe_count -= 1
-            if self._on_lost is not None:
+            # A link that is closed because it is idle says nothing about the
+            # peer.
+            if self._on_lost is not None and not link.is_closed:
                 self._call_soon(self._on_lost, address)
 
         socket.add_post_pipe_connect_cb(on_connected)
@@ -314,4 +318,6 @@
             for address, link in links.items()
             if link.used_ms < horizon_ms
         ]:
-            links.pop(address).socket.close()
+            link = links.pop(address)
+            link.is_closed = True
+            link.socket.close()
