--- a/hyssoptack/gateway/bucketowner.py
+++ b/hyssoptack/gateway/bucketowner.py
@@ -82,6 +82,7 @@
             context, self._collector, self.changes
         )
         self._probes: dict[int, _Probe] = {}
+        self._late_probes: dict[int, _Probe] = {}
 
     # Requests for permits.
 
@@ -210,7 +211,7 @@
             return True
         probe = self._probes.get(reply.ask_id)
         if probe is None:
-            return False
+            return self._on_late_reply(reply)
         request = probe.ask.request
         if reply.team != request.team:
             return True
@@ -226,6 +227,24 @@
         probe.ask.on_reply(dataclasses.replace(reply, ask_id=request.ask_id))
         return True
 
+    def _on_late_reply(self, reply: ratelimitmessage.PermitReply) -> bool:
+        """Keeps the permits of a reply after the time-out as tokens.
+
+        The owner has removed them from its bucket. Returns whether the reply
+        was one to a probe.
+        """
+        probe = self._late_probes.pop(reply.ask_id, None)
+        if probe is None:
+            return False
+        ask, now_ms = probe.ask, clock.now_ms()
+        if reply.team == ask.request.team and (
+            reply.permit_count <= ask.request.wanted_count
+        ):
+            self._context.ledger.receive(
+                reply.team, ask.limit, float(reply.permit_count), now_ms
+            )
+        return True
+
     def _end_probe(self, ask_id: int) -> _Probe:
         probe = self._probes.pop(ask_id)
         probe.timeout.cancel()
@@ -234,6 +253,7 @@
     def _on_unanswered(self, ask_id: int) -> None:
         """Takes the place of an owner that does not answer."""
         probe, now_ms = self._end_probe(ask_id), clock.now_ms()
+        self._late_probes[ask_id] = probe
         self.changes.substitutions.begin(
             probe.ask.request.team, probe.ask.limit, probe.owner, now_ms
         )
@@ -273,6 +293,7 @@
     def drop_idle(self, now_ms: float) -> None:
         """Removes outdated state."""
         self.changes.drop_idle(now_ms)
+        self._late_probes.clear()
         self.transfers.drop_idle(now_ms)
 
     def on_undelivered(self, undelivered: ratelimitmessage.Message) -> None:
--- a/hyssoptack/gateway/permitasker.py
+++ b/hyssoptack/gateway/permitasker.py
@@ -367,17 +367,20 @@
             self._ask(state, successor, (), ask.attempt, ask.redirect_count + 1)
 
     def _on_late_reply(self, reply: ratelimitmessage.PermitReply) -> None:
-        """Uses permits that arrive after the time-out."""
+        """Uses a decision that arrives after the time-out."""
         ask = self._late.get(reply.ask_id)
         if ask is None or not _answers(reply, ask):
             return
         del self._late[reply.ask_id]
         now_ms = clock.now_ms()
+        state = self._states[reply.team]
         if reply.sender_id == ask.target.instance_id:
             self._skips.end(reply.sender_id)
         if reply.permit_count:
             self.cache.add(reply.team, reply.permit_count, ask.asked_ms, now_ms)
-            self._advance(self._states[reply.team])
+        if reply.retry_after_ms and state.waiters:
+            self._deny(state, reply, now_ms)
+        self._advance(state)
 
     def team_names(self) -> list[str]:
         """Returns the teams that have sent requests lately."""
