--- a/hyssoptack/peers/link_test.py
+++ b/hyssoptack/peers/link_test.py
@@ -117,3 +117,41 @@
         assert "peer-0" not in own_links._last_received_ms
 
     asyncio.run(test())
+
+
+def test_only_a_link_that_the_peer_closes_is_reported_as_lost():
+    # An instance whose idle link is closed must not be taken for dead.
+    async def test():
+        addresses = [f"127.0.0.1:{ports.free_port()}" for _ in range(3)]
+        received, lost = [], []
+        peers = [links(each, received) for each in addresses[1:]]
+        sender = link.Links(
+            addresses[0],
+            100.0,
+            asyncio.get_running_loop(),
+            codec.Codec({1: TextMessage}),
+            lambda _frame: None,
+            lambda _address, _body: None,
+            lost.append,
+        )
+        running = [*peers, sender]
+        for each in running:
+            each.start()
+        text = TextMessage(sender_address=addresses[0], text="x")
+        try:
+            sender.send(addresses[1], text)
+            await until(lambda: len(received) == 1, 1.0)
+            await asyncio.sleep(0.15)
+            # Sending closes the other link, which is idle.
+            sender.send(addresses[2], text)
+            await until(lambda: len(received) == 2, 1.0)
+            await asyncio.sleep(0.05)
+            assert not lost
+            peers[1].stop()
+            running.remove(peers[1])
+            await until(lambda: lost == [addresses[2]], 1.0)
+        finally:
+            for each in running:
+                each.stop()
+
+    asyncio.run(test())
