--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -36,7 +36,7 @@
 from hyssoptack.gateway import quarantinestore
 from hyssoptack.gateway import quarantinesync
 from hyssoptack.gateway import querydelegation
-from hyssoptack.gateway import ratelimiter
+from hyssoptack.gateway import ratelimitsetup
 from hyssoptack.gateway import replicatedview
 from hyssoptack.gateway import requesthandler
 from hyssoptack.gateway import statuspages
@@ -165,15 +165,14 @@
             self._suspect_registry, self._store, storeformat.BLOCKED_PREFIX
         )
         self._pools.on_upstream_exit = self._quarantine_sync.on_upstream_exit
-        self._rate_limiter = ratelimiter.for_instance(
+        self._rate_limiter = ratelimitsetup.limit_rates(
             settings,
             self.view,
+            self._request_handler,
+            self._metrics,
             self._peering.send,
             self._call_relay.selector.peers,
         )
-        if self._rate_limiter is not None:
-            self._request_handler.limit_rates(self._rate_limiter)
-            self._metrics.on_render.append(self._rate_limiter.render)
         self._connect_peers()
         self._partition_monitor = partitionmonitor.PartitionMonitor(
             self.view,
--- a/hyssoptack/gateway/peerdispatch.py
+++ b/hyssoptack/gateway/peerdispatch.py
@@ -2,15 +2,18 @@
 
 import collections.abc
 import dataclasses
+import typing
 
 from hyssoptack.core import gatewaymessage
 from hyssoptack.gateway import callrelay
 from hyssoptack.gateway import gathererservice
 from hyssoptack.gateway import quarantinesync
 from hyssoptack.gateway import querydelegation
-from hyssoptack.gateway import ratelimiter
 from hyssoptack.gateway import requesthandler
 
+if typing.TYPE_CHECKING:
+    from hyssoptack.gateway import ratelimiter
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PeerDispatch:
@@ -33,7 +36,7 @@
     call_relay: callrelay.CallRelay
     gatherer_service: gathererservice.GathererService
     quarantine_sync: quarantinesync.QuarantineSync
-    rate_limiter: ratelimiter.RateLimiter | None
+    rate_limiter: "ratelimiter.RateLimiter | None"
 
     def on_message(self, peer_message: gatewaymessage.Message) -> None:
         """Handles a message of a peer."""
--- a/hyssoptack/gateway/ratelimiter.py
+++ b/hyssoptack/gateway/ratelimiter.py
@@ -231,17 +231,15 @@
     view: replicatedview.ReplicatedView,
     send: tokencollection.Send,
     far_peers: ratelimitcontext.FarPeers,
-) -> RateLimiter | None:
-    """Creates the rate limiter of a gateway; None if no limits are checked.
+) -> RateLimiter:
+    """Creates the rate limiter of a gateway.
 
     Args:
-        settings: The gateway's settings.
+        settings: The gateway's settings; `rate_limit` is set.
         view: The configuration in force.
         send: Sends a message to an address.
         far_peers: Returns some instances of the other failure domains.
     """
-    if settings.rate_limit is None:
-        return None
 
     def configured() -> tuple[int, teams.Directory | None]:
         configuration = view.route_table.configuration
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -3,6 +3,7 @@
 import dataclasses
 import http
 import random
+import typing
 
 from hyssoptack.balancing import connections
 from hyssoptack.core import clock
@@ -13,9 +14,7 @@
 from hyssoptack.gateway import inbound
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import querydelegation
-from hyssoptack.gateway import ratelimiter
 from hyssoptack.gateway import replicatedview
-from hyssoptack.gateway import requestpermits
 from hyssoptack.gateway import requestrun
 from hyssoptack.http1 import httpserver
 from hyssoptack.http1 import message
@@ -26,6 +25,9 @@
 from hyssoptack.planning import routetable
 from hyssoptack.platform import headers
 
+if typing.TYPE_CHECKING:
+    from hyssoptack.gateway import requestpermits
+
 
 def log_unreadable_request(status: int, reason: str) -> None:
     """Logs a request that was rejected before its id could be read."""
@@ -52,7 +54,7 @@
         self._caller_latency = callerlatency.CallerLatency()
         self.delegator: querydelegation.Delegator | None = None
         self.call_relay: callrelay.CallRelay | None = None
-        self._request_permits: requestpermits.RequestPermits | None = None
+        self.request_permits: requestpermits.RequestPermits | None = None
 
     def handle(self, exchange: httpserver.Exchange) -> None:
         """Handles a request received from a caller."""
@@ -122,7 +124,7 @@
         """Serves a caller's request if its key or its route allows it."""
         directory = self._view.route_table.configuration.team_directory
         if directory is None:
-            self._serve_caller(request, self._view.version)
+            self.serve_identified(request, self._view.version)
             return
         exchange = request.exchange
         key = headers.caller_key(exchange.request)
@@ -137,18 +139,12 @@
         # can pass the key on or log it.
         exchange.request = headers.identified_request(exchange.request, team)
         identified = dataclasses.replace(request, team=team)
-        if self._request_permits is None:
-            self._serve_caller(identified, self._view.version)
+        if self.request_permits is None:
+            self.serve_identified(identified, self._view.version)
         else:
-            self._request_permits.serve(identified, self._view.version)
-
-    def limit_rates(self, limiter: ratelimiter.RateLimiter) -> None:
-        """Lets requests of teams with a rate limit wait for permits."""
-        self._request_permits = requestpermits.RequestPermits(
-            limiter, self._serve_caller, self._refuse_limited
-        )
+            self.request_permits.serve(identified, self._view.version)
 
-    def _serve_caller(
+    def serve_identified(
         self, request: inbound.RoutedRequest, version: int
     ) -> None:
         """Serves a request routed by the configuration version `version`."""
@@ -215,7 +211,7 @@
                 reply = message.problem_reply(status, reason)
         self._answer_refusal(exchange, metadata, reply, reason)
 
-    def _refuse_limited(
+    def refuse_limited(
         self,
         request: inbound.RoutedRequest,
         status: int,
