Rate limits: an owner that no longer ranks first gives its bucket back

In the simulation an owner whose handover was lost kept a second bucket of its team for good. The ledger lists the owned teams for that check.

--- a/hyssoptack/ratelimit/ledger.py
+++ b/hyssoptack/ratelimit/ledger.py
@@ -177,6 +177,15 @@
         """Returns whether this instance owns a team's bucket."""
         return team_name in self._buckets or self._retired.is_idle(team_name)
 
+    def owned_teams(self) -> list[str]:
+        """Returns the teams whose buckets this instance owns.
+
+        An owner that no longer ranks first is to ask the instance that does
+        whether it answers, and then to give it the tokens: the handover that
+        a joining instance requests may be lost.
+        """
+        return [*self._buckets, *self._retired.idle_teams()]
+
     def is_provisional(self, team_name: str) -> bool:
         """Returns whether the bucket replaces one that may still be used."""
         found = self._buckets.get(team_name)
--- a/hyssoptack/ratelimit/ownership.py
+++ b/hyssoptack/ratelimit/ownership.py
@@ -36,26 +36,30 @@
     return rank(team_name, instance_id) > rank(team_name, other_id)
 
 
-def may_replace(
+def replaced_ids(
     candidates: collections.abc.Sequence[str],
     own_id: str,
     skipped_ids: collections.abc.Collection[str],
-) -> bool:
-    """Returns whether an instance may own a bucket instead of a skipped owner.
+) -> tuple[str, ...]:
+    """Returns the instances that this instance may replace as owner.
 
-    Only the second in the ranking may. If the third replaced a slow second, and
-    so on, all instances would soon own a bucket of the team.
+    It may if the asker could reach none of the instances that rank above, and
+    after it has asked each of them itself without an answer. An asker skips all
+    instances to which its link is lost, but only one that is merely silent: if
+    it skipped each that is slow, many instances would own a bucket of one team.
 
     Args:
         candidates: The candidates of the instance's own list.
         own_id: The instance.
         skipped_ids: Instances that the asker could not reach.
+
+    Returns:
+        The instances that rank above; empty if this instance may not begin.
     """
-    return (
-        len(candidates) > 1
-        and candidates[1] == own_id
-        and candidates[0] in skipped_ids
-    )
+    if own_id not in candidates:
+        return ()
+    above_ids = tuple(candidates[: candidates.index(own_id)])
+    return above_ids if set(above_ids) <= set(skipped_ids) else ()
 
 
 class OwnerCandidates:
--- a/hyssoptack/ratelimit/retired.py
+++ b/hyssoptack/ratelimit/retired.py
@@ -53,6 +53,10 @@
         """Returns whether an idle bucket of the team is owned."""
         return team_name in self._idle
 
+    def idle_teams(self) -> list[str]:
+        """Returns the teams whose idle buckets are owned."""
+        return list(self._idle)
+
     def set_idle(
         self,
         team_name: str,
--- a/hyssoptack/ratelimit/simulatedasker.py
+++ b/hyssoptack/ratelimit/simulatedasker.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from hyssoptack.core import ratelimitmessage
+from hyssoptack.ratelimit import ownership
 from hyssoptack.ratelimit import simulation
 
 ASK_TIMEOUT_MS = 15.0
@@ -51,12 +52,17 @@
             self._ask(team)
 
     def _target(self, team):
-        """Returns the instance to ask, and the skipped one before it."""
+        """Returns the instance to ask, and the skipped ones above it."""
         ranked = self._node.owners.of(team)
         until_ms = self._node.skipped.get(ranked[0], 0.0)
-        if until_ms > self._node.now_ms and len(ranked) > 1:
-            return ranked[1], ranked[:1]
-        return ranked[0], ()
+        skips = until_ms > self._node.now_ms and len(ranked) > 1
+        target_id = ranked[skips]
+        lost_ids = tuple(
+            each
+            for each in self._node.lost_ids
+            if ownership.ranks_above(team, each, target_id)
+        )
+        return target_id, lost_ids + ranked[:skips]
 
     def _ask(self, team, redirect_id=None):
         now_ms = self._node.now_ms
--- a/hyssoptack/ratelimit/simulatednode.py
+++ b/hyssoptack/ratelimit/simulatednode.py
@@ -11,6 +11,7 @@
 from hyssoptack.ratelimit import simulation
 
 STOP_MS = 300.0
+LIST_LAG_MS = 20_000.0
 
 
 class Node:
@@ -24,6 +25,7 @@
         cache: The permits that it holds.
         owners: The ranking of the instances of its group.
         skipped: Times until which instances are not asked.
+        lost_ids: Listed instances to which the link is lost.
         replies: Functions that get the replies to own requests, by their id.
     """
 
@@ -58,7 +60,9 @@
         self._ask_ids = itertools.count(1)
         self._frozen_until_ms = 0.0
         self._listed_ids: set[str] = set()
-        self._lost_ids: set[str] = set()
+        self._known_ids: set[str] = set()
+        self._joined_until_ms: dict[str, float] = {}
+        self.lost_ids: set[str] = set()
         self.set_members(members[group])
 
     @property
@@ -73,22 +77,32 @@
     def set_members(self, instance_ids):
         """Replaces the listed instances of the own group."""
         self._listed_ids = {*instance_ids, self.node_id}
-        self._lost_ids &= self._listed_ids
-        self.owners.set_instances(self._listed_ids - self._lost_ids)
-        self._owner.forget_redirects()
+        self._update_owners()
 
     def set_lost(self, node_id):
         """Records that the link to an instance is lost."""
-        self._lost_ids.add(node_id)
-        self.owners.set_instances(self._listed_ids - self._lost_ids)
-
-    def is_lost(self, node_id):
-        """Returns whether the link to an instance is lost."""
-        return node_id in self._lost_ids
+        self.lost_ids.add(node_id)
+        self._update_owners()
+
+    def set_joined(self, node_id):
+        """Records an instance that asked for a bucket, maybe not listed yet."""
+        self._joined_until_ms[node_id] = self.now_ms + LIST_LAG_MS
+        self._update_owners()
+
+    def _update_owners(self):
+        joined_ids = {
+            each
+            for each, until_ms in self._joined_until_ms.items()
+            if self.now_ms < until_ms
+        }
+        self._known_ids = self._listed_ids | joined_ids
+        self.lost_ids &= self._known_ids
+        if self.owners.set_instances(self._known_ids - self.lost_ids):
+            self._owner.on_members_changed()
 
     def is_listed_first(self, team):
         """Returns whether this instance ranks first, also above lost ones."""
-        return ownership.ranking(team, self._listed_ids)[0] == self.node_id
+        return ownership.ranking(team, self._known_ids)[0] == self.node_id
 
     def freeze(self, length_ms):
         """Stops the process for a time."""
--- a/hyssoptack/ratelimit/simulatedowner.py
+++ b/hyssoptack/ratelimit/simulatedowner.py
@@ -33,7 +33,6 @@
         self._transfers = transfers
         self._transferring = collections.defaultdict(list)
         self._stand_ins: dict[str, float] = {}
-        self._redirects: dict[str, str] = {}
         self._beginning = collections.defaultdict(list)
 
     def on_permit_request(self, message):
@@ -57,11 +56,16 @@
             ),
         )
 
-    def forget_redirects(self):
-        """Forgets the new owners that rank first in the current list."""
-        for team, owner_id in list(self._redirects.items()):
-            if self._node.owners.of(team)[0] == owner_id:
-                del self._redirects[team]
+    def on_members_changed(self):
+        """Polls the instances that now rank first for an owned bucket.
+
+        A joining instance may have begun without an answer to its handover.
+        """
+        for team in self._node.ledger.owned_teams():
+            first_id = self._node.owners.of(team)[0]
+            if first_id != self._node.node_id and team not in self._stand_ins:
+                self._stand_ins[team] = self._node.now_ms
+                self._poll_replaced(team, self._node.now_ms)
 
     def _when_owner(self, team, skipped_ids, act, redirect):
         """Calls `act` once this instance owns the bucket, else `redirect`."""
@@ -69,21 +73,18 @@
             act()
             return
         ranked = self._node.owners.of(team)
-        new_owner_id = self._redirects.get(team, "")
-        if new_owner_id in skipped_ids or self._node.is_lost(new_owner_id):
-            self._redirects.pop(team, None)
         if self._beginning[team]:
             self._beginning[team].append(act)
-        elif team in self._redirects:
-            redirect(self._redirects[team])
         elif ranked[0] == self._node.node_id:
             self._beginning[team].append(act)
             self._begin_joined(team, ranked[1:2])
-        elif ownership.may_replace(ranked, self._node.node_id, skipped_ids):
+        elif above_ids := ownership.replaced_ids(
+            ranked, self._node.node_id, skipped_ids
+        ):
             self._beginning[team].append(act)
-            self._begin_replacing(team, ranked[0])
+            self._begin_replacing(team, above_ids)
         else:
-            redirect(ranked[ranked[0] in skipped_ids])
+            redirect(next(each for each in ranked if each not in skipped_ids))
 
     def _begun(self, team):
         acts, self._beginning[team] = self._beginning[team], []
@@ -91,8 +92,6 @@
             act()
 
     def _begin_joined(self, team, next_ids):
-        self._redirects.pop(team, None)
-
         def finish(token_count):
             # An instance that did not own the bucket answers with no tokens.
             self._begin(team, token_count or None)
@@ -113,19 +112,29 @@
             lambda reply: finish(reply and reply.token_count),
         )
 
-    def _begin_replacing(self, team, owner_id):
-        def finish(reply):
+    def _begin_replacing(self, team, above_ids):
+        open_ids = set(above_ids)
+
+        def finish(asked_id, reply):
+            if not open_ids:
+                return
+            open_ids.discard(asked_id)
             if reply is not None and reply.redirect_id != self._node.node_id:
-                self._node.skipped.pop(owner_id, None)
+                open_ids.clear()
+                self._node.skipped.pop(asked_id, None)
                 acts, self._beginning[team] = self._beginning[team], []
                 for act in acts:
-                    self._pass_on(act, owner_id)
-                return
-            self._begin(team, None, provisional=True)
+                    self._pass_on(act, asked_id)
+            elif not open_ids:
+                self._begin(team, None, provisional=True)
 
-        self._node.request(
-            owner_id, self._node.probe(team), ASK_TIMEOUT_MS, finish
-        )
+        for asked_id in above_ids:
+            self._node.request(
+                asked_id,
+                self._node.probe(team),
+                ASK_TIMEOUT_MS,
+                functools.partial(finish, asked_id),
+            )
 
     def _pass_on(self, act, owner_id):
         # `act` serves a request; its first argument holds the message.
@@ -314,7 +323,7 @@
         ):
             return
         self._stand_ins.pop(message.team, None)
-        self._redirects[message.team] = message.sender_id
+        self._node.set_joined(message.sender_id)
         self._node.send_reply(
             message.sender_id,
             ratelimitmessage.TokenReply(
