Rate limits: simulated fleets with failures; unused permits are given back

With 4 of 10 attempts refused after their permit, 5 in 1,000 requests of teams below their rate were refused wrongly, as refunded permits expired unused.

--- a/hyssoptack/ratelimit/bound_test.py
+++ b/hyssoptack/ratelimit/bound_test.py
@@ -162,6 +162,14 @@
             self.spent_ms.remove(each)
             self._caches[domain][asker].refund(TEAM, self.now_ms)
 
+    def give_back(self, domain):
+        """Gives unused permits back to the owner."""
+        for cache in self._caches[domain]:
+            for count in cache.take_unused(self.now_ms).values():
+                self._owners[domain].take_back(
+                    TEAM, self.limit, count, self.now_ms
+                )
+
     def hold_all(self):
         """Lets all askers hold as many permits as they can get."""
         for domain in range(DOMAIN_COUNT):
@@ -269,6 +277,7 @@
     _step("change_owner", _domains, strategies.booleans()),
     _step("stop_process", _domains, _askers),
     _step("refund", _domains, _askers),
+    _step("give_back", _domains),
     _step("set_clock", strategies.sampled_from([0.0, -700.0, -3_000.0])),
     _step("set_limit", strategies.sampled_from(LIMITS)),
     _step("drop_idle"),
@@ -319,6 +328,7 @@
                 strategies.just(1.0),
             ),
             _step("set_clock", strategies.sampled_from([0.0, -3_000.0])),
+            _step("give_back", _domains),
         ),
         max_size=8,
     ),
--- a/hyssoptack/ratelimit/ledger.py
+++ b/hyssoptack/ratelimit/ledger.py
@@ -260,7 +260,7 @@
         token_count: float,
         now_ms: float,
     ) -> None:
-        """Adds tokens given by another domain or returned by an instance.
+        """Adds tokens given by another domain or a former owner.
 
         Tokens above the capacity are lost, as are those of a team that this
         instance does not own.
@@ -272,6 +272,23 @@
             found.add(token_count)
             found.received.record(token_count, now_ms)
 
+    def take_back(
+        self,
+        team_name: str,
+        limit: teams.RateLimit,
+        permit_count: int,
+        now_ms: float,
+    ) -> None:
+        """Adds permits that an instance of the own domain has not used.
+
+        They do not count as income, from which retry delays are computed.
+        """
+        if not share.is_plausible(permit_count):
+            return
+        found = self._current(team_name, limit, now_ms)
+        if found is not None:
+            found.add(permit_count)
+
     def give(
         self,
         team_name: str,
--- a/hyssoptack/ratelimit/permits.py
+++ b/hyssoptack/ratelimit/permits.py
@@ -18,8 +18,9 @@
 """Validity of a permit, from its request."""
 
 REFUND_EXPIRY_MS = 250.0
-"""Validity of a permit of an attempt that was not run, from its refund. With
-longer ones, refusals of a whole burst are carried into the next window."""
+"""Time for which the permit of an attempt that was not run is held, before it
+is given back to the owner. With a longer one, the permits of a whole burst of
+refused attempts are carried into the next window."""
 
 HELD_LIMIT_COUNT = 8
 """Largest number of permits held for a team ahead of demand."""
@@ -68,10 +69,12 @@
         self.denied_until_ms = -math.inf
         self.interval_ms = 0.0
         self.retry_slots = retryslots.RetrySlots()
+        self.unused_count = 0
 
     def expire(self, now_ms: float) -> None:
         while self.permits and self.permits[0].expires_ms <= now_ms:
             self.permits.popleft()
+            self.unused_count += 1
         self.pending = [
             each for each in self.pending if now_ms - each.asked_ms < EXPIRY_MS
         ]
@@ -178,6 +181,8 @@
         found.expire(now_ms)
         if len(found.permits) < HELD_LIMIT_COUNT:
             found.insert(1, now_ms + REFUND_EXPIRY_MS)
+        else:
+            found.unused_count += 1
 
     def refill_count(self, team_name: str, now_ms: float) -> int:
         """Returns the permits to ask for ahead of demand; 0 for none."""
@@ -236,10 +241,26 @@
             each.permit_count for each in found.pending
         )
 
+    def take_unused(self, now_ms: float) -> dict[str, int]:
+        """Removes and returns expired permits, to give them to the owners.
+
+        An owner adds them to its bucket (`ledger.Ledger.take_back`), up to the
+        capacity. A team of whose attempts many are refused would otherwise use
+        up its rate with requests that never ran.
+        """
+        unused = {}
+        for team_name, each in self._by_team.items():
+            each.expire(now_ms)
+            if each.unused_count:
+                unused[team_name] = each.unused_count
+                each.unused_count = 0
+        return unused
+
     def clear(self) -> None:
         """Drops all permits, after the process was stopped."""
         for each in self._by_team.values():
             each.permits.clear()
+            each.unused_count = 0
 
     def drop_idle(self, now_ms: float) -> None:
         """Drops permits beyond the limit, and teams without requests."""
@@ -247,5 +268,6 @@
             each.expire(now_ms)
             while len(each.permits) > HELD_LIMIT_COUNT:
                 each.permits.popleft()
+                each.unused_count += 1
             if now_ms - each.used_ms >= IDLE_MS:
                 del self._by_team[team_name]
--- a/hyssoptack/ratelimit/share.py
+++ b/hyssoptack/ratelimit/share.py
@@ -106,9 +106,9 @@
     """
     rate_per_s = limit.rate_per_s / domain_count
     slack_count = bounds.slack_count / domain_count
-    capacity_count = (
-        max(1.0, limit.burst_count / domain_count)
-        + CAPACITY_SLACK_RATIO * slack_count
+    capacity_count = max(
+        1.0,
+        limit.burst_count / domain_count + CAPACITY_SLACK_RATIO * slack_count,
     )
     excess = excess_count(limit, bounds)
     window_s = bounds.window_ms / 1_000.0
--- a/hyssoptack/ratelimit/simulatednode.py
+++ b/hyssoptack/ratelimit/simulatednode.py
@@ -12,6 +12,7 @@
 
 STOP_MS = 300.0
 LIST_LAG_MS = 20_000.0
+RETURN_PERIOD_MS = 250.0
 
 
 class Node:
@@ -64,6 +65,7 @@
         self._joined_until_ms: dict[str, float] = {}
         self.lost_ids: set[str] = set()
         self.set_members(members[group])
+        self.after(RETURN_PERIOD_MS, self._return_unused)
 
     @property
     def now_ms(self):
@@ -161,6 +163,19 @@
                     self.now_ms,
                 )
 
+    def _return_unused(self):
+        for team, permit_count in self.cache.take_unused(self.now_ms).items():
+            self.send_reply(
+                self.owners.of(team)[0],
+                ratelimitmessage.TokenReply(
+                    sender_id=self.node_id,
+                    ask_id=0,
+                    team=team,
+                    token_count=permit_count,
+                ),
+            )
+        self.after(RETURN_PERIOD_MS, self._return_unused)
+
     def send_reply(self, target_id, message):
         """Sends a reply, which may be to this instance itself."""
         if target_id == self.node_id:
