Rate limits: unused permits return to the owner

An instance returns expired permits and those of refused attempts each 0.5 s, to the owner, which accepts them only from listed instances. Askers also name the instances to which their link is lost.

--- a/hyssoptack/gateway/bucketowner.py
+++ b/hyssoptack/gateway/bucketowner.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from hyssoptack.core import clock
 from hyssoptack.core import member
@@ -26,6 +27,14 @@
 TRANSFER_COUNT = 3
 """Most transfers for which one request waits."""
 
+UNUSED_PERMITS_ID = 0
+"""Ask id of a `TokenReply` that nobody asked for: it gives back the permits
+that an instance has not used. Ids of requests begin at a random number."""
+
+MAX_UNUSED_COUNT = 100
+"""Largest plausible number of permits given back at once: an instance holds up
+to 8 of a team ahead of demand, and those of refused attempts."""
+
 OnReply = collections.abc.Callable[[ratelimitmessage.PermitReply], None]
 
 
@@ -58,17 +67,19 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _Probe:
-    """A request to an owner that the asker of a request could not reach.
+    """Requests to instances that the asker of a request could not reach.
 
     Attributes:
         ask: The request.
-        owner: The owner.
+        owner: The one of them that ranks first.
         timeout: Ends the probe.
+        addresses: Address of each that has not answered, by ask id.
     """
 
     ask: _Ask
     owner: member.Peer
-    timeout: tokencollection.Timeout
+    timeout: tokencollection.Timeout | None = None
+    addresses: dict[int, str] = dataclasses.field(default_factory=dict)
 
 
 class BucketOwner:
@@ -151,8 +162,8 @@
                 self.changes.await_start(
                     request.team, lambda: self._place(ask, clock.now_ms())
                 )
-            case ownerchanges.Contested(owner=owner):
-                self._probe(ask, owner)
+            case ownerchanges.Contested(peers=peers):
+                self._probe(ask, peers)
 
     def _decide(self, ask: _Ask, now_ms: float) -> None:
         context, request = self._context, ask.request
@@ -180,30 +191,30 @@
 
     # Requests to owners that others could not reach.
 
-    def _probe(self, ask: _Ask, owner: member.Peer) -> None:
-        """Asks the owner in the asker's place."""
+    def _probe(self, ask: _Ask, peers: tuple[member.Peer, ...]) -> None:
+        """Asks the instances that rank above in the asker's place."""
         request = ask.request
         if not request.wanted_count:
             ask.on_reply(self._reply(request))
             return
-        ask_id = next(self._context.ask_ids)
-        self._probes[ask_id] = _Probe(
-            ask=ask,
-            owner=owner,
-            timeout=tokencollection.Timeout(
-                PROBE_TIMEOUT_MS, lambda: self._on_unanswered(ask_id)
-            ),
-        )
-        forwarded = dataclasses.replace(
-            request,
-            sender_id=self._context.own.instance_id,
-            sender_address=self._context.own.address,
-            ask_id=ask_id,
-            prefetch_count=0,
-            held_count=0,
-            skipped_ids=(),
+        probe = _Probe(ask=ask, owner=peers[0])
+        probe.timeout = tokencollection.Timeout(
+            PROBE_TIMEOUT_MS, lambda: self._on_unanswered(probe)
         )
-        self._context.send(owner.address, forwarded)
+        for peer in peers:
+            ask_id = next(self._context.ask_ids)
+            probe.addresses[ask_id] = peer.address
+            self._probes[ask_id] = probe
+            forwarded = dataclasses.replace(
+                request,
+                sender_id=self._context.own.instance_id,
+                sender_address=self._context.own.address,
+                ask_id=ask_id,
+                prefetch_count=0,
+                held_count=0,
+                skipped_ids=(),
+            )
+            self._context.send(peer.address, forwarded)
 
     def on_reply(self, reply: ratelimitmessage.PermitReply) -> bool:
         """Handles the reply to a probe; returns whether it was one."""
@@ -220,10 +231,10 @@
             reply.permit_count or reply.retry_after_ms or reply.redirect_id
         )
         if not decided or reply.redirect_id == own_id:
-            # The owner has restarted, or considers this instance the owner.
-            self._on_unanswered(reply.ask_id)
+            # It has restarted, or considers this instance the owner.
+            self._on_no_answer(reply.ask_id)
             return True
-        self._end_probe(reply.ask_id)
+        self._end_probe(probe)
         probe.ask.on_reply(dataclasses.replace(reply, ask_id=request.ask_id))
         return True
 
@@ -245,15 +256,25 @@
             )
         return True
 
-    def _end_probe(self, ask_id: int) -> _Probe:
-        probe = self._probes.pop(ask_id)
+    def _end_probe(self, probe: _Probe) -> None:
         probe.timeout.cancel()
-        return probe
-
-    def _on_unanswered(self, ask_id: int) -> None:
+        for ask_id in probe.addresses:
+            del self._probes[ask_id]
+            self._late_probes[ask_id] = probe
+
+    def _on_no_answer(self, ask_id: int) -> None:
+        """Records that one of several instances gives no answer."""
+        probe = self._probes[ask_id]
+        if len(probe.addresses) == 1:
+            self._on_unanswered(probe)
+        else:
+            del self._probes[ask_id]
+            del probe.addresses[ask_id]
+
+    def _on_unanswered(self, probe: _Probe) -> None:
         """Takes the place of an owner that does not answer."""
-        probe, now_ms = self._end_probe(ask_id), clock.now_ms()
-        self._late_probes[ask_id] = probe
+        self._end_probe(probe)
+        now_ms = clock.now_ms()
         self.changes.substitutions.begin(
             probe.ask.request.team, probe.ask.limit, probe.owner, now_ms
         )
@@ -287,8 +308,24 @@
     # Further messages and events.
 
     def on_token_reply(self, reply: ratelimitmessage.TokenReply) -> None:
-        """Handles tokens from another instance."""
-        self._collector.on_reply(reply)
+        """Handles tokens from another instance, or permits given back."""
+        if reply.ask_id != UNUSED_PERMITS_ID:
+            self._collector.on_reply(reply)
+        elif self._context.ranking.peer(reply.sender_id) is not None:
+            self.take_back(reply.team, math.floor(reply.token_count))
+
+    def take_back(self, team_name: str, permit_count: int) -> None:
+        """Returns unused permits of this domain to the bucket."""
+        now_ms = clock.now_ms()
+        newest = self._context.limits.newest(team_name, now_ms)
+        if (
+            not isinstance(newest, ratelimitcheck.UnknownTeam)
+            and newest.limit is not None
+            and permit_count <= MAX_UNUSED_COUNT
+        ):
+            self._context.ledger.take_back(
+                team_name, newest.limit, permit_count, now_ms
+            )
 
     def drop_idle(self, now_ms: float) -> None:
         """Removes outdated state."""
@@ -302,7 +339,7 @@
         match undelivered:
             case ratelimitmessage.PermitRequest(ask_id=ask_id):
                 if ask_id in self._probes:
-                    self._on_unanswered(ask_id)
+                    self._on_no_answer(ask_id)
             case (
                 ratelimitmessage.TransferRequest(
                     sender_id=sender_id, ask_id=ask_id
@@ -317,6 +354,8 @@
         """Handles the loss of the connection to an instance."""
         self._collector.on_link_lost(address)
         for ask_id, probe in tuple(self._probes.items()):
-            if probe.owner.address == address:
-                self._on_unanswered(ask_id)
+            if ask_id in self._probes and (
+                probe.addresses.get(ask_id) == address
+            ):
+                self._on_no_answer(ask_id)
         self.changes.substitutions.on_link_lost(address, clock.now_ms())
--- a/hyssoptack/gateway/ownerchanges.py
+++ b/hyssoptack/gateway/ownerchanges.py
@@ -72,13 +72,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Contested:
-    """The owner is said not to answer, and this instance may replace it.
+    """All instances that rank above this one are said not to answer.
 
     Attributes:
-        owner: The owner.
+        peers: Those instances, best first.
     """
 
-    owner: member.Peer
+    peers: tuple[member.Peer, ...]
 
 
 Place = Here | Elsewhere | Starting | Contested
@@ -151,11 +151,15 @@
             redirect = None
         if redirect is not None:
             return Elsewhere(peer=redirect.peer)
-        ids = ranking.ids(team_name)
-        if ownership.may_replace(ids, ranking.own.instance_id, skipped_ids):
-            return Contested(owner=ranking.peer(ids[0]))
-        if ids[0] != ranking.own.instance_id:
-            other_id = ids[ids[0] in skipped_ids and len(ids) > 1]
+        ids, own_id = ranking.ids(team_name), ranking.own.instance_id
+        above_ids = ownership.replaced_ids(ids, own_id, skipped_ids)
+        if above_ids:
+            return Contested(peers=tuple(map(ranking.peer, above_ids)))
+        if ids[0] != own_id:
+            # The first one if this instance is no candidate at all.
+            other_id = next(
+                (each for each in ids if each not in skipped_ids), ids[0]
+            )
             return Elsewhere(peer=ranking.peer(other_id))
         if ranking.has_joined_recently(now_ms):
             self._request_handover(team_name, limit, now_ms)
@@ -369,7 +373,7 @@
 
     def drop_idle(self, now_ms: float) -> None:
         """Removes outdated state, and buckets that are out of use."""
-        for name in self._context.ledger.token_counts(now_ms):
+        for name in self._context.ledger.owned_teams():
             if self._is_former(name, now_ms):
                 above_ids = self._context.ranking.ids_above_own(name)
                 self._end(name, above_ids[0], now_ms)
--- a/hyssoptack/gateway/ownerranking.py
+++ b/hyssoptack/gateway/ownerranking.py
@@ -87,6 +87,10 @@
                 self.was_stopped = False
                 return
 
+    def lost_ids(self) -> set[str]:
+        """Returns the listed instances to which the connection is lost."""
+        return set(self._lost_ms)
+
     def record_received(self, instance_id: str, now_ms: float) -> None:
         """Records a message of an instance: it runs."""
         if instance_id in self._lost_ms:
--- a/hyssoptack/gateway/ownerskips.py
+++ b/hyssoptack/gateway/ownerskips.py
@@ -1,6 +1,7 @@
 """Owners that did not answer and are not asked for a while."""
 
 from hyssoptack.gateway import ownerranking
+from hyssoptack.gateway import ratelimitcheck
 from hyssoptack.gateway import ratelimitreport
 from hyssoptack.ratelimit import ownership
 
@@ -43,8 +44,9 @@
     ) -> tuple[str, tuple[str, ...]]:
         """Returns whom to ask, and the skipped instances that rank above.
 
-        Only the first of the ranking is skipped, as only the second may replace
-        it (`ratelimit.ownership.may_replace`).
+        Only the first of the ranking is skipped, and those to which the link is
+        lost: if each slow instance were skipped, many would own a bucket of one
+        team (`ratelimit.ownership.replaced_ids`).
         """
         ids = self._ranking.ids(team_name)
         is_skipped = len(ids) > 1 and self.is_skipped(ids[0], now_ms)
@@ -54,17 +56,19 @@
     def skipped_above(
         self, team_name: str, instance_id: str, now_ms: float
     ) -> tuple[str, ...]:
-        """Returns the skipped instances that rank above another.
+        """Returns the skipped and lost instances that rank above another.
 
         They need not be listed here: a former owner may have named its
         successor.
         """
+        skipped_ids = {
+            each for each in self._until_ms if self.is_skipped(each, now_ms)
+        }
         return tuple(
             each
-            for each in self._until_ms
-            if self.is_skipped(each, now_ms)
-            and ownership.ranks_above(team_name, each, instance_id)
-        )
+            for each in sorted(skipped_ids | self._ranking.lost_ids())
+            if ownership.ranks_above(team_name, each, instance_id)
+        )[: ratelimitcheck.MAX_SKIPPED_COUNT]
 
     def drop_expired(self, now_ms: float) -> None:
         """Removes instances that are no longer skipped."""
--- a/hyssoptack/gateway/ratelimiter.py
+++ b/hyssoptack/gateway/ratelimiter.py
@@ -40,6 +40,9 @@
 """Stop of this process after which its tokens and permits are dropped
 (specified). Others have used tokens in its place meanwhile."""
 
+GIVE_BACK_PERIOD_MS = 500.0
+"""How often permits that were not used are given back to their owners."""
+
 IDLE_PERIOD_MS = 5_000.0
 """How often the state of idle teams is removed."""
 
@@ -176,18 +179,37 @@
 
     async def run_periodically(self) -> None:
         """Detects stops of this process and removes outdated state."""
-        idle_due_ms = 0.0
+        idle_due_ms = give_back_due_ms = 0.0
         self._alive_ms = clock.now_ms()
         while True:
             now_ms = clock.now_ms()
             self._observe(now_ms)
             self._owner.changes.check(now_ms)
             self._isolation.check(now_ms)
+            if now_ms >= give_back_due_ms and self._ranking.has_list:
+                give_back_due_ms = now_ms + GIVE_BACK_PERIOD_MS
+                self._give_back(now_ms)
             if now_ms >= idle_due_ms:
                 idle_due_ms = now_ms + IDLE_PERIOD_MS
                 self._drop_idle(now_ms)
             await asyncio.sleep(CHECK_PERIOD_MS / message.MS_PER_S)
 
+    def _give_back(self, now_ms: float) -> None:
+        """Gives permits that were not used back to their owners."""
+        own_id = self._ranking.own.instance_id
+        for name, permit_count in self._cache.take_unused(now_ms).items():
+            owner = self._ranking.peer(self._ranking.ids(name)[0])
+            if owner.instance_id == own_id:
+                self._owner.take_back(name, permit_count)
+                continue
+            reply = ratelimitmessage.TokenReply(
+                sender_id=own_id,
+                ask_id=bucketowner.UNUSED_PERMITS_ID,
+                team=name,
+                token_count=permit_count,
+            )
+            self._send(owner.address, reply)
+
     def _observe(self, now_ms: float) -> None:
         """Empties the buckets if this process was stopped until now.
 
--- a/hyssoptack/gateway/ratelimiter_test.py
+++ b/hyssoptack/gateway/ratelimiter_test.py
@@ -173,3 +173,42 @@
         assert received >= 1
 
     ratelimitharness.run(test)
+
+
+def test_permits_of_refused_attempts_return_to_the_bucket():
+    async def test():
+        network = ratelimitharness.start(20)
+        await ratelimitharness.warm_up(network)
+        nodes, refused_count = list(network.nodes.values()), 0
+        for number in range(500):
+            # Each instance has the next request when the permit has expired.
+            node = nodes[number % len(nodes)]
+            decision = await node.acquire()
+            if not isinstance(decision, permitdecision.Permitted):
+                refused_count += 1
+            elif number % 2:
+                node.limiter.refund(ratelimitharness.TEAM)
+            await asyncio.sleep(1 / 38)
+        assert refused_count <= 5
+
+    ratelimitharness.run(test)
+
+
+def test_only_a_listed_instance_can_give_permits_back():
+    async def test():
+        network = ratelimitharness.start()
+        owner, _, asker = await ratelimitharness.warm_up(network)
+        await asker.acquire_many(20)
+        before = owner.tokens()
+        for sender_id, count in (("x", 5), (asker.peer.instance_id, 9_000)):
+            owner.limiter.on_message(
+                ratelimitmessage.TokenReply(
+                    sender_id=sender_id,
+                    ask_id=0,
+                    team="team",
+                    token_count=count,
+                )
+            )
+        assert owner.tokens() == before
+
+    ratelimitharness.run(test)
