--- a/hyssoptack/ratelimit/permits.py
+++ b/hyssoptack/ratelimit/permits.py
@@ -28,6 +28,11 @@
 AHEAD_S = 0.5
 """Recent demand for which permits are held, in seconds."""
 
+REFILL_PART_COUNT = 4
+"""Permits are asked for once a quarter of the target is left. At half, there
+were 1.1 times as many messages, and as many requests had to wait (`simulation`,
+68 instances)."""
+
 DEMAND_AVERAGE_MS = 1_000.0
 """Time over which the demand of a team is averaged."""
 
@@ -196,10 +201,9 @@
             max(1, round(AHEAD_S * found.demand.per_s(now_ms))),
         )
         held_count = self.held_count(team_name, now_ms)
-        # Asking at half of the target halves the messages.
-        return (
-            target_count - held_count if 2 * held_count <= target_count else 0
-        )
+        if held_count > target_count // REFILL_PART_COUNT:
+            return 0
+        return target_count - held_count
 
     def record_denial(
         self, team_name: str, retry_after_ms: float, now_ms: float
--- a/hyssoptack/ratelimit/simulatedfleet.py
+++ b/hyssoptack/ratelimit/simulatedfleet.py
@@ -31,7 +31,7 @@
     """
 
     instance_count: int
-    team_count: int = 30
+    team_count: int = 20
     seed: int = 1
     load: float = 0.6
     domain_count: int = SITE_COUNT
