--- a/hyssoptack/ratelimit/ledger.py
+++ b/hyssoptack/ratelimit/ledger.py
@@ -19,6 +19,10 @@
 TRANSFER_PAUSE_MS = 100.0
 """Time without further transfers after one that yielded no tokens."""
 
+ASK_LIMIT_COUNT = 10_000
+"""Largest plausible count in a request for permits: an instance serves some
+hundred requests a second and holds a few permits a team."""
+
 IDLE_MS = 60_000.0
 """Time without requests after which a team's state is reduced to its tokens."""
 
@@ -43,7 +47,7 @@
     def is_plausible(self) -> bool:
         """Whether no count is negative or absurd."""
         counts = (self.wanted_count, self.prefetch_count, self.held_count)
-        return all(share.is_plausible(each) for each in counts)
+        return all(0 <= each <= ASK_LIMIT_COUNT for each in counts)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -167,10 +171,7 @@
             found.refill(now_ms, self._isolated)
 
     def abandon(self, team_name: str, now_ms: float) -> None:
-        """Stops owning; the tokens are lost.
-
-        To be called when an owner answers again that was replaced.
-        """
+        """Stops owning, as a replaced owner answers; the tokens are lost."""
         self.hand_over(team_name, now_ms)
 
     def owns(self, team_name: str) -> bool:
