--- a/hyssoptack/gateway/ratelimitcheck.py
+++ b/hyssoptack/gateway/ratelimitcheck.py
@@ -8,11 +8,10 @@
 
 from hyssoptack.core import ratelimitmessage
 from hyssoptack.core import teams
+from hyssoptack.ratelimit import ledger
 
-MAX_COUNT = 100_000
-"""Highest plausible number of permits or tokens in a message. An instance
-serves less than 1,000 requests a second, and buckets hold a few seconds' rate.
-"""
+MAX_TOKEN_COUNT = 1_000_000
+"""Highest plausible number of tokens in a message: a bucket holds the burst."""
 
 MAX_RATE_PER_S = 10_000_000.0
 """Highest plausible rate or burst."""
@@ -48,26 +47,33 @@
         case ratelimitmessage.PermitRequest():
             return (
                 _is_limit(message.limit)
-                and _is_count(message.wanted_count)
-                and _is_count(message.prefetch_count)
-                and _is_count(message.held_count)
+                and _is_permit_count(message.wanted_count)
+                and _is_permit_count(message.prefetch_count)
+                and _is_permit_count(message.held_count)
                 and len(message.skipped_ids) <= MAX_SKIPPED_COUNT
             )
         case ratelimitmessage.PermitReply():
-            return _is_count(message.permit_count) and (
+            return _is_permit_count(message.permit_count) and (
                 0.0 <= message.retry_after_ms <= MAX_RETRY_MS
             )
         case ratelimitmessage.TransferRequest():
-            return _is_limit(message.limit) and _is_count(message.wanted_count)
+            return _is_limit(message.limit) and _is_token_count(
+                message.wanted_count
+            )
         case ratelimitmessage.HandoverRequest():
             return True
         case ratelimitmessage.TokenReply():
-            return _is_count(message.token_count)
+            return _is_token_count(message.token_count)
+
+
+def _is_permit_count(count: int) -> bool:
+    # A reply holds the wanted and the prefetched permits.
+    return 0 <= count <= 2 * ledger.ASK_LIMIT_COUNT
 
 
-def _is_count(count: float) -> bool:
+def _is_token_count(count: float) -> bool:
     # False for NaN as well.
-    return 0 <= count <= MAX_COUNT
+    return 0.0 <= count <= MAX_TOKEN_COUNT
 
 
 def _is_limit(versioned: ratelimitmessage.VersionedLimit) -> bool:
