Rate limits: a new configuration's limits apply to the buckets at once

After a raised limit the bucket kept the old rate until the next request, which was refused: test_rates_stay_in_force_while_the_store_is_away failed once in about 10 runs.

--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -196,9 +196,7 @@
     def _connect_peers(self) -> None:
         """Passes the messages of peers to the components."""
         dispatch = peerdispatch.PeerDispatch(
-            is_serving=lambda: (
-                self.view.is_complete and not self._stopping.is_set()
-            ),
+            is_serving=self._is_serving,
             request_handler=self._request_handler,
             delegator=self._delegator,
             call_relay=self._call_relay,
@@ -214,6 +212,8 @@
         self._caller_server.limits = configuration.limits
         self._warmups.set_services(configuration.services)
         self._extra_call_budget.shard_services = configuration.shard_services
+        if self._rate_limiter is not None:
+            self._rate_limiter.on_configuration()
 
     def _on_partition_change(self) -> None:
         """Sets whether caller connections close after their next reply.
@@ -229,12 +229,12 @@
             self._peering.publish_partition()
         self._request_handler.on_partition()
 
+    def _is_serving(self) -> bool:
+        return self.view.is_complete and not self._stopping.is_set()
+
     def _is_ready(self) -> bool:
-        return (
-            self.view.is_complete
-            and not self._stopping.is_set()
-            and not self._partition_detector.leaves_rotation
-        )
+        leaves_rotation = self._partition_detector.leaves_rotation
+        return self._is_serving() and not leaves_rotation
 
     def _gauge_values(self, now_ms: float) -> dict[str, float]:
         return {
--- a/hyssoptack/gateway/ratelimitcheck_test.py
+++ b/hyssoptack/gateway/ratelimitcheck_test.py
@@ -164,3 +164,19 @@
         assert isinstance(await waiting, permitdecision.Undecided)
 
     ratelimitharness.run(test)
+
+
+def test_a_raised_limit_allows_requests_at_once():
+    async def test():
+        network = ratelimitharness.start(1)
+        (node,) = await ratelimitharness.warm_up(network)
+        low = teams.RateLimit(rate_per_s=1.0, burst_count=1.0)
+        lowered = dataclasses.replace(ratelimitharness.TEAM, rate_limit=low)
+        node.teams, node.version = {"team": lowered}, 2
+        await node.acquire_many(30)
+        node.teams, node.version = {"team": ratelimitharness.TEAM}, 3
+        node.limiter.on_configuration()
+        await asyncio.sleep(0.3)
+        assert await node.acquire_many(4) == 4
+
+    ratelimitharness.run(test)
--- a/hyssoptack/gateway/ratelimiter.py
+++ b/hyssoptack/gateway/ratelimiter.py
@@ -132,6 +132,20 @@
         self._ranking.set_neighbours(neighbours, clock.now_ms())
         self._asker.on_list()
 
+    def on_configuration(self) -> None:
+        """Applies the limits of a new configuration to the owned buckets.
+
+        A bucket would otherwise fill at the old rate until the next request,
+        which a raised limit should already allow.
+        """
+        now_ms = clock.now_ms()
+        for name in self._ledger.token_counts(now_ms):
+            newest = self._limits.newest(name, now_ms)
+            if isinstance(newest, ratelimitcheck.UnknownTeam):
+                continue
+            if newest.limit is not None:
+                self._ledger.receive(name, newest.limit, 0.0, now_ms)
+
     def on_message(self, received: object) -> bool:
         """Handles a message; returns whether it was for rate limiting."""
         if not isinstance(received, ratelimitmessage.Message):
