--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -98,8 +98,17 @@
         }
         self.store.put(f"servers/{upstream_id}", json.dumps(entry).encode())
 
-    def configure(self, *routes: dict[str, object]) -> int:
-        """Writes a configuration with the given routes; returns its version."""
+    def configure(
+        self,
+        *routes: dict[str, object],
+        tenants: list[dict[str, object]] | None = None,
+    ) -> int:
+        """Writes a configuration and returns its version.
+
+        Args:
+            *routes: The routes; fields that are not given have defaults.
+            tenants: The teams with their keys; None if callers need no keys.
+        """
         self._version += 3
         names = set()
         for route in routes:
@@ -132,6 +141,8 @@
                 "idle_timeout_ms": 1500,
             },
         }
+        if tenants is not None:
+            body["tenants"] = tenants
         self.store.put("op/config", json.dumps(body).encode())
         return self._version
 
@@ -228,11 +239,12 @@
         name: str = "gateway-1",
         method: str = "GET",
         body: bytes = b"",
+        fields: tuple[message.Header, ...] = (),
     ) -> Response:
         """Sends a request on a new connection and returns the response."""
         return await send_raw(
             self.settings[name].callers_address,
-            request_bytes(path, request_id, deadline_ms, method, body),
+            request_bytes(path, request_id, deadline_ms, method, body, fields),
         )
 
     def run_count(self, request_id: str) -> int:
@@ -260,9 +272,11 @@
     deadline_ms: int = 2_000,
     method: str = "GET",
     body: bytes = b"",
+    fields: tuple[message.Header, ...] = (),
 ) -> bytes:
-    """Returns the bytes of a caller's request."""
+    """Returns the bytes of a caller's request, with further header fields."""
     headers = [
+        *fields,
         (b"Host", HOST.encode()),
         (b"X-Request-Id", request_id.encode()),
         (b"X-Request-Deadline", b"%d" % deadline_ms),
--- a/hyssoptack/gateway/inbound.py
+++ b/hyssoptack/gateway/inbound.py
@@ -39,6 +39,8 @@
         exchange: The exchange that answers the request.
         metadata: Request id, host and deadline from the request's headers.
         route_match: The matching route and its services.
+        version: Configuration version that decided the route and the team. A
+            newer one may come into force while the request waits.
         caller_spent_ms: Time that the caller had spent on earlier attempts
             before it sent this request.
         transit_margin_ms: Part of the latency goal reserved for transit.
@@ -49,6 +51,7 @@
     exchange: Exchange
     metadata: headers.RequestMetadata
     route_match: routetable.RouteMatch
+    version: int = 0
     caller_spent_ms: float = 0.0
     transit_margin_ms: float = 0.0
     team: teams.Team | None = None
--- a/hyssoptack/gateway/replicatedview.py
+++ b/hyssoptack/gateway/replicatedview.py
@@ -20,6 +20,10 @@
 """Time within which a running upstream registers again after the store's
 return (specified); an upstream that is missing for longer is gone."""
 
+LOGGED_TEAM_COUNT = 20
+"""Maximum number of ambiguous teams named in one log line: there may be
+10,000, and the log buffer holds 256 KB."""
+
 
 @dataclasses.dataclass(kw_only=True)
 class ReplicatedView:
@@ -107,14 +111,13 @@
             source=source,
             route_count=len(offered.routes),
         )
-        if (
-            offered.team_directory is not None
-            and offered.team_directory.ambiguous_names
-        ):
+        directory = offered.team_directory
+        if directory is not None and directory.ambiguous_names:
             log.write(
                 log.Event.TEAMS_AMBIGUOUS,
                 revision=offered.version,
-                teams=offered.team_directory.ambiguous_names,
+                count=len(directory.ambiguous_names),
+                teams=directory.ambiguous_names[:LOGGED_TEAM_COUNT],
             )
         return True
 
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -61,11 +61,24 @@
         """Accepts or declines a query that a neighbour delegates."""
         # Under another configuration version the query could run in a way
         # that its sender's configuration does not allow.
-        can_serve = ready and delegation_request.version == self._view.version
+        can_serve = (
+            ready
+            and delegation_request.version == self._view.version
+            and self._knows_team(delegation_request.team)
+        )
         exchange = self.delegator.accept(delegation_request, can_serve)
         if exchange is not None:
             self._serve(exchange, delegation_request)
 
+    def _knows_team(self, name: str) -> bool:
+        """Returns whether a team exists; an empty name means no team.
+
+        An instance that has the same version with other content would send the
+        query's calls without their team.
+        """
+        directory = self._view.route_table.configuration.team_directory
+        return not name or (directory is not None and name in directory.by_name)
+
     def _serve(
         self,
         exchange: inbound.Exchange,
@@ -92,6 +105,7 @@
                     exchange=exchange,
                     metadata=metadata,
                     route_match=match_result,
+                    version=self._view.version,
                 )
                 if delegation_request is None:
                     self._identify_caller(request)
@@ -104,12 +118,15 @@
         delegation_request: gatewaymessage.DelegationRequest,
     ) -> None:
         directory = self._view.route_table.configuration.team_directory
+        team = None
+        if directory is not None:
+            team = directory.by_name.get(delegation_request.team)
+            # The sender has removed the caller's key, unless it runs a release
+            # without teams.
+            exchange = request.exchange
+            exchange.request = headers.without_identity(exchange.request)
         prepared = dataclasses.replace(
-            request,
-            transit_margin_ms=delegation_request.away_ms,
-            team=directory.by_name.get(delegation_request.team)
-            if directory
-            else None,
+            request, transit_margin_ms=delegation_request.away_ms, team=team
         )
         run = requestrun.RequestRun(self, prepared, awaits_grant=True)
         request.exchange.on_commit = run.on_attempts_granted
@@ -132,7 +149,7 @@
             return
         # Removed here, so that nothing that handles the request from now on
         # can pass the key on or log it.
-        exchange.request = headers.identified_request(exchange.request, team)
+        exchange.request = headers.without_identity(exchange.request)
         self._serve_caller(dataclasses.replace(request, team=team))
 
     def _serve_caller(self, request: inbound.RoutedRequest) -> None:
@@ -146,13 +163,12 @@
                 request.exchange.request.is_first,
             )
             timed = dataclasses.replace(timed, caller_spent_ms=spent_ms)
-        version = self._view.version
         suspect_registry = self._plan_context.suspect_registry
         keep_local = self.delegator is None or (
             suspect_registry.has_entries
             and suspect_registry.is_tracked(timed.fingerprint)
         )
-        if keep_local or not self.delegator.try_delegate(timed, version):
+        if keep_local or not self.delegator.try_delegate(timed, timed.version):
             self.run_locally(timed, may_have_run=False)
 
     def run_locally(
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -56,7 +56,7 @@
         self._exchange = exchange
         self._metadata = metadata
         self._route = route_match.route
-        self._version = handler.view.version
+        self._version = request.version
         self._now_ms = clock.now_ms()
         received_ms = exchange.request.received_ms
         self._spent_ms = request.caller_spent_ms
@@ -83,7 +83,9 @@
             self._plan_request, handler.plan_context, self._now_ms
         )
         self.fingerprint = request.fingerprint
-        self._forwarded = headers.forwarded_request(exchange.request)
+        self._forwarded = headers.forwarded_request(
+            exchange.request, self._team_name
+        )
         self._calls: dict[int, pool.Call] = {}
         self._traces: dict[int, calltrace.Trace] = {}
         self._relayed: list[callrelay.PendingRelay] = []
--- a/hyssoptack/http1/message.py
+++ b/hyssoptack/http1/message.py
@@ -41,7 +41,8 @@
 
     method: bytes
     target: bytes
-    headers: tuple[Header, ...]
+    # A header may hold the caller's key, so no record prints them.
+    headers: tuple[Header, ...] = dataclasses.field(repr=False)
     body: bytes
     received_ms: float
     keep_alive: bool
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -6,7 +6,6 @@
 import dataclasses
 import http
 
-from hyssoptack.core import teams
 from hyssoptack.core import traffic
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
@@ -100,25 +99,13 @@
     return words[1]
 
 
-def identified_request(
-    request: message.Request, team: teams.Team | None
-) -> message.Request:
-    """Replaces the caller's key by the name of its team.
-
-    Args:
-        request: The request as the caller sent it.
-        team: The caller's team; None if it is anonymous.
-
-    Returns:
-        The request without the key, and without any team that the caller named.
-    """
+def without_identity(request: message.Request) -> message.Request:
+    """Returns a request without its caller's key and the team it named."""
     kept = tuple(
         each
         for each in request.headers
         if each[0].lower() not in _IDENTITY_HEADERS
     )
-    if team is not None:
-        kept += ((_TEAM, team.name.encode()),)
     return dataclasses.replace(request, headers=kept)
 
 
@@ -142,13 +129,22 @@
     body: bytes
 
 
-def forwarded_request(request: message.Request) -> ForwardedRequest:
-    """Builds the bytes that every upstream call of a request shares."""
+def forwarded_request(
+    request: message.Request, team_name: str = ""
+) -> ForwardedRequest:
+    """Builds the bytes that every upstream call of a request shares.
+
+    Args:
+        request: The request, `without_identity` where there are teams.
+        team_name: Name of the caller's team; empty if there is none.
+    """
+    fields = message.end_to_end_headers(request.headers, _NOT_FORWARDED_HEADERS)
+    if team_name:
+        # Added last: a caller's `Connection` field may name this header, and
+        # the fields that it names are removed.
+        fields.append((_TEAM, team_name.encode()))
     head = message.request_head(
-        request.method,
-        request.target,
-        message.end_to_end_headers(request.headers, _NOT_FORWARDED_HEADERS),
-        len(request.body),
+        request.method, request.target, fields, len(request.body)
     )
     return ForwardedRequest(head=head, body=request.body)
 
--- a/hyssoptack/platform/headers_test.py
+++ b/hyssoptack/platform/headers_test.py
@@ -114,3 +114,40 @@
     assert b"X-Keep: 2" in data
     for absent in (b"forged", b"X-Hop", b"close"):
         assert absent not in data
+
+
+@pytest.mark.parametrize(
+    ("values", "key"),
+    [
+        ((), None),
+        ((b"",), None),
+        ((b"Bearer",), None),
+        ((b"Bearer k",), b"k"),
+        ((b"bEARER \t k ",), b"k"),
+        ((b"Bearer k k",), None),
+        ((b"Basic k",), None),
+        ((b"Bearer k", b"Bearer k"), None),
+        ((b"Bearer " + b"k" * 8_192,), b"k" * 8_192),
+        ((b"Bearer \xe9\xff",), b"\xe9\xff"),
+    ],
+)
+def test_a_key_is_read_only_from_a_single_bearer_header(values, key):
+    fields = ((b"AUTHORIZATION", each) for each in values)
+    assert headers.caller_key(request(HOST, *fields)) == key
+
+
+def test_no_spelling_of_key_or_team_headers_is_kept():
+    given = request(
+        HOST,
+        (b"AUTHORIZATION", b"Bearer k"),
+        (b"authorization", b"Bearer l"),
+        (b"X-TENANT-ID", b"forged"),
+        (b"x-tenant-id", b"forged"),
+    )
+    assert headers.without_identity(given).headers == (HOST,)
+
+
+def test_the_team_is_forwarded_though_a_connection_option_names_it():
+    given = request(HOST, (b"Connection", b"x-tenant-id"))
+    assert b"X-Tenant-Id: red" in headers.forwarded_request(given, "red").head
+    assert b"X-Tenant-Id" not in headers.forwarded_request(given).head
--- a/hyssoptack/platform/storeformat.py
+++ b/hyssoptack/platform/storeformat.py
@@ -72,9 +72,9 @@
     name: str
     api_keys: list[str]
     priority: int | None = None
-    # 0 means that the team is not limited.
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    # 0 or null means that the team is not limited.
+    rate_per_s: float | None = None
+    burst: float | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -186,14 +186,13 @@
 
 
 def _team(raw: _Tenant) -> teams.Team:
-    return teams.Team(
-        name=raw.name,
-        priority=raw.priority,
-        rate_limit=teams.RateLimit(
-            rate_per_s=raw.rate_per_s, burst_count=max(0.0, raw.burst)
+    rate_limit = None
+    if raw.rate_per_s is not None and raw.rate_per_s > 0:
+        rate_limit = teams.RateLimit(
+            rate_per_s=raw.rate_per_s, burst_count=max(0.0, raw.burst or 0.0)
         )
-        if raw.rate_per_s > 0
-        else None,
+    return teams.Team(
+        name=raw.name, priority=raw.priority, rate_limit=rate_limit
     )
 
 
--- a/hyssoptack/platform/storeformat_test.py
+++ b/hyssoptack/platform/storeformat_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hyssoptack.core import teams
 from hyssoptack.core import traffic
 from hyssoptack.platform import storeformat
 
@@ -133,3 +134,78 @@
 )
 def test_an_invalid_upstream_entry_is_an_error_value(key, data):
     assert "unreadable" in storeformat.parse_upstream(key, data).error
+
+
+RED = {"name": "red", "api_keys": ["k-1", "k-2"]}
+
+
+@pytest.mark.parametrize(
+    ("fields", "team"),
+    [
+        ({}, teams.Team(name="red")),
+        ({"rate_per_s": 0, "burst": 5}, teams.Team(name="red")),
+        ({"rate_per_s": None, "burst": None}, teams.Team(name="red")),
+        ({"priority": 0}, teams.Team(name="red", priority=0)),
+        (
+            {"rate_per_s": 23, "burst": 7},
+            teams.Team(
+                name="red",
+                rate_limit=teams.RateLimit(rate_per_s=23, burst_count=7),
+            ),
+        ),
+        (
+            {"rate_per_s": 0.5},
+            teams.Team(
+                name="red",
+                rate_limit=teams.RateLimit(rate_per_s=0.5, burst_count=0),
+            ),
+        ),
+    ],
+)
+def test_a_team_without_a_rate_is_not_limited(fields, team):
+    data = stored(tenants=[{**RED, **fields}])
+    directory = storeformat.parse_configuration(data).ok.team_directory
+    assert directory.find(b"k-2") == team
+    assert directory.find(b"k-3") is None
+
+
+def test_absent_teams_differ_from_an_empty_list():
+    # Without teams all callers are served; with an empty list, none are.
+    assert storeformat.parse_configuration(stored()).ok.team_directory is None
+    found = storeformat.parse_configuration(stored(tenants=[])).ok
+    assert found.team_directory.find(b"") is None
+
+
+def test_routes_need_a_key_unless_they_say_otherwise():
+    routes = [
+        {**ROUTE, "service": "one"},
+        {**ROUTE, "service": "one", "allow_anonymous": True},
+    ]
+    found = storeformat.parse_configuration(stored(*routes)).ok
+    assert [each.allows_anonymous for each in found.routes] == [False, True]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"name": "red\r\nX-Forged: 1"},
+        {"name": ""},
+        {"name": "équipe"},
+        {"api_keys": "k-secret"},
+        {"api_keys": {"k-secret": 1}},
+        {"api_keys": ["k-secret", 5]},
+        {"api_keys": ["k-secret"], "rate_per_s": "x"},
+    ],
+)
+def test_the_error_of_an_invalid_team_shows_no_key(changes):
+    data = stored(tenants=[{**RED, "api_keys": ["k-secret"], **changes}])
+    error = storeformat.parse_configuration(data).error
+    assert "unreadable" in error
+    assert "k-secret" not in error
+    cut = storeformat.parse_configuration(data[:-20]).error
+    assert "k-secret" not in cut
+
+
+def test_a_decoded_configuration_prints_no_key():
+    data = stored(tenants=[{**RED, "api_keys": ["k-secret"]}])
+    assert "k-secret" not in repr(storeformat.parse_configuration(data).ok)
