Teams: cheaper decoding, and a measurement by number of teams

Cause: the cost at 10,000 teams was not known. Ruled out: turning the garbage collector off while decoding: 2 to 3% less. Change: the check of names looks at whole strings; `make slopes-teams`.

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 	$(BIN)/ruff check --fix --exit-zero hyssoptack bench soak
 	$(BIN)/ruff format hyssoptack bench soak
 
-SLOPES := upstream-client peer-message stages plan gossip memory claims charts
+SLOPES := upstream-client peer-message stages plan gossip memory claims charts teams
 
 .PHONY: proofs measures slopes $(addprefix slopes-,$(SLOPES))
 
--- a/hyssoptack/platform/storeformat.py
+++ b/hyssoptack/platform/storeformat.py
@@ -26,7 +26,6 @@
 
 _IDEMPOTENT = "idempotent"
 _DRAINING = "draining"
-_VISIBLE_ASCII = range(0x21, 0x7F)
 
 
 class _SplitPart(msgspec.Struct):
@@ -253,4 +252,8 @@
 
 def _is_visible_ascii(name: str) -> bool:
     """Returns whether a name is visible ASCII only, and not empty."""
-    return bool(name) and all(ord(each) in _VISIBLE_ASCII for each in name)
+    # Printable ASCII is visible ASCII and the space. A look at each character
+    # took a fifth of the time to decode a configuration with 10,000 teams.
+    return (
+        name.isascii() and name.isprintable() and " " not in name
+    ) and bool(name)
