Report: requests of each team, by outcome and reason

Cause: nothing showed an operator what became of a team's requests. Change: `hyssoptack report teams LOGS...`. Lines with a team also name its rate, and `query_back` says so when it ends a query (502) and names the team.

--- a/hyssoptack/gateway/inbound.py
+++ b/hyssoptack/gateway/inbound.py
@@ -26,9 +26,19 @@
         """Sends the answer to the sender of the request."""
 
 
-def team_fields(team_name: str) -> dict[str, str]:
-    """Returns the log field of a team; no field if the name is empty."""
-    return {"team": team_name} if team_name else {}
+def team_fields(
+    team_name: str, rate_per_s: float | None = None
+) -> dict[str, object]:
+    """Returns the log fields of a team.
+
+    Args:
+        team_name: Name of the team; no fields if it is empty.
+        rate_per_s: The team's rate limit; no field if it is not limited.
+    """
+    if not team_name:
+        return {}
+    rate = {} if rate_per_s is None else {"rate_per_s": rate_per_s}
+    return {"team": team_name, **rate}
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -68,6 +78,12 @@
         """Name of the caller's team; empty if there is none."""
         return self.team.name if self.team is not None else ""
 
+    @property
+    def rate_per_s(self) -> float | None:
+        """The team's rate limit; None if there is none."""
+        limit = self.team.rate_limit if self.team is not None else None
+        return limit.rate_per_s if limit is not None else None
+
     @property
     def reserved_ms(self) -> float:
         """Part of the latency goal used by transit and earlier attempts."""
--- a/hyssoptack/gateway/querydelegation.py
+++ b/hyssoptack/gateway/querydelegation.py
@@ -381,8 +381,8 @@
         self._parent.selector.record_failure(self._peer.address, clock.now_ms())
         self._send_cancel()
         self._end()
-        self._log_taken_back(reason, may_have_run=True)
         status = http.HTTPStatus.BAD_GATEWAY
+        self._log_taken_back(reason, True, status=int(status))
         self._query.exchange.answer(
             message.problem_reply(status, "neighbour_lost")
         )
@@ -407,7 +407,7 @@
             neighbour=self._peer.instance_id,
             status=answer.status,
             took_ms=round(clock.now_ms() - self._received_ms, 1),
-            **inbound.team_fields(self._query.team_name),
+            **self._team_fields(),
         )
 
     def _take_back(self, reason: str, may_have_run: bool) -> None:
@@ -417,7 +417,13 @@
         self._log_taken_back(reason, may_have_run)
         self._parent.run_locally(self._query, may_have_run)
 
-    def _log_taken_back(self, reason: str, may_have_run: bool) -> None:
+    def _log_taken_back(
+        self, reason: str, may_have_run: bool, **outcome: int
+    ) -> None:
+        """Logs the end of the delegation, with any status that ends the query.
+
+        Without a status, the query runs here and its end is logged then.
+        """
         log.write(
             log.Event.QUERY_BACK,
             request_id=self._query.request_id,
@@ -425,6 +431,13 @@
             ask_id=self._ask_id,
             reason=reason,
             may_have_run=may_have_run,
+            **outcome,
+            **self._team_fields(),
+        )
+
+    def _team_fields(self) -> dict[str, object]:
+        return inbound.team_fields(
+            self._query.team_name, self._query.rate_per_s
         )
 
     def _on_caller_left(self) -> None:
--- a/hyssoptack/platform/storeformat.py
+++ b/hyssoptack/platform/storeformat.py
@@ -254,6 +254,6 @@
     """Returns whether a name is visible ASCII only, and not empty."""
     # Printable ASCII is visible ASCII and the space. A look at each character
     # took a fifth of the time to decode a configuration with 10,000 teams.
-    return (
-        name.isascii() and name.isprintable() and " " not in name
-    ) and bool(name)
+    return (name.isascii() and name.isprintable() and " " not in name) and bool(
+        name
+    )
--- a/hyssoptack/scripts/main.py
+++ b/hyssoptack/scripts/main.py
@@ -13,6 +13,7 @@
 from hyssoptack.core import member
 from hyssoptack.reports import burn as burn_report
 from hyssoptack.reports import fleet
+from hyssoptack.reports import teams as team_report
 from hyssoptack.revisions import change
 from hyssoptack.revisions import members as members_client
 from hyssoptack.revisions import store
@@ -378,6 +379,23 @@
         burn_report.plot(report, plot)
 
 
+@report_application.command(name="teams")
+def report_teams(*logs: pathlib.Path, as_json: AsJson = False) -> None:
+    """Show what became of each team's requests, and its rate limit.
+
+    Args:
+        logs: Log files of all instances; each file is in order of time.
+    """
+    try:
+        totals = team_report.count(logs)
+    except OSError as error:
+        _fail(f"{error.filename}: {error.strerror}", EXIT_USAGE)
+    if as_json:
+        print(json.dumps(team_report.document(totals)))
+    else:
+        print(team_report.text(totals))
+
+
 @application.command
 def query(
     service: str,
