--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,6 +13,7 @@
 from hyssoptack.gateway import harness
 from hyssoptack.http1 import message
 from soak import environment
+from soak import teams
 
 DEADLINE_MS = 1_500
 ANSWER_LIMIT_S = 3.0
@@ -52,6 +53,7 @@
             `unanswered` (no response within the limit), `left` (the caller
             disconnected) or `unconnected` (connection failed).
         response: The response; its status is 0 if there is none.
+        key: The key that it was sent with; empty if it had none.
     """
 
     request_id: str
@@ -61,6 +63,7 @@
     ended_ms: float
     outcome: str
     response: harness.Response
+    key: str = ""
 
 
 _NO_RESPONSE = harness.Response(status=0, headers={}, body=b"")
@@ -69,8 +72,16 @@
 class Caller:
     """A caller that sends one request after the other."""
 
-    def __init__(self, number: int, seed: int, gateways: dict[str, str]):
+    def __init__(
+        self,
+        number: int,
+        seed: int,
+        gateways: dict[str, str],
+        identity: teams.CallerIdentity | None = None,
+    ):
         self._number = number
+        self._identity = identity
+        self._credentials = teams.Credentials()
         self._gateways = gateways
         self._random = random.Random(f"{seed}/{number}")
         self._idle_connections: dict[
@@ -98,6 +109,8 @@
         gateway = self._random.choice(tuple(self._gateways))
         method = "POST" if path == environment.NON_IDEMPOTENT_PATH else "GET"
         body = b"book" if path == environment.NON_IDEMPOTENT_PATH else b""
+        if self._identity is not None:
+            self._credentials = self._identity.next_credentials()
         data = message.request_bytes(
             method.encode(),
             path.encode() + path_suffix,
@@ -105,6 +118,7 @@
                 (b"Host", environment.HOST.encode()),
                 (b"X-Request-Id", request_id.encode()),
                 (b"X-Request-Deadline", b"%d" % DEADLINE_MS),
+                *self._credentials.fields,
             ],
             body,
         )
@@ -182,6 +196,7 @@
                 ended_ms=clock.now_ms(),
                 outcome=outcome,
                 response=response,
+                key=self._credentials.key,
             )
         )
 
@@ -189,8 +204,14 @@
 class CrashingCaller(Caller):
     """A caller that repeatedly sends a request that crashes upstreams."""
 
-    def __init__(self, path: str, seed: int, gateways: dict[str, str]):
-        super().__init__(CRASHING_CALLER_NUMBER, seed, gateways)
+    def __init__(
+        self,
+        path: str,
+        seed: int,
+        gateways: dict[str, str],
+        identity: teams.CallerIdentity | None = None,
+    ):
+        super().__init__(CRASHING_CALLER_NUMBER, seed, gateways, identity)
         self._path = path
 
     async def _send_next(self, request_id: str) -> None:
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -10,11 +10,15 @@
 from hyssoptack.standins import kvstore
 from soak import faults
 from soak import proxy
+from soak import teams
 
 HOST = "soak.example"
 SHARD_COUNT = 6
 SINGLE_PATH, NON_IDEMPOTENT_PATH, FANOUT_PATH = "/single/", "/once/", "/all/"
 MOVED_PATH = "/moved/"
+ANONYMOUS_PATH = SINGLE_PATH
+"""Path of the route that needs no key in runs with teams."""
+
 NORMAL_SUFFIX, CRASHING_SUFFIX = b"x", b"bad"
 """Path suffix of normal requests and of requests that crash an upstream."""
 
@@ -99,6 +103,7 @@
         departure_ms: Monotonic times at which upstreams began to leave, by id.
         crash_times_ms: Monotonic times of upstream crashes.
         crashing_path: Path prefix of the route of the crashing request.
+        team_plan: Teams of the configurations; None if there are none.
     """
 
     def __init__(self, seed: int) -> None:
@@ -109,6 +114,7 @@
         self.config_versions: list[ConfigVersion] = []
         self.departure_ms: dict[str, float] = {}
         self.crash_times_ms: list[float] = []
+        self.team_plan = teams.plan_for(seed)
         self._random = random.Random(seed)
         self.crashing_path = self._random.choice(
             (SINGLE_PATH, NON_IDEMPOTENT_PATH, FANOUT_PATH, FANOUT_PATH)
@@ -220,9 +226,10 @@
             else UNSHARDED_SERVICES[0]
         )
         number = (last.number if last else 0) + self._random.randint(1, 9)
+        now_ms = clock.now_ms()
         self.config_versions.append(
             ConfigVersion(
-                at_ms=clock.now_ms(),
+                at_ms=now_ms,
                 number=number,
                 moved_route_service=moved_to,
             )
@@ -254,6 +261,11 @@
                 "idle_timeout_ms": 4000,
             },
         }
+        if self.team_plan is not None:
+            body["tenants"] = self.team_plan.next_entries(now_ms)
+            for route in body["routes"]:
+                is_open = route["prefix"] == ANONYMOUS_PATH
+                route["allow_anonymous"] = is_open
         self.store.put("op/config", json.dumps(body).encode())
 
 
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -12,6 +12,8 @@
 from hyssoptack.planning import records
 from soak import callers
 from soak import environment
+from soak import teaminvariants
+from soak import teams
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 SETTLE_MS = 4_000.0
@@ -21,6 +23,10 @@
 """Time within which a gateway must apply a change. The specified bound is 3 s;
 the rest allows for late writes and reads on a loaded machine."""
 
+HELD_MS = 3_000.0
+"""Time after a caller's disconnect within which a gateway that was paused may
+still read its request; longer than a fault pauses a gateway."""
+
 LATE_MS = 700.0
 """Time after the deadline from which a response counts as held too long."""
 
@@ -80,6 +86,9 @@
         self._planned_stops = planned_stops
         self._calm_ms = calm_ms
         self._violations: list[str] = []
+        self.team_checker = teaminvariants.TeamChecker(
+            observed, self._usable_team_versions
+        )
 
     def check(
         self,
@@ -102,6 +111,9 @@
             self._check_planned_stops(each)
         self._check_crashing_requests(crashing_requests)
         self._check_unknown_requests([*requests, *crashing_requests])
+        self._violations.extend(
+            self.team_checker.check([*requests, *crashing_requests])
+        )
         self._check_recovery(requests)
         counts = collections.Counter(
             f"{each.path} {each.outcome} {each.response.status}"
@@ -243,6 +255,26 @@
                 "outdated configuration used", each, f"{runs} not {allowed}"
             )
 
+    def _usable_team_versions(
+        self, each: callers.RequestRecord
+    ) -> list[teams.TeamVersion]:
+        """Returns the versions of the teams that may decide on a request."""
+        # A paused gateway reads a request after its caller has disconnected
+        # (seed 6: 60 ms after, with a version written in between).
+        late_ms = 0.0 if each.response.status else HELD_MS
+        written = [
+            version
+            for version in self._environment.team_plan.versions
+            if version.at_ms <= each.ended_ms + late_ms
+        ]
+        if not self._is_undisturbed(each.gateway, each.sent_ms, each.ended_ms):
+            return written
+        applied_count = sum(
+            version.at_ms <= each.sent_ms - APPLY_LIMIT_MS
+            for version in written
+        )
+        return written[max(0, applied_count - 1) :]
+
     def _check_deadline(self, each: callers.RequestRecord) -> None:
         took_ms = each.ended_ms - each.sent_ms
         if took_ms > callers.DEADLINE_MS + LATE_MS:
@@ -317,6 +349,8 @@
             for each in requests
             if each.sent_ms >= self._calm_ms
             and each.outcome != "left"
+            # `teaminvariants` checks whether these refusals are right.
+            and each.response.status not in (401, 429)
             and not self._overlaps_global_fault(each)
         ]
         served = sum(each.response.status == 200 for each in calm)
