--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -100,11 +100,15 @@
 
 
 def without_identity(request: message.Request) -> message.Request:
-    """Returns a request without its caller's key and the team it named."""
+    """Returns a request without its caller's key and the team it named.
+
+    Names with underscores are removed too: some web frameworks of upstreams
+    read `X_Tenant_Id` as `X-Tenant-Id`.
+    """
     kept = tuple(
         each
         for each in request.headers
-        if each[0].lower() not in _IDENTITY_HEADERS
+        if each[0].lower().replace(b"_", b"-") not in _IDENTITY_HEADERS
     )
     return dataclasses.replace(request, headers=kept)
 
--- a/hyssoptack/platform/headers_test.py
+++ b/hyssoptack/platform/headers_test.py
@@ -143,6 +143,7 @@
         (b"authorization", b"Bearer l"),
         (b"X-TENANT-ID", b"forged"),
         (b"x-tenant-id", b"forged"),
+        (b"X_Tenant_Id", b"forged"),
     )
     assert headers.without_identity(given).headers == (HOST,)
 
--- a/hyssoptack/platform/storeformat.py
+++ b/hyssoptack/platform/storeformat.py
@@ -48,7 +48,7 @@
     fanout_services: list[str] | None = None
     top_k: int = 0
     min_shard_fraction: float = 0.0
-    allow_anonymous: bool = False
+    allow_anonymous: bool | None = None
 
 
 class _Service(msgspec.Struct):
@@ -137,7 +137,7 @@
         priority=raw.priority,
         max_attempts_count=max(1, raw.max_attempts),
         target=_target(raw),
-        allows_anonymous=raw.allow_anonymous,
+        allows_anonymous=bool(raw.allow_anonymous),
     )
 
 
--- a/hyssoptack/platform/storeformat_test.py
+++ b/hyssoptack/platform/storeformat_test.py
@@ -179,10 +179,15 @@
 def test_routes_need_a_key_unless_they_say_otherwise():
     routes = [
         {**ROUTE, "service": "one"},
+        {**ROUTE, "service": "one", "allow_anonymous": None},
         {**ROUTE, "service": "one", "allow_anonymous": True},
     ]
     found = storeformat.parse_configuration(stored(*routes)).ok
-    assert [each.allows_anonymous for each in found.routes] == [False, True]
+    assert [each.allows_anonymous for each in found.routes] == [
+        False,
+        False,
+        True,
+    ]
 
 
 @pytest.mark.parametrize(
