Headers: property test of keys and teams

Cause: the cases were single examples. Ruled out: nothing else tried. Change: any mix of identity and connection headers yields one team and no key.

--- a/hyssoptack/platform/headers_test.py
+++ b/hyssoptack/platform/headers_test.py
@@ -1,5 +1,7 @@
 """Tests of reply classification and of forwarded headers."""
 
+import hypothesis
+import hypothesis.strategies
 import pytest
 
 from hyssoptack.http1 import message
@@ -152,3 +154,31 @@
     given = request(HOST, (b"Connection", b"x-tenant-id"))
     assert b"X-Tenant-Id: red" in headers.forwarded_request(given, "red").head
     assert b"X-Tenant-Id" not in headers.forwarded_request(given).head
+
+
+_NAMES = hypothesis.strategies.sampled_from(
+    (
+        b"Authorization",
+        b"AUTHORIZATION",
+        b"Connection",
+        b"X-Tenant-Id",
+        b"x-tenant-id",
+        b"X-Other",
+    )
+)
+_VALUES = hypothesis.strategies.sampled_from(
+    (b"Bearer k-secret", b"bearer  k-secret", b"x-tenant-id", b"close", b"blue")
+)
+
+
+@hypothesis.given(
+    hypothesis.strategies.lists(hypothesis.strategies.tuples(_NAMES, _VALUES))
+)
+def test_upstreams_get_one_team_and_no_key_whatever_a_caller_sends(fields):
+    given = headers.without_identity(request(HOST, *fields))
+    head = headers.forwarded_request(given, "red").head
+    lines = [line.lower().split(b": ") for line in head.split(b"\r\n")[1:]]
+    names = [line[0] for line in lines]
+    assert names.count(b"x-tenant-id") == 1
+    assert [b"x-tenant-id", b"red"] in lines
+    assert b"authorization" not in names
