Delegation: the line of a lost query names team and status

Ruled out: a separate event for lost queries; `query_back` already says why. Change: team fields come from the request.

--- a/hyssoptack/gateway/inbound.py
+++ b/hyssoptack/gateway/inbound.py
@@ -79,10 +79,11 @@
         return self.team.name if self.team is not None else ""
 
     @property
-    def rate_per_s(self) -> float | None:
-        """The team's rate limit; None if there is none."""
+    def team_fields(self) -> dict[str, object]:
+        """Log fields of the caller's team and its rate limit."""
         limit = self.team.rate_limit if self.team is not None else None
-        return limit.rate_per_s if limit is not None else None
+        rate_per_s = limit.rate_per_s if limit is not None else None
+        return team_fields(self.team_name, rate_per_s)
 
     @property
     def reserved_ms(self) -> float:
--- a/hyssoptack/gateway/querydelegation.py
+++ b/hyssoptack/gateway/querydelegation.py
@@ -348,10 +348,8 @@
             case _State.SENT, True:
                 self._state = _State.BEGUN
                 self._send_commit()
-                due_ms = (
-                    self._received_ms
-                    + self._query.route_match.route.latency_goal_ms
-                )
+                goal_ms = self._query.route_match.route.latency_goal_ms
+                due_ms = self._received_ms + goal_ms
                 left_ms = max(0.0, due_ms - clock.now_ms())
                 self._start_timer(
                     left_ms + delegation.ANSWER_SLACK_MS, self._check_liveness
@@ -382,7 +380,8 @@
         self._send_cancel()
         self._end()
         status = http.HTTPStatus.BAD_GATEWAY
-        self._log_taken_back(reason, True, status=int(status))
+        # A line with a status ends the query; without one it runs here.
+        self._log_back(reason, True, status=int(status))
         self._query.exchange.answer(
             message.problem_reply(status, "neighbour_lost")
         )
@@ -407,23 +406,17 @@
             neighbour=self._peer.instance_id,
             status=answer.status,
             took_ms=round(clock.now_ms() - self._received_ms, 1),
-            **self._team_fields(),
+            **self._query.team_fields,
         )
 
     def _take_back(self, reason: str, may_have_run: bool) -> None:
         """Records the neighbour's failure and runs the query here."""
         self._parent.selector.record_failure(self._peer.address, clock.now_ms())
         self._end()
-        self._log_taken_back(reason, may_have_run)
+        self._log_back(reason, may_have_run)
         self._parent.run_locally(self._query, may_have_run)
 
-    def _log_taken_back(
-        self, reason: str, may_have_run: bool, **outcome: int
-    ) -> None:
-        """Logs the end of the delegation, with any status that ends the query.
-
-        Without a status, the query runs here and its end is logged then.
-        """
+    def _log_back(self, reason: str, may_have_run: bool, **status: int) -> None:
         log.write(
             log.Event.QUERY_BACK,
             request_id=self._query.request_id,
@@ -431,13 +424,7 @@
             ask_id=self._ask_id,
             reason=reason,
             may_have_run=may_have_run,
-            **outcome,
-            **self._team_fields(),
-        )
-
-    def _team_fields(self) -> dict[str, object]:
-        return inbound.team_fields(
-            self._query.team_name, self._query.rate_per_s
+            **(status | self._query.team_fields),
         )
 
     def _on_caller_left(self) -> None:
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -61,7 +61,7 @@
         received_ms = exchange.request.received_ms
         self._spent_ms = request.caller_spent_ms
         self._team_name = request.team_name
-        self._rate_per_s = request.rate_per_s
+        self._team_fields = request.team_fields
         self._time_limit_ms = route_match.route.timeout_ms
         if metadata.deadline_ms is not None:
             self._time_limit_ms = min(self._time_limit_ms, metadata.deadline_ms)
@@ -399,7 +399,7 @@
             widest_count=self._plan.max_reached_count,
             calls=[each.describe(started_ms) for each in self._traces.values()],
             **self._target_fields(),
-            **inbound.team_fields(self._team_name, self._rate_per_s),
+            **self._team_fields,
         )
 
     def _target_fields(self) -> dict[str, str]:
--- a/hyssoptack/gateway/teams_delegation_test.py
+++ b/hyssoptack/gateway/teams_delegation_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import json
 
 import pytest
 
@@ -213,3 +214,29 @@
             teams_test.assert_teams(site, b"r1", b"red", 4)
 
     teams_test.run(test)
+
+
+def test_a_query_lost_with_its_neighbour_is_logged_with_team_and_status():
+    # The neighbour's log ends with it; reports would miss the failure.
+    async def test():
+        async with harness.Site() as site:
+            await _start_shards(site)
+            await site.start_delegating_pair()
+            for each in site.upstreams.values():
+                each.behaviour.delay_ms = 700.0
+            with teams_test.log_lines() as lines:
+                fields = (teams_test.bearer(teams_test.KEY),)
+                asked = asyncio.create_task(
+                    site.get("/all/x", "r1", name="narrow", fields=fields)
+                )
+                await asyncio.sleep(0.1)
+                site.kill("wide")
+                assert (await asked).status == 502
+            (back,) = [
+                json.loads(line)
+                for line in lines.getvalue().splitlines()
+                if "query_back" in line
+            ]
+            assert (back["team"], back["status"]) == ("red", 502)
+
+    teams_test.run(test)
