--- a/hyssoptack/gateway/inbound.py
+++ b/hyssoptack/gateway/inbound.py
@@ -26,9 +26,19 @@
         """Sends the answer to the sender of the request."""
 
 
-def team_fields(team_name: str) -> dict[str, str]:
-    """Returns the log field of a team; no field if the name is empty."""
-    return {"team": team_name} if team_name else {}
+def team_fields(
+    team_name: str, rate_per_s: float | None = None
+) -> dict[str, object]:
+    """Returns the log fields of a team.
+
+    Args:
+        team_name: Name of the team; no fields if it is empty.
+        rate_per_s: The team's rate limit; no field if it is not limited.
+    """
+    if not team_name:
+        return {}
+    rate = {} if rate_per_s is None else {"rate_per_s": rate_per_s}
+    return {"team": team_name, **rate}
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -39,6 +49,8 @@
         exchange: The exchange that answers the request.
         metadata: Request id, host and deadline from the request's headers.
         route_match: The matching route and its services.
+        version: Configuration version that decided the route and the team. A
+            newer one may come into force while the request waits.
         caller_spent_ms: Time that the caller had spent on earlier attempts
             before it sent this request.
         transit_margin_ms: Part of the latency goal reserved for transit.
@@ -49,6 +61,7 @@
     exchange: Exchange
     metadata: headers.RequestMetadata
     route_match: routetable.RouteMatch
+    version: int = 0
     caller_spent_ms: float = 0.0
     transit_margin_ms: float = 0.0
     team: teams.Team | None = None
@@ -65,6 +78,13 @@
         """Name of the caller's team; empty if there is none."""
         return self.team.name if self.team is not None else ""
 
+    @property
+    def team_fields(self) -> dict[str, object]:
+        """Log fields of the caller's team and its rate limit."""
+        limit = self.team.rate_limit if self.team is not None else None
+        rate_per_s = limit.rate_per_s if limit is not None else None
+        return team_fields(self.team_name, rate_per_s)
+
     @property
     def reserved_ms(self) -> float:
         """Part of the latency goal used by transit and earlier attempts."""
