--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -66,11 +66,24 @@
         """Accepts or declines a query that a neighbour delegates."""
         # Under another configuration version the query could run in a way
         # that its sender's configuration does not allow.
-        can_serve = ready and delegation_request.version == self._view.version
+        can_serve = (
+            ready
+            and delegation_request.version == self._view.version
+            and self._knows_team(delegation_request.team)
+        )
         exchange = self.delegator.accept(delegation_request, can_serve)
         if exchange is not None:
             self._serve(exchange, delegation_request)
 
+    def _knows_team(self, name: str) -> bool:
+        """Returns whether a team exists; an empty name means no team.
+
+        An instance that has the same version with other content would send the
+        query's calls without their team.
+        """
+        directory = self._view.route_table.configuration.team_directory
+        return not name or (directory is not None and name in directory.by_name)
+
     def _serve(
         self,
         exchange: inbound.Exchange,
@@ -97,6 +110,7 @@
                     exchange=exchange,
                     metadata=metadata,
                     route_match=match_result,
+                    version=self._view.version,
                 )
                 if delegation_request is None:
                     self._identify_caller(request)
@@ -109,12 +123,15 @@
         delegation_request: gatewaymessage.DelegationRequest,
     ) -> None:
         directory = self._view.route_table.configuration.team_directory
+        team = None
+        if directory is not None:
+            team = directory.by_name.get(delegation_request.team)
+            # The sender has removed the caller's key, unless it runs a release
+            # without teams.
+            exchange = request.exchange
+            exchange.request = headers.without_identity(exchange.request)
         prepared = dataclasses.replace(
-            request,
-            transit_margin_ms=delegation_request.away_ms,
-            team=directory.by_name.get(delegation_request.team)
-            if directory
-            else None,
+            request, transit_margin_ms=delegation_request.away_ms, team=team
         )
         run = requestrun.RequestRun(self, prepared, awaits_grant=True)
         request.exchange.on_commit = run.on_attempts_granted
@@ -124,7 +141,7 @@
         """Serves a caller's request if its key or its route allows it."""
         directory = self._view.route_table.configuration.team_directory
         if directory is None:
-            self.serve_identified(request, self._view.version)
+            self.serve_identified(request)
             return
         exchange = request.exchange
         key = headers.caller_key(exchange.request)
@@ -137,17 +154,15 @@
             return
         # Removed here, so that nothing that handles the request from now on
         # can pass the key on or log it.
-        exchange.request = headers.identified_request(exchange.request, team)
+        exchange.request = headers.without_identity(exchange.request)
         identified = dataclasses.replace(request, team=team)
         if self.request_permits is None:
-            self.serve_identified(identified, self._view.version)
+            self.serve_identified(identified)
         else:
-            self.request_permits.serve(identified, self._view.version)
+            self.request_permits.serve(identified)
 
-    def serve_identified(
-        self, request: inbound.RoutedRequest, version: int
-    ) -> None:
-        """Serves a request routed by the configuration version `version`."""
+    def serve_identified(self, request: inbound.RoutedRequest) -> None:
+        """Serves a request whose caller is identified and within its limit."""
         timed = dataclasses.replace(
             request, transit_margin_ms=self._caller_latency.margin_ms
         )
@@ -163,7 +178,7 @@
             suspect_registry.has_entries
             and suspect_registry.is_tracked(timed.fingerprint)
         )
-        if keep_local or not self.delegator.try_delegate(timed, version):
+        if keep_local or not self.delegator.try_delegate(timed, timed.version):
             self.run_locally(timed, may_have_run=False)
 
     def run_locally(
--- a/hyssoptack/platform/headers_test.py
+++ b/hyssoptack/platform/headers_test.py
@@ -1,5 +1,7 @@
 """Tests of reply classification and of forwarded headers."""
 
+import hypothesis
+import hypothesis.strategies
 import pytest
 
 from hyssoptack.http1 import message
@@ -114,3 +116,69 @@
     assert b"X-Keep: 2" in data
     for absent in (b"forged", b"X-Hop", b"close"):
         assert absent not in data
+
+
+@pytest.mark.parametrize(
+    ("values", "key"),
+    [
+        ((), None),
+        ((b"",), None),
+        ((b"Bearer",), None),
+        ((b"Bearer k",), b"k"),
+        ((b"bEARER \t k ",), b"k"),
+        ((b"Bearer k k",), None),
+        ((b"Basic k",), None),
+        ((b"Bearer k", b"Bearer k"), None),
+        ((b"Bearer " + b"k" * 8_192,), b"k" * 8_192),
+        ((b"Bearer \xe9\xff",), b"\xe9\xff"),
+    ],
+)
+def test_a_key_is_read_only_from_a_single_bearer_header(values, key):
+    fields = ((b"AUTHORIZATION", each) for each in values)
+    assert headers.caller_key(request(HOST, *fields)) == key
+
+
+def test_no_spelling_of_key_or_team_headers_is_kept():
+    given = request(
+        HOST,
+        (b"AUTHORIZATION", b"Bearer k"),
+        (b"authorization", b"Bearer l"),
+        (b"X-TENANT-ID", b"forged"),
+        (b"x-tenant-id", b"forged"),
+        (b"X_Tenant_Id", b"forged"),
+    )
+    assert headers.without_identity(given).headers == (HOST,)
+
+
+def test_the_team_is_forwarded_though_a_connection_option_names_it():
+    given = request(HOST, (b"Connection", b"x-tenant-id"))
+    assert b"X-Tenant-Id: red" in headers.forwarded_request(given, "red").head
+    assert b"X-Tenant-Id" not in headers.forwarded_request(given).head
+
+
+_NAMES = hypothesis.strategies.sampled_from(
+    (
+        b"Authorization",
+        b"AUTHORIZATION",
+        b"Connection",
+        b"X-Tenant-Id",
+        b"x-tenant-id",
+        b"X-Other",
+    )
+)
+_VALUES = hypothesis.strategies.sampled_from(
+    (b"Bearer k-secret", b"bearer  k-secret", b"x-tenant-id", b"close", b"blue")
+)
+
+
+@hypothesis.given(
+    hypothesis.strategies.lists(hypothesis.strategies.tuples(_NAMES, _VALUES))
+)
+def test_upstreams_get_one_team_and_no_key_whatever_a_caller_sends(fields):
+    given = headers.without_identity(request(HOST, *fields))
+    head = headers.forwarded_request(given, "red").head
+    lines = [line.lower().split(b": ") for line in head.split(b"\r\n")[1:]]
+    names = [line[0] for line in lines]
+    assert names.count(b"x-tenant-id") == 1
+    assert [b"x-tenant-id", b"red"] in lines
+    assert b"authorization" not in names
