Tests of teams beside those of rate limits

The name of the handler's method changed, and the first collection of log lines in a process also held those of earlier tests, which eliot keeps until then.

--- a/hyssoptack/gateway/teams_delegation_test.py
+++ b/hyssoptack/gateway/teams_delegation_test.py
@@ -191,8 +191,8 @@
             narrow, _ = await site.start_delegating_pair()
             handler = narrow._request_handler
             waiting = []
-            serve = handler._serve_caller
-            handler._serve_caller = lambda *given: waiting.append(given)
+            serve = handler.serve_identified
+            handler.serve_identified = lambda *given: waiting.append(given)
             asked = asyncio.create_task(
                 site.get(
                     "/all/x",
--- a/hyssoptack/gateway/teams_test.py
+++ b/hyssoptack/gateway/teams_test.py
@@ -31,6 +31,9 @@
     lines = io.StringIO()
     destination = eliot.FileDestination(file=lines)
     eliot.add_destinations(destination)
+    # The first destination of a process gets the lines of earlier tests.
+    lines.seek(0)
+    lines.truncate()
     try:
         yield lines
     finally:
