--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -3,6 +3,7 @@
 import dataclasses
 import http
 import random
+import typing
 
 from hyssoptack.balancing import connections
 from hyssoptack.core import clock
@@ -24,6 +25,9 @@
 from hyssoptack.planning import routetable
 from hyssoptack.platform import headers
 
+if typing.TYPE_CHECKING:
+    from hyssoptack.gateway import requestpermits
+
 
 def log_unreadable_request(status: int, reason: str) -> None:
     """Logs a request that was rejected before its id could be read."""
@@ -50,6 +54,7 @@
         self._caller_latency = callerlatency.CallerLatency()
         self.delegator: querydelegation.Delegator | None = None
         self.call_relay: callrelay.CallRelay | None = None
+        self.request_permits: requestpermits.RequestPermits | None = None
 
     def handle(self, exchange: httpserver.Exchange) -> None:
         """Handles a request received from a caller."""
@@ -136,7 +141,7 @@
         """Serves a caller's request if its key or its route allows it."""
         directory = self._view.route_table.configuration.team_directory
         if directory is None:
-            self._serve_caller(request)
+            self.serve_identified(request)
             return
         exchange = request.exchange
         key = headers.caller_key(exchange.request)
@@ -150,9 +155,14 @@
         # Removed here, so that nothing that handles the request from now on
         # can pass the key on or log it.
         exchange.request = headers.without_identity(exchange.request)
-        self._serve_caller(dataclasses.replace(request, team=team))
+        identified = dataclasses.replace(request, team=team)
+        if self.request_permits is None:
+            self.serve_identified(identified)
+        else:
+            self.request_permits.serve(identified)
 
-    def _serve_caller(self, request: inbound.RoutedRequest) -> None:
+    def serve_identified(self, request: inbound.RoutedRequest) -> None:
+        """Serves a request whose caller is identified and within its limit."""
         timed = dataclasses.replace(
             request, transit_margin_ms=self._caller_latency.margin_ms
         )
@@ -214,6 +224,33 @@
                 reply = headers.unauthorized_reply(reason)
             case _:
                 reply = message.problem_reply(status, reason)
+        self._answer_refusal(exchange, metadata, reply, reason)
+
+    def refuse_limited(
+        self,
+        request: inbound.RoutedRequest,
+        status: int,
+        reason: str,
+        retry_after_ms: float,
+    ) -> None:
+        """Refuses a request because of its team's rate limit."""
+        self._answer_refusal(
+            request.exchange,
+            request.metadata,
+            message.problem_reply(status, reason, retry_after_ms),
+            reason,
+            request.team_name,
+        )
+
+    def _answer_refusal(
+        self,
+        exchange: inbound.Exchange,
+        metadata: headers.RequestMetadata,
+        reply: message.Reply,
+        reason: str,
+        team_name: str = "",
+    ) -> None:
+        status = reply.status
         self.metrics.requests.inc({"route": "", "status": str(status)})
         exchange.answer(reply)
         log.write(
@@ -224,6 +261,7 @@
             status=status,
             reason=reason,
             version=self._view.version,
+            **inbound.team_fields(team_name),
         )
 
     def record_lateness(self, late_ms: float) -> None:
