Admission: one adaptive limit for both daemons

Cause: gateways need the adaptive limit that the other daemon has. Ruled out: a second copy, which would drift from the first. Change: admission/admission.py is limiter.py now. Growing and shrinking are functions of a base record, which the other daemon's limiter extends.

--- a/bench/baseline_entry.py
+++ b/bench/baseline_entry.py
@@ -5,7 +5,7 @@
 
 import cyclopts
 
-from hyssoptack.admission import admission
+from hyssoptack.admission import limiter
 from hyssoptack.entry import daemon
 from hyssoptack.hedging import hedging
 from hyssoptack.settings import instance
@@ -35,7 +35,7 @@
     read, errors = instance.load(settings)
     if read is None:
         sys.exit("\n".join(map(str, errors)))
-    admission_policy = admission.Adaptive() if admits else admission.AdmitAll()
+    admission_policy = limiter.Adaptive() if admits else limiter.AdmitAll()
     daemon.run(read, _hedging(hedges), admission_policy)
 
 
--- a/hyssoptack/admission/admission.py
+++ b/hyssoptack/admission/limiter.py
@@ -1,12 +1,19 @@
-"""Admits queries up to an adaptive limit, with a reserve for urgent ones.
+"""The adaptive limit of work in progress, used by both daemons.
 
-The limit grows by about one after as many timely answers as the limit, and
-shrinks by a fifth on a late or shed answer, at most once per deadline. A
-refused query causes no upstream calls and carries a retry delay.
+`AdaptiveLimit` shrinks by a fifth on a sign of overload, at most once in the
+time that the last change needs to take effect, and grows in steps up to its
+ceiling. Its users differ in their signs and steps: `admission.worklimit` is
+used by gateways, `Limiter` by the other daemon (`hyssoptack.entry`).
+
+`Limiter` admits queries of one service with a reserve for urgent ones. It grows
+by about one after as many timely answers as the limit, and shrinks on a late or
+shed answer, at most once per deadline. A refused query causes no upstream calls
+and carries a retry delay.
 """
 
 import dataclasses
 import math
+import typing
 
 from hyssoptack.core import query
 
@@ -29,27 +36,80 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Limiter:
-    """State of admission for one service on this instance.
+class AdaptiveLimit:
+    """A limit of work in progress that adapts to signs of overload.
 
     Attributes:
-        limit_count: Number of queries allowed in flight now.
+        limit_count: Amount of work allowed in progress now.
         ceiling_count: Upper bound of the limit.
+        floor_count: Lower bound of the limit.
+        duration_ms: Smoothed duration of a unit of work, in milliseconds.
+        shrunk_at_ms: Time at which the limit last shrank.
+    """
+
+    limit_count: float
+    ceiling_count: float
+    floor_count: float = LIMIT_MIN_COUNT
+    duration_ms: float = 0.0
+    shrunk_at_ms: float = 0.0
+
+
+_Limit = typing.TypeVar("_Limit", bound=AdaptiveLimit)
+
+
+def grow(current: _Limit, step_count: float) -> _Limit:
+    """Returns a limit after it grew by a step, at most to its ceiling."""
+    grown_count = min(
+        float(current.ceiling_count), current.limit_count + step_count
+    )
+    return dataclasses.replace(current, limit_count=grown_count)
+
+
+def shrink(
+    current: _Limit,
+    pause_ms: float,
+    now_ms: float,
+    used_count: float = math.inf,
+) -> _Limit:
+    """Returns a limit after a sign of overload.
+
+    Args:
+        current: The limit before.
+        pause_ms: Least time between two reductions: the time after which the
+            effect of one can be observed.
+        now_ms: Current time in milliseconds.
+        used_count: Amount of work that caused the sign. A limit far above it
+            would have to shrink many times before it took effect.
+    """
+    if now_ms - current.shrunk_at_ms < pause_ms:
+        return current
+    base_count = min(current.limit_count, used_count)
+    return dataclasses.replace(
+        current,
+        limit_count=max(current.floor_count, base_count * SHRINK_RATIO),
+        shrunk_at_ms=now_ms,
+    )
+
+
+def smoothed_ms(duration_ms: float, elapsed_ms: float) -> float:
+    """Returns a smoothed duration after a unit of work of `elapsed_ms`."""
+    return duration_ms + SMOOTHING_RATIO * (elapsed_ms - duration_ms)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Limiter(AdaptiveLimit):
+    """State of admission for one service on this instance.
+
+    Attributes:
         reserve_count: Part of the ceiling reserved for urgent queries.
         urgent_count: Number of urgent queries in flight.
         browsing_count: Number of browsing queries in flight.
-        duration_ms: Smoothed duration of a query, in milliseconds.
-        shrunk_at_ms: Time at which the limit last shrank.
         urgent_refused_at_ms: Time at which an urgent query was last refused.
     """
 
-    limit_count: float
-    ceiling_count: int
     reserve_count: int
     urgent_count: int = 0
     browsing_count: int = 0
-    duration_ms: float = 0.0
-    shrunk_at_ms: float = 0.0
     urgent_refused_at_ms: float = -math.inf
 
 
@@ -198,20 +258,10 @@
     Returns:
         The limiter without the query and with the limit adapted.
     """
-    limiter = _with_count_changed(limiter, urgency, -1)
-    smoothed = limiter.duration_ms + SMOOTHING_RATIO * (
-        elapsed_ms - limiter.duration_ms
+    limiter = dataclasses.replace(
+        _with_count_changed(limiter, urgency, -1),
+        duration_ms=smoothed_ms(limiter.duration_ms, elapsed_ms),
     )
-    limit = limiter.limit_count
-    shrunk_at_ms = limiter.shrunk_at_ms
     if timely and elapsed_ms <= TIMELY_RATIO * deadline_ms:
-        limit = min(float(limiter.ceiling_count), limit + 1.0 / limit)
-    elif now_ms - shrunk_at_ms >= deadline_ms:
-        limit = max(LIMIT_MIN_COUNT, limit * SHRINK_RATIO)
-        shrunk_at_ms = now_ms
-    return dataclasses.replace(
-        limiter,
-        limit_count=limit,
-        duration_ms=smoothed,
-        shrunk_at_ms=shrunk_at_ms,
-    )
+        return grow(limiter, 1.0 / limiter.limit_count)
+    return shrink(limiter, deadline_ms, now_ms)
--- a/hyssoptack/admission/admission_test.py
+++ b/hyssoptack/admission/limiter_test.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 
-from hyssoptack.admission import admission
+from hyssoptack.admission import limiter
 from hyssoptack.core import query
 from hyssoptack.planning import example
 
@@ -16,63 +16,61 @@
     return dataclasses.replace(example.browsing_query(), urgency=urgency)
 
 
-def _fill(limiter, urgency):
-    """Admits until a refusal; returns the limiter and the refusal."""
+def _fill(current, urgency):
+    """Admits until a refusal; returns the current and the refusal."""
     while True:
-        decision = admission.decide(limiter, _query(urgency), 0.5)
-        if not isinstance(decision, admission.Admitted):
-            return limiter, decision
-        limiter = admission.begin_query(limiter, urgency)
+        decision = limiter.decide(current, _query(urgency), 0.5)
+        if not isinstance(decision, limiter.Admitted):
+            return current, decision
+        current = limiter.begin_query(current, urgency)
 
 
-def _grown_to_ceiling(limiter):
+def _grown_to_ceiling(current):
     for _ in range(2_000):
-        limiter = admission.begin_query(limiter, _BROWSING)
-        limiter = admission.end_query(
-            limiter, _BROWSING, 5.0, True, DEADLINE_MS, 1.0
+        current = limiter.begin_query(current, _BROWSING)
+        current = limiter.end_query(
+            current, _BROWSING, 5.0, True, DEADLINE_MS, 1.0
         )
-    return limiter
+    return current
 
 
 def test_browsing_leaves_room_for_urgent_queries():
-    limiter, _ = _fill(
-        _grown_to_ceiling(admission.new_limiter(24, 8)), _BROWSING
-    )
-    assert limiter.browsing_count == 16
-    urgent = admission.decide(limiter, _query(_URGENT), 0.5)
-    assert isinstance(urgent, admission.Admitted)
+    current, _ = _fill(_grown_to_ceiling(limiter.new_limiter(24, 8)), _BROWSING)
+    assert current.browsing_count == 16
+    urgent = limiter.decide(current, _query(_URGENT), 0.5)
+    assert isinstance(urgent, limiter.Admitted)
 
 
 def test_browsing_is_refused_after_a_refused_urgent_query():
-    limiter, _ = _fill(_grown_to_ceiling(admission.new_limiter(24, 8)), _URGENT)
-    limiter = admission.record_refusal(limiter, _URGENT, 1_000.0)
-    limiter = admission.end_query(
-        limiter, _URGENT, 5.0, True, DEADLINE_MS, 1_001.0
+    current, _ = _fill(_grown_to_ceiling(limiter.new_limiter(24, 8)), _URGENT)
+    current = limiter.record_refusal(current, _URGENT, 1_000.0)
+    current = limiter.end_query(
+        current, _URGENT, 5.0, True, DEADLINE_MS, 1_001.0
     )
     for _ in range(20):
-        limiter = admission.end_query(
-            limiter, _URGENT, 5.0, True, DEADLINE_MS, 1_001.0
+        current = limiter.end_query(
+            current, _URGENT, 5.0, True, DEADLINE_MS, 1_001.0
         )
-    browsing = admission.decide(limiter, _query(_BROWSING), 0.5, 1_100.0)
-    assert isinstance(browsing, admission.Overloaded)
-    urgent = admission.decide(limiter, _query(_URGENT), 0.5, 1_100.0)
-    assert isinstance(urgent, admission.Admitted)
-    later = admission.decide(limiter, _query(_BROWSING), 0.5, 2_000.0)
-    assert isinstance(later, admission.Admitted)
+    browsing = limiter.decide(current, _query(_BROWSING), 0.5, 1_100.0)
+    assert isinstance(browsing, limiter.Overloaded)
+    urgent = limiter.decide(current, _query(_URGENT), 0.5, 1_100.0)
+    assert isinstance(urgent, limiter.Admitted)
+    later = limiter.decide(current, _query(_BROWSING), 0.5, 2_000.0)
+    assert isinstance(later, limiter.Admitted)
 
 
 def test_a_refusal_carries_a_retry_delay_within_bounds():
-    _, refused = _fill(admission.new_limiter(24, 8), _BROWSING)
-    low, high = admission.RETRY_MIN_MS, admission.RETRY_MAX_MS
+    _, refused = _fill(limiter.new_limiter(24, 8), _BROWSING)
+    low, high = limiter.RETRY_MIN_MS, limiter.RETRY_MAX_MS
     assert low <= refused.retry_after_ms <= high
 
 
 def test_a_query_with_a_too_short_deadline_is_refused():
-    limiter = admission.Limiter(
+    current = limiter.Limiter(
         limit_count=24.0, ceiling_count=24, reserve_count=8, duration_ms=900.0
     )
-    decision = admission.decide(limiter, _query(_BROWSING), 0.5)
-    assert isinstance(decision, admission.DeadlineTooShort)
+    decision = limiter.decide(current, _query(_BROWSING), 0.5)
+    assert isinstance(decision, limiter.DeadlineTooShort)
 
 
 def _useful_ratio(slot_count: int, service_ms: float, factor: float) -> float:
@@ -88,7 +86,7 @@
         factor: Load as a multiple of capacity.
     """
     rng = random.Random(9)
-    limiter = admission.new_limiter(64, 16)
+    current = limiter.new_limiter(64, 16)
     capacity = slot_count * 1000.0 / service_ms
     free_ms = [0.0] * slot_count
     ends: list[tuple[float, float]] = []
@@ -104,12 +102,12 @@
             elapsed_ms = ended_ms - started_ms
             good = elapsed_ms <= DEADLINE_MS
             useful += good
-            limiter = admission.end_query(
-                limiter, _BROWSING, elapsed_ms, good, DEADLINE_MS, ended_ms
+            current = limiter.end_query(
+                current, _BROWSING, elapsed_ms, good, DEADLINE_MS, ended_ms
             )
-        decision = admission.decide(limiter, _query(_BROWSING), rng.random())
-        if isinstance(decision, admission.Admitted):
-            limiter = admission.begin_query(limiter, _BROWSING)
+        decision = limiter.decide(current, _query(_BROWSING), rng.random())
+        if isinstance(decision, limiter.Admitted):
+            current = limiter.begin_query(current, _BROWSING)
             slot = free_ms.index(min(free_ms))
             begins_ms = max(now_ms, free_ms[slot])
             free_ms[slot] = begins_ms + rng.expovariate(1.0 / service_ms)
--- a/hyssoptack/entry/daemon.py
+++ b/hyssoptack/entry/daemon.py
@@ -9,7 +9,7 @@
 
 import uvloop
 
-from hyssoptack.admission import admission
+from hyssoptack.admission import limiter
 from hyssoptack.charts import chart
 from hyssoptack.core import clock
 from hyssoptack.core import message
@@ -51,7 +51,7 @@
         self,
         settings: instance.InstanceSettings,
         hedge_policy: hedging.HedgePolicy,
-        admission_policy: admission.Policy,
+        admission_policy: limiter.Policy,
     ):
         self._settings = settings
         self._loop = asyncio.get_running_loop()
@@ -340,7 +340,7 @@
 async def _main(
     settings: instance.InstanceSettings,
     hedge_policy: hedging.HedgePolicy,
-    admission_policy: admission.Policy,
+    admission_policy: limiter.Policy,
 ) -> None:
     asyncio.get_running_loop().set_exception_handler(_on_loop_error)
     try:
@@ -352,7 +352,7 @@
 def run(
     settings: instance.InstanceSettings,
     hedge_policy: hedging.HedgePolicy | None = None,
-    admission_policy: admission.Policy | None = None,
+    admission_policy: limiter.Policy | None = None,
 ) -> None:
     """Runs an entry instance until it is stopped by a signal.
 
@@ -367,7 +367,7 @@
     work = _main(
         settings,
         hedge_policy or hedging.HedgeAfterQuantile(),
-        admission_policy or admission.Adaptive(),
+        admission_policy or limiter.Adaptive(),
     )
     uvloop.run(work)
     # All work is finished. A thread may still be in a long poll of the store,
--- a/hyssoptack/entry/querycoordinator.py
+++ b/hyssoptack/entry/querycoordinator.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 
-from hyssoptack.admission import admission
+from hyssoptack.admission import limiter
 from hyssoptack.balancing import routing
 from hyssoptack.core import catalog
 from hyssoptack.core import clock
@@ -72,7 +72,7 @@
         send_to: SendTo,
         instance_metrics: metrics.Metrics,
         burn_counts: burncounts.BurnCounts,
-        policy: admission.Policy,
+        policy: limiter.Policy,
     ):
         self._state = instance_state
         self._relay = own_relay
@@ -84,14 +84,14 @@
         self._query_numbers = itertools.count(1)
         self._random = random.Random()
         self._running: dict[str, _RunningQuery] = {}
-        self._limiters: dict[str, admission.Limiter] = {}
+        self._limiters: dict[str, limiter.Limiter] = {}
         self.started_count = 0
 
     def in_flight_count(self) -> int:
         """Returns the number of queries in flight."""
         return len(self._running)
 
-    def limiters(self) -> dict[str, admission.Limiter]:
+    def limiters(self) -> dict[str, limiter.Limiter]:
         """Returns the admission limiters by service, for the operator port."""
         return self._limiters
 
@@ -111,13 +111,13 @@
         now_ms = clock.now_ms()
         service = self._state.catalog.services[request.service]
         profile = self._state.catalog.profiles[service.profile]
-        limiter = self._limiter(request.service)
-        refused = self._admit(limiter, request)
+        current = self._limiter(request.service)
+        refused = self._admit(current, request)
         if refused is not None:
             self._count_result(request, profile, refused, 0.0)
             return refused
-        self._limiters[request.service] = admission.begin_query(
-            limiter, request.urgency
+        self._limiters[request.service] = limiter.begin_query(
+            current, request.urgency
         )
         self.started_count += 1
         plan = queryplan.QueryPlan(
@@ -127,52 +127,52 @@
         self._record_completion(plan, profile, result, now_ms)
         return result
 
-    def _limiter(self, service: str) -> admission.Limiter:
+    def _limiter(self, service: str) -> limiter.Limiter:
         caller_settings = self._state.settings.front
         if service not in self._limiters:
-            self._limiters[service] = admission.new_limiter(
+            self._limiters[service] = limiter.new_limiter(
                 caller_settings.max_query_count,
                 caller_settings.urgent_reserve_count,
             )
         return self._limiters[service]
 
     def _admit(
-        self, limiter: admission.Limiter, request: query.Query
+        self, current: limiter.Limiter, request: query.Query
     ) -> refusal.Refusal | None:
         match self._policy:
-            case admission.AdmitAll():
+            case limiter.AdmitAll():
                 return None
-            case admission.Adaptive():
-                return self._admit_adaptively(limiter, request)
+            case limiter.Adaptive():
+                return self._admit_adaptively(current, request)
 
     def _admit_adaptively(
-        self, limiter: admission.Limiter, request: query.Query
+        self, current: limiter.Limiter, request: query.Query
     ) -> refusal.Refusal | None:
         running_count = len(self._running)
         if running_count >= self._state.settings.front.max_query_count:
-            decision: admission.Decision = admission.Overloaded(
-                retry_after_ms=admission.RETRY_MIN_MS
-                + int(limiter.duration_ms * (1 + self._random.random()))
+            decision: limiter.Decision = limiter.Overloaded(
+                retry_after_ms=limiter.RETRY_MIN_MS
+                + int(current.duration_ms * (1 + self._random.random()))
             )
         else:
-            decision = admission.decide(
-                limiter, request, self._random.random(), clock.now_ms()
+            decision = limiter.decide(
+                current, request, self._random.random(), clock.now_ms()
             )
-        if not isinstance(decision, admission.Admitted):
-            self._limiters[request.service] = admission.record_refusal(
-                limiter, request.urgency, clock.now_ms()
+        if not isinstance(decision, limiter.Admitted):
+            self._limiters[request.service] = limiter.record_refusal(
+                current, request.urgency, clock.now_ms()
             )
         match decision:
-            case admission.Admitted():
+            case limiter.Admitted():
                 return None
-            case admission.Overloaded(retry_after_ms=retry_after_ms):
+            case limiter.Overloaded(retry_after_ms=retry_after_ms):
                 return refusal.Refusal(
                     reason=refusal.Reason.OVERLOADED,
                     ran=refusal.Ran.NO,
                     detail="too many queries are in flight for this service",
                     retry_after_ms=retry_after_ms,
                 )
-            case admission.DeadlineTooShort(expected_ms=expected_ms):
+            case limiter.DeadlineTooShort(expected_ms=expected_ms):
                 return refusal.Refusal(
                     reason=refusal.Reason.DEADLINE_TOO_SHORT,
                     ran=refusal.Ran.NO,
@@ -389,7 +389,7 @@
         elapsed_ms = now_ms - started_ms
         request = plan.query
         succeeded = isinstance(result, query.Answer) and not plan.was_shed
-        self._limiters[request.service] = admission.end_query(
+        self._limiters[request.service] = limiter.end_query(
             self._limiters[request.service],
             request.urgency,
             elapsed_ms,
