Admission: queue, limits and refusals of gateways

Cause: a gateway never refused a request. Under overload all were late. Ruled out: shrinking on late answers, which slow upstreams cause too; a limit in slots, of which an instance's share is below one request at 68 instances. Change: decisions in admission/ (worklimit, usage, queue, refusal, controller), wiring in gateway/admissioncontrol.py; hedges and retries held back while first calls wait (planning/extracalls.py); neighbours decline at capacity.

--- a/hyssoptack/admission/limiter.py
+++ b/hyssoptack/admission/limiter.py
@@ -91,9 +91,11 @@
     )
 
 
-def smoothed_ms(duration_ms: float, elapsed_ms: float) -> float:
+def smoothed_ms(
+    duration_ms: float, elapsed_ms: float, ratio: float = SMOOTHING_RATIO
+) -> float:
     """Returns a smoothed duration after a unit of work of `elapsed_ms`."""
-    return duration_ms + SMOOTHING_RATIO * (elapsed_ms - duration_ms)
+    return duration_ms + ratio * (elapsed_ms - duration_ms)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -200,6 +200,18 @@
         6206,
         "Blocked requests were written to the store, or the write failed.",
     )
+    REQUEST_REFUSED = (
+        6401,
+        "A request was refused for lack of room; no call was sent for it.",
+    )
+    DELEGATION_DECLINED = (
+        6402,
+        "A query that a neighbour delegates was declined for lack of room.",
+    )
+    LIMIT_CHANGED = (
+        6403,
+        "A limit of work in progress was reduced or has recovered.",
+    )
     REQUEST_FAULT = (
         7001,
         "An internal error occurred; a request may have failed.",
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -21,6 +21,7 @@
 from hyssoptack.delegation import delegation
 from hyssoptack.delegation import gatherers
 from hyssoptack.events import log
+from hyssoptack.gateway import admissioncontrol
 from hyssoptack.gateway import budgetshare
 from hyssoptack.gateway import callrelay
 from hyssoptack.gateway import derivedsettings
@@ -52,6 +53,7 @@
 
 RESTART_FIELDS = frozenset(
     (
+        "admission",
         "callers_address",
         "failure_domain",
         "instance_id",
@@ -113,9 +115,20 @@
             settings.trusted_fingerprints, clock.now_ms()
         )
         self._metrics = metrics.Metrics()
+        self._admission = (
+            admissioncontrol.AdmissionControl(
+                self._load_balancer,
+                self._partition_detector,
+                self._metrics,
+                random.Random(),
+            )
+            if settings.admission.enabled
+            else None
+        )
         self._request_handler = requesthandler.RequestHandler(
             self.view, self._context(), settings.failure_domain, self._metrics
         )
+        self._request_handler.admission = self._admission
         self._caller_server = httpserver.Server(
             handler=self._request_handler.handle,
             on_refused=requesthandler.log_unreadable_request,
@@ -193,6 +206,9 @@
             partition_detector=self._partition_detector,
             mechanisms=self._settings.mechanisms,
             suspect_registry=self._suspect_registry,
+            holds_extra_calls=self._admission.holds_extra_calls
+            if self._admission
+            else plancontext.never_holds,
         )
 
     def _on_peer_message(self, peer_message: gatewaymessage.Message) -> None:
@@ -229,6 +245,8 @@
         self._caller_server.limits = configuration.limits
         self._warmups.set_services(configuration.services)
         self._extra_call_budget.shard_services = configuration.shard_services
+        if self._admission is not None:
+            self._admission.on_configuration(configuration)
 
     def _on_partition_change(self) -> None:
         """Sets whether caller connections close after their next reply.
@@ -264,6 +282,7 @@
             "instance_count": self.reader_election.instance_count,
             "suspected_count": self._suspect_registry.suspected_count,
             "blocked_count": self._suspect_registry.quarantined_count,
+            **(self._admission.gauge_values() if self._admission else {}),
         }
 
     async def run(self, callers_port: socket.socket | None = None) -> None:
@@ -343,6 +362,8 @@
             tasks.append(self._peering.publish_latencies_periodically())
         if self._settings.mechanisms.suspicion:
             tasks.append(self._quarantine_sync.share_periodically())
+        if self._admission is not None:
+            tasks.append(self._admission.watch())
         if self._settings.mechanisms.cut_belief:
             tasks.append(self._partition_monitor.watch())
         return tasks
@@ -412,6 +433,10 @@
         self._warmups.update_instances(
             self.reader_election.neighbours(), clock.now_ms()
         )
+        if self._admission is not None:
+            self._admission.instance_count = (
+                self.reader_election.peak_instance_count
+            )
         own_count = len(self.reader_election.neighbours()) + 1
         self._request_handler.instance_counts = connections.InstanceCounts(
             same_domain_count=own_count,
--- a/hyssoptack/gateway/inbound.py
+++ b/hyssoptack/gateway/inbound.py
@@ -44,6 +44,7 @@
         transit_margin_ms: Part of the latency goal reserved for transit.
         team: The caller's team; None if it is anonymous or the configuration
             has no teams.
+        is_returning: Whether the caller returns after an earlier attempt.
     """
 
     exchange: Exchange
@@ -52,6 +53,7 @@
     caller_spent_ms: float = 0.0
     transit_margin_ms: float = 0.0
     team: teams.Team | None = None
+    is_returning: bool = False
 
     @property
     def priority(self) -> int:
--- a/hyssoptack/gateway/metrics.py
+++ b/hyssoptack/gateway/metrics.py
@@ -43,6 +43,10 @@
             "hyssoptack_requests_at_attempt_limit_total",
             "Requests of which a part took all attempts allowed, by route.",
         )
+        self.admission_refusals = self._counter(
+            "hyssoptack_admission_refusals_total",
+            "Requests refused or declined for lack of room, by cause.",
+        )
         self.upstream_exits = self._counter(
             "hyssoptack_upstreams_ended_total",
             "Upstreams that ended with calls of ours in hand, by service.",
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -9,7 +9,9 @@
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import traffic
 from hyssoptack.events import log
+from hyssoptack.gateway import admissioncontrol
 from hyssoptack.gateway import callrelay
+from hyssoptack.gateway import calltrace
 from hyssoptack.gateway import inbound
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import querydelegation
@@ -50,6 +52,7 @@
         self._caller_latency = callerlatency.CallerLatency()
         self.delegator: querydelegation.Delegator | None = None
         self.call_relay: callrelay.CallRelay | None = None
+        self.admission: admissioncontrol.AdmissionControl | None = None
 
     def handle(self, exchange: httpserver.Exchange) -> None:
         """Handles a request received from a caller."""
@@ -61,11 +64,35 @@
         """Accepts or declines a query that a neighbour delegates."""
         # Under another configuration version the query could run in a way
         # that its sender's configuration does not allow.
-        can_serve = ready and delegation_request.version == self._view.version
+        can_serve = (
+            ready
+            and delegation_request.version == self._view.version
+            and self._has_room_for(delegation_request)
+        )
         exchange = self.delegator.accept(delegation_request, can_serve)
         if exchange is not None:
             self._serve(exchange, delegation_request)
 
+    def _has_room_for(
+        self, delegation_request: gatewaymessage.DelegationRequest
+    ) -> bool:
+        """Returns whether admission allows a query of this version to start."""
+        if self.admission is None or not delegation_request.fresh:
+            return True
+        configuration = self._view.route_table.configuration
+        for route in configuration.routes:
+            if route.name == delegation_request.route_name:
+                directory = configuration.team_directory
+                team = (
+                    directory.by_name.get(delegation_request.team)
+                    if directory
+                    else None
+                )
+                has_priority = team is not None and team.priority is not None
+                priority = team.priority if has_priority else route.priority
+                return self.admission.can_accept_delegated(route, priority)
+        return True
+
     def _serve(
         self,
         exchange: inbound.Exchange,
@@ -113,6 +140,8 @@
         )
         run = requestrun.RequestRun(self, prepared, awaits_grant=True)
         request.exchange.on_commit = run.on_attempts_granted
+        if self.admission is not None:
+            self.admission.count_started(prepared)
         run.start()
 
     def _identify_caller(self, request: inbound.RoutedRequest) -> None:
@@ -145,7 +174,15 @@
                 request.metadata.deadline_ms,
                 request.exchange.request.is_first,
             )
-            timed = dataclasses.replace(timed, caller_spent_ms=spent_ms)
+            timed = dataclasses.replace(
+                timed,
+                caller_spent_ms=spent_ms,
+                is_returning=admissioncontrol.is_returning(
+                    self._caller_latency,
+                    spent_ms,
+                    request.exchange.request.is_first,
+                ),
+            )
         version = self._view.version
         suspect_registry = self._plan_context.suspect_registry
         keep_local = self.delegator is None or (
@@ -164,7 +201,41 @@
             request: The request to run.
             may_have_run: Whether a neighbour may have run part of the request.
         """
-        requestrun.RequestRun(self, request, may_have_run=may_have_run).start()
+
+        def start() -> None:
+            requestrun.RequestRun(
+                self, request, may_have_run=may_have_run
+            ).start()
+
+        if self.admission is None:
+            start()
+        elif may_have_run:
+            # It can't be refused as not run.
+            self.admission.count_started(request)
+            start()
+        else:
+            self.admission.submit(
+                request,
+                start,
+                lambda reason, retry_after_ms: self._refuse_admission(
+                    request, reason, retry_after_ms
+                ),
+            )
+
+    def _refuse_admission(
+        self,
+        request: inbound.RoutedRequest,
+        reason: str,
+        retry_after_ms: float,
+    ) -> None:
+        """Refuses a request for which no call was sent."""
+        status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        self.metrics.requests.inc(
+            {"route": request.route_match.route.name, "status": str(status)}
+        )
+        request.exchange.answer(
+            message.problem_reply(status, reason, retry_after_ms)
+        )
 
     def can_rerun_locally(self, request: inbound.RoutedRequest) -> bool:
         """Returns whether the extra call budget allows rerunning a query here.
@@ -210,6 +281,38 @@
             version=self._view.version,
         )
 
+    def counts_as_shed(
+        self, trace: calltrace.Trace, outcome: callcommand.Outcome
+    ) -> bool:
+        """Returns whether a call shows that a service has no room."""
+        if self.admission is None:
+            return False
+        return (
+            outcome.kind is callcommand.OutcomeKind.SHED
+            and self.admission.counts_as_shed(trace.service, trace.upstream_id)
+        )
+
+    def record_end(
+        self,
+        request: inbound.RoutedRequest,
+        status: int,
+        in_time: bool,
+        shed_count: int,
+    ) -> None:
+        """Records the end of a request that was started.
+
+        Args:
+            request: The request.
+            status: Status of the answer; 0 if the caller has left.
+            in_time: Whether it ended before its latency goal.
+            shed_count: Calls that `counts_as_shed` counted.
+        """
+        if self.admission is not None:
+            answered = (
+                http.HTTPStatus.OK <= status < http.HTTPStatus.BAD_REQUEST
+            )
+            self.admission.on_ended(request, answered and in_time, shed_count)
+
     def record_lateness(self, late_ms: float) -> None:
         """Records how long after its latency goal an answer was written."""
         self._caller_latency.answer_delay.record(late_ms)
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -53,6 +53,8 @@
             request.route_match,
         )
         self._handler = handler
+        self._request = request
+        self._shed_count = 0
         self._exchange = exchange
         self._metadata = metadata
         self._route = route_match.route
@@ -245,6 +247,9 @@
         )
         if not call_outcome.reached:
             self._log_unreachable(call_id, call_outcome)
+        self._shed_count += self._handler.counts_as_shed(
+            self._traces[call_id], call_outcome
+        )
 
     def _on_relayed(
         self,
@@ -379,6 +384,10 @@
         now_ms = clock.now_ms()
         started_ms = self._exchange.request.received_ms
         self._count_request(status, now_ms - started_ms)
+        in_time = now_ms <= self._plan_request.goal_at_ms
+        self._handler.record_end(
+            self._request, status, in_time, self._shed_count
+        )
         log.write(
             log.Event.REQUEST_ENDED,
             request_id=self._metadata.request_id.decode("latin-1"),
--- a/hyssoptack/planning/callpart.py
+++ b/hyssoptack/planning/callpart.py
@@ -121,6 +121,11 @@
         """Returns whether answered and open parts together reach the floor."""
         return len(self.all) - self.abandoned_count >= self._floor_count
 
+    def can_reach_floor_without(self, part: Part) -> bool:
+        """Returns whether the floor can be reached if a part is abandoned."""
+        lost_count = self.abandoned_count + part.is_open()
+        return len(self.all) - lost_count >= self._floor_count
+
     def meets_floor(self) -> bool:
         """Returns whether the answered parts reach the coverage floor."""
         return 0 < self.answered_count >= self._floor_count
--- a/hyssoptack/planning/callplan.py
+++ b/hyssoptack/planning/callplan.py
@@ -20,17 +20,12 @@
 from hyssoptack.planning import callcommand
 from hyssoptack.planning import callpart
 from hyssoptack.planning import callresult
+from hyssoptack.planning import extracalls
 from hyssoptack.planning import opencalls
 from hyssoptack.planning import plancontext
 from hyssoptack.planning import upstreamchoice
 from hyssoptack.quarantine import probeguard
 
-HEDGE_RESERVE_COUNT = 1.0
-"""Tokens that a hedge must leave in the budget for retries after failures and
-for queries that would miss their coverage floor. A hedge that the floor depends
-on may spend the last token: an answer that is late because of one part loses
-nine tenths of its value, an answer without that part only a twentieth."""
-
 DEADLINE_MARGIN_MS = 10.0
 """Time reserved before the caller's deadline to write and send the answer."""
 
@@ -61,6 +56,9 @@
                 request.route, len(request.services)
             ),
         )
+        self._extra_calls = extracalls.ExtraCalls(
+            context, request.services, self._parts
+        )
         self.calls = opencalls.OpenCalls(
             context.load_balancer, request.route.name
         )
@@ -296,9 +294,9 @@
             return []
         upstream = self._choice.retry_upstream(part, now_ms)
         if upstream is not None:
-            if self._context.extra_call_budget.try_spend(part.service, now_ms):
+            may_have_run = self._may_have_run or self.calls.any_sent()
+            if self._extra_calls.try_retry(part, may_have_run, now_ms):
                 return self._send_to(part, upstream, now_ms, reason)
-            part.last_reason = "no_retry_budget"
         if not part.calls:
             self._parts.abandon(part)
         return []
@@ -374,11 +372,10 @@
         self, call: callpart.Call, now_ms: float
     ) -> list[callcommand.Command]:
         part = call.part
+        if self._extra_calls.are_held_back:
+            return []
         part.hedged = True
-        reserve = 0.0 if self._parts.is_below_floor() else HEDGE_RESERVE_COUNT
-        if not self._context.extra_call_budget.try_spend(
-            part.service, now_ms, reserve
-        ):
+        if not self._extra_calls.try_hedge(part, now_ms):
             return []
         relayed = call.overdue_at_ms is not None
         if relayed and self._choice.untried_upstream(part, now_ms) is None:
--- a/hyssoptack/planning/plancontext.py
+++ b/hyssoptack/planning/plancontext.py
@@ -1,5 +1,6 @@
 """The state that the call plans of an instance share."""
 
+import collections.abc
 import dataclasses
 import random
 
@@ -9,6 +10,15 @@
 from hyssoptack.membership import partitiondetector
 from hyssoptack.quarantine import quarantine
 
+HoldsExtraCalls = collections.abc.Callable[[tuple[str, ...]], bool]
+"""Returns whether hedges and retries of requests to some services are held
+back, because first calls of other requests wait for room."""
+
+
+def never_holds(_services: tuple[str, ...]) -> bool:
+    """Returns that no extra calls are held back."""
+    return False
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PlanContext:
@@ -21,6 +31,7 @@
         mechanisms: Switches that enable or disable single mechanisms.
         suspect_registry: Registry of requests that are suspected to crash
             upstreams.
+        holds_extra_calls: Whether admission holds back hedges and retries.
     """
 
     load_balancer: loadbalancer.LoadBalancer
@@ -32,3 +43,4 @@
     suspect_registry: quarantine.SuspectRegistry = dataclasses.field(
         default_factory=lambda: quarantine.SuspectRegistry(random.Random())
     )
+    holds_extra_calls: HoldsExtraCalls = never_holds
--- a/hyssoptack/planning/upstreamchoice.py
+++ b/hyssoptack/planning/upstreamchoice.py
@@ -5,6 +5,7 @@
 from hyssoptack.planning import callcommand
 from hyssoptack.planning import callpart
 from hyssoptack.planning import callresult
+from hyssoptack.planning import extracalls
 from hyssoptack.planning import plancontext
 from hyssoptack.quarantine import probeguard
 
@@ -48,7 +49,7 @@
             part.last_reason = "no_attempts_left"
             return None
         if not self._context.extra_call_budget.try_spend(part.service, now_ms):
-            part.last_reason = "no_retry_budget"
+            part.last_reason = extracalls.NO_BUDGET
             return None
         return upstream
 
