--- a/hyssoptack/admission/controller.py
+++ b/hyssoptack/admission/controller.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import collections.abc
 import dataclasses
 import random
 
@@ -29,6 +28,18 @@
 """Latency goal before a configuration is known: between the users' goals of 73
 and 151 ms."""
 
+CALL_DROP_RATIO = 0.3
+"""Weight of a shorter call time each second: a value learned under load is
+within a tenth of the true one after 7 s."""
+
+CALL_CALM_RISE_RATIO = 0.1
+"""Weight of a longer call time each second without overload. The typical time
+varies by a third at random; its mean over 10 s does not."""
+
+CALL_RISE_RATIO = 1.01
+"""Largest growth of the call time each second under load: 6 % in a burst of
+6 s, while calls that stay longer for good are learned within minutes."""
+
 LOST_AFTER_MS = 5_000.0
 """Time after its deadline at which a request that has not ended is dropped from
 the count. Requests end at their deadlines; only an internal error loses one."""
@@ -69,8 +80,8 @@
     Attributes:
         limit: Its limit, in requests.
         goal_ms: Tightest latency goal of its routes.
-        call_ms: Shortest typical call time seen. Slower calls must not reduce
-            the ceiling, as hedges handle slow upstreams.
+        call_ms: Typical call time while upstreams are not crowded. Slower
+            calls must not reduce the ceiling, as hedges handle slow upstreams.
     """
 
     limit: worklimit.WorkLimit
@@ -91,8 +102,50 @@
     start_ms: float
 
 
+def _uncrowded_ms(known_ms: float, call_ms: float, is_calm: bool) -> float:
+    """Returns the typical call time while upstreams are not crowded.
+
+    Args:
+        known_ms: The value so far; 0 if there is none.
+        call_ms: Typical call time now; 0 if no call was answered yet.
+        is_calm: Whether there were no signs of overload and no waiting.
+    """
+    if not known_ms or not call_ms:
+        return known_ms or call_ms
+    if call_ms < known_ms:
+        return known_ms + CALL_DROP_RATIO * (call_ms - known_ms)
+    risen_ms = known_ms + CALL_CALM_RISE_RATIO * (call_ms - known_ms)
+    return risen_ms if is_calm else min(risen_ms, CALL_RISE_RATIO * known_ms)
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Ahead:
+    """The requests before another one in the order.
+
+    Attributes:
+        counts: Requests by group.
+        total_count: All requests.
+        call_count: First calls of all requests.
+    """
+
+    counts: collections.Counter[queue.Group] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    total_count: int = 0
+    call_count: int = 0
+
+    def add(self, ask: queue.Ask) -> None:
+        """Adds the next request of the order."""
+        self.counts[ask.group] += 1
+        self.total_count += 1
+        self.call_count += ask.call_count
+
+
 def _until_free_ms(limit: worklimit.WorkLimit, wanted_count: float) -> float:
-    """Returns the expected time until an amount of work may have started."""
+    """Returns the expected time until an amount of work may have started.
+
+    Work in progress ends at the rate of its amount divided by its duration.
+    """
     lacking_count = wanted_count - max(0.0, limit.available_count)
     return max(0.0, lacking_count * limit.duration_ms / limit.limit_count)
 
@@ -115,8 +168,9 @@
         self.usage = usage.Usage(now_ms)
         self.process = worklimit.new(
             worklimit.process_share_count(self._goal_ms, self._widest_count),
-            worklimit.MIN_PROCESS_REQUEST_COUNT,
+            worklimit.process_floor_count(self._goal_ms, self._widest_count),
             now_ms,
+            burst_ratio=1.0,
         )
         self._groups: dict[queue.Group, _Group] = {}
         self._waiting = queue.WaitQueue(self.usage, self._duration_ms)
@@ -131,7 +185,7 @@
         self.process = worklimit.with_share(
             self.process,
             worklimit.process_share_count(goal_ms, widest_count),
-            worklimit.MIN_PROCESS_REQUEST_COUNT * widest_count,
+            worklimit.process_floor_count(goal_ms, widest_count),
         )
 
     def knows(self, group: queue.Group) -> bool:
@@ -157,8 +211,9 @@
                 limit=limit, goal_ms=facts.goal_ms
             )
         found.goal_ms = facts.goal_ms
-        if facts.call_ms:
-            found.call_ms = min(found.call_ms or facts.call_ms, facts.call_ms)
+        found.call_ms = _uncrowded_ms(
+            found.call_ms, facts.call_ms, found.limit.is_calm(now_ms)
+        )
         share_count = worklimit.slot_share_count(
             facts.slot_count, self.instance_count, found.call_ms, found.goal_ms
         )
@@ -207,9 +262,7 @@
         They are while first calls wait for the same upstreams, or for this
         process.
         """
-        return (
-            self._waiting.waiting_count(group) > 0 or self._process_is_awaited()
-        )
+        return self._waiting.has_timely(group) or self._process_is_awaited()
 
     def has_room(self, group: queue.Group, now_ms: float) -> bool:
         """Returns whether a new request of a group would start at once."""
@@ -232,19 +285,15 @@
         if self.has_room(ask.group, now_ms):
             self._start(ask, now_ms)
             return Admit()
-        self._waiting.add(ask)
-        found = next(
-            (
-                each
-                for kept, each in self._review(now_ms)
-                if kept.ask_id == ask.ask_id
-            ),
-            None,
-        )
-        if found is None:
-            return Wait()
-        self._remove_refused(ask)
-        return found
+        self._waiting.add(ask, now_ms)
+        found = self._refusal_of(ask, now_ms)
+        if found is not None:
+            self._remove_refused(ask)
+            return found
+        self.process = worklimit.record_wait(self.process, now_ms)
+        group = self._groups[ask.group]
+        group.limit = worklimit.record_wait(group.limit, now_ms)
+        return Wait()
 
     def start_unconditionally(self, ask: queue.Ask, now_ms: float) -> None:
         """Counts a request that starts whether or not there is room."""
@@ -269,55 +318,68 @@
         self._recover_all(now_ms)
         if not len(self._waiting):
             return []
-        refused = list(self._review(now_ms))
-        for ask, _ in refused:
+        refused: list[tuple[queue.Ask, refusal.Refuse]] = []
+        ahead = _Ahead()
+        for ask in self._waiting.ordered(now_ms):
+            found = self._refusal(ask, ahead, now_ms)
+            if found is None:
+                ahead.add(ask)
+                continue
+            # A request that is refused does not delay those after it.
             self._remove_refused(ask)
+            refused.append((ask, found))
         return refused
 
     def _remove_refused(self, ask: queue.Ask) -> None:
         self._waiting.remove(ask.ask_id)
         self.usage.record_refused(ask.team_name, ask.route_name)
 
-    def _review(
-        self, now_ms: float
-    ) -> collections.abc.Iterator[tuple[queue.Ask, refusal.Refuse]]:
-        """Yields the waiting requests that are to be refused, in their order.
-
-        A request that is refused does not delay those after it.
-        """
-        ahead_counts: collections.Counter[queue.Group] = collections.Counter()
-        ahead_call_count = kept_count = 0
-        for ask in self._waiting.ordered(now_ms):
-            wait_ms = self._wait_ms(
-                ask, ahead_counts[ask.group], ahead_call_count
+    def _refusal_of(
+        self, ask: queue.Ask, now_ms: float
+    ) -> refusal.Refuse | None:
+        """Returns the refusal of a waiting request; None if it is kept."""
+        ahead = _Ahead()
+        for each in self._waiting.ordered(now_ms):
+            if each is ask:
+                break
+            ahead.add(each)
+        return self._refusal(ask, ahead, now_ms)
+
+    def _refusal(
+        self, ask: queue.Ask, ahead: "_Ahead", now_ms: float
+    ) -> refusal.Refuse | None:
+        """Returns the refusal of a request behind others; None if it waits."""
+        wait_ms = max(
+            _until_free_ms(
+                self._groups[ask.group].limit, ahead.counts[ask.group] + 1
+            ),
+            _until_free_ms(self.process, ahead.call_count + ask.call_count),
+        )
+        needed_ms = queue.needed_ms(ask, self._duration_ms(ask.group))
+        found = refusal.due(ask, wait_ms, needed_ms, now_ms, self._random)
+        left_ms = ask.goal_at_ms - now_ms - needed_ms
+        max_count = (
+            queue.MAX_LATE_COUNT if left_ms < 0.0 else queue.MAX_WAITING_COUNT
+        )
+        if found is None and ahead.total_count >= max_count:
+            found = refusal.refuse(
+                refusal.Reason.QUEUE_FULL, wait_ms, left_ms, self._random
             )
-            needed_ms = queue.needed_ms(ask, self._duration_ms(ask.group))
-            found = refusal.due(ask, wait_ms, needed_ms, now_ms, self._random)
-            if found is None and kept_count >= queue.MAX_WAITING_COUNT:
-                left_ms = ask.goal_at_ms - now_ms - needed_ms
-                found = refusal.refuse(
-                    refusal.Reason.QUEUE_FULL, wait_ms, left_ms, self._random
-                )
-            if found is not None:
-                yield ask, found
-                continue
-            kept_count += 1
-            ahead_counts[ask.group] += 1
-            ahead_call_count += ask.call_count
+        return found
 
     def leave(self, ask_id: int) -> queue.Ask | None:
         """Removes a waiting request whose caller has left."""
         return self._waiting.remove(ask_id)
 
     def end(
-        self, ask_id: int, timely: bool, shed_count: int, now_ms: float
+        self, ask_id: int, shed_count: int, call_ms: float, now_ms: float
     ) -> None:
         """Records the end of a request that was started.
 
         Args:
             ask_id: The request.
-            timely: Whether it was answered within its latency goal.
             shed_count: Calls that were shed while no other upstream had room.
+            call_ms: Typical time of a call of its route now.
             now_ms: Current time in milliseconds.
         """
         started = self._started.pop(ask_id, None)
@@ -332,20 +394,19 @@
         limit = group.limit
         if shed_count:
             limit = worklimit.record_sign(limit, group.goal_ms, now_ms)
-        elif (
-            timely
-            and elapsed_ms <= worklimit.TIMELY_RATIO * ask.goal_ms
-            and self._waiting.waiting_count(ask.group)
-            and self.process.is_calm(now_ms)
-        ):
-            limit = worklimit.raise_ceiling(limit, now_ms)
+        crowded = call_ms > worklimit.CROWDED_RATIO * group.call_ms > 0.0
+        limit = worklimit.adapt_extra(limit, crowded, now_ms)
         group.limit = worklimit.end(limit, 1.0, elapsed_ms)
         self._recover(ask.group, now_ms)
 
     # Parts of the decisions.
 
-    def _group_has_room(self, group: queue.Group) -> bool:
-        return self._groups[group].limit.available_count >= 1.0
+    def _group_has_room(
+        self, group: queue.Group, is_late: bool = False
+    ) -> bool:
+        limit = self._groups[group].limit
+        used_ratio = queue.LATE_WORK_RATIO if is_late else 1.0
+        return limit.in_progress_count + 1.0 <= used_ratio * limit.limit_count
 
     def _process_has_room(self, group: queue.Group) -> bool:
         return (
@@ -355,8 +416,8 @@
 
     def _start(self, ask: queue.Ask, now_ms: float) -> None:
         group = self._groups[ask.group]
-        group.limit = worklimit.begin(group.limit, 1.0, now_ms)
-        self.process = worklimit.begin(self.process, ask.call_count, now_ms)
+        group.limit = worklimit.begin(group.limit, 1.0)
+        self.process = worklimit.begin(self.process, ask.call_count)
         self._started[ask.ask_id] = _Started(ask=ask, start_ms=now_ms)
         self.usage.record_started(
             ask.team_name,
@@ -369,25 +430,6 @@
     def _duration_ms(self, group: queue.Group) -> float:
         return self._groups[group].limit.duration_ms
 
-    def _wait_ms(
-        self, ask: queue.Ask, ahead_count: int, ahead_call_count: int
-    ) -> float:
-        """Returns the expected time until a waiting request starts.
-
-        Work in progress ends at the rate of its amount divided by its
-        duration; the request starts after those before it in the order.
-
-        Args:
-            ask: The request.
-            ahead_count: Requests of its group before it.
-            ahead_call_count: Calls of all requests before it.
-        """
-        limit, process = self._groups[ask.group].limit, self.process
-        return max(
-            _until_free_ms(limit, ahead_count + 1),
-            _until_free_ms(process, ahead_call_count + ask.call_count),
-        )
-
     def _recover(self, group: queue.Group, now_ms: float) -> None:
         found = self._groups[group]
         found.limit = worklimit.recover(found.limit, now_ms)
@@ -400,13 +442,13 @@
     def maintain(self, now_ms: float) -> int:
         """Decays observations; returns the number of lost requests dropped."""
         for each in self._groups.values():
-            each.limit = worklimit.decay_calm(each.limit, now_ms)
-        self.process = worklimit.decay_calm(self.process, now_ms)
+            each.limit = worklimit.decay(each.limit, now_ms)
+        self.process = worklimit.decay(self.process, now_ms)
         lost_ids = [
             ask_id
             for ask_id, each in self._started.items()
             if now_ms > each.ask.deadline_at_ms + LOST_AFTER_MS
         ]
         for ask_id in lost_ids:
-            self.end(ask_id, timely=False, shed_count=0, now_ms=now_ms)
+            self.end(ask_id, shed_count=0, call_ms=0.0, now_ms=now_ms)
         return len(lost_ids)
--- a/hyssoptack/admission/queue.py
+++ b/hyssoptack/admission/queue.py
@@ -13,6 +13,7 @@
 within theirs, because a team that is often refused also returns most often.
 """
 
+import bisect
 import collections
 import collections.abc
 import dataclasses
@@ -25,6 +26,14 @@
 in the hope that load ends before their deadlines. Each choice of the next
 request compares all that wait, which takes 0.2 ms at this number."""
 
+MAX_LATE_COUNT = 8
+"""Largest number of requests before one that waits although it can't meet its
+goal. Those behind would be overtaken until their deadlines."""
+
+ORDER_AGE_MS = 5.0
+"""Age above which the order is computed again. An instance starts at most one
+request in this time, and goals are 73 ms and longer."""
+
 Group = tuple[str, ...]
 """The services that a request calls: one service, or all shards of an index."""
 
@@ -65,14 +74,21 @@
         return len(self.group)
 
 
+LATE_WORK_RATIO = 0.25
+"""Largest part of a limit that requests may use which can't meet their goals,
+so that those which can find room as soon as load ends."""
+
 Rank = tuple[bool, bool, int, int, bool, float, int]
 """Position in the order; the smallest comes first."""
 
-NEEDED_MAX_RATIO = 0.5
+NEEDED_MAX_RATIO = 0.7
 """Largest part of its latency goal that a request is expected to need. When
 some upstreams are slow, queries end at their goals without some parts; their
 durations then say little about the least time for an answer."""
 
+HasRoom = collections.abc.Callable[[Group, bool], bool]
+"""Returns whether a group has room; the flag is set for late requests."""
+
 DurationOf = collections.abc.Callable[[Group], float]
 """Returns the usual time from start to answer in a group, in milliseconds."""
 
@@ -112,13 +128,19 @@
 
 
 class WaitQueue:
-    """The requests that wait for room."""
+    """The requests that wait for room.
+
+    The order is computed again when it is older than `ORDER_AGE_MS`; until then
+    new requests are inserted.
+    """
 
     def __init__(self, recent: usage.Usage, duration_of: DurationOf):
         self._usage = recent
         self._duration_of = duration_of
         self._asks: dict[int, Ask] = {}
         self._group_counts: collections.Counter[Group] = collections.Counter()
+        self._ranked: list[tuple[Rank, Ask]] = []
+        self._ranked_ms = float("-inf")
 
     def __len__(self) -> int:
         return len(self._asks)
@@ -127,10 +149,13 @@
         """Returns the number of waiting requests of a group."""
         return self._group_counts[group]
 
-    def add(self, ask: Ask) -> None:
+    def add(self, ask: Ask, now_ms: float) -> None:
         """Adds a request."""
         self._asks[ask.ask_id] = ask
         self._group_counts[ask.group] += 1
+        bisect.insort(
+            self._ranked, (self._rank(ask, now_ms), ask), key=_rank_of
+        )
 
     def remove(self, ask_id: int) -> Ask | None:
         """Removes a request; returns None if it does not wait."""
@@ -143,23 +168,42 @@
 
     def ordered(self, now_ms: float) -> list[Ask]:
         """Returns all waiting requests in their order."""
-        return sorted(
-            self._asks.values(), key=lambda ask: self._rank(ask, now_ms)
-        )
-
-    def first(
-        self,
-        now_ms: float,
-        has_room: collections.abc.Callable[[Group], bool],
-    ) -> Ask | None:
+        if now_ms - self._ranked_ms >= ORDER_AGE_MS:
+            self._ranked_ms = now_ms
+            self._ranked = sorted(
+                ((self._rank(ask, now_ms), ask) for ask in self._asks.values()),
+                key=_rank_of,
+            )
+        elif len(self._ranked) > len(self._asks):
+            self._ranked = [
+                each for each in self._ranked if each[1].ask_id in self._asks
+            ]
+        return [ask for _, ask in self._ranked]
+
+    def first(self, now_ms: float, has_room: HasRoom) -> Ask | None:
         """Returns the first waiting request of the groups that have room."""
-        open_groups = {each for each in self._group_counts if has_room(each)}
-        candidates = [
-            each for each in self._asks.values() if each.group in open_groups
-        ]
-        if not candidates:
-            return None
-        return min(candidates, key=lambda ask: self._rank(ask, now_ms))
+        self.ordered(now_ms)
+        rooms: dict[tuple[Group, bool], bool] = {}
+        for (is_late, *_), ask in self._ranked:
+            key = ask.group, is_late
+            if key not in rooms:
+                rooms[key] = has_room(ask.group, is_late)
+            if rooms[key]:
+                return ask
+        return None
+
+    def has_timely(self, group: Group) -> bool:
+        """Returns whether a request of a group waits that can meet its goal."""
+        for (is_late, *_), ask in self._ranked:
+            if is_late:
+                return False
+            if ask.group == group and ask.ask_id in self._asks:
+                return True
+        return False
 
     def _rank(self, ask: Ask, now_ms: float) -> Rank:
         return rank(ask, self._usage, self._duration_of(ask.group), now_ms)
+
+
+def _rank_of(ranked: tuple[Rank, Ask]) -> Rank:
+    return ranked[0]
--- a/hyssoptack/gateway/admissioncontrol.py
+++ b/hyssoptack/gateway/admissioncontrol.py
@@ -145,7 +145,9 @@
         """
         _, ask_id = self._running.pop(id(request), (request, 0))
         now_ms = clock.now_ms()
-        self._controller.end(ask_id, timely, shed_count, now_ms)
+        route_name = request.route_match.route.name
+        call_ms = self._load_balancer.latency_of(route_name).median_ms
+        self._controller.end(ask_id, shed_count, call_ms, now_ms)
         self._start_waiting()
         if shed_count:
             self._log_limits(now_ms)
