--- a/hyssoptack/admission/controller.py
+++ b/hyssoptack/admission/controller.py
@@ -28,18 +28,6 @@
 """Latency goal before a configuration is known: between the users' goals of 73
 and 151 ms."""
 
-CALL_DROP_RATIO = 0.3
-"""Weight of a shorter call time each second: a value learned under load is
-within a tenth of the true one after 7 s."""
-
-CALL_CALM_RISE_RATIO = 0.1
-"""Weight of a longer call time each second without overload. The typical time
-varies by a third at random; its mean over 10 s does not."""
-
-CALL_RISE_RATIO = 1.01
-"""Largest growth of the call time each second under load: 6 % in a burst of
-6 s, while calls that stay longer for good are learned within minutes."""
-
 LOST_AFTER_MS = 5_000.0
 """Time after its deadline at which a request that has not ended is dropped from
 the count. Requests end at their deadlines; only an internal error loses one."""
@@ -102,22 +90,6 @@
     start_ms: float
 
 
-def _uncrowded_ms(known_ms: float, call_ms: float, is_calm: bool) -> float:
-    """Returns the typical call time while upstreams are not crowded.
-
-    Args:
-        known_ms: The value so far; 0 if there is none.
-        call_ms: Typical call time now; 0 if no call was answered yet.
-        is_calm: Whether there were no signs of overload and no waiting.
-    """
-    if not known_ms or not call_ms:
-        return known_ms or call_ms
-    if call_ms < known_ms:
-        return known_ms + CALL_DROP_RATIO * (call_ms - known_ms)
-    risen_ms = known_ms + CALL_CALM_RISE_RATIO * (call_ms - known_ms)
-    return risen_ms if is_calm else min(risen_ms, CALL_RISE_RATIO * known_ms)
-
-
 @dataclasses.dataclass(kw_only=True)
 class _Ahead:
     """The requests before another one in the order.
@@ -211,7 +183,7 @@
                 limit=limit, goal_ms=facts.goal_ms
             )
         found.goal_ms = facts.goal_ms
-        found.call_ms = _uncrowded_ms(
+        found.call_ms = worklimit.uncrowded_call_ms(
             found.call_ms, facts.call_ms, found.limit.is_calm(now_ms)
         )
         share_count = worklimit.slot_share_count(
@@ -268,7 +240,7 @@
         """Returns whether a new request of a group would start at once."""
         if group not in self._groups:
             return True
-        if self._waiting.waiting_count(group) or self._process_is_awaited():
+        if self._waiting.has_timely(group) or self._process_is_awaited():
             return False
         self._recover(group, now_ms)
         return self._group_has_room(group) and self._process_has_room(group)
--- a/hyssoptack/admission/worklimit.py
+++ b/hyssoptack/admission/worklimit.py
@@ -66,6 +66,19 @@
 requests bring the estimate back to within a twentieth."""
 
 
+CALL_DROP_RATIO = 0.3
+"""Weight of a shorter call time each second: a value learned under load is
+within a tenth of the true one after 7 s."""
+
+CALL_CALM_RISE_RATIO = 0.1
+"""Weight of a longer call time each second without overload. The typical time
+varies by a third at random; its mean over 10 s does not."""
+
+CALL_RISE_RATIO = 1.01
+"""Largest growth of the call time each second under load: 6 % in a burst of
+6 s, while calls that stay longer for good are learned within minutes."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class WorkLimit(limiter.AdaptiveLimit):
     """A limit with the work that counts against it.
@@ -124,8 +137,8 @@
 ) -> WorkLimit:
     """Returns a limit at its ceiling, with no work in progress.
 
-    It starts at the ceiling because the ceiling is already one instance's
-    share, so that new instances don't flood upstreams.
+    It starts at its ceiling, so that calm traffic never waits. New instances
+    don't flood upstreams, as the ceiling follows from an instance's share.
     """
     base_count = max(share_count, floor_count)
     extra_count = (burst_ratio - 1.0) * share_count
@@ -164,6 +177,22 @@
     return max(CEILING_MIN_COUNT, even_count * turns_count)
 
 
+def uncrowded_call_ms(known_ms: float, call_ms: float, is_calm: bool) -> float:
+    """Returns the typical call time while upstreams are not crowded.
+
+    Args:
+        known_ms: The value so far; 0 if there is none.
+        call_ms: Typical call time now; 0 if no call was answered yet.
+        is_calm: Whether there were no signs of overload and no waiting.
+    """
+    if not known_ms or not call_ms:
+        return known_ms or call_ms
+    if call_ms < known_ms:
+        return known_ms + CALL_DROP_RATIO * (call_ms - known_ms)
+    risen_ms = known_ms + CALL_CALM_RISE_RATIO * (call_ms - known_ms)
+    return risen_ms if is_calm else min(risen_ms, CALL_RISE_RATIO * known_ms)
+
+
 def process_share_count(goal_ms: float, widest_count: int) -> float:
     """Returns the calls that a full core completes within a latency goal.
 
--- a/hyssoptack/gateway/admissioncontrol.py
+++ b/hyssoptack/gateway/admissioncontrol.py
@@ -37,6 +37,9 @@
 """Interval at which ceilings are computed again. The list of upstreams changes
 a few times a minute."""
 
+LOG_CHECK_PERIOD_MS = 100.0
+"""Interval of the checks for reduced limits, which take 850 ms to recover."""
+
 RETURN_ROUND_TRIPS_RATIO = 2.0
 """Round trips above which the time that a caller has spent means an earlier
 attempt: a new connection takes one, a refused attempt two more."""
@@ -87,7 +90,7 @@
         self._running: dict[int, tuple[inbound.RoutedRequest, int]] = {}
         self._limit_log = limitlog.LimitLog()
         self._review_timer: asyncio.TimerHandle | None = None
-        self._refreshed_ms = clock.now_ms()
+        self._refreshed_ms = self._logged_ms = clock.now_ms()
 
     # Requests.
 
@@ -304,7 +307,9 @@
             self._refreshed_ms = now_ms
             self._controller.maintain(now_ms)
             self._refresh_ceilings(now_ms)
-        self._log_limits(now_ms)
+        if now_ms - self._logged_ms >= LOG_CHECK_PERIOD_MS:
+            self._logged_ms = now_ms
+            self._log_limits(now_ms)
 
     def _schedule_review(self) -> None:
         if self._review_timer is not None or not self._pending:
--- a/hyssoptack/standins/admissionplay.py
+++ b/hyssoptack/standins/admissionplay.py
@@ -15,141 +15,12 @@
 from hyssoptack.admission import controller
 from hyssoptack.admission import queue
 from hyssoptack.admission import refusal
-
-GROUP = ("search",)
-TRIP_MS = 4.0
-"""Round trip between a caller and an instance."""
-
-TRY_COUNT = 3
-LATE_VALUE = 0.15
-"""Value of a late answer: the users' values are 0.04 to 0.3."""
-
-DELAY_PERIOD_MS = 25.0
-REVIEW_PERIOD_MS = 10.0
-EXTRA_CALL_RATIO = 0.2
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Kind:
-    """One kind of request.
-
-    Attributes:
-        name: Name of its route.
-        priority: Priority, 0 the most urgent.
-        goal_ms: Latency goal.
-        deadline_ms: Time for which callers wait.
-        weight: Share of the requests.
-    """
-
-    name: str
-    priority: int
-    goal_ms: float
-    deadline_ms: float
-    weight: float
-
-
-KINDS = (
-    Kind(name="urgent", priority=0, goal_ms=80, deadline_ms=800, weight=0.3),
-    Kind(name="usual", priority=1, goal_ms=150, deadline_ms=1500, weight=0.4),
-    Kind(name="batch", priority=2, goal_ms=300, deadline_ms=2000, weight=0.3),
-)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Scenario:
-    """One simulated site and its load.
-
-    Attributes:
-        admits: Whether admission is enabled.
-        team_rates_per_s: Requests per second by team, during the burst.
-        calm_ratio: Load before and after the burst, relative to the burst.
-        burst_from_ms: Start of the burst.
-        burst_to_ms: End of the burst.
-        end_ms: End of the load.
-        instance_count: Number of instances.
-        receive_ms: Processor time to read an attempt and to refuse it.
-        serve_ms: Processor time to serve an attempt.
-        slot_count: Slots of each upstream.
-        queue_count: Waiting calls above which an upstream sheds.
-        service_ms: Mean time of a call in a slot.
-        slow_ratios: Factor on the time of calls, by upstream.
-        shed_ratios: Part of the calls that are shed anyway, by upstream.
-        slow_from_ms: When upstreams begin to be slow or to shed.
-        slow_to_ms: When upstreams stop being slow or shedding.
-        seed: Seed of the random numbers.
-    """
-
-    admits: bool
-    team_rates_per_s: dict[str, float]
-    calm_ratio: float = 0.3
-    burst_from_ms: float = 2_000.0
-    burst_to_ms: float = 8_000.0
-    end_ms: float = 10_000.0
-    instance_count: int = 6
-    receive_ms: float = 0.3
-    serve_ms: float = 1.2
-    slot_count: int = 3
-    queue_count: int = 12
-    service_ms: float = 12.0
-    slow_ratios: tuple[float, ...] = (1.0, 1.0, 1.0, 1.0)
-    shed_ratios: tuple[float, ...] = (0.0, 0.0, 0.0, 0.0)
-    slow_from_ms: float = 0.0
-    slow_to_ms: float = 1e9
-    seed: int = 1
-
-    @property
-    def capacity_per_s(self) -> float:
-        """Requests per second that the upstreams complete when none is slow."""
-        return len(self.slow_ratios) * self.slot_count * 1000 / self.service_ms
-
-
-@dataclasses.dataclass(kw_only=True)
-class Request:
-    """A caller's request over all its attempts.
-
-    Attributes:
-        team: Name of the team.
-        kind: Its kind.
-        began_ms: When the caller began.
-        first_instance: Instance of the first attempt.
-        try_count: Attempts so far.
-        refused_late: Whether an attempt was refused too late to gain.
-        refused_with_call: Whether a refused attempt had sent a call.
-        ended_ms: When the caller had the answer; None without one.
-    """
-
-    team: str
-    kind: Kind
-    began_ms: float
-    first_instance: int
-    try_count: int = 0
-    refused_late: bool = False
-    refused_with_call: bool = False
-    ended_ms: float | None = None
-
-    @property
-    def timely(self) -> bool:
-        """Whether the caller had the answer within the latency goal."""
-        return (
-            self.ended_ms is not None
-            and self.ended_ms - self.began_ms <= self.kind.goal_ms
-        )
-
-    @property
-    def value(self) -> float:
-        """Value of the outcome to the caller, from 0 to 1."""
-        if self.ended_ms is None:
-            return 0.0
-        if not self.timely:
-            return LATE_VALUE
-        if self.try_count == 1:
-            return 1.0
-        return LATE_VALUE if self.refused_late else (1.0 + LATE_VALUE) / 2
+from hyssoptack.standins import admissionload
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
 class _Attempt:
-    request: Request
+    request: admissionload.Request
     instance: "_Instance"
     ask: queue.Ask
     tried: list[int] = dataclasses.field(default_factory=list)
@@ -218,20 +89,22 @@
         self._first_count = self._extra_count = 0
         self.control = controller.AdmissionController(play.rng, 0.0)
         self.control.instance_count = play.scenario.instance_count
-        self.control.set_goal(min(each.goal_ms for each in KINDS), 1)
+        self.control.set_goal(
+            min(each.goal_ms for each in admissionload.KINDS), 1
+        )
         self._set_facts()
         self.limits: list[tuple[float, float, float]] = []
 
     def _set_facts(self) -> None:
         scenario = self._play.scenario
         facts = controller.GroupFacts(
-            goal_ms=min(each.goal_ms for each in KINDS),
+            goal_ms=min(each.goal_ms for each in admissionload.KINDS),
             slot_count=scenario.slot_count * len(scenario.slow_ratios),
             call_ms=self._median_ms,
         )
-        self.control.set_facts(GROUP, facts, self._play.now_ms)
+        self.control.set_facts(admissionload.GROUP, facts, self._play.now_ms)
 
-    def receive(self, request: Request) -> None:
+    def receive(self, request: admissionload.Request) -> None:
         """Reads an attempt when the processor is free."""
         self._then(self._play.scenario.receive_ms, self._submit, request)
 
@@ -245,7 +118,7 @@
         self._busy_until_ms = max(now_ms, self._busy_until_ms) + cost_ms
         self._play.at(self._busy_until_ms, function, *arguments)
 
-    def _submit(self, request: Request) -> None:
+    def _submit(self, request: admissionload.Request) -> None:
         now_ms, kind = self._play.now_ms, request.kind
         if request.ended_ms is not None or now_ms > (
             request.began_ms + kind.deadline_ms
@@ -253,7 +126,7 @@
             return
         ask = queue.Ask(
             ask_id=next(self._play.numbers),
-            group=GROUP,
+            group=admissionload.GROUP,
             route_name=kind.name,
             team_name=request.team,
             team_weight=0.0,
@@ -261,8 +134,10 @@
             returning=request.try_count > 1,
             goal_ms=kind.goal_ms,
             started_ms=request.began_ms,
-            goal_at_ms=request.began_ms + kind.goal_ms - TRIP_MS,
-            deadline_at_ms=request.began_ms + kind.deadline_ms - TRIP_MS,
+            goal_at_ms=request.began_ms + kind.goal_ms - admissionload.TRIP_MS,
+            deadline_at_ms=request.began_ms
+            + kind.deadline_ms
+            - admissionload.TRIP_MS,
         )
         attempt = _Attempt(request=request, instance=self, ask=ask)
         if not self._play.scenario.admits:
@@ -292,7 +167,7 @@
         now_ms = self._play.now_ms
         delay_ms = max(0.0, self._busy_until_ms - now_ms)
         self.control.record_delay(delay_ms, now_ms)
-        limit = self.control.groups()[GROUP]
+        limit = self.control.groups()[admissionload.GROUP]
         self.limits.append((now_ms, limit.limit_count, limit.ceiling_count))
         if len(self.limits) % 40 == 0:
             self.control.maintain(now_ms)
@@ -350,9 +225,12 @@
             for other in range(len(self._in_flight))
         )
         held = self._play.scenario.admits and self.control.holds_extra_calls(
-            GROUP
+            admissionload.GROUP
+        )
+        affordable = (
+            self._extra_count
+            < admissionload.EXTRA_CALL_RATIO * self._first_count
         )
-        affordable = self._extra_count < EXTRA_CALL_RATIO * self._first_count
         if len(attempt.tried) < 2 and affordable and not held:
             self._send(attempt, "shed")
             return
@@ -376,19 +254,19 @@
         now_ms, request = self._play.now_ms, attempt.request
         self._end(attempt)
         if now_ms <= attempt.ask.deadline_at_ms:
-            request.ended_ms = now_ms + TRIP_MS / 2
+            request.ended_ms = now_ms + admissionload.TRIP_MS / 2
 
     def _refuse(self, attempt: _Attempt, retry_after_ms: float) -> None:
         now_ms, request = self._play.now_ms, attempt.request
         gain_ms = refusal.RETRY_GAIN_RATIO * request.kind.goal_ms
-        back_ms = now_ms + TRIP_MS / 2
+        back_ms = now_ms + admissionload.TRIP_MS / 2
         if back_ms - request.began_ms > gain_ms:
             request.refused_late = True
         self._play.refusals.append(
             (back_ms - request.began_ms, request.try_count, request)
         )
         left_ms = request.began_ms + request.kind.deadline_ms - back_ms
-        if request.try_count >= TRY_COUNT or left_ms <= 0:
+        if request.try_count >= admissionload.TRY_COUNT or left_ms <= 0:
             return
         self._play.at(
             back_ms + min(retry_after_ms, left_ms / 3),
@@ -407,14 +285,14 @@
             request of each refusal.
     """
 
-    def __init__(self, scenario: Scenario):
+    def __init__(self, scenario: admissionload.Scenario):
         self.scenario = scenario
         self.now_ms = 0.0
         self.rng = random.Random(scenario.seed)
         self.numbers = itertools.count(1)
         self._events: list[tuple] = []
-        self.requests: list[Request] = []
-        self.refusals: list[tuple[float, int, Request]] = []
+        self.requests: list[admissionload.Request] = []
+        self.refusals: list[tuple[float, int, admissionload.Request]] = []
         self.upstreams = [
             _Upstream(self, index) for index in range(len(scenario.slow_ratios))
         ]
@@ -441,7 +319,9 @@
         """Schedules a call after a time."""
         self.at(self.now_ms + wait_ms, function, *arguments)
 
-    def attempt(self, request: Request, refused_by: int | None) -> None:
+    def attempt(
+        self, request: admissionload.Request, refused_by: int | None
+    ) -> None:
         """Sends an attempt; a retry goes to another instance."""
         target = request.first_instance
         if refused_by is not None:
@@ -450,7 +330,9 @@
             ]
             target = self.rng.choice(others).number
         request.try_count += 1
-        self.after(TRIP_MS / 2, self.instances[target].receive, request)
+        self.after(
+            admissionload.TRIP_MS / 2, self.instances[target].receive, request
+        )
 
     def _schedule_load(self) -> None:
         scenario = self.scenario
@@ -466,10 +348,11 @@
                 at_ms += self.rng.expovariate(rate * ratio / 1000.0)
                 if at_ms >= scenario.end_ms:
                     break
-                kind = self.rng.choices(KINDS, [each.weight for each in KINDS])[
-                    0
-                ]
-                request = Request(
+                kind = self.rng.choices(
+                    admissionload.KINDS,
+                    [each.weight for each in admissionload.KINDS],
+                )[0]
+                request = admissionload.Request(
                     team=team,
                     kind=kind,
                     began_ms=at_ms,
@@ -488,15 +371,18 @@
             for each in self.instances:
                 if self.scenario.admits:
                     self.at(at_ms, each.review)
-                    if at_ms % DELAY_PERIOD_MS < REVIEW_PERIOD_MS:
+                    if (
+                        at_ms % admissionload.DELAY_PERIOD_MS
+                        < admissionload.REVIEW_PERIOD_MS
+                    ):
                         self.at(at_ms, each.tick)
-            at_ms += REVIEW_PERIOD_MS
+            at_ms += admissionload.REVIEW_PERIOD_MS
         while self._events:
             self.now_ms, _, function, arguments = heapq.heappop(self._events)
             function(*arguments)
         return self
 
-    def burst(self) -> list[Request]:
+    def burst(self) -> list[admissionload.Request]:
         """Returns the requests that began during the burst."""
         scenario = self.scenario
         return [
@@ -504,13 +390,3 @@
             for each in self.requests
             if scenario.burst_from_ms <= each.began_ms < scenario.burst_to_ms
         ]
-
-
-def timely_ratio(requests: list[Request]) -> float:
-    """Returns the part of the requests that was answered within its goal."""
-    return sum(each.timely for each in requests) / max(1, len(requests))
-
-
-def value_ratio(requests: list[Request]) -> float:
-    """Returns the mean value of the requests' outcomes."""
-    return sum(each.value for each in requests) / max(1, len(requests))
