--- a/hyssoptack/admission/refusal.py
+++ b/hyssoptack/admission/refusal.py
@@ -16,6 +16,11 @@
 request that is refused by then and served within its goal by the next attempt
 is worth the mean of a timely and a late answer."""
 
+WAIT_MARGIN_RATIO = 1.25
+"""Factor on the expected wait while the caller can still gain by a retry. Later
+requests of higher priority lengthen the wait, and a refusal after the caller
+can't gain any more is worth nothing."""
+
 RETRY_MIN_MS = 5.0
 """Least retry delay: about one round trip to the caller (2 to 6 ms)."""
 
@@ -76,7 +81,8 @@
         return refuse(Reason.DEADLINE, wait_ms, left_ms, rng)
     spent_ms = now_ms - ask.started_ms
     gains = spent_ms < RETRY_GAIN_RATIO * ask.goal_ms
-    if gains and answer_at_ms > ask.goal_at_ms:
+    cautious_at_ms = now_ms + WAIT_MARGIN_RATIO * wait_ms + needed_ms
+    if gains and cautious_at_ms > ask.goal_at_ms:
         left_ms = ask.goal_at_ms - now_ms - needed_ms
         return refuse(Reason.GOAL, wait_ms, left_ms, rng)
     return None
