Admission: tests of whole gateways and of held-back extra calls

Cause: the wiring had no tests. Ruled out: nothing. Change: tests of refusals that have sent no call, callers that leave the queue, a neighbour that declines for room, own lateness, sheds, a slow upstream.

--- /dev/null
+++ b/hyssoptack/gateway/admissioncontrol_test.py
@@ -0,0 +1,232 @@
+"""Tests of admission in whole gateways: refusals, callers and neighbours."""
+
+import asyncio
+import time
+
+from hyssoptack.admission import worklimit
+from hyssoptack.core import clock
+from hyssoptack.events import log
+from hyssoptack.gateway import gateway_test
+from hyssoptack.gateway import harness
+from hyssoptack.settings import gateway
+
+ENABLED = gateway.AdmissionSettings(enabled=True)
+DESK = ("desk",)
+SHARDS = ("s0", "s1", "s2", "s3")
+
+
+async def _start(site, delay_ms=0.0, **changes):
+    """Starts a gateway with admission over one upstream."""
+    added = await site.add_upstream("i-0", "desk")
+    added.behaviour.delay_ms = delay_ms
+    site.configure(gateway_test.SINGLE)
+    return await site.start(admission=ENABLED, **changes)
+
+
+def _narrow(started, group=DESK, count=2.0):
+    """Limits a group to some requests, for longer than a test runs."""
+    control = started._admission._controller
+    limit = worklimit.new(count, count, clock.now_ms(), burst_ratio=1.0)
+    control._groups[group].limit = limit
+    control.set_facts = lambda *_: None
+    return control
+
+
+def _count_logged(monkeypatch):
+    lines = []
+    write = log.write
+
+    def note(event, **fields):
+        lines.append((event, fields))
+        write(event, **fields)
+
+    monkeypatch.setattr(log, "write", note)
+    return lines
+
+
+def test_admission_is_off_by_default():
+    async def test():
+        async with harness.Site() as site:
+            await site.add_upstream("i-0", "desk")
+            site.configure(gateway_test.SINGLE)
+            started = await site.start()
+            assert (await site.get("/one/x", "r1")).status == 200
+            assert started._admission is None
+            gauges = started._gauge_values(0.0)
+            assert not any("admission" in name for name in gauges)
+
+    asyncio.run(test())
+
+
+def test_calm_requests_start_at_once_and_end_with_nothing_in_progress():
+    async def test():
+        async with harness.Site() as site:
+            started = await _start(site)
+            for number in range(20):
+                reply = await site.get("/one/x", f"r{number}")
+                assert reply.status == 200
+            gauges = started._gauge_values(clock.now_ms())
+            assert gauges["admission_call_count"] == 0.0
+            assert gauges["admission_waiting_count"] == 0.0
+            assert (
+                gauges["admission_limit/desk"]
+                == (gauges["admission_ceiling/desk"])
+            )
+
+    asyncio.run(test())
+
+
+def test_refused_requests_have_sent_no_call(monkeypatch):
+    lines = _count_logged(monkeypatch)
+
+    async def test():
+        async with harness.Site() as site:
+            started = await _start(site, delay_ms=150.0)
+            await site.get("/one/x", "before")
+            _narrow(started)
+            replies = await asyncio.gather(
+                *(site.get("/one/x", f"r{number}") for number in range(12))
+            )
+            refused = [n for n in range(12) if replies[n].status == 503]
+            assert 2 <= len(refused) <= 10
+            for number in range(12):
+                runs = site.run_count(f"r{number}")
+                assert runs == (0 if number in refused else 1)
+            for number in refused:
+                assert float(replies[number].headers["retry-after"]) > 0.0
+            heads = b"".join(site.upstreams["i-0"].request_heads)
+            assert not any(b"r%d\r\n" % number in heads for number in refused)
+            logged = [
+                fields
+                for event, fields in lines
+                if event is log.Event.REQUEST_REFUSED
+            ]
+            assert {each["request_id"] for each in logged} == {
+                f"r{number}" for number in refused
+            }
+            assert len(logged) == len(refused)
+
+    asyncio.run(test())
+
+
+def test_callers_that_leave_are_removed_from_the_queue():
+    async def test():
+        async with harness.Site() as site:
+            started = await _start(site, delay_ms=120.0)
+            await site.get("/one/x", "before")
+            control = _narrow(started)
+            running = [
+                asyncio.create_task(site.get("/one/x", f"run{number}"))
+                for number in range(2)
+            ]
+            await asyncio.sleep(0.03)
+            host, _, port = site.settings[
+                "gateway-1"
+            ].callers_address.rpartition(":")
+            writers = []
+            for number in range(3):
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.write(harness.request_bytes("/one/x", f"left{number}"))
+                writers.append(writer)
+            async with asyncio.timeout(1.0):
+                while control.waiting_count < 2:
+                    await asyncio.sleep(0.001)
+            for writer in writers:
+                writer.close()
+            async with asyncio.timeout(0.5):
+                while control.waiting_count:
+                    await asyncio.sleep(0.001)
+            assert not started._admission._pending
+            replies = await asyncio.gather(*running)
+            assert [each.status for each in replies] == [200, 200]
+            assert not any(site.run_count(f"left{n}") for n in range(3))
+            assert (await site.get("/one/x", "after")).status == 200
+
+    asyncio.run(test())
+
+
+def test_a_neighbour_without_room_declines_and_the_query_runs_at_home(
+    monkeypatch,
+):
+    lines = _count_logged(monkeypatch)
+
+    async def test():
+        async with harness.Site() as site:
+            for index in range(4):
+                body = bytes([index]) * 16 + bytes([200 - index]) * 16
+                await site.add_upstream(f"i-{index}", f"s{index}", body)
+            site.configure(gateway_test.SHARDS)
+            _, wide = await site.start_delegating_pair(admission=ENABLED)
+            first = await site.get("/all/x", "r1", name="narrow")
+            assert first.status == 200
+            assert wide._admission._controller.process.peak_count
+            _narrow(wide, SHARDS, count=0.0)
+            reply = await site.get("/all/x", "r2", name="narrow")
+            assert (reply.status, reply.headers["x-missing-parts"]) == (
+                200,
+                "0",
+            )
+            runs = [s.run_counts[b"r2"] for s in site.upstreams.values()]
+            assert runs == [1, 1, 1, 1]
+            events = [event for event, _ in lines]
+            assert events.count(log.Event.DELEGATION_DECLINED) == 1
+            page = wide._metrics.render_text().decode()
+            assert 'cause="delegation_declined"' in page
+
+    asyncio.run(test())
+
+
+def test_a_late_process_reduces_its_limit_and_recovers_within_a_second():
+    async def test():
+        async with harness.Site() as site:
+            started = await _start(site)
+            control = started._admission._controller
+            for _ in range(8):
+                time.sleep(0.25)
+                await asyncio.sleep(0.03)
+            assert control.process.limit_count < control.process.ceiling_count
+            await asyncio.sleep(1.1)
+            assert control.process.limit_count == control.process.ceiling_count
+            assert (await site.get("/one/x", "r1")).status == 200
+
+    asyncio.run(test())
+
+
+def test_only_sheds_without_room_elsewhere_reduce_a_limit():
+    async def test():
+        async with harness.Site() as site:
+            other = await site.add_upstream("i-1", "desk")
+            started = await _start(site)
+            control = started._admission._controller
+            first = site.upstreams["i-0"]
+            first.behaviour.shed_count = other.behaviour.shed_count = 0
+            await site.get("/one/x", "before")
+            ceiling = control.groups()[DESK].ceiling_count
+            first.behaviour.shed_count = 1
+            await site.get("/one/x", "r1")
+            assert control.groups()[DESK].limit_count == ceiling
+            first.behaviour.shed_count = other.behaviour.shed_count = 20
+            await site.get("/one/x", "r2")
+            assert control.groups()[DESK].limit_count < ceiling
+
+    asyncio.run(test())
+
+
+def test_a_slow_upstream_alone_changes_nothing():
+    async def test():
+        async with harness.Site() as site:
+            await site.add_upstream("i-1", "desk")
+            await site.add_upstream("i-2", "desk")
+            started = await _start(site)
+            for number in range(20):
+                await site.get("/one/x", f"warm{number}")
+            site.upstreams["i-0"].behaviour.delay_ms = 250.0
+            replies = await asyncio.gather(
+                *(site.get("/one/x", f"r{number}") for number in range(6))
+            )
+            assert [each.status for each in replies] == [200] * 6
+            limit = started._admission._controller.groups()[DESK]
+            assert limit.limit_count == limit.ceiling_count
+            assert limit.extra_count == limit.extra_max_count
+
+    asyncio.run(test())
--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -184,16 +184,19 @@
                 await asyncio.sleep(0.02)
 
     async def start_delegating_pair(
-        self,
+        self, **changes: object
     ) -> tuple[daemon.Gateway, daemon.Gateway]:
         """Starts a gateway with a narrow link, and one that it delegates to.
 
+        Args:
+            **changes: Settings of both that differ from the defaults.
+
         Returns:
             The gateways with the narrow and the wide link, which know each
             other.
         """
-        narrow = await self.start("narrow", link_mbps=NARROW_MBPS)
-        wide = await self.start("wide", link_mbps=WIDE_MBPS)
+        narrow = await self.start("narrow", link_mbps=NARROW_MBPS, **changes)
+        wide = await self.start("wide", link_mbps=WIDE_MBPS, **changes)
         async with asyncio.timeout(PAIR_TIMEOUT_S):
             while not narrow.reader_election.neighbours():
                 await asyncio.sleep(0.05)
