Admission: the process's ceiling leaves half of the goal

Cause: in a trial with one gateway and queries of 36 shards, bursts of 25 were admitted almost whole and answered after 200 ms, for a goal of 120 ms. Change: the calls of a full core in half of the tightest goal.

--- a/hyssoptack/admission/worklimit.py
+++ b/hyssoptack/admission/worklimit.py
@@ -194,14 +194,17 @@
 
 
 def process_share_count(goal_ms: float, widest_count: int) -> float:
-    """Returns the calls that a full core completes within a latency goal.
+    """Returns the calls that a full core completes within half of a goal.
+
+    The other half is left for the upstreams and for waiting in order.
 
     Args:
         goal_ms: Tightest latency goal of all routes.
         widest_count: Number of calls of the widest request.
     """
     return max(
-        goal_ms / CALL_PROCESSOR_MS, MIN_PROCESS_REQUEST_COUNT * widest_count
+        WORK_GOAL_RATIO * goal_ms / CALL_PROCESSOR_MS,
+        MIN_PROCESS_REQUEST_COUNT * widest_count,
     )
 
 
