Admission: late requests start under the smallest limit

Cause: late requests may use a quarter of a limit, which is below one request where the limit is below 4; they then waited although nothing ran. Ruled out: a larger part; under larger limits a quarter is enough. Change: one late request may always run. The test of refusals without calls replaced a limit and lost its usual duration, so that the expected wait was 0: it failed once (1 refusal where 2 are due). It keeps the duration now and is as strict.

--- a/hyssoptack/admission/controller.py
+++ b/hyssoptack/admission/controller.py
@@ -377,8 +377,10 @@
         self, group: queue.Group, is_late: bool = False
     ) -> bool:
         limit = self._groups[group].limit
-        used_ratio = queue.LATE_WORK_RATIO if is_late else 1.0
-        return limit.in_progress_count + 1.0 <= used_ratio * limit.limit_count
+        usable_count = limit.limit_count
+        if is_late:
+            usable_count = max(1.0, queue.LATE_WORK_RATIO * usable_count)
+        return limit.in_progress_count + 1.0 <= usable_count
 
     def _process_has_room(self, group: queue.Group) -> bool:
         return (
--- a/hyssoptack/admission/controller_test.py
+++ b/hyssoptack/admission/controller_test.py
@@ -198,6 +198,20 @@
     assert decision.reason is refusal.Reason.DEADLINE
 
 
+def test_a_late_request_starts_under_the_smallest_limit_once_it_is_idle():
+    control = _new()
+    for now_ms in range(0, 3_000, 100):
+        _shed(control, float(now_ms))
+    assert _limit(control).limit_count == 2.0
+    started_ids = _fill(control, 2_900.0)
+    late = _ask(1, 2_900.0, started_ms=2_800.0, goal_at_ms=2_890.0)
+    assert control.submit(late, 2_900.0) == controller.Wait()
+    for ask_id in started_ids:
+        assert control.next_start(2_901.0) is None
+        control.end(ask_id, 0, CALL_MS, 2_901.0)
+    assert control.next_start(2_901.0).ask_id == 1
+
+
 def test_waiting_requests_are_bounded():
     control = _new()
     _fill_slowly(control)
--- a/hyssoptack/gateway/admissioncontrol_test.py
+++ b/hyssoptack/gateway/admissioncontrol_test.py
@@ -1,6 +1,7 @@
 """Tests of admission in whole gateways: refusals, callers and neighbours."""
 
 import asyncio
+import dataclasses
 import time
 
 from hyssoptack.admission import worklimit
@@ -27,7 +28,11 @@
     """Limits a group to some requests, for longer than a test runs."""
     control = started._admission._controller
     limit = worklimit.new(count, count, clock.now_ms(), burst_ratio=1.0)
-    control._groups[group].limit = limit
+    # The usual duration stays known: the expected wait follows from it.
+    known_ms = control._groups[group].limit.duration_ms
+    control._groups[group].limit = dataclasses.replace(
+        limit, duration_ms=known_ms
+    )
     control.set_facts = lambda *_: None
     return control
 
