--- a/hyssoptack/gateway/requestpermits.py
+++ b/hyssoptack/gateway/requestpermits.py
@@ -18,8 +18,8 @@
 UNDECIDED = "rate_limit_unknown"
 """Reason of a refusal because no owner of the team's bucket answered."""
 
-Serve = collections.abc.Callable[[inbound.RoutedRequest, int], None]
-"""Serves a request under a configuration version."""
+Serve = collections.abc.Callable[[inbound.RoutedRequest], None]
+"""Serves a request."""
 
 Refuse = collections.abc.Callable[
     [inbound.RoutedRequest, int, str, float], None
@@ -92,16 +92,11 @@
         self._serve = serve
         self._refuse = refuse
 
-    def serve(self, request: inbound.RoutedRequest, version: int) -> None:
-        """Serves or refuses a request whose caller is identified.
-
-        Args:
-            request: The request.
-            version: The configuration version that it is routed by.
-        """
+    def serve(self, request: inbound.RoutedRequest) -> None:
+        """Serves or refuses a request whose caller is identified."""
         team = request.team
         if team is None or ratelimitcheck.enforced(team.rate_limit) is None:
-            self._serve(request, version)
+            self._serve(request)
             return
         exchange = request.exchange
         has_left = False
@@ -113,7 +108,7 @@
         def on_decision(decision: permitdecision.Decision) -> None:
             if not has_left:
                 exchange.on_abandoned = None
-                self._on_decision(request, version, decision)
+                self._on_decision(request, decision)
             elif isinstance(decision, permitdecision.Permitted):
                 self._limiter.refund(team)
 
@@ -123,7 +118,6 @@
     def _on_decision(
         self,
         request: inbound.RoutedRequest,
-        version: int,
         decision: permitdecision.Decision,
     ) -> None:
         team = request.team
@@ -133,7 +127,7 @@
                     request.exchange, lambda: self._limiter.refund(team)
                 )
                 permitted = dataclasses.replace(request, exchange=exchange)
-                self._serve(permitted, version)
+                self._serve(permitted)
             case permitdecision.OverLimit(
                 retry_after_ms=retry_after_ms, owner_id=owner_id
             ):
@@ -144,7 +138,7 @@
                     team=team.name,
                     owner_id=owner_id,
                     retry_after_ms=round(retry_after_ms),
-                    version=version,
+                    version=request.version,
                 )
                 status = http.HTTPStatus.TOO_MANY_REQUESTS
                 self._refuse(request, status, OVER_LIMIT, retry_after_ms)
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -56,11 +56,12 @@
         self._exchange = exchange
         self._metadata = metadata
         self._route = route_match.route
-        self._version = handler.view.version
+        self._version = request.version
         self._now_ms = clock.now_ms()
         received_ms = exchange.request.received_ms
         self._spent_ms = request.caller_spent_ms
         self._team_name = request.team_name
+        self._team_fields = request.team_fields
         self._time_limit_ms = route_match.route.timeout_ms
         if metadata.deadline_ms is not None:
             self._time_limit_ms = min(self._time_limit_ms, metadata.deadline_ms)
@@ -83,7 +84,9 @@
             self._plan_request, handler.plan_context, self._now_ms
         )
         self.fingerprint = request.fingerprint
-        self._forwarded = headers.forwarded_request(exchange.request)
+        self._forwarded = headers.forwarded_request(
+            exchange.request, self._team_name
+        )
         self._calls: dict[int, pool.Call] = {}
         self._traces: dict[int, calltrace.Trace] = {}
         self._relayed: list[callrelay.PendingRelay] = []
@@ -396,7 +399,7 @@
             widest_count=self._plan.max_reached_count,
             calls=[each.describe(started_ms) for each in self._traces.values()],
             **self._target_fields(),
-            **inbound.team_fields(self._team_name),
+            **self._team_fields,
         )
 
     def _target_fields(self) -> dict[str, str]:
--- a/hyssoptack/platform/storeformat.py
+++ b/hyssoptack/platform/storeformat.py
@@ -26,7 +26,6 @@
 
 _IDEMPOTENT = "idempotent"
 _DRAINING = "draining"
-_VISIBLE_ASCII = range(0x21, 0x7F)
 
 
 class _SplitPart(msgspec.Struct):
@@ -49,7 +48,7 @@
     fanout_services: list[str] | None = None
     top_k: int = 0
     min_shard_fraction: float = 0.0
-    allow_anonymous: bool = False
+    allow_anonymous: bool | None = None
 
 
 class _Service(msgspec.Struct):
@@ -72,9 +71,9 @@
     name: str
     api_keys: list[str]
     priority: int | None = None
-    # 0 means that the team is not limited.
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    # 0 or null means that the team is not limited.
+    rate_per_s: float | None = None
+    burst: float | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -138,7 +137,7 @@
         priority=raw.priority,
         max_attempts_count=max(1, raw.max_attempts),
         target=_target(raw),
-        allows_anonymous=raw.allow_anonymous,
+        allows_anonymous=bool(raw.allow_anonymous),
     )
 
 
@@ -186,14 +185,13 @@
 
 
 def _team(raw: _Tenant) -> teams.Team:
-    return teams.Team(
-        name=raw.name,
-        priority=raw.priority,
-        rate_limit=teams.RateLimit(
-            rate_per_s=raw.rate_per_s, burst_count=max(0.0, raw.burst)
+    rate_limit = None
+    if raw.rate_per_s is not None and raw.rate_per_s > 0:
+        rate_limit = teams.RateLimit(
+            rate_per_s=raw.rate_per_s, burst_count=max(0.0, raw.burst or 0.0)
         )
-        if raw.rate_per_s > 0
-        else None,
+    return teams.Team(
+        name=raw.name, priority=raw.priority, rate_limit=rate_limit
     )
 
 
@@ -254,4 +252,8 @@
 
 def _is_visible_ascii(name: str) -> bool:
     """Returns whether a name is visible ASCII only, and not empty."""
-    return bool(name) and all(ord(each) in _VISIBLE_ASCII for each in name)
+    # Printable ASCII is visible ASCII and the space. A look at each character
+    # took a fifth of the time to decode a configuration with 10,000 teams.
+    return (name.isascii() and name.isprintable() and " " not in name) and bool(
+        name
+    )
