--- a/hyssoptack/core/ratelimitmessage.py
+++ b/hyssoptack/core/ratelimitmessage.py
@@ -36,6 +36,7 @@
         prefetch_count: Further permits, ahead of demand.
         held_count: Unused permits that the sender holds.
         skipped_ids: Instances of higher rank that the sender could not reach.
+        spent_count: Requests that the sender has permitted without asking.
     """
 
     sender_id: str
@@ -47,6 +48,7 @@
     prefetch_count: int = 0
     held_count: int = 0
     skipped_ids: tuple[str, ...] = ()
+    spent_count: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -63,6 +65,8 @@
         redirect_id: Id of the instance that owns the bucket, if the receiver of
             the request has handed it over; else empty.
         redirect_address: Address of that instance.
+        ask_first_ms: Time for which the receiver permits no request of the team
+            without asking; 0 if the team is not restricted.
     """
 
     sender_id: str
@@ -72,6 +76,7 @@
     retry_after_ms: float = 0.0
     redirect_id: str = ""
     redirect_address: str = ""
+    ask_first_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -136,8 +141,29 @@
     token_count: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RestrictionNotice:
+    """Tells the instances of a domain that a team's bucket is low.
+
+    Attributes:
+        sender_id: Id of the owner.
+        team: Name of the team.
+        ask_first_ms: Time for which the receiver permits no request of the team
+            without asking.
+    """
+
+    sender_id: str
+    team: str
+    ask_first_ms: float
+
+
 Message = (
-    PermitRequest | PermitReply | TransferRequest | HandoverRequest | TokenReply
+    PermitRequest
+    | PermitReply
+    | TransferRequest
+    | HandoverRequest
+    | TokenReply
+    | RestrictionNotice
 )
 
 KINDS: dict[int, type] = {
@@ -146,5 +172,6 @@
     29: TransferRequest,
     30: HandoverRequest,
     31: TokenReply,
+    32: RestrictionNotice,
 }
 """Message classes by number, in the same sequence as `gatewaymessage.KINDS`."""
--- a/hyssoptack/ratelimit/bucket.py
+++ b/hyssoptack/ratelimit/bucket.py
@@ -32,6 +32,14 @@
 """Part of that level below which they are requested, so that few requests have
 to wait for them."""
 
+RESTRICT_BELOW_RATIO = 0.5
+"""Level, as a part of the capacity, below which instances ask before they
+permit a request of the team (specified)."""
+
+RELEASE_ABOVE_RATIO = 0.75
+"""Level, as a part of the capacity, above which they no longer do (specified).
+"""
+
 PREFETCH_ABOVE_RATIO = 0.25
 """Level, as a part of the capacity, down to which permits are granted ahead of
 demand. Below it the tokens are kept for requests that wait: a permit held by an
@@ -46,7 +54,8 @@
     Attributes:
         limit: The limit in force.
         domain_share: The share of the limit.
-        token_count: Tokens in the bucket.
+        token_count: Tokens in the bucket; below 0 for a debt.
+        restricted: Whether instances ask before they permit a request.
         refilled_ms: Time up to which tokens have been created.
         provisional: Whether the bucket replaces that of an owner that may be
             alive. It creates no tokens until it is confirmed.
@@ -70,6 +79,7 @@
         self.token_count = min(token_count, domain_share.capacity_count)
         self.refilled_ms = now_ms
         self.provisional = False
+        self.restricted = False
         self.used_ms = now_ms
         self.transfer_failed_ms = -math.inf
         self.wanted = demand.Demand(DEMAND_AVERAGE_MS)
@@ -99,6 +109,25 @@
             self.domain_share.capacity_count, self.token_count + token_count
         )
 
+    def debit(self, spent_count: int, now_ms: float) -> None:
+        """Subtracts permits that were spent without asking.
+
+        A debt of more than one capacity would refuse the team's requests for
+        longer than a full bucket serves them, and is not counted.
+        """
+        self.wanted.record(spent_count, now_ms)
+        lowest_count = min(self.token_count, -self.domain_share.capacity_count)
+        self.token_count = max(lowest_count, self.token_count - spent_count)
+
+    def update_restriction(self) -> bool:
+        """Returns whether instances are to ask first, at the present level."""
+        level_ratio = self.token_count / self.domain_share.capacity_count
+        if level_ratio < RESTRICT_BELOW_RATIO:
+            self.restricted = True
+        elif level_ratio > RELEASE_ABOVE_RATIO:
+            self.restricted = False
+        return self.restricted
+
     def set_limit(
         self, limit: teams.RateLimit, domain_share: share.DomainShare
     ) -> None:
@@ -141,7 +170,10 @@
             RESERVE_S * self.wanted.per_s(now_ms),
             RESERVE_CAPACITY_RATIO * self.domain_share.capacity_count,
         )
-        return max(self.token_count - reserve_count, min(1.0, self.token_count))
+        spare_count = max(
+            self.token_count - reserve_count, min(1.0, self.token_count)
+        )
+        return max(0.0, spare_count)
 
     def transfer_count(self, now_ms: float) -> float:
         """Returns the tokens to request from other domains; 0 if none."""
--- a/hyssoptack/ratelimit/ledger.py
+++ b/hyssoptack/ratelimit/ledger.py
@@ -6,12 +6,12 @@
 nothing.
 """
 
-import dataclasses
 import math
 import random
 
 from hyssoptack.core import teams
 from hyssoptack.ratelimit import bucket
+from hyssoptack.ratelimit import permitdecisions
 from hyssoptack.ratelimit import retired
 from hyssoptack.ratelimit import retryslots
 from hyssoptack.ratelimit import share
@@ -19,76 +19,19 @@
 TRANSFER_PAUSE_MS = 100.0
 """Time without further transfers after one that yielded no tokens."""
 
-ASK_LIMIT_COUNT = 10_000
-"""Largest plausible count in a request for permits: an instance serves some
-hundred requests a second and holds a few permits a team."""
+RESTRICTION_MS = 2_000.0
+"""Time for which a restriction is valid without a further notice (specified).
+"""
 
 IDLE_MS = 60_000.0
 """Time without requests after which a team's state is reduced to its tokens."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class PermitAsk:
-    """A request for permits.
-
-    Attributes:
-        asker_id: Id of the instance that asks.
-        wanted_count: Permits for requests that wait.
-        prefetch_count: Further permits, ahead of demand.
-        held_count: Permits that the asker holds or may still receive.
-    """
-
-    asker_id: str
-    wanted_count: int
-    prefetch_count: int = 0
-    held_count: int = 0
-
-    @property
-    def is_plausible(self) -> bool:
-        """Whether no count is negative or absurd."""
-        counts = (self.wanted_count, self.prefetch_count, self.held_count)
-        return all(0 <= each <= ASK_LIMIT_COUNT for each in counts)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Granted:
-    """Permits are granted.
-
-    Attributes:
-        permit_count: Granted permits, at least the wanted ones.
-    """
-
-    permit_count: int
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Short:
-    """The bucket has too few tokens, but a transfer may help.
-
-    Attributes:
-        missing_count: Tokens missing for the wanted permits.
-    """
-
-    missing_count: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Denied:
-    """The team is over its limit.
-
-    Attributes:
-        retry_after_ms: Randomized time until the team's rate allows a request
-            of the callers that are refused.
-        permit_count: Permits granted nevertheless, fewer than wanted.
-    """
-
-    retry_after_ms: float
-    permit_count: int = 0
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NotOwned:
-    """This instance does not own the team's bucket, for instance any more."""
+PermitAsk = permitdecisions.PermitAsk
+Granted = permitdecisions.Granted
+Short = permitdecisions.Short
+Denied = permitdecisions.Denied
+NotOwned = permitdecisions.NotOwned
 
 
 class Ledger:
@@ -126,6 +69,8 @@
         now_ms: float,
         token_count: float | None,
         provisional: bool = False,
+        led_ms: float = 0.0,
+        was_stopped: bool = False,
     ) -> None:
         """Begins to own a team's bucket.
 
@@ -139,6 +84,11 @@
             provisional: Whether the bucket replaces that of an owner that does
                 not answer but may be alive. It then creates no tokens before
                 `confirm`, and `abandon` ends it.
+            led_ms: Time for which this instance has certainly been the owner.
+                Nobody else has created the tokens of that time, which a start
+                bucket holds in addition.
+            was_stopped: Whether that time began with a stop of the process,
+                which leaves no start bucket.
         """
         if self.owns(team_name):
             if token_count is not None:
@@ -148,9 +98,11 @@
             return
         new_share = self._share(limit)
         if token_count is None:
-            token_count = self._retired.start_count(
-                team_name, new_share.start_count, now_ms
-            )
+            token_count = new_share.rate_per_s * led_ms / 1_000.0
+            if not was_stopped:
+                token_count += self._retired.start_count(
+                    team_name, new_share.start_count, now_ms
+                )
         elif not share.is_plausible(token_count):
             token_count = 0.0
         begun = bucket.Bucket(limit, new_share, token_count, now_ms)
@@ -229,6 +181,44 @@
         found.outstanding.grant(ask.asker_id, ahead_count, now_ms)
         return Granted(permit_count=ask.wanted_count + ahead_count)
 
+    def debit(
+        self,
+        team_name: str,
+        limit: teams.RateLimit,
+        spent_count: int,
+        now_ms: float,
+    ) -> bool:
+        """Subtracts permits that an instance has spent without asking.
+
+        Args:
+            team_name: The team.
+            limit: The limit of the highest version known.
+            spent_count: The permits.
+            now_ms: The current time.
+
+        Returns:
+            Whether this instance owns the bucket.
+        """
+        found = self._current(team_name, limit, now_ms)
+        if found is None:
+            return False
+        if 0 <= spent_count <= permitdecisions.ASK_LIMIT_COUNT:
+            found.used_ms = now_ms
+            found.debit(spent_count, now_ms)
+        return True
+
+    def restriction_ms(self, team_name: str, now_ms: float) -> float:
+        """Returns the time for which instances are to ask first.
+
+        Returns:
+            The time; 0 if the team is not restricted.
+        """
+        found = self._buckets.get(team_name)
+        if found is None:
+            return 0.0
+        found.refill(now_ms, self._isolated)
+        return RESTRICTION_MS if found.update_restriction() else 0.0
+
     def deny(
         self,
         team_name: str,
@@ -311,14 +301,17 @@
         return given_count
 
     def hand_over(self, team_name: str, now_ms: float) -> float:
-        """Removes and returns all tokens of a team; stops owning it."""
+        """Removes and returns all tokens of a team; stops owning it.
+
+        A debt is not handed over: none is returned for it.
+        """
         found = self._restored(team_name, now_ms)
         if found is None:
             return 0.0
         found.refill(now_ms, self._isolated)
         del self._buckets[team_name]
         self._retired.retire(team_name, now_ms)
-        return found.token_count
+        return max(0.0, found.token_count)
 
     def may_transfer(self, team_name: str, now_ms: float) -> bool:
         """Returns whether a transfer may yield tokens.
@@ -353,7 +346,7 @@
     def empty(self, now_ms: float) -> None:
         """Removes all tokens, after the process was stopped."""
         for each in self._buckets.values():
-            each.token_count = 0.0
+            each.token_count = min(0.0, each.token_count)
             each.refilled_ms = max(each.refilled_ms, now_ms)
         self._retired.empty(now_ms)
 
@@ -432,7 +425,7 @@
         grants: bool = True,
     ) -> Denied:
         permit_count = (
-            min(ask.wanted_count, math.floor(found.token_count))
+            min(ask.wanted_count, max(0, math.floor(found.token_count)))
             if grants
             else 0
         )
--- a/hyssoptack/ratelimit/permits.py
+++ b/hyssoptack/ratelimit/permits.py
@@ -47,6 +47,11 @@
 without asking again. It bounds the messages about a team far over its limit to
 10 a second and instance."""
 
+ASK_FIRST_MS = 2_000.0
+"""Time after a start or a stop of this process in which the owner is asked
+first: a notice of a restriction may have been missed (specified). It is also
+the longest time for which a restriction applies."""
+
 IDLE_MS = 60_000.0
 """Time without requests after which a team's state is dropped."""
 
@@ -75,6 +80,7 @@
         self.interval_ms = 0.0
         self.retry_slots = retryslots.RetrySlots()
         self.unused_count = 0
+        self.debit_count = 0
 
     def expire(self, now_ms: float) -> None:
         while self.permits and self.permits[0].expires_ms <= now_ms:
@@ -94,10 +100,19 @@
 class PermitCache:
     """The permits that an instance holds, for all teams."""
 
-    def __init__(self, rng: random.Random):
-        """Creates an empty cache; `rng` gives the jitter of retry delays."""
+    def __init__(self, rng: random.Random, started_ms: float = math.inf):
+        """Creates an empty cache.
+
+        Args:
+            rng: Gives the jitter of retry delays.
+            started_ms: Time of the start of the process. By default no request
+                is ever permitted without asking.
+        """
         self._rng = rng
         self._by_team: dict[str, _TeamPermits] = {}
+        self._ask_first_until_ms = started_ms + ASK_FIRST_MS
+        self._restricted_until_ms: dict[str, float] = {}
+        self._unanswered: set[str] = set()
 
     @property
     def active_count(self) -> int:
@@ -130,6 +145,62 @@
         found.permits.popleft()
         return True
 
+    def may_spend_ahead(self, team_name: str, now_ms: float) -> bool:
+        """Returns whether requests are permitted before the owner is asked."""
+        return (
+            now_ms >= self._ask_first_until_ms
+            and team_name not in self._unanswered
+            and now_ms >= self._restricted_until_ms.get(team_name, -math.inf)
+        )
+
+    def spend_ahead(self, team_name: str, now_ms: float) -> bool:
+        """Permits a request without asking, to be debited to the owner.
+
+        To be called after `try_spend`, which counts the demand.
+
+        Returns:
+            Whether it is permitted; if not, the owner is to be asked.
+        """
+        found = self._by_team.get(team_name)
+        if found is None or not self.may_spend_ahead(team_name, now_ms):
+            return False
+        found.debit_count += 1
+        return True
+
+    def take_debit(self, team_name: str) -> int:
+        """Removes and returns the permits to debit to the owner."""
+        found = self._by_team.get(team_name)
+        if found is None:
+            return 0
+        debit_count, found.debit_count = found.debit_count, 0
+        return debit_count
+
+    def record_answer(
+        self, team_name: str, ask_first_ms: float, now_ms: float
+    ) -> None:
+        """Records an owner's answer to a debit or a request for permits.
+
+        Args:
+            team_name: The team.
+            ask_first_ms: Time for which the owner is to be asked first; 0 ends
+                a restriction.
+            now_ms: The current time.
+        """
+        self._unanswered.discard(team_name)
+        self._restricted_until_ms.pop(team_name, None)
+        self.restrict(team_name, ask_first_ms, now_ms)
+
+    def restrict(
+        self, team_name: str, ask_first_ms: float, now_ms: float
+    ) -> None:
+        """Lets the requests of a team ask first, for 2 s at most."""
+        if 0.0 < ask_first_ms <= ASK_FIRST_MS:
+            self._restricted_until_ms[team_name] = now_ms + ask_first_ms
+
+    def record_unanswered(self, team_name: str) -> None:
+        """Lets the requests of a team ask first until an owner answers."""
+        self._unanswered.add(team_name)
+
     def record_ask(
         self, team_name: str, permit_count: int, now_ms: float
     ) -> None:
@@ -184,7 +255,10 @@
         if found is None:
             return
         found.expire(now_ms)
-        if len(found.permits) < HELD_LIMIT_COUNT:
+        if found.debit_count > 0:
+            # The owner has not been told of it yet.
+            found.debit_count -= 1
+        elif len(found.permits) < HELD_LIMIT_COUNT:
             found.insert(1, now_ms + REFUND_EXPIRY_MS)
         else:
             found.unused_count += 1
@@ -196,6 +270,8 @@
             return 0
         if now_ms < max(found.paused_until_ms, found.denied_until_ms):
             return 0
+        if self.may_spend_ahead(team_name, now_ms):
+            return 0
         target_count = min(
             HELD_LIMIT_COUNT,
             max(1, round(AHEAD_S * found.demand.per_s(now_ms))),
@@ -260,14 +336,23 @@
                 each.unused_count = 0
         return unused
 
-    def clear(self) -> None:
-        """Drops all permits, after the process was stopped."""
+    def clear(self, now_ms: float = -math.inf) -> None:
+        """Drops all permits, after the process was stopped until now."""
+        self._ask_first_until_ms = max(
+            self._ask_first_until_ms, now_ms + ASK_FIRST_MS
+        )
         for each in self._by_team.values():
             each.permits.clear()
             each.unused_count = 0
 
     def drop_idle(self, now_ms: float) -> None:
         """Drops permits beyond the limit, and teams without requests."""
+        self._restricted_until_ms = {
+            team_name: until_ms
+            for team_name, until_ms in self._restricted_until_ms.items()
+            if now_ms < until_ms
+        }
+        self._unanswered &= self._by_team.keys()
         for team_name, each in list(self._by_team.items()):
             each.expire(now_ms)
             while len(each.permits) > HELD_LIMIT_COUNT:
