Rate limits: gateways debit permits spent without asking

Change: spentpermits collects and sends debits, restrictions sends notices, the owner subtracts debits, and the time as owner is tracked per team, so that also an instance that joined lately begins with the tokens of that time if nobody has owned the bucket. Tests of the earlier behaviour are not adapted yet.

--- a/hyssoptack/gateway/bucketowner.py
+++ b/hyssoptack/gateway/bucketowner.py
@@ -16,6 +16,7 @@
 from hyssoptack.gateway import ownerchanges
 from hyssoptack.gateway import ratelimitcheck
 from hyssoptack.gateway import ratelimitcontext
+from hyssoptack.gateway import restrictions
 from hyssoptack.gateway import tokencollection
 from hyssoptack.gateway import tokentransfers
 from hyssoptack.ratelimit import ledger
@@ -92,6 +93,7 @@
         self.transfers = tokentransfers.TokenTransfers(
             context, self._collector, self.changes
         )
+        self.restrictions = restrictions.Restrictions(context)
         self._probes: dict[int, _Probe] = {}
         self._late_probes: dict[int, _Probe] = {}
 
@@ -113,7 +115,11 @@
                 request.team, request.sender_id, "unknown_team", now_ms
             )
             return
-        if not request.wanted_count and not request.prefetch_count:
+        if not (
+            request.wanted_count
+            or request.prefetch_count
+            or request.spent_count
+        ):
             # A check whether this instance runs and may own buckets.
             if context.ranking.has_list:
                 on_reply(self._reply(request))
@@ -122,7 +128,9 @@
             on_reply(self._reply(request, request.wanted_count))
             return
         if not context.ranking.has_list:
-            on_reply(self._reply(request))
+            if not request.spent_count:
+                on_reply(self._reply(request))
+            # A debit is left unanswered, so that it is sent to another one.
             return
         ask = _Ask(request=request, limit=newest.limit, on_reply=on_reply)
         self._place(ask, now_ms)
@@ -132,6 +140,7 @@
         request: ratelimitmessage.PermitRequest,
         permit_count: int = 0,
         retry_after_ms: float = 0.0,
+        ask_first_ms: float = 0.0,
     ) -> ratelimitmessage.PermitReply:
         return ratelimitmessage.PermitReply(
             sender_id=self._context.own.instance_id,
@@ -139,6 +148,7 @@
             team=request.team,
             permit_count=permit_count,
             retry_after_ms=retry_after_ms,
+            ask_first_ms=ask_first_ms,
         )
 
     def _place(self, ask: _Ask, now_ms: float) -> None:
@@ -167,23 +177,51 @@
 
     def _decide(self, ask: _Ask, now_ms: float) -> None:
         context, request = self._context, ask.request
+        if request.spent_count:
+            self._debit(ask, now_ms)
+            return
         decision = context.ledger.ask(
             request.team, ask.limit, ask.permit_ask, now_ms
         )
         match decision:
             case ledger.Granted(permit_count=permit_count):
-                ask.on_reply(self._reply(request, permit_count))
+                ask_first_ms = self.restrictions.current_ms(
+                    request.team, now_ms
+                )
+                ask.on_reply(
+                    self._reply(
+                        request, permit_count, ask_first_ms=ask_first_ms
+                    )
+                )
                 self.transfers.request_ahead(request.team, ask.limit, now_ms)
             case ledger.Denied() | ledger.NotOwned():
                 self._deny(ask, decision)
             case ledger.Short(missing_count=missing_count):
                 self._await_transfer(ask, missing_count, now_ms)
 
+    def _debit(self, ask: _Ask, now_ms: float) -> None:
+        """Subtracts permits that the sender has spent without asking.
+
+        Such a request wants no permits.
+        """
+        request = ask.request
+        self._context.ledger.debit(
+            request.team, ask.limit, request.spent_count, now_ms
+        )
+        ask_first_ms = self.restrictions.current_ms(request.team, now_ms)
+        ask.on_reply(self._reply(request, ask_first_ms=ask_first_ms))
+        self.transfers.request_ahead(request.team, ask.limit, now_ms)
+
     def _deny(self, ask: _Ask, denied: ledger.Denied | ledger.NotOwned) -> None:
         match denied:
             case ledger.Denied():
                 reply = self._reply(
-                    ask.request, denied.permit_count, denied.retry_after_ms
+                    ask.request,
+                    denied.permit_count,
+                    denied.retry_after_ms,
+                    self.restrictions.current_ms(
+                        ask.request.team, clock.now_ms()
+                    ),
                 )
             case ledger.NotOwned():
                 reply = self._reply(ask.request)
@@ -194,7 +232,7 @@
     def _probe(self, ask: _Ask, peers: tuple[member.Peer, ...]) -> None:
         """Asks the instances that rank above in the asker's place."""
         request = ask.request
-        if not request.wanted_count:
+        if not request.wanted_count and not request.spent_count:
             ask.on_reply(self._reply(request))
             return
         probe = _Probe(ask=ask, owner=peers[0])
@@ -228,7 +266,10 @@
             return True
         own_id = self._context.own.instance_id
         decided = (
-            reply.permit_count or reply.retry_after_ms or reply.redirect_id
+            reply.permit_count
+            or reply.retry_after_ms
+            or reply.redirect_id
+            or not request.wanted_count
         )
         if not decided or reply.redirect_id == own_id:
             # It has restarted, or considers this instance the owner.
--- a/hyssoptack/gateway/ownerchanges.py
+++ b/hyssoptack/gateway/ownerchanges.py
@@ -13,11 +13,11 @@
 from hyssoptack.core import member
 from hyssoptack.core import ratelimitmessage
 from hyssoptack.core import teams
+from hyssoptack.gateway import ownerranking
 from hyssoptack.gateway import ratelimitcheck
 from hyssoptack.gateway import ratelimitcontext
 from hyssoptack.gateway import substitutions
 from hyssoptack.gateway import tokencollection
-from hyssoptack.http1 import message
 from hyssoptack.ratelimit import ownership
 from hyssoptack.ratelimit import share
 
@@ -36,6 +36,11 @@
 171.8 are allowed); if it uses 30 of them, 136. With less than one token, a
 single new instance would refuse a team's first request."""
 
+OWNED_MIN_COUNT = 0.001
+"""Tokens in the answer of an instance that has owned the bucket, also if it is
+empty or in debt. An answer without tokens states that it has not: the sender of
+the request then begins with the tokens of its time as first in the ranking."""
+
 LIST_LAG_MS = 12_000.0
 """Time after which a former owner that nobody has asked gives up its bucket.
 By then the lists of all instances name the new owner."""
@@ -203,7 +208,11 @@
         self._starting[team_name].append(on_started)
 
     def _begin_leading(
-        self, team_name: str, limit: teams.RateLimit, now_ms: float
+        self,
+        team_name: str,
+        limit: teams.RateLimit,
+        now_ms: float,
+        how: str = "leads",
     ) -> None:
         """Begins a bucket with the tokens of the time as first in the ranking.
 
@@ -211,19 +220,10 @@
         a team that was idle finds a bucket as full as if it had been kept. That
         does not hold for a bucket that was handed over.
         """
-        if self._handed_over_ms.pop(team_name, None) is not None:
-            self._begin(team_name, limit, None, "leads", now_ms)
-            return
-        domain = share.domain_share(
-            limit, self._context.bounds, self._context.domain_count
-        )
-        ranking = self._context.ranking
-        start_count = 0.0 if ranking.was_stopped else domain.start_count
-        lead_s = ranking.lead_ms(now_ms) / message.MS_PER_S
-        token_count = min(
-            domain.capacity_count, start_count + domain.rate_per_s * lead_s
-        )
-        self._begin(team_name, limit, token_count, "leads", now_ms)
+        lead = None
+        if self._handed_over_ms.pop(team_name, None) is None:
+            lead = self._context.ranking.lead(team_name, now_ms)
+        self._begin(team_name, limit, None, how, now_ms, lead)
 
     def _begin(
         self,
@@ -232,6 +232,7 @@
         token_count: float | None,
         how: str,
         now_ms: float,
+        lead: ownerranking.Lead | None = None,
     ) -> None:
         # Each of many instances that start at once may take itself for the
         # owner. None of them creates tokens until their lists agree.
@@ -244,7 +245,13 @@
             )
             token_count = min(DOUBTFUL_START_COUNT, domain.start_count)
         self._context.ledger.begin(
-            team_name, limit, now_ms, token_count, provisional=in_doubt
+            team_name,
+            limit,
+            now_ms,
+            token_count,
+            provisional=in_doubt,
+            led_ms=lead.lead_ms if lead else 0.0,
+            was_stopped=lead.was_stopped if lead else False,
         )
         if in_doubt:
             self._unsettled.add(team_name)
@@ -284,8 +291,10 @@
 
         def on_end() -> None:
             # Instances that did not own the bucket answer with 0 tokens.
+            # If all answered so, nobody else has created tokens of the team.
             token_count = sum(counts_by_id.values()) or None
-            self._on_handover_ended(team_name, limit, token_count)
+            all_answered = len(counts_by_id) == len(peers)
+            self._on_handover_ended(team_name, limit, token_count, all_answered)
 
         self._starting[team_name] = []
         self._collector.collect(
@@ -307,12 +316,16 @@
         team_name: str,
         limit: teams.RateLimit,
         token_count: float | None,
+        all_answered: bool,
     ) -> None:
         waiting = self._starting.pop(team_name)
         # An instance of higher rank may have asked for the bucket meanwhile.
         if team_name not in self._redirects:
             now_ms = clock.now_ms()
-            self._begin(team_name, limit, token_count, "joined", now_ms)
+            if token_count is None and all_answered:
+                self._begin_leading(team_name, limit, now_ms, "joined")
+            else:
+                self._begin(team_name, limit, token_count, "joined", now_ms)
         for on_started in waiting:
             on_started()
 
@@ -345,6 +358,9 @@
         token_count = 0.0
         if context.ledger.owns(team_name):
             token_count = self._end(team_name, received.sender_id, now_ms)
+            token_count = max(OWNED_MIN_COUNT, token_count)
+        elif team_name in self._redirects or team_name in self._starting:
+            token_count = OWNED_MIN_COUNT
         self._redirects[team_name] = _Redirect(
             peer=member.Peer(
                 instance_id=received.sender_id,
--- a/hyssoptack/gateway/ownerranking.py
+++ b/hyssoptack/gateway/ownerranking.py
@@ -1,5 +1,7 @@
 """The instances of a failure domain that may own teams' buckets."""
 
+import collections.abc
+import dataclasses
 import math
 
 from hyssoptack.core import member
@@ -25,24 +27,54 @@
 """
 
 
+REMOVAL_LIMIT_COUNT = 64
+"""Removals that are remembered. They are searched when a bucket begins."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Lead:
+    """The time for which an instance has certainly been a team's owner.
+
+    Attributes:
+        lead_ms: The time.
+        was_stopped: Whether it began with a stop of this process, which leaves
+            buckets empty.
+    """
+
+    lead_ms: float
+    was_stopped: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Removal:
+    """An instance that left the list or to which the connection was lost.
+
+    Attributes:
+        instance_id: The instance.
+        at_ms: Time of the removal.
+    """
+
+    instance_id: str
+    at_ms: float
+
+
 class OwnerRanking:
     """The candidates for owner of each team's bucket.
 
     Attributes:
         own: This instance.
-        was_stopped: Whether the time as owner (`lead_ms`) began after a stop of
-            this process, with empty buckets.
     """
 
     def __init__(self, own: member.Peer):
         self.own = own
-        self.was_stopped = False
         self._peers: dict[str, member.Peer] = {}
         self._candidates = ownership.OwnerCandidates()
         self._lost_ms: dict[str, float] = {}
         self._first_list_ms: float | None = None
         self._has_second_list = False
-        self._leads_since_ms = math.inf
+        self._stopped_ms = -math.inf
+        self._removals: list[_Removal] = []
+        self._forgotten_ms = -math.inf
 
     @property
     def has_list(self) -> bool:
@@ -54,17 +86,14 @@
     ) -> None:
         """Replaces the list of the other instances of the domain."""
         if self._first_list_ms is None:
-            self._first_list_ms = self._leads_since_ms = now_ms
+            self._first_list_ms = now_ms
         if now_ms - self._first_list_ms >= SECOND_LIST_MS:
             self._has_second_list = True
         before = self._peers
         self._peers = {each.instance_id: each for each in neighbours}
         self._peers[self.own.instance_id] = self.own
         self._update_candidates(now_ms)
-        if before.keys() - self._peers.keys():
-            # This instance may now be the owner in place of a removed one.
-            self._leads_since_ms = now_ms
-            self.was_stopped = False
+        self._record_removals(before.keys() - self._peers.keys(), now_ms)
 
     def _update_candidates(self, now_ms: float) -> None:
         self._lost_ms = {
@@ -82,11 +111,21 @@
             if peer.address == address and peer is not self.own:
                 self._lost_ms[instance_id] = now_ms
                 self._update_candidates(now_ms)
-                # This instance may now be the owner in its place.
-                self._leads_since_ms = now_ms
-                self.was_stopped = False
+                self._record_removals({instance_id}, now_ms)
                 return
 
+    def _record_removals(
+        self, instance_ids: collections.abc.Set[str], now_ms: float
+    ) -> None:
+        """Records that this instance may now own buckets of other ones."""
+        self._removals.extend(
+            _Removal(instance_id=each, at_ms=now_ms) for each in instance_ids
+        )
+        forgotten = self._removals[:-REMOVAL_LIMIT_COUNT]
+        if forgotten:
+            self._forgotten_ms = forgotten[-1].at_ms
+            del self._removals[:-REMOVAL_LIMIT_COUNT]
+
     def lost_ids(self) -> set[str]:
         """Returns the listed instances to which the connection is lost."""
         return set(self._lost_ms)
@@ -99,9 +138,7 @@
 
     def record_stop(self, now_ms: float) -> None:
         """Records that this process was stopped until now."""
-        if self.has_list:
-            self._leads_since_ms = now_ms
-            self.was_stopped = True
+        self._stopped_ms = now_ms
 
     def ids(self, team_name: str) -> tuple[str, ...]:
         """Returns the first candidates for a team, best first."""
@@ -145,9 +182,26 @@
         """Returns whether former owners may hold tokens of this instance."""
         return self.has_list and self._listed_ms(now_ms) < JOIN_WINDOW_MS
 
-    def lead_ms(self, now_ms: float) -> float:
+    def lead(self, team_name: str, now_ms: float) -> Lead:
         """Returns for how long this instance has certainly been the owner.
 
-        That applies to each team for which it now ranks first.
+        That applies if it now ranks first for the team. Soon after its first
+        list a removed instance of any rank may have served others as owner.
         """
-        return max(0.0, now_ms - self._leads_since_ms)
+        if self._first_list_ms is None:
+            return Lead(lead_ms=0.0, was_stopped=False)
+        joined = self.has_joined_recently(now_ms)
+        since_ms = max(self._first_list_ms, self._forgotten_ms)
+        for each in reversed(self._removals):
+            if each.at_ms <= since_ms:
+                break
+            if joined or ownership.ranks_above(
+                team_name, each.instance_id, self.own.instance_id
+            ):
+                since_ms = each.at_ms
+                break
+        was_stopped = self._stopped_ms > since_ms
+        since_ms = max(since_ms, self._stopped_ms)
+        return Lead(
+            lead_ms=max(0.0, now_ms - since_ms), was_stopped=was_stopped
+        )
--- a/hyssoptack/gateway/permitasker.py
+++ b/hyssoptack/gateway/permitasker.py
@@ -18,6 +18,7 @@
 from hyssoptack.gateway import permitdecision
 from hyssoptack.gateway import ratelimitcheck
 from hyssoptack.gateway import ratelimitcontext
+from hyssoptack.gateway import spentpermits
 from hyssoptack.gateway import tokencollection
 from hyssoptack.http1 import message
 from hyssoptack.ratelimit import permits
@@ -105,16 +106,6 @@
     used_ms: float = 0.0
 
 
-AskLocally = collections.abc.Callable[
-    [
-        ratelimitmessage.PermitRequest,
-        collections.abc.Callable[[ratelimitmessage.PermitReply], None],
-    ],
-    None,
-]
-"""Asks this instance as the owner; it replies at once or later."""
-
-
 class PermitAsker:
     """Obtains permits for the requests of one instance.
 
@@ -126,12 +117,15 @@
         self,
         context: ratelimitcontext.RateLimitContext,
         cache: permits.PermitCache,
-        ask_locally: AskLocally,
+        ask_locally: spentpermits.AskLocally,
     ):
         self.cache = cache
         self._context = context
         self._ask_locally = ask_locally
         self._skips = ownerskips.OwnerSkips(context.ranking, context.report)
+        self._spent = spentpermits.SpentPermits(
+            context, cache, self._skips, ask_locally
+        )
         self._states: dict[str, _TeamState] = {}
         self._asks: dict[int, _TeamState] = {}
         self._late: dict[int, _Ask] = {}
@@ -158,6 +152,9 @@
                 )
             )
             return
+        if self._spent.try_spend(team.name, now_ms):
+            on_decision(permitdecision.PERMITTED)
+            return
         waiter = _Waiter(on_decision=on_decision)
         state.waiters.append(waiter)
         if not self._context.ranking.has_list:
@@ -294,6 +291,8 @@
 
     def on_reply(self, reply: ratelimitmessage.PermitReply) -> None:
         """Handles the reply to a request for permits."""
+        if self._spent.on_reply(reply):
+            return
         state = self._asks.get(reply.ask_id)
         if state is None:
             self._on_late_reply(reply)
@@ -315,6 +314,8 @@
             # The instance has no list yet, so that it owns no bucket.
             self._try_next(state, ask, "declined")
             return
+        if reply.permit_count or reply.retry_after_ms or reply.ask_first_ms:
+            self.cache.record_answer(name, reply.ask_first_ms, now_ms)
         self.cache.add(name, reply.permit_count, ask.asked_ms, now_ms)
         if reply.permit_count < wanted_count and reply.retry_after_ms:
             self._deny(state, reply, now_ms)
@@ -374,6 +375,7 @@
         del self._late[reply.ask_id]
         now_ms = clock.now_ms()
         state = self._states[reply.team]
+        self.cache.restrict(reply.team, reply.ask_first_ms, now_ms)
         if reply.sender_id == ask.target.instance_id:
             self._skips.end(reply.sender_id)
         if reply.permit_count:
@@ -390,12 +392,14 @@
 
     def on_undelivered(self, ask_id: int) -> None:
         """Handles a request that could not be delivered."""
+        self._spent.on_undelivered(ask_id)
         state = self._asks.get(ask_id)
         if state is not None:
             self._fail(state, state.ask, "undelivered")
 
     def on_link_lost(self, address: str) -> None:
         """Handles the loss of the connection to an instance."""
+        self._spent.on_link_lost(address)
         for state in tuple(self._asks.values()):
             ask = state.ask
             if ask is not None and ask.target.address == address:
@@ -411,6 +415,7 @@
         """Removes the state of teams without requests, and old messages."""
         self.cache.drop_idle(now_ms)
         self._skips.drop_expired(now_ms)
+        self._spent.drop_outdated(now_ms)
         for ask_id, ask in tuple(self._late.items()):
             if now_ms - ask.asked_ms > LATE_REPLY_MS:
                 del self._late[ask_id]
--- a/hyssoptack/gateway/ratelimitcheck.py
+++ b/hyssoptack/gateway/ratelimitcheck.py
@@ -8,6 +8,7 @@
 
 from hyssoptack.core import ratelimitmessage
 from hyssoptack.core import teams
+from hyssoptack.ratelimit import permits
 
 MAX_COUNT = 100_000
 """Highest plausible number of permits or tokens in a message. An instance
@@ -51,11 +52,14 @@
                 and _is_count(message.wanted_count)
                 and _is_count(message.prefetch_count)
                 and _is_count(message.held_count)
+                and _is_count(message.spent_count)
+                and not (message.spent_count and message.wanted_count)
                 and len(message.skipped_ids) <= MAX_SKIPPED_COUNT
             )
         case ratelimitmessage.PermitReply():
             return _is_count(message.permit_count) and (
                 0.0 <= message.retry_after_ms <= MAX_RETRY_MS
+                and 0.0 <= message.ask_first_ms <= permits.ASK_FIRST_MS
             )
         case ratelimitmessage.TransferRequest():
             return _is_limit(message.limit) and _is_count(message.wanted_count)
@@ -63,6 +67,8 @@
             return True
         case ratelimitmessage.TokenReply():
             return _is_count(message.token_count)
+        case ratelimitmessage.RestrictionNotice():
+            return 0.0 < message.ask_first_ms <= permits.ASK_FIRST_MS
 
 
 def _is_count(count: float) -> bool:
--- a/hyssoptack/gateway/ratelimiter.py
+++ b/hyssoptack/gateway/ratelimiter.py
@@ -96,7 +96,7 @@
         )
         self._send = send
         self._owner = bucketowner.BucketOwner(context)
-        self._cache = permits.PermitCache(random.Random())
+        self._cache = permits.PermitCache(random.Random(), clock.now_ms())
         self._asker = permitasker.PermitAsker(
             context, self._cache, self._owner.on_permit_request
         )
@@ -150,6 +150,10 @@
                 self._owner.on_permit_request(
                     received, lambda reply: self._send(address, reply)
                 )
+            case ratelimitmessage.RestrictionNotice():
+                self._owner.restrictions.on_notice(
+                    received, self._cache, now_ms
+                )
             case ratelimitmessage.PermitReply():
                 if not self._owner.on_reply(received):
                     self._asker.on_reply(received)
@@ -185,6 +189,7 @@
             now_ms = clock.now_ms()
             self._observe(now_ms)
             self._owner.changes.check(now_ms)
+            self._owner.restrictions.check(now_ms)
             self._isolation.check(now_ms)
             if now_ms >= give_back_due_ms and self._ranking.has_list:
                 give_back_due_ms = now_ms + GIVE_BACK_PERIOD_MS
@@ -223,7 +228,7 @@
         if now_ms - before_ms <= STOP_MS:
             return
         self._ledger.empty(now_ms)
-        self._cache.clear()
+        self._cache.clear(now_ms)
         self._ranking.record_stop(now_ms)
         self._isolation.record_received(now_ms)
         self.report.log_emptied(now_ms - before_ms)
--- a/hyssoptack/ratelimit/ledger.py
+++ b/hyssoptack/ratelimit/ledger.py
@@ -170,7 +170,7 @@
             return Denied(retry_after_ms=retryslots.DELAY_MAX_MS)
         found.used_ms = now_ms
         found.outstanding.state(ask.asker_id, ask.held_count, now_ms)
-        if found.token_count < ask.wanted_count:
+        if ask.wanted_count and found.token_count < ask.wanted_count:
             if self.may_transfer(team_name, now_ms):
                 return Short(missing_count=ask.wanted_count - found.token_count)
             return self._deny(found, ask, now_ms)
--- a/hyssoptack/ratelimit/permits.py
+++ b/hyssoptack/ratelimit/permits.py
@@ -47,6 +47,11 @@
 without asking again. It bounds the messages about a team far over its limit to
 10 a second and instance."""
 
+DEBIT_LIMIT_COUNT = 4
+"""Largest number of permits of a team spent without asking that the owner has
+not been told of. Further requests ask first, so that requests that arrive at
+once at one instance cannot exceed the limit by any number."""
+
 ASK_FIRST_MS = 2_000.0
 """Time after a start or a stop of this process in which the owner is asked
 first: a notice of a restriction may have been missed (specified). It is also
@@ -162,7 +167,11 @@
             Whether it is permitted; if not, the owner is to be asked.
         """
         found = self._by_team.get(team_name)
-        if found is None or not self.may_spend_ahead(team_name, now_ms):
+        if (
+            found is None
+            or found.debit_count >= DEBIT_LIMIT_COUNT
+            or not self.may_spend_ahead(team_name, now_ms)
+        ):
             return False
         found.debit_count += 1
         return True
