--- a/hyssoptack/gateway/ratelimiter_test.py
+++ b/hyssoptack/gateway/ratelimiter_test.py
@@ -12,6 +12,7 @@
     async def test():
         network = ratelimitharness.start()
         ranked = await ratelimitharness.warm_up(network)
+        ratelimitharness.ask_first(ranked[-1])
         waits = []
         for _ in range(100):
             decision, waited_ms = await ratelimitharness.elapsed_ms(
@@ -32,6 +33,7 @@
     async def test():
         network = ratelimitharness.start()
         _, _, asker = await ratelimitharness.warm_up(network)
+        ratelimitharness.ask_first(asker)
         await asker.send_steadily(10, 1.0)
         assert asker.limiter._cache.held_count("team", clock.now_ms())
         network.freeze(asker)
@@ -48,6 +50,7 @@
         network = ratelimitharness.start(domain_count=2)
         ratelimitharness.start(2, domain="south", network=network)
         ranked = await ratelimitharness.warm_up(network)
+        ratelimitharness.ask_first(*ranked)
         for lost_kind in (
             ratelimitmessage.PermitRequest,
             ratelimitmessage.PermitReply,
--- a/hyssoptack/gateway/ratelimitharness.py
+++ b/hyssoptack/gateway/ratelimitharness.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import collections.abc
+import math
 import selectors
 import typing
 
@@ -46,6 +47,10 @@
 """Time after which an instance that joined no longer asks former owners."""
 
 
+DEBIT_S = 0.03
+"""Time after which the owner has subtracted a permit spent without asking."""
+
+
 class _SimulatedSelector(selectors.DefaultSelector):
     """Advances the simulated time instead of waiting."""
 
@@ -302,10 +307,17 @@
     ranked = network.ranked()
     await asyncio.sleep(JOINED_S)
     await ranked[-1].acquire()
+    await asyncio.sleep(DEBIT_S)
     assert ranked[0].limiter._ledger.owns(TEAM.name)
     return ranked
 
 
+def ask_first(*nodes: Node) -> None:
+    """Lets instances permit no request without asking, as after a start."""
+    for each in nodes:
+        each.limiter._cache._ask_first_until_ms = math.inf
+
+
 def count_of(
     decisions: collections.abc.Iterable[permitdecision.Decision], kind: type
 ) -> int:
