--- a/hyssoptack/ratelimit/simulatedasker.py
+++ b/hyssoptack/ratelimit/simulatedasker.py
@@ -5,6 +5,7 @@
 
 from hyssoptack.core import ratelimitmessage
 from hyssoptack.ratelimit import ownership
+from hyssoptack.ratelimit import simulateddebtor
 from hyssoptack.ratelimit import simulation
 
 ASK_TIMEOUT_MS = 15.0
@@ -30,6 +31,7 @@
         self._node = node
         self._asks: dict[int, _Ask] = {}
         self._waiters = collections.defaultdict(list)
+        self._debtor = simulateddebtor.Debtor(node, self._target)
 
     def acquire(self, team, done):
         """Decides on a request; `done` gets the outcome and retry delay."""
@@ -41,6 +43,9 @@
         if retry_ms:
             done("over_limit", retry_ms)
             return
+        if self._debtor.try_spend(team):
+            done("permitted", 0.0)
+            return
         self._waiters[team].append(done)
         if len(self._waiters[team]) == 1:
             self._ask(team)
@@ -135,6 +140,8 @@
 
     def on_permit_reply(self, message):
         """Handles a reply to an own request."""
+        if self._debtor.on_reply(message):
+            return
         ask = self._asks.pop(message.ask_id, None)
         if ask is None:
             return
@@ -149,6 +156,9 @@
             else:
                 self._ask(team, message.redirect_id)
             return
+        self._node.cache.record_answer(
+            team, message.ask_first_ms, self._node.now_ms
+        )
         self._node.cache.add(
             team, message.permit_count, ask.asked_ms, self._node.now_ms
         )
--- a/hyssoptack/ratelimit/simulatedfleet.py
+++ b/hyssoptack/ratelimit/simulatedfleet.py
@@ -28,6 +28,7 @@
         transfers: Whether tokens are transferred between domains.
         rates_per_s: Rates of the teams, repeated; the bursts are alike.
         spread_ratio: Part of the teams with callers in all domains.
+        anywhere: Whether each request of a team arrives at any instance.
     """
 
     instance_count: int
@@ -38,6 +39,7 @@
     transfers: bool = True
     rates_per_s: tuple[float, ...] = RATES_PER_S
     spread_ratio: float = 2 / 3
+    anywhere: bool = False
 
 
 class Fleet:
@@ -87,6 +89,9 @@
         rng = self.world.rng
         for number, team in enumerate(self.world.limits):
             self.callers.load[team] = self._settings.load
+            if self._settings.anywhere:
+                self.callers.start(team, [None])
+                continue
             own_site = number % SITE_COUNT
             spread = rng.random() < self._settings.spread_ratio
             pool = [
--- a/hyssoptack/ratelimit/simulatednode.py
+++ b/hyssoptack/ratelimit/simulatednode.py
@@ -48,7 +48,7 @@
         self.node_id = node_id
         self.site = site
         self.ledger = ledger.Ledger(simulation.BOUNDS, domain_count, world.rng)
-        self.cache = permits.PermitCache(world.rng)
+        self.cache = permits.PermitCache(world.rng, world.now_ms)
         self.owners = ownership.OwnerCandidates()
         self.skipped: dict[str, float] = {}
         self.replies: dict[int, object] = {}
@@ -58,6 +58,8 @@
         self._owner = simulatedowner.Owner(
             self, others, transfers and domain_count > 1
         )
+        self._leads_since_ms = world.now_ms
+        self._was_stopped = False
         self._ask_ids = itertools.count(1)
         self._frozen_until_ms = 0.0
         self._listed_ids: set[str] = set()
@@ -100,6 +102,8 @@
         self._known_ids = self._listed_ids | joined_ids
         self.lost_ids &= self._known_ids
         if self.owners.set_instances(self._known_ids - self.lost_ids):
+            self._leads_since_ms = self.now_ms
+            self._was_stopped = False
             self._owner.on_members_changed()
 
     def is_listed_first(self, team):
@@ -114,7 +118,23 @@
     def _wake(self, length_ms):
         if length_ms > STOP_MS:
             self.ledger.empty(self.now_ms)
-            self.cache.clear()
+            self.cache.clear(self.now_ms)
+            self._leads_since_ms = self.now_ms
+            self._was_stopped = True
+
+    def lead(self):
+        """Returns the time as owner, and whether it began with a stop.
+
+        It counts from any change of the list, not only of the first rank.
+        """
+        return {
+            "led_ms": self.now_ms - self._leads_since_ms,
+            "was_stopped": self._was_stopped,
+        }
+
+    def neighbour_ids(self):
+        """Returns the other known instances of the own group."""
+        return sorted(self._known_ids - {self.node_id})
 
     def run(self, function, *arguments):
         """Calls a function of this instance once the process runs."""
@@ -150,6 +170,11 @@
                 self._owner.on_transfer_request(message)
             case ratelimitmessage.HandoverRequest():
                 self._owner.on_handover_request(message)
+            case ratelimitmessage.RestrictionNotice():
+                if message.sender_id in self.owners.of(message.team)[:2]:
+                    self.cache.restrict(
+                        message.team, message.ask_first_ms, self.now_ms
+                    )
             case _ if message.ask_id in self.replies:
                 self.replies.pop(message.ask_id)(message)
             case ratelimitmessage.PermitReply():
--- a/hyssoptack/ratelimit/simulatedowner.py
+++ b/hyssoptack/ratelimit/simulatedowner.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import functools
+import math
 
 from hyssoptack.core import ratelimitmessage
 from hyssoptack.ratelimit import ledger
@@ -15,6 +16,8 @@
 SKIP_MS = 1_000.0
 STOP_MS = 300.0
 POLL_MS = 100.0
+NOTICE_MS = 1_000.0
+OWNED_MIN_COUNT = 0.001
 
 
 class Owner:
@@ -32,6 +35,7 @@
         self._others = members
         self._transfers = transfers
         self._transferring = collections.defaultdict(list)
+        self._noticed_ms: dict[str, float] = {}
         self._stand_ins: dict[str, float] = {}
         self._beginning = collections.defaultdict(list)
 
@@ -94,10 +98,11 @@
     def _begin_joined(self, team, next_ids):
         def finish(token_count):
             # An instance that did not own the bucket answers with no tokens.
-            self._begin(team, token_count or None)
+            lead = self._node.lead() if token_count == 0.0 else {}
+            self._begin(team, token_count or None, lead=lead)
 
         if not next_ids:
-            finish(None)
+            finish(0.0)
             return
         message = ratelimitmessage.HandoverRequest(
             sender_id=self._node.node_id,
@@ -109,7 +114,7 @@
             next_ids[0],
             message,
             HANDOVER_TIMEOUT_MS,
-            lambda reply: finish(reply and reply.token_count),
+            lambda reply: finish(reply.token_count if reply else None),
         )
 
     def _begin_replacing(self, team, above_ids):
@@ -142,7 +147,7 @@
         if isinstance(message, ratelimitmessage.PermitRequest):
             self._redirect(message, owner_id)
 
-    def _begin(self, team, token_count, provisional=False):
+    def _begin(self, team, token_count, provisional=False, lead=None):
         provisional = provisional or not self._node.is_listed_first(team)
         self._node.ledger.begin(
             team,
@@ -150,6 +155,7 @@
             self._node.now_ms,
             token_count,
             provisional=provisional,
+            **({} if provisional else lead or {}),
         )
         if provisional:
             self._stand_ins[team] = self._node.now_ms
@@ -203,6 +209,9 @@
     def _serve(self, message, transferred=False):
         team = message.team
         limit = self._node.limit(team)
+        if message.spent_count:
+            self._debit(message)
+            return
         ask = ledger.PermitAsk(
             asker_id=message.sender_id,
             wanted_count=message.wanted_count,
@@ -227,8 +236,48 @@
                 team=team,
                 permit_count=result.permit_count,
                 retry_after_ms=retry_ms,
+                ask_first_ms=self._restriction_ms(team),
             ),
         )
+        self._transfer_ahead(team)
+
+    def _debit(self, message):
+        team, now_ms = message.team, self._node.now_ms
+        if not self._node.ledger.debit(
+            team, self._node.limit(team), message.spent_count, now_ms
+        ):
+            self._redirect(message, self._node.owners.of(team)[0])
+            return
+        self._node.send_reply(
+            message.sender_id,
+            ratelimitmessage.PermitReply(
+                sender_id=self._node.node_id,
+                ask_id=message.ask_id,
+                team=team,
+                ask_first_ms=self._restriction_ms(team),
+            ),
+        )
+        self._transfer_ahead(team)
+
+    def _restriction_ms(self, team):
+        """Returns the restriction of an owned bucket; sends due notices."""
+        now_ms = self._node.now_ms
+        restriction_ms = self._node.ledger.restriction_ms(team, now_ms)
+        if not restriction_ms:
+            self._noticed_ms.pop(team, None)
+        elif now_ms - self._noticed_ms.get(team, -math.inf) >= NOTICE_MS:
+            self._noticed_ms[team] = now_ms
+            for each in self._node.neighbour_ids():
+                notice = ratelimitmessage.RestrictionNotice(
+                    sender_id=self._node.node_id,
+                    team=team,
+                    ask_first_ms=restriction_ms,
+                )
+                self._node.world.send(self._node, each, notice)
+            self._node.after(NOTICE_MS, self._restriction_ms, team)
+        return restriction_ms
+
+    def _transfer_ahead(self, team):
         ahead_count = self._node.ledger.transfer_count(team, self._node.now_ms)
         if self._transfers and ahead_count and not self._transferring[team]:
             self._transfer(team, ahead_count, None)
@@ -324,14 +373,18 @@
             return
         self._stand_ins.pop(message.team, None)
         self._node.set_joined(message.sender_id)
+        token_count = 0.0
+        if self._node.ledger.owns(message.team):
+            token_count = max(
+                OWNED_MIN_COUNT,
+                self._node.ledger.hand_over(message.team, self._node.now_ms),
+            )
         self._node.send_reply(
             message.sender_id,
             ratelimitmessage.TokenReply(
                 sender_id=self._node.node_id,
                 ask_id=message.ask_id,
                 team=message.team,
-                token_count=self._node.ledger.hand_over(
-                    message.team, self._node.now_ms
-                ),
+                token_count=token_count,
             ),
         )
--- a/hyssoptack/ratelimit/simulation.py
+++ b/hyssoptack/ratelimit/simulation.py
@@ -173,7 +173,10 @@
         self.refund_ratio = 0.0
 
     def start(self, team_name, node_ids):
-        """Starts one caller for each of some instances."""
+        """Starts one caller for each of some instances.
+
+        Each request of a caller with None arrives at any instance.
+        """
         for node_id in node_ids:
             self._schedule(team_name, node_id, len(node_ids))
 
