--- a/hyssoptack/core/ratelimitmessage.py
+++ b/hyssoptack/core/ratelimitmessage.py
@@ -143,13 +143,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RestrictionNotice:
-    """Tells the instances of a domain that a team's bucket is low.
+    """Tells the instances of a domain whether a team's bucket is low.
 
     Attributes:
         sender_id: Id of the owner.
         team: Name of the team.
         ask_first_ms: Time for which the receiver permits no request of the team
-            without asking.
+            without asking; 0 ends that time early.
     """
 
     sender_id: str
--- a/hyssoptack/gateway/permitasker.py
+++ b/hyssoptack/gateway/permitasker.py
@@ -375,7 +375,8 @@
         del self._late[reply.ask_id]
         now_ms = clock.now_ms()
         state = self._states[reply.team]
-        self.cache.restrict(reply.team, reply.ask_first_ms, now_ms)
+        if reply.ask_first_ms:
+            self.cache.restrict(reply.team, reply.ask_first_ms, now_ms)
         if reply.sender_id == ask.target.instance_id:
             self._skips.end(reply.sender_id)
         if reply.permit_count:
--- a/hyssoptack/gateway/ratelimitcheck.py
+++ b/hyssoptack/gateway/ratelimitcheck.py
@@ -68,7 +68,7 @@
         case ratelimitmessage.TokenReply():
             return _is_count(message.token_count)
         case ratelimitmessage.RestrictionNotice():
-            return 0.0 < message.ask_first_ms <= permits.ASK_FIRST_MS
+            return 0.0 <= message.ask_first_ms <= permits.ASK_FIRST_MS
 
 
 def _is_count(count: float) -> bool:
--- a/hyssoptack/gateway/restrictions.py
+++ b/hyssoptack/gateway/restrictions.py
@@ -30,7 +30,8 @@
         """
         restriction_ms = self._context.ledger.restriction_ms(team_name, now_ms)
         if not restriction_ms:
-            self._sent_ms.pop(team_name, None)
+            if self._sent_ms.pop(team_name, None) is not None:
+                self._notify(team_name, 0.0)
             return 0.0
         sent_ms = self._sent_ms.get(team_name)
         if sent_ms is None or now_ms - sent_ms >= NOTICE_PERIOD_MS:
@@ -49,9 +50,17 @@
             self._context.send(peer.address, notice)
 
     def check(self, now_ms: float) -> None:
-        """Repeats notices of teams that are still restricted."""
+        """Repeats notices of teams that are still restricted, and ends others.
+
+        Without the end, instances would ask first for up to 2 s after a bucket
+        that is low for some 100 ms.
+        """
         for team_name in tuple(self._sent_ms):
-            self.current_ms(team_name, now_ms)
+            if self._context.ledger.owns(team_name):
+                self.current_ms(team_name, now_ms)
+            else:
+                # The new owner decides.
+                del self._sent_ms[team_name]
 
     def on_notice(
         self,
--- a/hyssoptack/gateway/spentpermits_test.py
+++ b/hyssoptack/gateway/spentpermits_test.py
@@ -147,8 +147,23 @@
         await owner.acquire_many(round(0.6 * SHARE.capacity_count))
         await asyncio.sleep(0.001)
         assert not any(map(spends_ahead, others))
-        # It ends above 0.75 of the capacity, at most 2 s after the last notice.
-        await asyncio.sleep(0.4 * SHARE.capacity_count / SHARE.rate_per_s + 2)
+        # It ends above 0.75 of the capacity.
+        await asyncio.sleep(0.1)
+        assert not any(map(spends_ahead, others))
+        await asyncio.sleep(0.4 * SHARE.capacity_count / SHARE.rate_per_s + 0.1)
+        assert all(map(spends_ahead, others))
+
+
+def test_a_restriction_whose_end_is_lost_ends_after_2_s():
+    async def test():
+        network = ratelimitharness.start(5)
+        owner, *others = await ratelimitharness.warm_up(network)
+        await owner.acquire_many(round(0.6 * SHARE.capacity_count))
+        await asyncio.sleep(0.001)
+        network.is_lost = lambda sender, receiver, body: True
+        await asyncio.sleep(1.9)
+        assert not any(map(spends_ahead, others))
+        await asyncio.sleep(0.2)
         assert all(map(spends_ahead, others))
 
     ratelimitharness.run(test)
--- a/hyssoptack/ratelimit/permits.py
+++ b/hyssoptack/ratelimit/permits.py
@@ -196,14 +196,15 @@
             now_ms: The current time.
         """
         self._unanswered.discard(team_name)
-        self._restricted_until_ms.pop(team_name, None)
         self.restrict(team_name, ask_first_ms, now_ms)
 
     def restrict(
         self, team_name: str, ask_first_ms: float, now_ms: float
     ) -> None:
-        """Lets the requests of a team ask first, for 2 s at most."""
-        if 0.0 < ask_first_ms <= ASK_FIRST_MS:
+        """Lets the requests of a team ask first, for 2 s at most; 0 ends it."""
+        if ask_first_ms == 0.0:
+            self._restricted_until_ms.pop(team_name, None)
+        elif 0.0 < ask_first_ms <= ASK_FIRST_MS:
             self._restricted_until_ms[team_name] = now_ms + ask_first_ms
 
     def record_unanswered(self, team_name: str) -> None:
--- a/hyssoptack/ratelimit/simulatedfleet.py
+++ b/hyssoptack/ratelimit/simulatedfleet.py
@@ -202,6 +202,20 @@
             for team in self.teams
         )
 
+    def unwaited_ratio(self, names, begin_ms, end_ms):
+        """Returns the part of the permitted requests that did not wait."""
+        waits_ms = [
+            wait_ms
+            for name in names
+            for wait_ms, spent_ms in zip(
+                self.callers.results[name].waits_ms,
+                self.callers.results[name].spent_ms,
+                strict=True,
+            )
+            if begin_ms <= spent_ms < end_ms
+        ]
+        return sum(each == 0.0 for each in waits_ms) / len(waits_ms)
+
     def wrong_ratio(self, names, begin_ms, end_ms):
         """Returns the part of the requests in a time refused wrongly."""
         results = [self.callers.results[team] for team in names]
--- a/hyssoptack/ratelimit/simulatedowner.py
+++ b/hyssoptack/ratelimit/simulatedowner.py
@@ -17,6 +17,7 @@
 STOP_MS = 300.0
 POLL_MS = 100.0
 NOTICE_MS = 1_000.0
+CHECK_MS = 100.0
 OWNED_MIN_COUNT = 0.001
 
 
@@ -264,19 +265,33 @@
         now_ms = self._node.now_ms
         restriction_ms = self._node.ledger.restriction_ms(team, now_ms)
         if not restriction_ms:
-            self._noticed_ms.pop(team, None)
+            if self._noticed_ms.pop(team, None) is not None:
+                self._notify(team, 0.0)
         elif now_ms - self._noticed_ms.get(team, -math.inf) >= NOTICE_MS:
+            begins = team not in self._noticed_ms
             self._noticed_ms[team] = now_ms
-            for each in self._node.neighbour_ids():
-                notice = ratelimitmessage.RestrictionNotice(
-                    sender_id=self._node.node_id,
-                    team=team,
-                    ask_first_ms=restriction_ms,
-                )
-                self._node.world.send(self._node, each, notice)
-            self._node.after(NOTICE_MS, self._restriction_ms, team)
+            self._notify(team, restriction_ms)
+            if begins:
+                self._node.after(CHECK_MS, self._check, team)
         return restriction_ms
 
+    def _check(self, team):
+        if team in self._noticed_ms and self._node.ledger.owns(team):
+            self._restriction_ms(team)
+            if team in self._noticed_ms:
+                self._node.after(CHECK_MS, self._check, team)
+        else:
+            self._noticed_ms.pop(team, None)
+
+    def _notify(self, team, ask_first_ms):
+        for each in self._node.neighbour_ids():
+            notice = ratelimitmessage.RestrictionNotice(
+                sender_id=self._node.node_id,
+                team=team,
+                ask_first_ms=ask_first_ms,
+            )
+            self._node.world.send(self._node, each, notice)
+
     def _transfer_ahead(self, team):
         ahead_count = self._node.ledger.transfer_count(team, self._node.now_ms)
         if self._transfers and ahead_count and not self._transferring[team]:
--- a/hyssoptack/ratelimit/simulation.py
+++ b/hyssoptack/ratelimit/simulation.py
@@ -118,7 +118,7 @@
         counts: Requests by outcome.
         wrong_count: Refusals while the team was within its limit.
         wrong_ms: Times of these refusals.
-        waits_ms: Waiting times of permitted requests.
+        waits_ms: Waiting times of permitted requests, as `spent_ms`.
     """
 
     spent_ms: list = dataclasses.field(default_factory=list)
