--- a/hyssoptack/gateway/spentpermits.py
+++ b/hyssoptack/gateway/spentpermits.py
@@ -99,16 +99,12 @@
         Returns:
             Whether the request is permitted.
         """
-        ranking = self._context.ranking
-        if (
-            not ranking.has_list
-            or ranking.ids(team_name)[0] == ranking.own.instance_id
-            or self._context.ledger.owns(team_name)
-        ):
+        context = self._context
+        if not context.ranking.has_list or context.ledger.owns(team_name):
             return False
         if not self._cache.spend_ahead(team_name, now_ms):
             return False
-        self._context.report.count("spent_ahead")
+        context.report.count("spent_ahead")
         if team_name not in self._collecting:
             self._collecting.add(team_name)
             tokencollection.Timeout(COLLECT_MS, lambda: self._flush(team_name))
--- a/hyssoptack/ratelimit/simulateddebtor.py
+++ b/hyssoptack/ratelimit/simulateddebtor.py
@@ -27,8 +27,6 @@
 
     def try_spend(self, team):
         """Permits a request without asking, unless the team asks first."""
-        if self._node.owners.of(team)[0] == self._node.node_id:
-            return False
         if self._node.ledger.owns(team) or not self._node.cache.spend_ahead(
             team, self._node.now_ms
         ):
