--- a/hyssoptack/gateway/spentpermits_test.py
+++ b/hyssoptack/gateway/spentpermits_test.py
@@ -153,6 +153,8 @@
         await asyncio.sleep(0.4 * SHARE.capacity_count / SHARE.rate_per_s + 0.1)
         assert all(map(spends_ahead, others))
 
+    ratelimitharness.run(test)
+
 
 def test_a_restriction_whose_end_is_lost_ends_after_2_s():
     async def test():
