--- a/hyssoptack/gateway/ratelimitcheck.py
+++ b/hyssoptack/gateway/ratelimitcheck.py
@@ -8,7 +8,8 @@
 
 from hyssoptack.core import ratelimitmessage
 from hyssoptack.core import teams
-from hyssoptack.ratelimit import ledger
+from hyssoptack.ratelimit import permitdecisions
+from hyssoptack.ratelimit import permits
 
 MAX_TOKEN_COUNT = 1_000_000
 """Highest plausible number of tokens in a message: a bucket holds the burst."""
@@ -50,11 +51,14 @@
                 and _is_permit_count(message.wanted_count)
                 and _is_permit_count(message.prefetch_count)
                 and _is_permit_count(message.held_count)
+                and _is_permit_count(message.spent_count)
+                and not (message.spent_count and message.wanted_count)
                 and len(message.skipped_ids) <= MAX_SKIPPED_COUNT
             )
         case ratelimitmessage.PermitReply():
             return _is_permit_count(message.permit_count) and (
                 0.0 <= message.retry_after_ms <= MAX_RETRY_MS
+                and 0.0 <= message.ask_first_ms <= permits.ASK_FIRST_MS
             )
         case ratelimitmessage.TransferRequest():
             return _is_limit(message.limit) and _is_token_count(
@@ -64,11 +68,13 @@
             return True
         case ratelimitmessage.TokenReply():
             return _is_token_count(message.token_count)
+        case ratelimitmessage.RestrictionNotice():
+            return 0.0 <= message.ask_first_ms <= permits.ASK_FIRST_MS
 
 
 def _is_permit_count(count: int) -> bool:
     # A reply holds the wanted and the prefetched permits.
-    return 0 <= count <= 2 * ledger.ASK_LIMIT_COUNT
+    return 0 <= count <= 2 * permitdecisions.ASK_LIMIT_COUNT
 
 
 def _is_token_count(count: float) -> bool:
--- a/hyssoptack/gateway/requestpermits_test.py
+++ b/hyssoptack/gateway/requestpermits_test.py
@@ -61,6 +61,7 @@
                 request_id=b"r1", deadline_ms=None, host="h"
             ),
             route_match=None,
+            version=7,
             team=team,
         )
         requestpermits.RequestPermits(
--- a/hyssoptack/ratelimit/share.py
+++ b/hyssoptack/ratelimit/share.py
@@ -12,7 +12,7 @@
 
 from hyssoptack.core import teams
 
-PREFETCH_EXCESS_RATIO = 0.4
+PREFETCH_EXCESS_RATIO = 0.2
 """Part of the excess that permits held ahead of demand may use."""
 
 CAPACITY_SLACK_RATIO = 0.1
@@ -24,10 +24,14 @@
 START_SLACK_RATIO = 0.25
 """Part of the slack that one start of the owners in all domains may use."""
 
-ISOLATED_EXCESS_RATIO = 0.2
+ISOLATED_EXCESS_RATIO = 0.1
 """Part of the excess that an isolated owner may create in a window, in addition
 to the tokens of the instance that replaces it in its domain."""
 
+UNCOUNTED_EXCESS_RATIO = 0.15
+"""Part of the excess kept for permits that a dead owner had granted, and for
+the time between a permit and the upstream call."""
+
 COUNT_LIMIT = 1e9
 """Largest plausible rate, burst or number of tokens."""
 
@@ -102,9 +106,10 @@
     """Returns the share of each of `domain_count` failure domains.
 
     A bucket holds at least one token, so that a burst below the number of
-    domains uses more of the slack.
+    domains uses more of the slack. What the operator tolerates beyond the burst
+    and the excess that is needed otherwise is created as tokens: the team's
+    callers get all of the requests that the check allows, not only the rate.
     """
-    rate_per_s = limit.rate_per_s / domain_count
     slack_count = bounds.slack_count / domain_count
     capacity_count = max(
         1.0,
@@ -112,12 +117,22 @@
     )
     excess = excess_count(limit, bounds)
     window_s = bounds.window_ms / 1_000.0
+    prefetch_count = PREFETCH_EXCESS_RATIO * excess / domain_count
+    start_count = min(capacity_count, START_SLACK_RATIO * slack_count)
+    isolated_rate_per_s = min(
+        limit.rate_per_s / domain_count,
+        ISOLATED_EXCESS_RATIO * excess / window_s,
+    )
+    kept_count = (
+        domain_count * (capacity_count + prefetch_count + start_count)
+        + isolated_rate_per_s * window_s
+        + UNCOUNTED_EXCESS_RATIO * excess
+    )
+    created_per_s = (allowed_count(limit, bounds) - kept_count) / window_s
     return DomainShare(
-        rate_per_s=rate_per_s,
+        rate_per_s=max(limit.rate_per_s, created_per_s) / domain_count,
         capacity_count=capacity_count,
-        prefetch_count=PREFETCH_EXCESS_RATIO * excess / domain_count,
-        start_count=min(capacity_count, START_SLACK_RATIO * slack_count),
-        isolated_rate_per_s=min(
-            rate_per_s, ISOLATED_EXCESS_RATIO * excess / window_s
-        ),
+        prefetch_count=prefetch_count,
+        start_count=start_count,
+        isolated_rate_per_s=isolated_rate_per_s,
     )
