Quarantine: move state changes and notice terms out of the registry

Ruled out: nothing. Change: ChangeKind, SuspicionChange and OnChange moved to suspicionchange.py; the term of a notice is built by suspectrecord.term_from_notice, with the same limits as before.

--- a/hyssoptack/gateway/quarantinesync.py
+++ b/hyssoptack/gateway/quarantinesync.py
@@ -21,6 +21,7 @@
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import pool
 from hyssoptack.quarantine import quarantine
+from hyssoptack.quarantine import suspicionchange
 
 ROUND_PERIOD_S = 1.0
 """How often a sample of all records is sent. As each of the other instances
@@ -69,11 +70,11 @@
 there as fit in the slots and the queue."""
 
 EVENTS = {
-    quarantine.ChangeKind.SUSPECTED: log.Event.SUSPICION_BEGAN,
-    quarantine.ChangeKind.QUARANTINED: log.Event.REQUEST_BLOCKED,
-    quarantine.ChangeKind.PROBED: log.Event.REQUEST_TRIED,
-    quarantine.ChangeKind.CLEARED: log.Event.SUSPICION_ENDED,
-    quarantine.ChangeKind.EXPIRED: log.Event.SUSPICION_ENDED,
+    suspicionchange.ChangeKind.SUSPECTED: log.Event.SUSPICION_BEGAN,
+    suspicionchange.ChangeKind.QUARANTINED: log.Event.REQUEST_BLOCKED,
+    suspicionchange.ChangeKind.PROBED: log.Event.REQUEST_TRIED,
+    suspicionchange.ChangeKind.CLEARED: log.Event.SUSPICION_ENDED,
+    suspicionchange.ChangeKind.EXPIRED: log.Event.SUSPICION_ENDED,
 }
 """Log event of each kind of change."""
 
@@ -139,7 +140,7 @@
             in_hand_count=len(broken_jobs),
         )
 
-    def _on_change(self, change: quarantine.SuspicionChange) -> None:
+    def _on_change(self, change: suspicionchange.SuspicionChange) -> None:
         self._metrics.suspicion_events.inc({"what": change.kind.value})
         log.write(
             EVENTS[change.kind],
@@ -150,7 +151,7 @@
             for_ms=round(change.quarantine_ms),
             source=change.source,
         )
-        if change.kind is quarantine.ChangeKind.QUARANTINED:
+        if change.kind is suspicionchange.ChangeKind.QUARANTINED:
             # Deferred, as the call plan that caused the change is still running
             # a command.
             loop = asyncio.get_running_loop()
--- a/hyssoptack/quarantine/quarantine.py
+++ b/hyssoptack/quarantine/quarantine.py
@@ -23,13 +23,13 @@
 
 import collections
 import collections.abc
-import dataclasses
 import enum
 import itertools
 import random
 
 from hyssoptack.core import gatewaymessage
 from hyssoptack.quarantine import suspectrecord
+from hyssoptack.quarantine import suspicionchange
 
 PROBE_JITTER_RATIO = 0.5
 """Random extra delay before an instance's probe, at most this part of the
@@ -53,40 +53,6 @@
     REFUSE = "refused"
 
 
-class ChangeKind(enum.Enum):
-    """What has changed in the state of a request."""
-
-    SUSPECTED = "suspected"
-    QUARANTINED = "blocked"
-    PROBED = "tried"
-    CLEARED = "cleared"
-    EXPIRED = "forgotten"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class SuspicionChange:
-    """A state change of a request, as reported to `on_change`.
-
-    Attributes:
-        kind: What has changed.
-        fingerprint: Fingerprint of the request.
-        upstream_ids: Upstreams that crashed with it in flight, if recorded.
-        quarantine_count: Quarantines of the request in a row.
-        quarantine_ms: Length of the quarantine, without jitter.
-        source: Instance that reported the change; empty if found locally.
-    """
-
-    kind: ChangeKind
-    fingerprint: str
-    upstream_ids: tuple[str, ...] = ()
-    quarantine_count: int = 0
-    quarantine_ms: float = 0.0
-    source: str = ""
-
-
-OnChange = collections.abc.Callable[[SuspicionChange], None]
-
-
 class SuspectRegistry:
     """Suspected and quarantined requests as one instance knows them.
 
@@ -111,7 +77,7 @@
         self._answers: dict[str, float] = {}
         self._trusted: frozenset[str] = frozenset()
         self._pending_notices: dict[str, None] = {}
-        self.on_change: OnChange = lambda _: None
+        self.on_change: suspicionchange.OnChange = lambda _: None
         self.on_pending_notices: collections.abc.Callable[[], None] = lambda: (
             None
         )
@@ -154,7 +120,7 @@
                 entry.expires_ms, now_ms + 2 * PROBE_RETRY_MS
             )
             entry.probe_jitter_ms = 0.0
-            self._report(ChangeKind.PROBED, fingerprint, entry)
+            self._report(suspicionchange.ChangeKind.PROBED, fingerprint, entry)
             return Verdict.PROBE
         entry = self._suspects.get(fingerprint)
         if (
@@ -254,7 +220,10 @@
         elif is_new:
             self.on_pending_notices()
             self._report(
-                ChangeKind.SUSPECTED, fingerprint, entry, source=source
+                suspicionchange.ChangeKind.SUSPECTED,
+                fingerprint,
+                entry,
+                source=source,
             )
 
     def _start_quarantine(
@@ -278,7 +247,11 @@
         entry.is_shared = True
         self._queue_notice(fingerprint)
         self._report(
-            ChangeKind.QUARANTINED, fingerprint, entry, term.duration_ms, source
+            suspicionchange.ChangeKind.QUARANTINED,
+            fingerprint,
+            entry,
+            term.duration_ms,
+            source,
         )
 
     def _clear(self, fingerprint: str, source: str) -> None:
@@ -286,29 +259,38 @@
         entry = self._quarantined.pop(fingerprint, entry)
         if entry.is_shared:
             self._queue_notice(fingerprint)
-        self._report(ChangeKind.CLEARED, fingerprint, entry, source=source)
+        self._report(
+            suspicionchange.ChangeKind.CLEARED,
+            fingerprint,
+            entry,
+            source=source,
+        )
 
     def expire(self, now_ms: float) -> None:
         """Drops entries that have expired."""
         for fingerprint, entry in tuple(self._suspects.items()):
             if now_ms - entry.last_crash_ms > suspectrecord.SUSPICION_TTL_MS:
                 del self._suspects[fingerprint]
-                self._report(ChangeKind.EXPIRED, fingerprint, entry)
+                self._report(
+                    suspicionchange.ChangeKind.EXPIRED, fingerprint, entry
+                )
         for fingerprint, entry in tuple(self._quarantined.items()):
             # No caller has sent it for as long as a probe was allowed.
             if now_ms > entry.expires_ms:
                 del self._quarantined[fingerprint]
-                self._report(ChangeKind.EXPIRED, fingerprint, entry)
+                self._report(
+                    suspicionchange.ChangeKind.EXPIRED, fingerprint, entry
+                )
 
     def _report(
         self,
-        kind: ChangeKind,
+        kind: suspicionchange.ChangeKind,
         fingerprint: str,
         entry: suspectrecord.SuspectRecord,
         for_ms: float = 0.0,
         source: str = "",
     ) -> None:
-        change = SuspicionChange(
+        change = suspicionchange.SuspicionChange(
             kind=kind,
             fingerprint=fingerprint,
             upstream_ids=tuple(each.upstream_id for each in entry.crashes),
@@ -431,17 +413,7 @@
         self._start_quarantine(
             notice.fingerprint,
             entry,
-            suspectrecord.QuarantineTerm(
-                count=notice.blocked_count,
-                duration_ms=min(
-                    notice.blocked_for_ms,
-                    suspectrecord.quarantine_ms(notice.blocked_count),
-                ),
-                retention_ms=min(
-                    notice.kept_for_ms,
-                    2 * suspectrecord.quarantine_ms(notice.blocked_count),
-                ),
-            ),
+            suspectrecord.term_from_notice(notice),
             now_ms,
             source,
         )
--- a/hyssoptack/quarantine/suspectrecord.py
+++ b/hyssoptack/quarantine/suspectrecord.py
@@ -167,6 +167,16 @@
     )
 
 
+def term_from_notice(each: gatewaymessage.Suspect) -> QuarantineTerm:
+    """Returns the term that another instance reports, within this one's."""
+    duration_ms = quarantine_ms(each.blocked_count)
+    return QuarantineTerm(
+        count=each.blocked_count,
+        duration_ms=min(each.blocked_for_ms, duration_ms),
+        retention_ms=min(each.kept_for_ms, 2 * duration_ms),
+    )
+
+
 def is_worth_sharing(each: gatewaymessage.Suspect) -> bool:
     """Returns whether a notice is recent enough to be sent or accepted."""
     if each.cleared:
