Command line: shared parameters and inputs in their own module

Change: parameter types, exit codes, errors and the functions that read the file, the store and the instance list moved to scripts/commandline.py; the commands stay in main.py.

--- a/hyssoptack/scripts/main.py
+++ b/hyssoptack/scripts/main.py
@@ -3,31 +3,19 @@
 import json
 import pathlib
 import sys
-import typing
 
 import cyclopts
-import expression
 import msgspec
 
-from hyssoptack.core import catalog
-from hyssoptack.core import member
 from hyssoptack.reports import burn as burn_report
 from hyssoptack.reports import fleet
 from hyssoptack.reports import teams as team_report
 from hyssoptack.revisions import change
-from hyssoptack.revisions import members as members_client
-from hyssoptack.revisions import store
 from hyssoptack.scripts import caller
+from hyssoptack.scripts import commandline
 from hyssoptack.scripts import explain
 from hyssoptack.settings import catalog as catalog_settings
 from hyssoptack.settings import instance
-from hyssoptack.settings import validation
-
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-EXIT_OVERTAKEN = 3
-EXIT_UNSETTLED = 4
 
 application = cyclopts.App(
     name="hyssoptack",
@@ -50,104 +38,6 @@
     application.command(_each)
 application.command(explain.application)
 
-StoreAddress = typing.Annotated[
-    str,
-    cyclopts.Parameter(
-        name="--store",
-        env_var="HYSSOPTACK_STORE",
-        help="IP:port of the platform's key-value service.",
-    ),
-]
-MembersAddress = typing.Annotated[
-    str,
-    cyclopts.Parameter(
-        name="--members",
-        env_var="HYSSOPTACK_MEMBERS",
-        help="IP:port of the platform's instance list.",
-    ),
-]
-FrontAddress = typing.Annotated[
-    str,
-    cyclopts.Parameter(
-        name="--front",
-        env_var="HYSSOPTACK_FRONT",
-        help="IP:port of the balancer or of one instance.",
-    ),
-]
-AsJson = typing.Annotated[
-    bool, cyclopts.Parameter(name="--json", help="Print JSON.")
-]
-
-
-def _fail(text: str, code: int = EXIT_FAILED) -> typing.NoReturn:
-    print(text, file=sys.stderr)
-    sys.exit(code)
-
-
-def _fail_settings(errors: list[validation.SettingsError]) -> typing.NoReturn:
-    _fail("\n".join(str(each) for each in errors), EXIT_USAGE)
-
-
-def _platform(
-    store_address: str, members_address: str
-) -> instance.PlatformSettings:
-    for address in (store_address, members_address):
-        if not validation.is_address(address):
-            _fail(f"invalid address {address!r}: expected IP:port", EXIT_USAGE)
-    return instance.PlatformSettings(
-        store_address=store_address,
-        instance_list_address=members_address,
-        timeout_ms=2_000.0,
-        watch_ms=1_000.0,
-        instance_list_lag_ms=0.0,
-        list_period_ms=1_000.0,
-        watcher_count=1,
-    )
-
-
-# The client uses only one of the two addresses.
-def _store(address: str) -> store.StoreClient:
-    return store.StoreClient(_platform(address, address))
-
-
-def _read_file(file: pathlib.Path) -> dict[str, str]:
-    try:
-        text = file.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        _fail(f"{file}: {error}", EXIT_USAGE)
-    parts, errors = catalog_settings.split(text, str(file))
-    if errors:
-        _fail_settings(errors)
-    return parts
-
-
-def _members(address: str) -> tuple[member.Member, ...]:
-    client = members_client.MembersClient(_platform(address, address))
-    match client.read():
-        case expression.Result(tag="ok", ok=listing):
-            return listing.members
-        case expression.Result(error=detail):
-            _fail(f"failed to read the instance list: {detail}")
-
-
-def _head(client: store.StoreClient) -> change.Head:
-    match change.read_head(client):
-        case expression.Result(tag="ok", ok=head):
-            return head
-        case expression.Result(error=unreachable):
-            _fail(f"failed to read the store: {unreachable.detail}")
-
-
-def _parts_in_force(
-    client: store.StoreClient,
-) -> tuple[change.Head, dict[str, str]]:
-    head = _head(client)
-    match change.read_parts(client, head):
-        case expression.Result(tag="ok", ok=parts):
-            return head, parts
-        case expression.Result(error=unreachable):
-            _fail(f"failed to read the store: {unreachable.detail}")
-
 
 @application.command
 def entry(settings: pathlib.Path) -> None:
@@ -160,18 +50,20 @@
 
     read, errors = instance.load(settings)
     if read is None:
-        _fail_settings(errors)
+        commandline.fail_settings(errors)
     daemon.run(read)
 
 
 @config_application.command(name="check")
-def config_check(file: pathlib.Path, *, as_json: AsJson = False) -> None:
+def config_check(
+    file: pathlib.Path, *, as_json: commandline.AsJson = False
+) -> None:
     """Check a configuration file and print all of its errors.
 
     Args:
         file: YAML with profiles and services.
     """
-    parts = _read_file(file)
+    parts = commandline.read_file(file)
     current, _ = catalog_settings.assemble(0, parts, str(file))
     counts = {
         "profiles": len(current.profiles),
@@ -191,27 +83,31 @@
 
 
 @config_application.command(name="diff")
-def config_diff(file: pathlib.Path, *, store_address: StoreAddress) -> None:
+def config_diff(
+    file: pathlib.Path, *, store_address: commandline.StoreAddress
+) -> None:
     """Show what a file would change; exit status 1 if it differs.
 
     Args:
         file: YAML with profiles and services.
     """
-    parts = _read_file(file)
-    _, in_force = _parts_in_force(_store(store_address))
+    parts = commandline.read_file(file)
+    _, in_force = commandline.parts_in_force(
+        commandline.store_client(store_address)
+    )
     text = change.parts_diff(in_force, parts)
     print(text or "no difference")
-    sys.exit(EXIT_FAILED if text else EXIT_OK)
+    sys.exit(commandline.EXIT_FAILED if text else commandline.EXIT_OK)
 
 
 @config_application.command(name="apply")
 def config_apply(
     file: pathlib.Path,
     *,
-    store_address: StoreAddress,
+    store_address: commandline.StoreAddress,
     author: str = "operator",
     on_revision: int | None = None,
-    as_json: AsJson = False,
+    as_json: commandline.AsJson = False,
 ) -> None:
     """Apply a configuration file as the next revision.
 
@@ -223,8 +119,10 @@
         author: Author of the change, for the history.
         on_revision: Apply only if this revision is in force.
     """
-    parts = _read_file(file)
-    outcome = change.apply(_store(store_address), parts, author, on_revision)
+    parts = commandline.read_file(file)
+    outcome = change.apply(
+        commandline.store_client(store_address), parts, author, on_revision
+    )
     match outcome:
         case change.Applied(revision=number, changed_parts=names):
             text, code = f"applied revision {number}: {', '.join(names)}", 0
@@ -235,12 +133,12 @@
                 f"overtaken by revision {by.revision} of {by.author}; "
                 f"your file differs from it in: {', '.join(names) or 'nothing'}"
             )
-            code = EXIT_OVERTAKEN
+            code = commandline.EXIT_OVERTAKEN
         case change.NotApplied(detail=detail):
-            text, code = f"not applied: {detail}", EXIT_FAILED
+            text, code = f"not applied: {detail}", commandline.EXIT_FAILED
         case change.Unsettled(change_id=change_id, detail=detail):
             text = f"outcome unknown: look for change {change_id}: {detail}"
-            code = EXIT_UNSETTLED
+            code = commandline.EXIT_UNSETTLED
     if as_json:
         kind = type(outcome).__name__.lower()
         document = {"outcome": kind, **msgspec.to_builtins(outcome)}
@@ -251,12 +149,14 @@
 
 
 @config_application.command(name="status")
-def config_status(*, members: MembersAddress, as_json: AsJson = False) -> None:
+def config_status(
+    *, members: commandline.MembersAddress, as_json: commandline.AsJson = False
+) -> None:
     """Show the revision in force at each instance, and for how long.
 
     Exit status 1 if instances differ or do not answer.
     """
-    readings = fleet.read(_members(members), "/status")
+    readings = fleet.read(commandline.listed_members(members), "/status")
     revisions = {
         each.document["revision"] if each.document else None
         for each in readings
@@ -282,15 +182,19 @@
                 f"revision {row['revision']}  for {row['in_force_s']} s  "
                 f"{row['state']}"
             )
-    sys.exit(EXIT_OK if len(revisions) == 1 else EXIT_FAILED)
+    sys.exit(
+        commandline.EXIT_OK if len(revisions) == 1 else commandline.EXIT_FAILED
+    )
 
 
 @config_application.command(name="history")
 def config_history(
-    *, store_address: StoreAddress, as_json: AsJson = False
+    *,
+    store_address: commandline.StoreAddress,
+    as_json: commandline.AsJson = False,
 ) -> None:
     """Show the latest revisions, newest first."""
-    head = _head(_store(store_address))
+    head = commandline.head_in_force(commandline.store_client(store_address))
     trail = head.manifest.trail if head.manifest else ()
     if as_json:
         print(json.dumps(msgspec.to_builtins(trail)))
@@ -303,10 +207,12 @@
 
 
 @upstream_application.command(name="list")
-def upstream_list(*, members: MembersAddress, as_json: AsJson = False) -> None:
+def upstream_list(
+    *, members: commandline.MembersAddress, as_json: commandline.AsJson = False
+) -> None:
     """Show the state of each upstream as the instances see it."""
     states_by_upstream: dict[str, dict[str, str]] = {}
-    for each in fleet.read(_members(members), "/status"):
+    for each in fleet.read(commandline.listed_members(members), "/status"):
         for upstream in (each.document or {}).get("upstreams", ()):
             states = states_by_upstream.setdefault(upstream["upstream_id"], {})
             states[each.member.instance_id] = upstream["state"]
@@ -322,9 +228,11 @@
 
 
 @instance_application.command(name="list")
-def instance_list(*, members: MembersAddress, as_json: AsJson = False) -> None:
+def instance_list(
+    *, members: commandline.MembersAddress, as_json: commandline.AsJson = False
+) -> None:
     """Show the instances in the platform's instance list."""
-    listed = _members(members)
+    listed = commandline.listed_members(members)
     if as_json:
         print(json.dumps(msgspec.to_builtins(listed)))
         return
@@ -336,22 +244,12 @@
         )
 
 
-def _catalog_in_force(store_address: str) -> catalog.Catalog:
-    head, parts = _parts_in_force(_store(store_address))
-    current, errors = catalog_settings.assemble(
-        head.revision(), parts, "configuration in force"
-    )
-    if errors:
-        _fail_settings(errors)
-    return current
-
-
 @report_application.command(name="burn")
 def report_burn(
     *,
-    members: MembersAddress,
-    store_address: StoreAddress,
-    as_json: AsJson = False,
+    members: commandline.MembersAddress,
+    store_address: commandline.StoreAddress,
+    as_json: commandline.AsJson = False,
     plot: pathlib.Path | None = None,
 ) -> None:
     """Show how fast each service consumes its error budget.
@@ -359,12 +257,14 @@
     Args:
         plot: Also plot the report into this PNG file.
     """
-    readings = fleet.read(_members(members), "/burn")
+    readings = fleet.read(commandline.listed_members(members), "/burn")
     documents = [
         each.document for each in readings if each.document is not None
     ]
     totals = burn_report.merge(documents)
-    report = burn_report.rows(totals, _catalog_in_force(store_address))
+    report = burn_report.rows(
+        totals, commandline.catalog_in_force(store_address)
+    )
     if as_json:
         print(json.dumps(msgspec.to_builtins(report)))
     else:
@@ -380,7 +280,9 @@
 
 
 @report_application.command(name="teams")
-def report_teams(*logs: pathlib.Path, as_json: AsJson = False) -> None:
+def report_teams(
+    *logs: pathlib.Path, as_json: commandline.AsJson = False
+) -> None:
     """Show what became of each team's requests, and its rate limit.
 
     Args:
@@ -389,7 +291,9 @@
     try:
         totals = team_report.count(logs)
     except OSError as error:
-        _fail(f"{error.filename}: {error.strerror}", EXIT_USAGE)
+        commandline.fail(
+            f"{error.filename}: {error.strerror}", commandline.EXIT_USAGE
+        )
     if as_json:
         print(json.dumps(team_report.document(totals)))
     else:
@@ -401,7 +305,7 @@
     service: str,
     text: str,
     *,
-    front: FrontAddress,
+    front: commandline.FrontAddress,
     limit: int = 10,
     deadline_ms: int | None = None,
     urgent: bool = False,
@@ -417,7 +321,11 @@
     """
     result = caller.search(front, service, text, limit, deadline_ms, urgent)
     print(result.text)
-    sys.exit(EXIT_OK if result.status == caller.STATUS_OK else EXIT_FAILED)
+    sys.exit(
+        commandline.EXIT_OK
+        if result.status == caller.STATUS_OK
+        else commandline.EXIT_FAILED
+    )
 
 
 @application.command
@@ -427,7 +335,7 @@
     request: str,
     *,
     key: str,
-    front: FrontAddress,
+    front: commandline.FrontAddress,
 ) -> None:
     """Send one non-idempotent request and print its outcome.
 
@@ -440,10 +348,16 @@
     try:
         document = json.loads(request)
     except json.JSONDecodeError as error:
-        _fail(f"request: not valid JSON: {error}", EXIT_USAGE)
+        commandline.fail(
+            f"request: not valid JSON: {error}", commandline.EXIT_USAGE
+        )
     result = caller.act(front, service, subject, document, key)
     print(result.text)
-    sys.exit(EXIT_OK if result.status == caller.STATUS_OK else EXIT_FAILED)
+    sys.exit(
+        commandline.EXIT_OK
+        if result.status == caller.STATUS_OK
+        else commandline.EXIT_FAILED
+    )
 
 
 def main() -> None:
