Soak plays rates; the report of teams counts refusals by admission

Cause: rates were off in the soak until gateways enforced them. The report of teams did not read the event of admission control, and a refusal, which names no rate, hid the team's rate. Its tests used an event name that no code writes. Change: rates in every run with teams; the report reads both kinds of refusals by their names. The case of a refusal without a rate uses a team without one. Measured: the tests of the reports and of the soak's checks pass; two new tests of the report failed before.

--- a/hyssoptack/reports/teams.py
+++ b/hyssoptack/reports/teams.py
@@ -19,9 +19,9 @@
 """Maximum number of request ids of each kind that are kept: those of some 10 s
 on the largest deployment, while both lines of a request are a second apart."""
 
-RATE_EVENT_NUMBERS = range(6301, 6400)
-"""Numbers of the events about rate limits. Those with a request id and a delay
-are refusals."""
+REFUSAL_STATUSES = {"rate_limited": 429, "request_refused": 503}
+"""Statuses of the events with which the rate limiter and admission control
+report refused requests."""
 
 NO_TEAM = "-"
 """Shown for requests without a team: anonymous, rejected early, or logged
@@ -52,20 +52,16 @@
         return self.message_type.rpartition(":")[2]
 
     @property
-    def number(self) -> int:
-        """Number of the event; 0 if there is none."""
-        parts = self.message_type.split(":")
-        is_numbered = len(parts) > 1 and parts[1].isdigit()
-        return int(parts[1]) if is_numbered else 0
+    def names_rate(self) -> bool:
+        """Whether the line names the team's rate limit, if there is one.
 
-    @property
-    def is_rate_refusal(self) -> bool:
-        """Whether the line reports a request refused by the rate limiter."""
-        return (
-            self.number in RATE_EVENT_NUMBERS
-            and bool(self.request_id)
-            and self.retry_after_ms is not None
-        )
+        Lines of refusals do not, whatever their version.
+        """
+        match self.kind:
+            case "request_ended":
+                return bool(self.route)
+            case kind:
+                return kind not in REFUSAL_STATUSES
 
 
 _DECODER = msgspec.json.Decoder(_Line)
@@ -167,8 +163,8 @@
             case "query_back":
                 self._taken_back.add(line.request_id)
                 self._unsettled.pop(line.request_id)
-            case _ if line.is_rate_refusal:
-                line.status = 429 if line.status is None else line.status
+            case kind if kind in REFUSAL_STATUSES and line.request_id:
+                line.status = REFUSAL_STATUSES[kind]
                 line.reason = line.reason or line.kind
                 self._settle(line)
 
@@ -205,10 +201,7 @@
 
     def _record_rate(self, line: _Line) -> Total:
         total = self.totals.setdefault(line.team, Total())
-        # A refusal names the version but not the rate.
-        if line.number not in RATE_EVENT_NUMBERS and (
-            (line.version or 0) >= total.version
-        ):
+        if line.names_rate and (line.version or 0) >= total.version:
             total.rate_per_s = line.rate_per_s
             total.version = line.version or 0
         return total
--- a/hyssoptack/reports/teams_test.py
+++ b/hyssoptack/reports/teams_test.py
@@ -29,7 +29,7 @@
 
 def refusal(time_s, request_id, team):
     return event(
-        6301, "rate_refused", time_s, request_id=request_id, team=team,
+        6301, "rate_limited", time_s, request_id=request_id, team=team,
         retry_after_ms=12.5, version=7,
     )  # fmt: skip
 
@@ -83,9 +83,9 @@
     assert found["red"]["received"] == 6
     assert found["red"]["served"] == 2
     assert found["red"]["left"] == 1
-    assert found["red"]["refused"] == {"no_upstream": 1, "rate_refused": 1}
+    assert found["red"]["refused"] == {"no_upstream": 1, "rate_limited": 1}
     assert found["red"]["failed"] == {"connection_reset": 1}
-    assert found["blue"]["refused"] == {"rate_refused": 1}
+    assert found["blue"]["refused"] == {"rate_limited": 1}
     assert found["-"]["refused"] == {
         "unknown_key": 1,
         "no_route": 1,
@@ -196,7 +196,7 @@
         "1",
         "0",
         "0",
-        "rate_refused",
+        "rate_limited",
         "1",
     ]
     missing = subprocess.run(
@@ -204,3 +204,22 @@
     )
     assert missing.returncode == 2
     assert "No such file" in missing.stderr
+
+
+def test_a_refusal_by_admission_control_is_counted(tmp_path):
+    refused = event(
+        6401, "request_refused", 1.0, request_id="a", team="red", route="r",
+        reason="queue_full", retry_after_ms=40.0,
+    )  # fmt: skip
+    total = counts(tmp_path, [refused])["red"]
+    assert total["refused"] == {"queue_full": 1}
+    assert total["received"] == 1
+
+
+def test_a_refusal_does_not_hide_the_rate(tmp_path):
+    lines = [
+        ended(1.0, "a", team="red", rate_per_s=23.0),
+        refusal(2.0, "b", "red"),
+        ended(2.1, "b", status=429, route="", reason="rate_limit", team="red"),
+    ]
+    assert counts(tmp_path, lines)["red"]["rate_per_s"] == 23.0
--- a/soak/play.py
+++ b/soak/play.py
@@ -202,7 +202,7 @@
             "budget": {"ratio": 0.2, "slack_count": 60, "window_ms": 10_000},
             **addresses,
         }
-        if self._environment.team_plan and teams.RATE_LIMITS_ENABLED:
+        if self._environment.team_plan:
             document["rate_limit"] = {
                 "window_ms": teams.WINDOW_MS,
                 "overage_ratio": teams.OVERAGE_RATIO,
--- a/soak/teaminvariants_test.py
+++ b/soak/teaminvariants_test.py
@@ -54,11 +54,6 @@
     return {each.partition(":")[0] for each in checker.check(requests)}
 
 
-@pytest.fixture
-def with_rates(monkeypatch):
-    monkeypatch.setattr(teams, "RATE_LIMITS_ENABLED", True)
-
-
 @pytest.mark.parametrize(
     ("given", "heads", "versions", "kind"),
     [
@@ -97,7 +92,7 @@
             VERSIONS[:1],
             "valid key refused",
         ),
-        (record(status=429), [], VERSIONS[:1], "refused without a rate"),
+        (record(status=429), [], VERSIONS[1:2], "refused without a rate"),
     ],
 )
 def test_violations_of_keys_and_teams_are_reported(
@@ -122,9 +117,7 @@
 
 
 @pytest.mark.parametrize("extra_count", [0, 1])
-def test_a_team_above_its_rate_in_any_window_is_reported(
-    with_rates, extra_count
-):
+def test_a_team_above_its_rate_in_any_window_is_reported(extra_count):
     allowed = int(teams.LIMITS["green"].allowed_count(teams.WINDOW_MS))
     times = [
         1_000.0 + 4_900.0 * number / allowed
@@ -135,7 +128,7 @@
     assert ("team above its rate" in found) is bool(extra_count)
 
 
-def test_refusals_of_a_team_below_its_rate_are_reported(with_rates):
+def test_refusals_of_a_team_below_its_rate_are_reported():
     slow = [
         record(sent_ms=100.0 * number, request_id=f"a{number}")
         for number in range(60)
--- a/soak/teams.py
+++ b/soak/teams.py
@@ -5,10 +5,6 @@
 
 from hyssoptack.http1 import message
 
-RATE_LIMITS_ENABLED = False
-"""Whether teams have rate limits. To be switched on once gateways enforce them;
-the checks of `soak.teaminvariants` apply as soon as it is."""
-
 SEED_MODULUS = 3
 """Runs have teams if their seed is a multiple of this, so that the schedules of
 the other seeds stay as they are."""
@@ -60,8 +56,6 @@
 
 def limit_of(team_name: str) -> Limit | None:
     """Returns the limit of a team; None if it has none."""
-    if not RATE_LIMITS_ENABLED:
-        return None
     return LIMITS[team_name.removesuffix(_RENAMED_SUFFIX)]
 
 
