Daemon: settings file in its own module

Ruled out: an object that holds the path: gateway_test sets the path on the gateway after the start, and test_a_reload_applies_valid_settings_and_ ignores_invalid_ones failed with it, so the path stays in Gateway. Change: watching and reading the file and logging its changes moved to gateway/settingsfile.py, with their constants; Gateway applies the settings. watch() takes the path when the tasks start, as it never changes in service.

--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import random
 import signal
 import socket
 
-import expression
 import uvloop
 
 from hyssoptack.balancing import connections
@@ -40,6 +38,7 @@
 from hyssoptack.gateway import ratelimitsetup
 from hyssoptack.gateway import replicatedview
 from hyssoptack.gateway import requesthandler
+from hyssoptack.gateway import settingsfile
 from hyssoptack.gateway import statuspages
 from hyssoptack.gateway import storewatch
 from hyssoptack.http1 import httpserver
@@ -52,24 +51,6 @@
 from hyssoptack.quarantine import quarantine
 from hyssoptack.settings import gateway
 
-RESTART_FIELDS = frozenset(
-    (
-        "admission",
-        "callers_address",
-        "failure_domain",
-        "instance_id",
-        "metrics_address",
-        "peer_address",
-        "rate_limit",
-        "readiness_address",
-    )
-)
-"""Settings that take effect only at a restart."""
-
-SETTINGS_CHECK_S = 2.0
-"""How often the settings file is checked for changes: it may change without a
-signal, and no setting is needed sooner."""
-
 
 class Gateway:
     """One gateway instance: its servers, peer links, state and tasks."""
@@ -332,7 +313,7 @@
                 watcher.watch_configuration(),
                 watcher.poll_instances(),
                 watcher.maintain_registration(),
-                self._watch_settings_file(),
+                settingsfile.watch(self._path, self.reload),
                 self._delegator.watch_event_loop(),
                 self._caller_server.close_timed_out_connections(),
                 self._probe_server.close_timed_out_connections(),
@@ -374,36 +355,14 @@
         )
         self._stopping.set()
 
-    async def _watch_settings_file(self) -> None:
-        """Reloads the settings file when it has changed."""
-        read_ns = gateway.modified_ns(self._path)
-        while True:
-            await asyncio.sleep(SETTINGS_CHECK_S)
-            modified_ns = gateway.modified_ns(self._path)
-            if modified_ns != read_ns:
-                read_ns = modified_ns
-                self.reload()
-
     def reload(self) -> None:
         """Reloads the settings file; an invalid file changes nothing."""
-        if not self._path:
-            return
-        match gateway.load(self._path):
-            case expression.Result(tag="ok", ok=settings):
-                self._apply(settings)
-            case expression.Result(error=detail):
-                log.write(log.Event.RELOADED, error=detail, changed=[])
+        settings = settingsfile.reload(self._path, self._settings)
+        if settings is not None:
+            self._apply(settings)
 
     def _apply(self, settings: gateway.GatewaySettings) -> None:
-        changed = [
-            field.name
-            for field in dataclasses.fields(settings)
-            if getattr(settings, field.name)
-            != getattr(self._settings, field.name)
-        ]
-        # Open ports don't change: the platform assigns them.
-        restart_names = [name for name in changed if name in RESTART_FIELDS]
-        log.write(log.Event.RELOADED, changed=changed, at_restart=restart_names)
+        """Applies settings that were read again."""
         self._settings = settings
         self._store.set_address(settings.store_address)
         self.reader_election.read_timings = readerelection.read_timings(
