Request runs: own context protocol, log lines in their own module

Ruled out: nothing. Change: RequestRun takes runcontext.RunContext, a protocol that RequestHandler fulfils; the handler's set holds runcontext.ActiveRun. The counts and log lines of requests and calls moved to gateway/runlog.py.

--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -18,6 +18,7 @@
 from hyssoptack.gateway import querydelegation
 from hyssoptack.gateway import replicatedview
 from hyssoptack.gateway import requestrun
+from hyssoptack.gateway import runcontext
 from hyssoptack.http1 import httpserver
 from hyssoptack.http1 import message
 from hyssoptack.planning import callcommand
@@ -51,7 +52,7 @@
         self.metrics = collectors
         self._failure_domain = failure_domain
         self.instance_counts = connections.InstanceCounts()
-        self.active_runs: set[requestrun.RequestRun] = set()
+        self.active_runs: set[runcontext.ActiveRun] = set()
         self._random = random.Random()
         self._caller_latency = callerlatency.CallerLatency()
         self.delegator: querydelegation.Delegator | None = None
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import http
-import typing
 
 from hyssoptack.core import clock
 from hyssoptack.core import traffic
@@ -11,6 +10,8 @@
 from hyssoptack.gateway import calltrace
 from hyssoptack.gateway import inbound
 from hyssoptack.gateway import pool
+from hyssoptack.gateway import runcontext
+from hyssoptack.gateway import runlog
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
 from hyssoptack.planning import callcommand
@@ -19,9 +20,6 @@
 from hyssoptack.planning import records
 from hyssoptack.platform import headers
 
-if typing.TYPE_CHECKING:
-    from hyssoptack.gateway import requesthandler
-
 TIMER_LATE_MS = 3.0
 """Lateness above which a timer was delayed by this process. Replies may already
 wait in its sockets, so they are read before the plan times out."""
@@ -32,7 +30,7 @@
 
     def __init__(
         self,
-        handler: "requesthandler.RequestHandler",
+        handler: runcontext.RunContext,
         request: inbound.RoutedRequest,
         *,
         may_have_run: bool = False,
@@ -136,7 +134,12 @@
                 extra_reason=each.extra_reason,
             )
             if each.extra_reason:
-                self._log_extra_call(each)
+                runlog.log_extra_call(
+                    self._handler.metrics,
+                    self._request,
+                    each,
+                    self._now_ms - self._exchange.request.received_ms,
+                )
             domain = each.upstream.failure_domain
             if self._should_relay(each):
                 relayed_sends.setdefault(domain, []).append(each)
@@ -249,7 +252,9 @@
             call_id, call_outcome.reason or call_outcome.kind.value
         )
         if not call_outcome.reached:
-            self._log_unreachable(call_id, call_outcome)
+            runlog.log_unreachable(
+                self._request, self._traces[call_id], call_outcome
+            )
         self._shed_count += self._handler.counts_as_shed(
             self._traces[call_id], call_outcome
         )
@@ -386,7 +391,13 @@
             each.cancel()
         now_ms = clock.now_ms()
         started_ms = self._exchange.request.received_ms
-        self._count_request(status, now_ms - started_ms)
+        runlog.count_request(
+            self._handler.metrics,
+            self._route.name,
+            status,
+            now_ms - started_ms,
+            self._plan.max_reached_count >= self._plan.attempts.limit_count,
+        )
         in_time = now_ms <= self._plan_request.goal_at_ms
         self._handler.record_end(
             self._request, status, in_time, self._shed_count
@@ -418,34 +429,3 @@
         return calltrace.target_fields(
             self._metadata.host, self._exchange.request.target
         )
-
-    def _count_request(self, status: int, took_ms: float) -> None:
-        collectors = self._handler.metrics
-        labels = {"route": self._route.name}
-        collectors.requests.inc({**labels, "status": str(status)})
-        collectors.request_ms.observe(labels, took_ms)
-        if self._plan.max_reached_count >= self._plan.attempts.limit_count:
-            collectors.requests_at_attempt_limit.inc(labels)
-
-    def _log_extra_call(self, command: callcommand.Send) -> None:
-        self._handler.metrics.extra_calls.inc(
-            {"service": command.upstream.service, "why": command.extra_reason}
-        )
-        log.write(
-            log.Event.CALL_EXTRA,
-            request_id=self._metadata.request_id.decode("latin-1"),
-            upstream=command.upstream.upstream_id,
-            service=command.upstream.service,
-            why=command.extra_reason,
-            after_ms=round(self._now_ms - self._exchange.request.received_ms),
-        )
-
-    def _log_unreachable(
-        self, call_id: int, call_outcome: callcommand.Outcome
-    ) -> None:
-        log.write(
-            log.Event.UPSTREAM_UNREACHABLE,
-            request_id=self._metadata.request_id.decode("latin-1"),
-            upstream=self._traces[call_id].upstream_id,
-            reason=call_outcome.reason,
-        )
