Rate limits: an owner in doubt refuses as undecided, not as over the limit

Cause: after a start of all instances, owners have a token and create none until their lists agree. Ruled out: more tokens in that time. 69 instances that start at once exceed the bound with a few tokens each. Change: such an owner says so, and the caller gets 503 with a short delay. 429 is sent only by an owner that knows that it is the only one.

--- a/hyssoptack/core/ratelimitmessage.py
+++ b/hyssoptack/core/ratelimitmessage.py
@@ -62,6 +62,8 @@
         permit_count: Granted permits, including prefetched ones.
         retry_after_ms: If fewer than wanted were granted, the time until the
             team's bucket has a token again, in milliseconds.
+        in_doubt: Whether the sender may own the bucket beside another instance,
+            so that a refusal is not known to be right.
         redirect_id: Id of the instance that owns the bucket, if the receiver of
             the request has handed it over; else empty.
         redirect_address: Address of that instance.
@@ -74,6 +76,7 @@
     team: str
     permit_count: int = 0
     retry_after_ms: float = 0.0
+    in_doubt: bool = False
     redirect_id: str = ""
     redirect_address: str = ""
     ask_first_ms: float = 0.0
--- a/hyssoptack/gateway/bucketowner.py
+++ b/hyssoptack/gateway/bucketowner.py
@@ -215,13 +215,15 @@
     def _deny(self, ask: _Ask, denied: ledger.Denied | ledger.NotOwned) -> None:
         match denied:
             case ledger.Denied():
-                reply = self._reply(
-                    ask.request,
-                    denied.permit_count,
-                    denied.retry_after_ms,
-                    self.restrictions.current_ms(
-                        ask.request.team, clock.now_ms()
+                team_name = ask.request.team
+                reply = dataclasses.replace(
+                    self._reply(
+                        ask.request,
+                        denied.permit_count,
+                        denied.retry_after_ms,
+                        self.restrictions.current_ms(team_name, clock.now_ms()),
                     ),
+                    in_doubt=self._context.ledger.is_provisional(team_name),
                 )
             case ledger.NotOwned():
                 reply = self._reply(ask.request)
--- a/hyssoptack/gateway/ownerchanges_test.py
+++ b/hyssoptack/gateway/ownerchanges_test.py
@@ -253,6 +253,23 @@
     ratelimitharness.run(test)
 
 
+def test_an_owner_in_doubt_does_not_say_that_a_team_is_over_its_limit():
+    async def test():
+        network = ratelimitharness.Network(3)
+        node = network.add("north-0", "north")
+        # The first list contains no other instance.
+        node.limiter.set_neighbours(())
+        decisions = [await node.acquire() for _ in range(5)]
+        assert permitdecision.PERMITTED in decisions
+        refused = [each for each in decisions if each != decisions[0]]
+        assert refused
+        assert all(
+            isinstance(each, permitdecision.Undecided) for each in refused
+        )
+
+    ratelimitharness.run(test)
+
+
 def test_a_former_owner_gives_up_a_bucket_that_nobody_uses():
     async def test():
         network = ratelimitharness.start()
--- a/hyssoptack/gateway/permitasker.py
+++ b/hyssoptack/gateway/permitasker.py
@@ -329,13 +329,18 @@
     ) -> None:
         """Refuses the requests for which the owner granted no permit."""
         name = state.team.name
-        self.cache.record_denial(name, reply.retry_after_ms, now_ms)
+        if not reply.in_doubt:
+            self.cache.record_denial(name, reply.retry_after_ms, now_ms)
         refused, state.waiters = state.waiters, collections.deque()
         retry_after_ms = reply.retry_after_ms
         for each in refused:
             if self.cache.try_spend(name, now_ms, waited=True):
                 each.on_decision(permitdecision.PERMITTED)
                 continue
+            if reply.in_doubt:
+                # A new owner has few tokens, whatever the team's requests.
+                self._decide_undecided(each)
+                continue
             each.on_decision(
                 permitdecision.OverLimit(
                     retry_after_ms=retry_after_ms, owner_id=reply.sender_id
