Admission control is imported only where the settings enable it

Cause: its modules took about a tenth of the time of all imports at the start of every gateway, also where it is disabled. Change: as for the rate limiter, a setup module imports it when it is enabled; whether a caller returns is decided by the estimate of callers' latency. Measured: no module of admission is imported by the daemon; tests of the gateway, of admission control and of callers' latency pass.

--- a/hyssoptack/gateway/admissioncontrol.py
+++ b/hyssoptack/gateway/admissioncontrol.py
@@ -23,7 +23,6 @@
 from hyssoptack.gateway import slotcounts
 from hyssoptack.http1 import message
 from hyssoptack.membership import partitiondetector
-from hyssoptack.planning import callerlatency
 
 DELAY_PERIOD_MS = 25.0
 """Interval of the measurements of the event loop's delay: a third of the
@@ -40,10 +39,6 @@
 LOG_CHECK_PERIOD_MS = 100.0
 """Interval of the checks for reduced limits, which take 850 ms to recover."""
 
-RETURN_ROUND_TRIPS_RATIO = 2.0
-"""Round trips above which the time that a caller has spent means an earlier
-attempt: a new connection takes one, a refused attempt two more."""
-
 UNKNOWN_INSTANCE_COUNT = 12
 """Assumed number of instances before the first list of instances, as in
 `balancing.connections`."""
@@ -411,18 +406,3 @@
             return [shards]
         case _:
             return [(each,) for each in traffic.services_of(target)]
-
-
-def is_returning(
-    latency: callerlatency.CallerLatency, spent_ms: float, is_first: bool
-) -> bool:
-    """Returns whether a caller returns after an earlier attempt.
-
-    Args:
-        latency: Estimate of the round trips to callers.
-        spent_ms: Time that the caller had spent before this request.
-        is_first: Whether the request is the first on its connection; a later
-            one on the same connection follows an answer.
-    """
-    threshold_ms = RETURN_ROUND_TRIPS_RATIO * latency.round_trip_ms
-    return is_first and spent_ms > threshold_ms
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -18,7 +18,7 @@
 from hyssoptack.delegation import delegation
 from hyssoptack.delegation import gatherers
 from hyssoptack.events import log
-from hyssoptack.gateway import admissioncontrol
+from hyssoptack.gateway import admissionsetup
 from hyssoptack.gateway import budgetshare
 from hyssoptack.gateway import callrelay
 from hyssoptack.gateway import derivedsettings
@@ -88,15 +88,11 @@
             settings.trusted_fingerprints, clock.now_ms()
         )
         self._metrics = metrics.Metrics()
-        self._admission = (
-            admissioncontrol.AdmissionControl(
-                self._load_balancer,
-                self._partition_detector,
-                self._metrics,
-                random.Random(),
-            )
-            if settings.admission.enabled
-            else None
+        self._admission = admissionsetup.for_instance(
+            settings,
+            self._load_balancer,
+            self._partition_detector,
+            self._metrics,
         )
         self._request_handler = requesthandler.RequestHandler(
             self.view, self._context(), settings.failure_domain, self._metrics
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -10,7 +10,6 @@
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import traffic
 from hyssoptack.events import log
-from hyssoptack.gateway import admissioncontrol
 from hyssoptack.gateway import callrelay
 from hyssoptack.gateway import calltrace
 from hyssoptack.gateway import inbound
@@ -29,6 +28,7 @@
 from hyssoptack.platform import headers
 
 if typing.TYPE_CHECKING:
+    from hyssoptack.gateway import admissioncontrol
     from hyssoptack.gateway import requestpermits
 
 
@@ -202,10 +202,8 @@
             timed = dataclasses.replace(
                 timed,
                 caller_spent_ms=spent_ms,
-                is_returning=admissioncontrol.is_returning(
-                    self._caller_latency,
-                    spent_ms,
-                    request.exchange.request.is_first,
+                is_returning=self._caller_latency.is_returning(
+                    spent_ms, request.exchange.request.is_first
                 ),
             )
         suspect_registry = self._plan_context.suspect_registry
--- a/hyssoptack/planning/callerlatency.py
+++ b/hyssoptack/planning/callerlatency.py
@@ -33,6 +33,10 @@
 wait. Among so many, at least some arrive on a connection that was already open
 and have lost no time."""
 
+RETURN_ROUND_TRIPS_RATIO = 2.0
+"""Round trips above which the time that a caller has spent means an earlier
+attempt: a new connection takes one, a refused attempt two more."""
+
 
 @dataclasses.dataclass(kw_only=True)
 class _RouteWaits:
@@ -108,3 +112,14 @@
         This is the round trip plus the usual delay of sending an answer.
         """
         return self.round_trip_ms + self.answer_delay.estimate_ms
+
+    def is_returning(self, spent_ms: float, is_first: bool) -> bool:
+        """Returns whether a caller returns after an earlier attempt.
+
+        Args:
+            spent_ms: Time that the caller had spent before this request.
+            is_first: Whether the request is the first on its connection; a
+                later one on the same connection follows an answer.
+        """
+        threshold_ms = RETURN_ROUND_TRIPS_RATIO * self.round_trip_ms
+        return is_first and spent_ms > threshold_ms
