--- a/hyssoptack/__init__.py
+++ b/hyssoptack/__init__.py
@@ -3,6 +3,6 @@
 The package is a library with thin daemons on top. `core` holds the immutable
 records. `planning`, `balancing`, `hedging`, `admission`, `budget`,
 `delegation`, `membership`, `quarantine` and `ratelimit` hold the decisions,
-pure functions of records and the time. The other packages hold the tasks that own sockets and
-state.
+pure functions of records and the time. The other packages hold the tasks that
+own sockets and state.
 """
