Entry: admission in its own module; limit changes and stalls are logged

Event 6403 is written for each reduction with the limit before and after, queries in flight, elapsed time, deadline and the time for which the event loop stood still meanwhile (entry/loopstall). The line of a refused query says limit and queries in flight. No decision changes.

--- a/hyssoptack/admission/limiter.py
+++ b/hyssoptack/admission/limiter.py
@@ -114,6 +114,11 @@
     browsing_count: int = 0
     urgent_refused_at_ms: float = -math.inf
 
+    @property
+    def in_progress_count(self) -> int:
+        """Number of queries in flight."""
+        return self.urgent_count + self.browsing_count
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Admitted:
@@ -160,7 +165,7 @@
 def _available_count(
     limiter: Limiter, urgency: query.Urgency, now_ms: float
 ) -> float:
-    total = limiter.urgent_count + limiter.browsing_count
+    total = limiter.in_progress_count
     match urgency:
         case query.Urgency.URGENT:
             return limiter.limit_count - total
--- a/hyssoptack/entry/daemon.py
+++ b/hyssoptack/entry/daemon.py
@@ -18,8 +18,10 @@
 from hyssoptack.entry import burncounts
 from hyssoptack.entry import callerserver
 from hyssoptack.entry import claimstore
+from hyssoptack.entry import loopstall
 from hyssoptack.entry import metrics
 from hyssoptack.entry import operatorserver
+from hyssoptack.entry import queryadmission
 from hyssoptack.entry import querycoordinator
 from hyssoptack.entry import state
 from hyssoptack.events import log
@@ -65,6 +67,10 @@
         self._client = client.UpstreamClient()
         self._metrics = metrics.Metrics()
         self._burn_counts = burncounts.BurnCounts()
+        self._stalls = loopstall.StallMonitor()
+        admission = queryadmission.QueryAdmission(
+            settings.front, admission_policy, self._stalls
+        )
         store_client = store.StoreClient(settings.platform)
         self._links = link.Links(
             settings.peer_address,
@@ -86,7 +92,7 @@
             self._send_to,
             self._metrics,
             self._burn_counts,
-            admission_policy,
+            admission,
         )
         self._claim_store = claimstore.ClaimStore(store_client, self._threads)
         self._executor = actionexecutor.ActionExecutor(
@@ -125,6 +131,7 @@
                 state=self._state,
                 configuration=self._config,
                 query_coordinator=self._query_coordinator,
+                admission=admission,
                 action_coordinator=self._action_coordinator,
                 claim_store=self._claim_store,
                 relay=self._relay,
@@ -147,6 +154,7 @@
             asyncio.ensure_future(each)
             for each in (
                 self._refresh_periodically(),
+                self._stalls.watch(),
                 self._platform_watcher.poll_instances(),
                 self._platform_watcher.watch_configuration(),
                 self._gossip.run(),
--- a/hyssoptack/entry/operatorserver.py
+++ b/hyssoptack/entry/operatorserver.py
@@ -12,6 +12,7 @@
 from hyssoptack.entry import burncounts
 from hyssoptack.entry import claimstore
 from hyssoptack.entry import metrics
+from hyssoptack.entry import queryadmission
 from hyssoptack.entry import querycoordinator
 from hyssoptack.entry import responses
 from hyssoptack.entry import state
@@ -35,6 +36,7 @@
     state: state.InstanceState
     configuration: configuration.ActiveConfiguration
     query_coordinator: querycoordinator.QueryCoordinator
+    admission: queryadmission.QueryAdmission
     action_coordinator: actioncoordinator.ActionCoordinator
     claim_store: claimstore.ClaimStore
     relay: relay.Relay
@@ -225,7 +227,7 @@
         since_ms = sources.state.catalog_applied_ms
         limits = {
             name: round(limiter.limit_count, 2)
-            for name, limiter in sources.query_coordinator.limiters().items()
+            for name, limiter in sources.admission.limiters().items()
         }
         return Status(
             instance_id=settings.instance_id,
--- a/hyssoptack/entry/querycoordinator.py
+++ b/hyssoptack/entry/querycoordinator.py
@@ -4,9 +4,7 @@
 import collections.abc
 import dataclasses
 import itertools
-import random
 
-from hyssoptack.admission import limiter
 from hyssoptack.balancing import routing
 from hyssoptack.core import catalog
 from hyssoptack.core import clock
@@ -15,6 +13,7 @@
 from hyssoptack.core import refusal
 from hyssoptack.entry import burncounts
 from hyssoptack.entry import metrics
+from hyssoptack.entry import queryadmission
 from hyssoptack.entry import state
 from hyssoptack.events import log
 from hyssoptack.planning import querycommand
@@ -72,29 +71,23 @@
         send_to: SendTo,
         instance_metrics: metrics.Metrics,
         burn_counts: burncounts.BurnCounts,
-        policy: limiter.Policy,
+        admission: queryadmission.QueryAdmission,
     ):
         self._state = instance_state
         self._relay = own_relay
         self._send_to = send_to
         self._metrics = instance_metrics
         self._burn_counts = burn_counts
-        self._policy = policy
+        self._admission = admission
         self._own_id = instance_state.settings.instance_id
         self._query_numbers = itertools.count(1)
-        self._random = random.Random()
         self._running: dict[str, _RunningQuery] = {}
-        self._limiters: dict[str, limiter.Limiter] = {}
         self.started_count = 0
 
     def in_flight_count(self) -> int:
         """Returns the number of queries in flight."""
         return len(self._running)
 
-    def limiters(self) -> dict[str, limiter.Limiter]:
-        """Returns the admission limiters by service, for the operator port."""
-        return self._limiters
-
     def new_query_id(self) -> str:
         """Returns a new unique query id."""
         return f"{self._state.incarnation}.{next(self._query_numbers)}"
@@ -111,75 +104,19 @@
         now_ms = clock.now_ms()
         service = self._state.catalog.services[request.service]
         profile = self._state.catalog.profiles[service.profile]
-        current = self._limiter(request.service)
-        refused = self._admit(current, request)
+        refused = self._admission.refusal_of(request, len(self._running))
         if refused is not None:
             self._count_result(request, profile, refused, 0.0)
             return refused
-        self._limiters[request.service] = limiter.begin_query(
-            current, request.urgency
-        )
+        admitted = self._admission.begin(request, now_ms)
         self.started_count += 1
         plan = queryplan.QueryPlan(
             request, profile, service, self._state.plan_context, now_ms
         )
         result = await self._run(plan, service, now_ms)
-        self._record_completion(plan, profile, result, now_ms)
+        self._record_completion(plan, profile, result, admitted)
         return result
 
-    def _limiter(self, service: str) -> limiter.Limiter:
-        caller_settings = self._state.settings.front
-        if service not in self._limiters:
-            self._limiters[service] = limiter.new_limiter(
-                caller_settings.max_query_count,
-                caller_settings.urgent_reserve_count,
-            )
-        return self._limiters[service]
-
-    def _admit(
-        self, current: limiter.Limiter, request: query.Query
-    ) -> refusal.Refusal | None:
-        match self._policy:
-            case limiter.AdmitAll():
-                return None
-            case limiter.Adaptive():
-                return self._admit_adaptively(current, request)
-
-    def _admit_adaptively(
-        self, current: limiter.Limiter, request: query.Query
-    ) -> refusal.Refusal | None:
-        running_count = len(self._running)
-        if running_count >= self._state.settings.front.max_query_count:
-            decision: limiter.Decision = limiter.Overloaded(
-                retry_after_ms=limiter.RETRY_MIN_MS
-                + int(current.duration_ms * (1 + self._random.random()))
-            )
-        else:
-            decision = limiter.decide(
-                current, request, self._random.random(), clock.now_ms()
-            )
-        if not isinstance(decision, limiter.Admitted):
-            self._limiters[request.service] = limiter.record_refusal(
-                current, request.urgency, clock.now_ms()
-            )
-        match decision:
-            case limiter.Admitted():
-                return None
-            case limiter.Overloaded(retry_after_ms=retry_after_ms):
-                return refusal.Refusal(
-                    reason=refusal.Reason.OVERLOADED,
-                    ran=refusal.Ran.NO,
-                    detail="too many queries are in flight for this service",
-                    retry_after_ms=retry_after_ms,
-                )
-            case limiter.DeadlineTooShort(expected_ms=expected_ms):
-                return refusal.Refusal(
-                    reason=refusal.Reason.DEADLINE_TOO_SHORT,
-                    ran=refusal.Ran.NO,
-                    detail=f"answers take about {expected_ms:.0f} ms now",
-                    retry_after_ms=int(expected_ms),
-                )
-
     async def _run(
         self,
         plan: queryplan.QueryPlan,
@@ -383,20 +320,13 @@
         plan: queryplan.QueryPlan,
         profile: catalog.Profile,
         result: Result,
-        started_ms: float,
+        admitted: queryadmission.AdmittedQuery,
     ) -> None:
         now_ms = clock.now_ms()
-        elapsed_ms = now_ms - started_ms
+        elapsed_ms = now_ms - admitted.started_ms
         request = plan.query
         succeeded = isinstance(result, query.Answer) and not plan.was_shed
-        self._limiters[request.service] = limiter.end_query(
-            self._limiters[request.service],
-            request.urgency,
-            elapsed_ms,
-            succeeded,
-            request.deadline_ms,
-            now_ms,
-        )
+        self._admission.end(admitted, succeeded, now_ms)
         self._burn_counts.record_calls(
             request.service,
             plan.upstream_call_count,
@@ -439,10 +369,14 @@
                     request.service, reason.value, now_ms
                 )
                 self._metrics.requests.inc({**labels, "result": reason.value})
+                limiter = self._admission.limiter_of(request.service)
                 log.write(
                     log.Event.QUERY_REFUSED,
                     query_id=request.query_id,
                     service=request.service,
                     reason=reason.value,
                     detail=result.detail,
+                    elapsed_ms=round(elapsed_ms),
+                    limit=round(limiter.limit_count, 2),
+                    in_progress=limiter.in_progress_count,
                 )
