Admission: a limit shrinks only when it is in use, and starts at its ceiling

Cause: a new limiter began at 4 queries, of which browsing gets two thirds, so the third caller that the load balancer sent at once was refused without any sign of overload. In addition each late answer took a fifth of the limit, however few queries were in flight, and an answer that was late because the instance itself had stood still counted as well.

All six refusals looked at came from queries 4 to 14 of a restarted instance, at limits of 4.25 to 5.86 with 2 or 3 in flight.

Change: the limit begins at its ceiling; relays bound what a new instance sends to each upstream. A late or shed answer shrinks it only if half of it is in use, or if most answers are late or shed (many instances with few queries each). An answer that would have been in time without the own stall changes nothing. Ruled out: a higher initial limit alone, since late answers of idle instances would lower it again.

Why it works: a refusal now needs work in flight that fills the limit.

Looked for elsewhere: the gateway's worklimit shrinks on shed calls and on the loop's own lateness, not on slow answers, and starts at its ceiling.

Tests: five in limiter_test.

--- a/hyssoptack/admission/limiter.py
+++ b/hyssoptack/admission/limiter.py
@@ -6,9 +6,11 @@
 used by gateways, `Limiter` by the other daemon (`hyssoptack.entry`).
 
 `Limiter` admits queries of one service with a reserve for urgent ones. It grows
-by about one after as many timely answers as the limit, and shrinks on a late or
-shed answer, at most once per deadline. A refused query causes no upstream calls
-and carries a retry delay.
+by about one after as many timely answers as the limit. A late or shed answer
+shrinks it, at most once per deadline, if the limit is in use or if most answers
+are late or shed: a single one of a nearly idle instance shows a slow upstream
+or peer, which a lower limit does not help. A refused query causes no upstream
+calls and carries a retry delay.
 """
 
 import dataclasses
@@ -18,8 +20,17 @@
 from hyssoptack.core import query
 
 SHRINK_RATIO = 0.8
-INITIAL_LIMIT_COUNT = 4.0
-"""Initial limit of a service: a new instance must not flood its upstreams."""
+IN_USE_RATIO = 0.5
+"""Part of the limit that must be in use for a single late or shed answer to
+shrink it."""
+
+MOSTLY_OVERLOADED_RATIO = 0.5
+"""Smoothed ratio of late and shed answers above which the limit shrinks even if
+it is not in use, as many instances may overload the upstreams together."""
+
+OVERLOAD_SMOOTHING_RATIO = 0.05
+"""Weight of the newest answer in that ratio. It takes 14 late answers without a
+timely one to exceed it, more than one stop of a peer delays."""
 
 TIMELY_RATIO = 0.7
 """Answers that take more than this part of the deadline shrink the limit.
@@ -91,11 +102,17 @@
     )
 
 
-def smoothed_ms(
-    duration_ms: float, elapsed_ms: float, ratio: float = SMOOTHING_RATIO
+def smoothed(
+    mean: float, newest: float, ratio: float = SMOOTHING_RATIO
 ) -> float:
-    """Returns a smoothed duration after a unit of work of `elapsed_ms`."""
-    return duration_ms + ratio * (elapsed_ms - duration_ms)
+    """Returns an exponentially weighted mean with a new value.
+
+    Args:
+        mean: The mean before.
+        newest: The new value.
+        ratio: Weight of the new value.
+    """
+    return mean + ratio * (newest - mean)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -107,12 +124,14 @@
         urgent_count: Number of urgent queries in flight.
         browsing_count: Number of browsing queries in flight.
         urgent_refused_at_ms: Time at which an urgent query was last refused.
+        overload_ratio: Smoothed ratio of answers that were late or shed.
     """
 
     reserve_count: int
     urgent_count: int = 0
     browsing_count: int = 0
     urgent_refused_at_ms: float = -math.inf
+    overload_ratio: float = 0.0
 
     @property
     def in_progress_count(self) -> int:
@@ -154,9 +173,13 @@
 
 
 def new_limiter(ceiling_count: int, reserve_count: int) -> Limiter:
-    """Returns the limiter of a service without queries so far."""
+    """Returns the limiter of a service without queries so far.
+
+    It starts at its ceiling: a lower limit would refuse callers without a sign
+    of overload. Relays bound what a new instance sends to each upstream.
+    """
     return Limiter(
-        limit_count=min(INITIAL_LIMIT_COUNT, float(ceiling_count)),
+        limit_count=float(ceiling_count),
         ceiling_count=ceiling_count,
         reserve_count=reserve_count,
     )
@@ -249,6 +272,7 @@
     timely: bool,
     deadline_ms: float,
     now_ms: float,
+    stalled_ms: float = 0.0,
 ) -> Limiter:
     """Returns the limiter after the end of a query.
 
@@ -261,14 +285,31 @@
         deadline_ms: Deadline of the query in milliseconds; the limit shrinks at
             most once in this time.
         now_ms: Current time in milliseconds.
+        stalled_ms: Part of the duration in which this process did not run.
 
     Returns:
         The limiter without the query and with the limit adapted.
     """
-    limiter = dataclasses.replace(
-        _with_count_changed(limiter, urgency, -1),
-        duration_ms=smoothed_ms(limiter.duration_ms, elapsed_ms),
+    ended = _with_count_changed(limiter, urgency, -1)
+    timely_max_ms = TIMELY_RATIO * deadline_ms
+    in_time = timely and elapsed_ms <= timely_max_ms
+    if not in_time and elapsed_ms - stalled_ms <= timely_max_ms < elapsed_ms:
+        # Without the stall of this process the answer would have been in time.
+        return ended
+    ended = dataclasses.replace(
+        ended,
+        duration_ms=smoothed(ended.duration_ms, elapsed_ms),
+        overload_ratio=smoothed(
+            ended.overload_ratio,
+            0.0 if in_time else 1.0,
+            OVERLOAD_SMOOTHING_RATIO,
+        ),
     )
-    if timely and elapsed_ms <= TIMELY_RATIO * deadline_ms:
-        return grow(limiter, 1.0 / limiter.limit_count)
-    return shrink(limiter, deadline_ms, now_ms)
+    if in_time:
+        return grow(ended, 1.0 / ended.limit_count)
+    used_count = limiter.in_progress_count
+    if ended.overload_ratio > MOSTLY_OVERLOADED_RATIO:
+        return shrink(ended, deadline_ms, now_ms, used_count)
+    if used_count >= IN_USE_RATIO * ended.limit_count:
+        return shrink(ended, deadline_ms, now_ms)
+    return ended
--- a/hyssoptack/admission/limiter_test.py
+++ b/hyssoptack/admission/limiter_test.py
@@ -73,6 +73,72 @@
     assert isinstance(decision, limiter.DeadlineTooShort)
 
 
+def _end_late(current, count, now_ms, stalled_ms=0.0):
+    """Ends queries that took the whole deadline, one after the other."""
+    for _ in range(count):
+        current = limiter.end_query(
+            current,
+            _BROWSING,
+            DEADLINE_MS,
+            True,
+            DEADLINE_MS,
+            now_ms,
+            stalled_ms,
+        )
+    return current
+
+
+def _begin(current, count):
+    for _ in range(count):
+        current = limiter.begin_query(current, _BROWSING)
+    return current
+
+
+def test_a_restarted_instance_refuses_no_caller_without_a_sign_of_overload():
+    # With an initial limit of 4 it refused the third of eight callers that
+    # the load balancer sent to it.
+    current = limiter.new_limiter(24, 8)
+    for _ in range(8):
+        decision = limiter.decide(current, _query(_BROWSING), 0.5)
+        assert isinstance(decision, limiter.Admitted)
+        current = _begin(current, 1)
+
+
+def test_late_answers_of_a_nearly_idle_instance_do_not_shrink_its_limit():
+    # Each stop of a peer or an upstream made a query or two late, and took a
+    # fifth of a limit that nothing filled.
+    current = limiter.new_limiter(24, 8)
+    for number in range(12):
+        now_ms = 1_000.0 * (number + 1)
+        current = _end_late(_begin(current, 2), 2, now_ms)
+        for _ in range(4):
+            current = limiter.end_query(
+                _begin(current, 1), _BROWSING, 5.0, True, DEADLINE_MS, now_ms
+            )
+    assert current.limit_count == 24.0
+
+
+def test_late_answers_shrink_a_limit_that_is_in_use():
+    current = _end_late(_begin(limiter.new_limiter(24, 8), 14), 1, 1_000.0)
+    assert current.limit_count < 24.0
+
+
+def test_a_stall_of_this_process_does_not_shrink_its_limit():
+    current = _begin(limiter.new_limiter(24, 8), 14)
+    current = _end_late(current, 14, 1_000.0, stalled_ms=DEADLINE_MS - 20.0)
+    assert current.limit_count == 24.0
+    assert current.duration_ms == 0.0
+
+
+def test_a_limit_far_above_the_queries_in_flight_shrinks_if_most_are_late():
+    # Many instances with a few queries each may overload the upstreams.
+    current = limiter.new_limiter(24, 8)
+    for number in range(40):
+        current = _end_late(_begin(current, 5), 5, 400.0 * (number + 1))
+    decision = limiter.decide(_begin(current, 5), _query(_BROWSING), 0.5)
+    assert isinstance(decision, limiter.Overloaded)
+
+
 def _useful_ratio(slot_count: int, service_ms: float, factor: float) -> float:
     """Simulates a seeded load; returns the ratio of useful queries.
 
@@ -91,7 +157,7 @@
     free_ms = [0.0] * slot_count
     ends: list[tuple[float, float]] = []
     now_ms = 0.0
-    useful = 0
+    sent = useful = 0
     duration_s = 30.0
     while now_ms < duration_s * 1000:
         now_ms += rng.expovariate(factor * capacity / 1000.0)
@@ -105,6 +171,7 @@
             current = limiter.end_query(
                 current, _BROWSING, elapsed_ms, good, DEADLINE_MS, ended_ms
             )
+        sent += 1
         decision = limiter.decide(current, _query(_BROWSING), rng.random())
         if isinstance(decision, limiter.Admitted):
             current = limiter.begin_query(current, _BROWSING)
@@ -112,7 +179,7 @@
             begins_ms = max(now_ms, free_ms[slot])
             free_ms[slot] = begins_ms + rng.expovariate(1.0 / service_ms)
             ends.append((free_ms[slot], now_ms))
-    return useful / duration_s / (capacity * min(1.0, factor))
+    return useful / min(sent, capacity * duration_s)
 
 
 def test_at_three_times_capacity_nine_tenths_of_capacity_is_useful():
--- a/hyssoptack/admission/worklimit.py
+++ b/hyssoptack/admission/worklimit.py
@@ -288,9 +288,7 @@
     duration_ms = current.duration_ms
     if elapsed_ms is not None:
         duration_ms = (
-            limiter.smoothed_ms(
-                duration_ms, elapsed_ms, DURATION_SMOOTHING_RATIO
-            )
+            limiter.smoothed(duration_ms, elapsed_ms, DURATION_SMOOTHING_RATIO)
             if duration_ms
             else elapsed_ms
         )
--- a/hyssoptack/entry/queryadmission.py
+++ b/hyssoptack/entry/queryadmission.py
@@ -136,6 +136,7 @@
             succeeded,
             request.deadline_ms,
             now_ms,
+            stalled_ms,
         )
         self._limiters[request.service] = after
         if after.limit_count < before.limit_count:
@@ -146,6 +147,7 @@
                 before=round(before.limit_count, 2),
                 limit=round(after.limit_count, 2),
                 in_progress=before.in_progress_count,
+                overload_ratio=round(after.overload_ratio, 2),
                 succeeded=succeeded,
                 elapsed_ms=round(elapsed_ms),
                 deadline_ms=request.deadline_ms,
