HTTP server: an error follows the answers to the requests before it

Cause: _refuse looked only at the request in progress. Between the answer to one request and the start of the next, which the loop does one pass later, there is none, so the error overtook the queued request's answer. With a request in progress the error was dropped and the connection never closed, as check_timeouts passes over closing connections.

Change: the error is kept until all requests before it are answered, then it is sent and the connection closed. Replies are matched by their order, so this order is the only one in which each caller reads its own.

--- a/hyssoptack/http1/httpserver.py
+++ b/hyssoptack/http1/httpserver.py
@@ -116,6 +116,8 @@
         self._last_activity_ms = clock.now_ms()
         self._queue: collections.deque[message.Request] = collections.deque()
         self._current: Exchange | None = None
+        # The reply to invalid input behind requests that are not answered yet.
+        self._refusal: message.Reply | None = None
         self._reset_request()
 
     def _reset_request(self) -> None:
@@ -262,25 +264,31 @@
         self._last_activity_ms = clock.now_ms()
         if not keep_alive:
             self._end()
+        elif self._refusal is not None and not self._queue:
+            self._send_refusal(self._refusal)
         else:
             asyncio.get_running_loop().call_soon(self._serve_next)
 
     def _refuse(self, status: int, reason: str) -> None:
-        """Rejects invalid input.
+        """Rejects invalid input: reads no more, sends an error and closes.
 
-        Sends an error reply and closes. While a request is in progress, it only
-        stops reading input, so that no error reply precedes the answer.
+        Replies are matched to requests by their order, so the error follows
+        the answers to all requests before it.
         """
         if self._closing:
             return
         if self._server.on_refused is not None:
             self._server.on_refused(status, reason)
-        if self._current is None:
-            reply = message.problem_reply(status, reason)
-            self._write(message.reply_bytes(reply, keep_alive=False))
-            self._linger()
+        self._closing = True
+        reply = message.problem_reply(status, reason)
+        if self._current is None and not self._queue:
+            self._send_refusal(reply)
         else:
-            self._closing = True
+            self._refusal = reply
+
+    def _send_refusal(self, reply: message.Reply) -> None:
+        self._write(message.reply_bytes(reply, keep_alive=False))
+        self._linger()
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
