Headers: a Connection header strips neither id nor signature

Cause: end_to_end_headers removed every header that Connection names, also those that are meant for the recipient.

Change: the platform adapter names the headers that Connection must not remove (request id and host; id and signature of a reply). Others are removed as before.

--- a/hyssoptack/http1/message.py
+++ b/hyssoptack/http1/message.py
@@ -98,13 +98,17 @@
 
 
 def end_to_end_headers(
-    headers: tuple[Header, ...], excluded: frozenset[bytes]
+    headers: tuple[Header, ...],
+    excluded: frozenset[bytes],
+    protected: frozenset[bytes],
 ) -> list[Header]:
     """Returns the headers to forward to the next hop.
 
     Args:
         headers: The received headers.
         excluded: Further header names to remove, in lower case.
+        protected: Names in lower case of headers that are meant for the
+            recipient, which a `Connection` header must not remove.
 
     Returns:
         The headers without those of the connection, of framing, and `excluded`.
@@ -115,7 +119,12 @@
         if key.lower() == b"connection"
         for each in value.split(b",")
     }
-    dropped = HOP_BY_HOP | excluded | connection_headers | {b"content-length"}
+    dropped = (
+        HOP_BY_HOP
+        | excluded
+        | {b"content-length"}
+        | (connection_headers - protected)
+    )
     return [each for each in headers if each[0].lower() not in dropped]
 
 
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -29,6 +29,11 @@
 
 _NOT_FORWARDED_HEADERS = frozenset((_DEADLINE, _EXPECTED_INSTANCE, b"expect"))
 
+_REQUEST_HEADERS = frozenset((REQUEST_ID, b"host"))
+_REPLY_HEADERS = frozenset((REQUEST_ID, _SIGNATURE))
+"""Headers without which an upstream can't serve a request, or a caller can't
+verify a reply: a `Connection` header that names them does not remove them."""
+
 STATUS_MISDIRECTED = 421
 STATUS_BAD_GATEWAY = 502
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -142,7 +147,9 @@
         request: The request, `without_identity` where there are teams.
         team_name: Name of the caller's team; empty if there is none.
     """
-    fields = message.end_to_end_headers(request.headers, _NOT_FORWARDED_HEADERS)
+    fields = message.end_to_end_headers(
+        request.headers, _NOT_FORWARDED_HEADERS, _REQUEST_HEADERS
+    )
     if team_name:
         # Added last: a caller's `Connection` field may name this header, and
         # the fields that it names are removed.
@@ -276,7 +283,9 @@
 
 def single_reply(reply: message.Reply) -> message.Reply:
     """Returns an upstream's reply as it is forwarded to the caller."""
-    headers = message.end_to_end_headers(reply.headers, frozenset())
+    headers = message.end_to_end_headers(
+        reply.headers, frozenset(), _REPLY_HEADERS
+    )
     return message.Reply(
         status=reply.status, headers=tuple(headers), body=reply.body
     )
--- a/hyssoptack/platform/headers_test.py
+++ b/hyssoptack/platform/headers_test.py
@@ -150,6 +150,35 @@
     assert headers.without_identity(given).headers == (HOST,)
 
 
+def test_a_connection_header_does_not_strip_the_request_id():
+    # An upstream answers 400 to a request without an id.
+    request = message.Request(
+        method=b"GET",
+        target=b"/x",
+        headers=(
+            (b"Host", b"h"),
+            (b"X-Request-Id", b"r1"),
+            (b"Connection", b"x-request-id, host, x-own"),
+            (b"X-Own", b"1"),
+        ),
+        body=b"",
+        received_ms=0.0,
+        keep_alive=True,
+        is_first=True,
+    )
+    head = headers.forwarded_request(request).head
+    assert b"X-Request-Id: r1" in head
+    assert b"Host: h" in head
+    assert b"X-Own" not in head
+
+
+def test_a_connection_header_does_not_strip_the_signature_of_a_reply():
+    given = reply(
+        200, SIGNED, (b"Connection", b"x-server-stamp, x-own"), (b"X-Own", b"1")
+    )
+    assert headers.single_reply(given).headers == (SIGNED,)
+
+
 def test_the_team_is_forwarded_though_a_connection_option_names_it():
     given = request(HOST, (b"Connection", b"x-tenant-id"))
     assert b"X-Tenant-Id: red" in headers.forwarded_request(given, "red").head
