Store: a lost answer is no outage, and does not begin the grace anew

Cause: a read that failed counted as an outage once the list was 2 s old. Two lost answers in a row, or one where the period is 1.7 s (bound 5 s), made it so old, and each such failure within or after a grace period began another one of 2 s. The read at the end of the grace also came up to 15% late, by its jitter, and a single lost answer was asked for again only 0.2 s later.

Change: - One failed read between two regular reads of a reader starts no grace (gateway/storereachability). An instance that has just begun to read still does, as its neighbours may have lost the store before. - An outage needs a list age of 2.25 s: an entry expires after three heartbeats of 1.2 s, one of which may have gone before. - A kept upstream has its own end of grace; another outage of 1 s or more moves it by its length. - The read at the end of the grace has no jitter; after a lost answer the next try follows at once. - keyvalue: a timeout whose timer is over 100 ms late shows a stop of this process. An answer that arrived meanwhile is read, and the failure is "delayed", which says nothing about the store. - Log: a list taken says source, revision and age (4101), the store's return says whether a grace began (2102), a request's line has the list's revision. registration.py is moved out of storewatch.py.

At a bound of 5 s two lost answers in a row still count as an outage.

--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -36,6 +36,7 @@
 from hyssoptack.gateway import quarantinesync
 from hyssoptack.gateway import querydelegation
 from hyssoptack.gateway import ratelimitsetup
+from hyssoptack.gateway import registration
 from hyssoptack.gateway import replicatedview
 from hyssoptack.gateway import requesthandler
 from hyssoptack.gateway import settingsfile
@@ -294,6 +295,7 @@
 
     async def _serve_until_stopped(self, callers_port: socket.socket) -> None:
         loop = asyncio.get_running_loop()
+        registered = registration.Registration(self._settings, self._store)
         watcher = storewatch.StoreWatcher(
             self._settings,
             self.view,
@@ -308,7 +310,7 @@
                 watcher.poll_upstreams(),
                 watcher.watch_configuration(),
                 watcher.poll_instances(),
-                watcher.maintain_registration(),
+                registered.maintain_registration(),
                 settingsfile.watch(self._path, self.reload),
                 self._delegator.watch_event_loop(),
                 self._caller_server.close_timed_out_connections(),
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -305,7 +305,13 @@
         if upstreams is self._view.upstreams:
             self._view.confirm_list(notice.revision, read_ms)
         else:
-            self._view.apply_list(upstreams, notice.revision, now_ms, read_ms)
+            self._view.apply_list(
+                upstreams,
+                notice.revision,
+                now_ms,
+                read_ms,
+                f"peer {notice.sender_id}",
+            )
         return True
 
 
--- a/hyssoptack/gateway/replicatedview.py
+++ b/hyssoptack/gateway/replicatedview.py
@@ -20,6 +20,10 @@
 """Time within which a running upstream registers again after the store's
 return (specified); an upstream that is missing for longer is gone."""
 
+EXTENSION_MIN_MS = 1_000.0
+"""Length from which another outage within the grace period extends it.
+Upstreams register about every 1.2 s, so a shorter one leaves them time."""
+
 LOGGED_TEAM_COUNT = 20
 """Maximum number of ambiguous teams named in one log line: there may be
 10,000, and the log buffer holds 256 KB."""
@@ -41,7 +45,7 @@
         upstreams: Listed upstreams by id.
         evacuations: Failure domains whose upstreams must get no requests.
         store_recovered_ms: Time at which the store last returned from an
-            outage.
+            outage long enough for entries to expire.
         keeps_expired_upstreams: Whether entries that expired in an outage are
             kept for the grace period.
     """
@@ -66,6 +70,9 @@
         default=frozenset(), init=False
     )
     keeps_expired_upstreams: bool = True
+    _kept_until_ms: dict[str, float] = dataclasses.field(
+        default_factory=dict, init=False
+    )
 
     @property
     def version(self) -> int:
@@ -127,6 +134,7 @@
         revision: int,
         now_ms: float,
         read_ms: float | None = None,
+        source: str = "store",
     ) -> None:
         """Replaces the list of upstreams, unless the new one is older.
 
@@ -135,19 +143,55 @@
             revision: Store revision at which the list was read.
             now_ms: The current time.
             read_ms: Time of the read, if it was not now.
+            source: Where the list came from, for the log.
         """
         if revision < self.list_revision:
             return
-        kept = dict(listed)
-        if self.remaining_grace_ms(now_ms) > 0:
-            # A missing entry may merely have expired in the outage. That holds
-            # for a neighbour's list too: the neighbour may have just started.
-            kept = _unreplaced(self.upstreams, kept) | kept
-        self._log_changes(kept)
+        kept = self._expired_upstreams(listed, now_ms) | listed
+        read_ms = now_ms if read_ms is None else read_ms
+        self._log_changes(kept, revision, now_ms - read_ms, source)
         self.upstreams = kept
-        self.confirm_list(revision, now_ms if read_ms is None else read_ms)
+        self.confirm_list(revision, read_ms)
         self._install(now_ms)
 
+    def _expired_upstreams(
+        self, listed: dict[str, traffic.Upstream], now_ms: float
+    ) -> dict[str, traffic.Upstream]:
+        """Returns the upstreams to keep although they are not listed.
+
+        A missing entry may merely have expired in an outage of the store. That
+        holds for a neighbour's list too: the neighbour may have just started.
+        """
+        if not self.keeps_expired_upstreams:
+            return {}
+        missing = _unreplaced(self.upstreams, listed)
+        ends_ms = self.store_recovered_ms + REREGISTRATION_GRACE_MS
+        self._kept_until_ms = {
+            upstream_id: until_ms
+            for upstream_id in missing
+            if (until_ms := self._kept_until_ms.get(upstream_id, ends_ms))
+            > now_ms
+        }
+        return {each: missing[each] for each in self._kept_until_ms}
+
+    def record_store_return(self, lost_ms: float, now_ms: float) -> None:
+        """Starts the grace period after an outage in which entries may expire.
+
+        An upstream that an earlier grace period keeps does not get another
+        whole one: it could register again while the store answered in between.
+
+        Args:
+            lost_ms: Time for which the store did not answer.
+            now_ms: The current time.
+        """
+        self.store_recovered_ms = now_ms
+        if lost_ms < EXTENSION_MIN_MS:
+            return
+        self._kept_until_ms = {
+            upstream_id: until_ms + lost_ms
+            for upstream_id, until_ms in self._kept_until_ms.items()
+        }
+
     def _install(
         self, now_ms: float, returning: frozenset[str] = frozenset()
     ) -> None:
@@ -207,6 +251,18 @@
             0.0, self.store_recovered_ms + REREGISTRATION_GRACE_MS - now_ms
         )
 
+    def expiry_wait_ms(self, now_ms: float) -> float:
+        """Returns the time until a kept upstream is dropped, or the grace ends.
+
+        Returns:
+            The shorter of the two times; 0 if nothing is kept.
+        """
+        waits_ms = [
+            self.remaining_grace_ms(now_ms),
+            *(each - now_ms for each in self._kept_until_ms.values()),
+        ]
+        return min((each for each in waits_ms if each > 0), default=0.0)
+
     def extend_grace(self, grace_ms: float, now_ms: float) -> None:
         """Extends the grace period to a neighbour's.
 
@@ -229,7 +285,13 @@
         self.list_revision = revision
         self.list_read_ms = max(self.list_read_ms, read_ms)
 
-    def _log_changes(self, kept: dict[str, traffic.Upstream]) -> None:
+    def _log_changes(
+        self,
+        kept: dict[str, traffic.Upstream],
+        revision: int,
+        age_ms: float,
+        source: str,
+    ) -> None:
         added = {
             upstream_id: upstream.service
             for upstream_id, upstream in kept.items()
@@ -249,6 +311,10 @@
                 went=removed,
                 draining=now_draining,
                 count=len(kept),
+                kept_count=len(self._kept_until_ms),
+                revision=revision,
+                age_ms=round(age_ms),
+                source=source,
             )
 
 
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -415,6 +415,7 @@
             version=self._version,
             version_age_ms=round(now_ms - self._handler.view.config_applied_ms),
             list_age_ms=round(now_ms - self._handler.view.list_read_ms),
+            list_revision=self._handler.view.list_revision,
             attempts_count=self._plan.attempts.limit_count,
             widest_count=self._plan.max_reached_count,
             calls=[each.describe(started_ms) for each in self._traces.values()],
--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -22,6 +22,7 @@
 from hyssoptack.events import log
 from hyssoptack.gateway import peering
 from hyssoptack.gateway import replicatedview
+from hyssoptack.gateway import storereachability
 from hyssoptack.http1 import message
 from hyssoptack.membership import readerelection
 from hyssoptack.planning import backoff
@@ -29,12 +30,6 @@
 from hyssoptack.platform import storeformat
 from hyssoptack.settings import gateway
 
-GRACE_MIN_LIST_AGE_MS = 2_000.0
-"""List age below which no grace applies after an outage. A younger list was
-kept up to date by neighbours, or the outage was too short for entries to expire
-(three heartbeats of 1.2 s), so an upstream that is missing from the next list
-has left."""
-
 GRACE_SLACK_MS = 10.0
 """Delay after the end of the grace period, so that the next read falls after
 it."""
@@ -44,9 +39,6 @@
 be in force within 3 s of the store's return, and long enough not to overload a
 busy store."""
 
-RENEWALS_PER_LEASE_COUNT = 3
-"""Number of renewals in one lease period, so that two may fail."""
-
 FIRST_INSTANCE_READ_PAUSES_MS = (20.0, 500.0, 1_500.0)
 """Pauses before the first reads of the list of instances. The first read finds
 instances that ran before an outage, whose leases outlast it. By the second,
@@ -91,13 +83,14 @@
         self._on_stored = on_stored
         self._reader_election = peers.reader_election
         self._random = random.Random()
-        self._store_lost_ms: float | None = None
+        self.reachability = storereachability.StoreReachability(
+            view, peers.reader_election
+        )
         # Reads whose number is a multiple of `READS_PER_EXACT_READ_COUNT` are
         # exact. The first read has number 1, so it may be slightly stale: when
         # all instances start at once, exact reads of several pages each would
         # add up to a third of the calls that the store gets in a day.
         self._next_read_number = 1
-        self._lease_ms = max(settings.lease_ms, settings.lease_min_ms)
         self._unreadable: dict[str, str] = {}
         self._ignored: set[str] = set()
 
@@ -122,31 +115,55 @@
             )
             match result:
                 case expression.Result(tag="ok", ok=listing):
-                    failure_count = 0
                     self._reader_election.record_read(asked_ms, exact)
-                    self._record_store_recovered()
-                    self._apply_list(listing)
+                    self.reachability.record_read(asked_ms, failure_count)
+                    failure_count = 0
+                    self._apply_list(listing, asked_ms)
                     self._view.apply_evacuations("time", clock.now_ms())
                     self._peers.publish_view()
-                    await self._pause(self._list_pause_ms(clock.now_ms()))
+                    await self._pause_until_read(clock.now_ms())
                 case expression.Result(error=failure):
-                    failure_count += 1
                     self._next_read_number = 0
                     self._reader_election.record_read_failure()
-                    self._record_store_lost(failure)
-                    await self._pause(RETRY.wait_ms(failure_count))
+                    if failure.kind is keyvalue.FailureKind.DELAYED:
+                        continue
+                    failure_count += 1
+                    self.reachability.record_lost(failure, asked_ms)
+                    await self._pause_before_retry(failure, failure_count)
+
+    async def _pause_before_retry(
+        self, failure: keyvalue.Failure, failure_count: int
+    ) -> None:
+        """Waits before a failed read is tried again.
+
+        After a lost answer the first retry follows at once, as the list has to
+        be up to date in time.
+        """
+        if failure.kind is keyvalue.FailureKind.UNREACHABLE:
+            failure_count -= 1
+        if failure_count:
+            await self._pause(RETRY.wait_ms(failure_count))
+
+    async def _pause_until_read(self, now_ms: float) -> None:
+        """Waits for the next read, which no jitter delays beyond the grace."""
+        pause_ms = readerelection.jittered_ms(
+            self._list_pause_ms(now_ms), self._random
+        )
+        if grace_ms := self._view.expiry_wait_ms(now_ms):
+            pause_ms = min(pause_ms, grace_ms + GRACE_SLACK_MS)
+        await asyncio.sleep(pause_ms / message.MS_PER_S)
 
     def _list_pause_ms(self, now_ms: float) -> float:
         """Returns the pause before the next read of the list.
 
         The read is due no later than the end of the grace period.
         """
-        grace_ms = self._view.remaining_grace_ms(now_ms)
+        period_ms = self._reader_election.read_timings.list_period_ms
+        grace_ms = self._view.expiry_wait_ms(now_ms)
         if not grace_ms:
-            return self._reader_election.read_timings.list_period_ms
+            return period_ms
         # The next read must be exact.
         self._next_read_number = 0
-        period_ms = self._reader_election.read_timings.list_period_ms
         return min(period_ms, grace_ms + GRACE_SLACK_MS)
 
     async def _wait_until_reader(self) -> None:
@@ -154,7 +171,7 @@
             self._next_read_number = 0
             await asyncio.sleep(wait_ms / message.MS_PER_S)
 
-    def _apply_list(self, listing: keyvalue.Listing) -> None:
+    def _apply_list(self, listing: keyvalue.Listing, read_ms: float) -> None:
         listed: dict[str, traffic.Upstream] = {}
         unreadable: dict[str, str] = {}
         for item in listing.items:
@@ -172,7 +189,9 @@
                 case expression.Result(error=detail):
                     unreadable[item.key] = detail
         self._log_unreadable(unreadable)
-        self._view.apply_list(listed, listing.store_revision, clock.now_ms())
+        self._view.apply_list(
+            listed, listing.store_revision, clock.now_ms(), read_ms
+        )
 
     def _log_unreadable(self, unreadable: dict[str, str]) -> None:
         """Logs skipped or corrected entries, once for each key and reason."""
@@ -217,7 +236,7 @@
                 case expression.Result(error=failure):
                     failure_count += 1
                     revision = None
-                    self._record_store_lost(failure)
+                    self.reachability.record_lost(failure)
                     await self._pause(RETRY.wait_ms(failure_count))
 
     async def _read_configuration(
@@ -319,56 +338,6 @@
 
     # The list of instances.
 
-    async def maintain_registration(self) -> None:
-        """Keeps this instance registered in the list of instances."""
-        lease: int | None = None
-        failure_count = 0
-        while True:
-            if lease is None:
-                lease = await self._register()
-            elif not await self._renew(lease):
-                lease = None
-                continue
-            failure_count = 0 if lease is not None else failure_count + 1
-            if lease is None:
-                await self._pause(RETRY.wait_ms(failure_count))
-            else:
-                await self._pause(self._lease_ms / RENEWALS_PER_LEASE_COUNT)
-
-    async def _register(self) -> int | None:
-        granted = await self._store.grant_lease(self._lease_ms)
-        match granted:
-            case expression.Result(tag="ok", ok=lease):
-                key = storeformat.PEER_PREFIX + self._settings.instance_id
-                written = await self._store.put(
-                    key, self._registration(), lease
-                )
-                return lease if written.is_ok() else None
-            case _:
-                return None
-
-    def _registration(self) -> bytes:
-        return msgspec.json.encode(
-            member.Peer(
-                instance_id=self._settings.instance_id,
-                failure_domain=self._settings.failure_domain,
-                address=self._settings.peer_address,
-                link_mbps=self._settings.link_mbps,
-            )
-        )
-
-    async def _renew(self, lease: int) -> bool:
-        """Renews a lease; returns whether it may still be valid."""
-        match await self._store.renew_lease(lease):
-            case expression.Result(
-                tag="error",
-                error=keyvalue.Failure(kind=keyvalue.FailureKind.NO_LEASE),
-            ):
-                return False
-            case _:
-                # A failed call may have renewed it; the next call shows.
-                return True
-
     async def poll_instances(self) -> None:
         """Reads the list of instances while this instance is a reader."""
         pauses_ms = itertools.chain(
@@ -387,7 +356,7 @@
                     self._peers.publish_view()
                     await self._on_stored(listing.items)
                 case expression.Result(error=failure):
-                    self._record_store_lost(failure)
+                    self.reachability.record_lost(failure)
 
     def _apply_instances(self, items: list[keyvalue.Item]) -> None:
         peers: list[member.Peer] = []
@@ -409,37 +378,6 @@
         self._on_instances(far_gatherers)
         self._peers.publish_instances(neighbours, len(peers), far_gatherers)
 
-    # The store's reachability.
-
-    def _record_store_lost(self, failure: keyvalue.Failure) -> None:
-        if self._store_lost_ms is not None:
-            return
-        if failure.kind is keyvalue.FailureKind.COMPACTED:
-            return
-        self._store_lost_ms = clock.now_ms()
-        log.write(
-            log.Event.STORE_LOST,
-            detail=failure.detail,
-            trouble=failure.kind.value,
-            version=self._view.version,
-        )
-
-    def _record_store_recovered(self) -> None:
-        if self._store_lost_ms is None:
-            return
-        now_ms = clock.now_ms()
-        lost_ms = now_ms - self._store_lost_ms
-        self._store_lost_ms = None
-        list_age_ms = now_ms - self._view.list_read_ms
-        if list_age_ms > GRACE_MIN_LIST_AGE_MS:
-            self._view.store_recovered_ms = now_ms
-        log.write(
-            log.Event.STORE_BACK,
-            lost_ms=round(lost_ms),
-            list_age_ms=round(list_age_ms),
-        )
-
     async def _pause(self, period_ms: float) -> None:
-        jitter_ratio = readerelection.JITTER_RATIO
-        jitter = self._random.uniform(1 - jitter_ratio, 1 + jitter_ratio)
-        await asyncio.sleep(period_ms * jitter / message.MS_PER_S)
+        pause_ms = readerelection.jittered_ms(period_ms, self._random)
+        await asyncio.sleep(pause_ms / message.MS_PER_S)
--- a/hyssoptack/gateway/storewatch_test.py
+++ b/hyssoptack/gateway/storewatch_test.py
@@ -49,7 +49,7 @@
     now_ms = clock.now_ms()
     listed = {"a": callplan_test.upstream("a")}
     view.apply_list(listed, 1, now_ms - list_age_ms)
-    watcher._store_lost_ms = now_ms - 9_000.0
+    watcher.reachability.lost_ms = now_ms - 9_000.0
     return watcher, view
 
 
@@ -58,7 +58,7 @@
     # the store. With a grace period it would keep upstreams that have left (16
     # for 3 s, after 9 s without the store) and publish them.
     watcher, view = store_watcher(list_age_ms=900.0)
-    watcher._record_store_recovered()
+    watcher.reachability.record_read(clock.now_ms(), 0)
     view.apply_list({}, 2, clock.now_ms())
     assert not view.upstreams
 
@@ -93,7 +93,7 @@
     # period and drop all expired upstreams (105).
     watcher, view = store_watcher(list_age_ms=9_000.0)
     receive_view(watcher, view, view.upstreams, list_age_ms=7_000.0)
-    watcher._record_store_recovered()
+    watcher.reachability.record_read(clock.now_ms(), 0)
     view.apply_list({}, 3, clock.now_ms())
     assert "a" in view.upstreams
 
@@ -109,7 +109,7 @@
         view.upstreams,
         replicatedview.REREGISTRATION_GRACE_MS,
     )
-    watcher._record_store_recovered()
+    watcher.reachability.record_read(clock.now_ms(), 0)
     view.apply_list({}, 3, clock.now_ms())
     assert "a" in view.upstreams
     view.apply_list(
@@ -121,14 +121,14 @@
 def test_a_new_instances_list_removes_nothing_within_the_grace():
     # A reader that started during the outage never saw the expired upstreams.
     watcher, view = store_watcher(list_age_ms=9_000.0)
-    watcher._record_store_recovered()
+    watcher.reachability.record_read(clock.now_ms(), 0)
     receive_view(watcher, view, {"b": callplan_test.upstream("b")})
     assert set(view.upstreams) == {"a", "b"}
 
 
 def test_entries_that_expired_in_an_outage_are_kept_for_a_while():
     watcher, view = store_watcher(list_age_ms=9_000.0)
-    watcher._record_store_recovered()
+    watcher.reachability.record_read(clock.now_ms(), 0)
     view.apply_list({}, 2, clock.now_ms())
     assert "a" in view.upstreams
     pause_ms = watcher._list_pause_ms(clock.now_ms())
@@ -146,6 +146,46 @@
     assert watcher._list_pause_ms(ends_ms + 1.0) == 1_000.0
 
 
+def test_a_single_lost_answer_starts_no_grace():
+    # With a period of 1.7 s the list is over 2 s old after one lost answer. It
+    # counted as an outage, so upstreams that had left were used 2 s longer,
+    # beyond the 5 s within which that has to end.
+    watcher, view = store_watcher(list_age_ms=2_700.0)
+    watcher._reader_election.read_timings = readerelection.read_timings(5_000.0)
+    now_ms = clock.now_ms()
+    watcher.reachability._last_read_ms = now_ms - 2_700.0
+    watcher.reachability.lost_ms = now_ms - 800.0
+    watcher.reachability.record_read(now_ms, 1)
+    view.apply_list({}, 2, now_ms)
+    assert not view.upstreams
+
+
+def test_a_single_failed_read_of_an_instance_that_just_began_starts_a_grace():
+    # Its neighbours may have lost the store long before it asked.
+    watcher, view = store_watcher(list_age_ms=4_000.0)
+    now_ms = clock.now_ms()
+    watcher.reachability._last_read_ms = now_ms - 60_000.0
+    watcher.reachability.lost_ms = now_ms - 800.0
+    watcher.reachability.record_read(now_ms, 1)
+    view.apply_list({}, 2, now_ms)
+    assert "a" in view.upstreams
+
+
+def test_another_outage_extends_the_grace_only_by_its_length():
+    watcher, view = store_watcher(list_age_ms=9_000.0)
+    now_ms = clock.now_ms()
+    grace_ms = replicatedview.REREGISTRATION_GRACE_MS
+    view.record_store_return(9_000.0, now_ms)
+    view.apply_list({}, 2, now_ms)
+    view.record_store_return(400.0, now_ms + 1_500.0)
+    assert view.expiry_wait_ms(now_ms + 1_500.0) == grace_ms - 1_500.0
+    view.record_store_return(1_100.0, now_ms + 1_600.0)
+    view.apply_list({}, 3, now_ms + grace_ms + 1_000.0)
+    assert "a" in view.upstreams
+    view.apply_list({}, 4, now_ms + grace_ms + 1_101.0)
+    assert not view.upstreams
+
+
 class _Store:
     """Records whether reads may be stale; ends the task after some reads."""
 
@@ -181,7 +221,7 @@
 
 def test_a_restarted_upstream_replaces_its_predecessor_within_the_grace():
     watcher, view = store_watcher(list_age_ms=9_000.0)
-    watcher._record_store_recovered()
+    watcher.reachability.record_read(clock.now_ms(), 0)
     again = dataclasses.replace(
         callplan_test.upstream("a"), upstream_id="a#2", listed_id="a"
     )
@@ -228,7 +268,8 @@
     ]
     for revision in (2, 3):
         watcher._apply_list(
-            keyvalue.Listing(items=items, store_revision=revision)
+            keyvalue.Listing(items=items, store_revision=revision),
+            clock.now_ms(),
         )
     assert set(view.upstreams) == {"b"}
     found = [
--- a/hyssoptack/membership/readerelection.py
+++ b/hyssoptack/membership/readerelection.py
@@ -9,6 +9,7 @@
 """
 
 import dataclasses
+import random
 
 from hyssoptack.core import member
 from hyssoptack.membership import rendezvous
@@ -115,6 +116,11 @@
     )
 
 
+def jittered_ms(period_ms: float, rng: random.Random) -> float:
+    """Returns a period with its jitter."""
+    return period_ms * rng.uniform(1 - JITTER_RATIO, 1 + JITTER_RATIO)
+
+
 def rank(failure_domain: str, instance_id: str) -> int:
     """Returns an instance's rank; the one with the highest reads first."""
     return rendezvous.rank(f"reader/{failure_domain}", instance_id)
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -35,6 +35,13 @@
 """An answer handled more than this long after its timeout is discarded: it was
 delayed by a pause of the whole process, not by the network."""
 
+LATE_TIMER_MS = 100.0
+"""Lateness of a timeout's timer that shows that this process stood still. The
+answer may then have arrived, as timers run before sockets are read."""
+
+LATE_READ_S = 0.02
+"""Time to read an answer that arrived while the process stood still."""
+
 _ERA = b"store-era"
 
 CONNECTION_LIMIT_COUNT = 6
@@ -54,6 +61,9 @@
     CONFLICT = "conflict"
     NO_LEASE = "no_lease"
     REFUSED = "refused"
+    DELAYED = "delayed"
+    """This process stood still during the call, which says nothing about the
+    store."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -308,6 +318,11 @@
             # The process was paused during the call: the answer is outdated.
             outcome = httpclient.BrokenCall(reason="answer_too_old", sent=True)
         match outcome:
+            case httpclient.BrokenCall(reason=reason) if (
+                took_ms > timeout_ms + LATE_TIMER_MS
+            ):
+                kind = FailureKind.DELAYED
+                detail = f"{method} {name}: {reason}"
             case message.Reply(status=200):
                 return expression.Ok(outcome)
             case message.Reply(status=status):
@@ -345,10 +360,13 @@
             on_outcome=sink,
         )
         call = self._pools.call(job, CONNECTION_LIMIT_COUNT)
+        due_ms = clock.now_ms() + timeout_ms
         try:
-            async with asyncio.timeout(timeout_ms / message.MS_PER_S):
-                return await done
-        except TimeoutError:
+            await asyncio.wait((done,), timeout=timeout_ms / message.MS_PER_S)
+            if not done.done() and clock.now_ms() - due_ms >= LATE_TIMER_MS:
+                await asyncio.wait((done,), timeout=LATE_READ_S)
+            if done.done():
+                return done.result()
             return httpclient.BrokenCall(reason="timeout", sent=True)
         finally:
             call.cancel()
--- a/hyssoptack/standins/kvstore.py
+++ b/hyssoptack/standins/kvstore.py
@@ -24,6 +24,7 @@
         lose_writes: Whether writes are executed without a response.
         compacted: Whether watches get a 410.
         lag_ms: Additional time before each response.
+        lost_read_count: Number of next range reads that get no response.
     """
 
     down: bool = False
@@ -31,6 +32,7 @@
     lose_writes: bool = False
     compacted: bool = False
     lag_ms: float = 0.0
+    lost_read_count: int = 0
 
 
 class Store:
@@ -118,6 +120,9 @@
         if self.faults.down:
             exchange.answer(message.problem_reply(503, "down"))
             return
+        if name == "kv-range" and self.faults.lost_read_count:
+            self.faults.lost_read_count -= 1
+            return
         self._revoke_expired()
         status, body = await self._execute(name, query, request.body)
         if name.startswith("kv-txn") and self.faults.lose_writes:
