Peers: an older configuration is not passed on as the one in force

Cause: a neighbour's configuration was cached for others before the view had accepted it, so one that is older than its notice says was sent on.

Change: it is cached only if it was applied.

--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -285,9 +285,9 @@
         match storeformat.parse_configuration(stored):
             case expression.Result(tag="ok", ok=offered):
                 source = f"peer {notice.sender_id}"
-                self.cache_configuration(stored)
                 now_ms = clock.now_ms()
-                self._view.apply_configuration(offered, source, now_ms)
+                if self._view.apply_configuration(offered, source, now_ms):
+                    self.cache_configuration(stored)
             case expression.Result(error=detail):
                 log.write(log.Event.CONFIG_REFUSED, errors=[detail])
 
--- a/hyssoptack/gateway/peering_test.py
+++ b/hyssoptack/gateway/peering_test.py
@@ -3,8 +3,12 @@
 import asyncio
 import json
 
+from hyssoptack.core import gatewaymessage
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
+from hyssoptack.membership import listdelta
+from hyssoptack.peers import codec
+from hyssoptack.platform import storeformat
 
 
 async def _start_three(site: harness.Site) -> None:
@@ -36,6 +40,34 @@
     asyncio.run(test())
 
 
+def test_an_older_configuration_is_not_passed_on_as_the_one_in_force():
+    # A neighbour's notice named a newer version than its configuration has.
+    # The instance kept its own in force, but sent the other one on.
+    async def test():
+        async with harness.Site() as site:
+            await site.add_upstream("i-0", "desk")
+            site.configure(gateway_test.SINGLE)
+            started = await site.start()
+            in_force = json.loads(
+                site.store.value(storeformat.CONFIGURATION_KEY)
+            )
+            older = json.dumps({**in_force, "version": 1}).encode()
+            started._peering._receive_view(
+                gatewaymessage.ViewNotice(
+                    sender_id="g2",
+                    sender_address="",
+                    version=in_force["version"] + 1,
+                    configuration=codec.compress(older),
+                    revision=0,
+                    change=listdelta.ListHistory().full_change(),
+                )
+            )
+            sent = codec.decompress(started._peering._configuration)
+            assert json.loads(sent) == in_force
+
+    asyncio.run(test())
+
+
 def test_another_instance_reads_after_the_reader_is_killed():
     async def test():
         async with harness.Site() as site:
--- a/hyssoptack/standins/kvstore.py
+++ b/hyssoptack/standins/kvstore.py
@@ -94,6 +94,10 @@
             {"key": key, "revision": self._revision, "removed": True}
         )
 
+    def value(self, key: str) -> bytes:
+        """Returns the value of an existing key."""
+        return base64.b64decode(str(self._items[key]["value"]))
+
     def sorted_keys(self) -> list[str]:
         """Returns the existing keys in order."""
         return sorted(self._items)
