Store: a range cut short is no list; deletions in transactions of 32

Operators: blocked requests that no deletion removes.

Cause: read_range returned Ok after 400 pages, or after an empty page, although the store said that there is more. QuarantineStore deleted all cleared entries in one call, of which the store accepts 32 entries; each reading failed alike.

Change: an incomplete range is a failed read, and what was known stays. Cleared entries are deleted 32 at a time; the number stands in platform/keyvalue.

The tests fail without the change: Ok for both incomplete ranges; 70 keys in one call.

--- a/hyssoptack/gateway/quarantinestore.py
+++ b/hyssoptack/gateway/quarantinestore.py
@@ -23,10 +23,9 @@
 from hyssoptack.quarantine import quarantine
 from hyssoptack.quarantine import suspectrecord
 
-STORED_COUNT = 32
-"""Maximum number of requests that are written at a time, newest first. The
-store accepts 32 writes in one call, and more than a few such requests at a time
-are unlikely to be genuine."""
+STORED_COUNT = keyvalue.TRANSACTION_LIMIT_COUNT
+"""Maximum number of requests that are written at a time, newest first. More
+than a few such requests at a time are unlikely to be genuine."""
 
 LEASE_MAX_MS = 600_000.0
 """The longest lease that the store grants; an entry that lasts longer is
@@ -106,9 +105,11 @@
         if missing:
             await self._write(missing, now_ms)
         cleared = [each for each in stored if self._registry.was_cleared(each)]
-        if cleared:
-            keys = [self._prefix + each for each in cleared]
-            self._log_write("cleared", cleared, await self._store.delete(keys))
+        limit_count = keyvalue.TRANSACTION_LIMIT_COUNT
+        for start in range(0, len(cleared), limit_count):
+            batch = cleared[start : start + limit_count]
+            keys = [self._prefix + each for each in batch]
+            self._log_write("cleared", batch, await self._store.delete(keys))
 
     def _merge_entries(self, items: list[keyvalue.Item]) -> dict[str, int]:
         """Merges each new entry; returns the quarantine counts of all."""
--- a/hyssoptack/gateway/quarantinestore_test.py
+++ b/hyssoptack/gateway/quarantinestore_test.py
@@ -1,11 +1,17 @@
 """Quarantined requests persist in the platform's store."""
 
 import asyncio
+import types
+
+import expression
+import msgspec
 
 from hyssoptack.core import clock
 from hyssoptack.gateway import gateway_crash_test
 from hyssoptack.gateway import harness
+from hyssoptack.gateway import quarantinestore
 from hyssoptack.gateway import quarantinesync_test
+from hyssoptack.platform import keyvalue
 from hyssoptack.platform import storeformat
 
 STORED_S = 8.0
@@ -36,6 +42,45 @@
     return recorder
 
 
+class _Store:
+    """Accepts deletions as the platform's store does."""
+
+    def __init__(self):
+        self.deleted = []
+
+    async def delete(self, keys):
+        assert len(keys) <= keyvalue.TRANSACTION_LIMIT_COUNT
+        self.deleted.extend(keys)
+        return expression.Ok(None)
+
+
+def test_more_cleared_requests_than_a_transaction_takes_are_all_deleted():
+    # The store refused the whole call, again at each reading.
+    registry = types.SimpleNamespace(
+        newest_quarantined=lambda *_: [],
+        merge_notice=lambda *_: None,
+        was_cleared=lambda _: True,
+    )
+    store = _Store()
+    stored = quarantinestore.QuarantineStore(registry, store, "q/")
+    items = [
+        keyvalue.Item(
+            key=f"q/{number}",
+            value=msgspec.json.encode(
+                quarantinestore.StoredEntry(
+                    fingerprint=str(number),
+                    blocked_count=1,
+                    until_unix_ms=0.0,
+                    over_unix_ms=0.0,
+                )
+            ),
+        )
+        for number in range(70)
+    ]
+    asyncio.run(stored.reconcile(items))
+    assert store.deleted == [each.key for each in items]
+
+
 def test_a_quarantine_survives_the_restart_of_all_instances():
     async def test():
         async with harness.Site() as site:
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -47,6 +47,9 @@
 CONNECTION_LIMIT_COUNT = 6
 """Maximum number of connections to the store."""
 
+TRANSACTION_LIMIT_COUNT = 32
+"""Maximum number of entries that the store accepts in one transaction."""
+
 PAGE_LIMIT_COUNT = 400
 """Maximum number of pages of one range read: 200,000 items, far more than are
 stored."""
@@ -227,14 +230,19 @@
             if era != read_at.era:
                 return expression.Error(_ERA_CHANGED)
             items.extend(page.items)
-            if not page.has_more or not page.items:
+            if not page.has_more:
+                return expression.Ok(
+                    Listing(
+                        items=items,
+                        store_revision=read_at.revision,
+                        era=read_at.era,
+                    )
+                )
+            if not page.items:
                 break
             query = query | {"after": page.items[-1].key}
-        return expression.Ok(
-            Listing(
-                items=items, store_revision=read_at.revision, era=read_at.era
-            )
-        )
+        # A part would pass for the whole: what it lacks counts as gone.
+        return expression.Error(_INCOMPLETE)
 
     async def watch(
         self, prefix: str, after_revision: int, wait_ms: float
@@ -378,6 +386,11 @@
     return int(era_text) if era_text.isdigit() else 0
 
 
+_INCOMPLETE = Failure(
+    kind=FailureKind.REFUSED,
+    detail="the range ends before its last page",
+)
+
 _ERA_CHANGED = Failure(
     kind=FailureKind.COMPACTED,
     detail="the store's era changed between two pages",
--- /dev/null
+++ b/hyssoptack/platform/keyvalue_test.py
@@ -0,0 +1,52 @@
+"""Reads of ranges in several pages."""
+
+import asyncio
+import json
+
+import expression
+import pytest
+
+from hyssoptack.gateway import pool
+from hyssoptack.http1 import message
+from hyssoptack.platform import keyvalue
+
+
+class _Client(keyvalue.Client):
+    """A client whose calls are answered with given pages, in order."""
+
+    def __init__(self, pages):
+        super().__init__("127.0.0.1:1", pool.Pools(b""))
+        self._pages = iter(pages)
+
+    async def _call(self, method, name, query, timeout_ms=0.0, body=b""):
+        page = next(self._pages)
+        return expression.Ok(
+            message.Reply(
+                status=200, headers=(), body=json.dumps(page).encode()
+            )
+        )
+
+
+def _page(*keys, has_more):
+    return {
+        "items": [{"key": each, "value": "", "revision": 1} for each in keys],
+        "current_rev": 1,
+        "has_more": has_more,
+    }
+
+
+def _read(pages):
+    return asyncio.run(_Client(pages).read_range("servers/"))
+
+
+def test_a_range_of_two_pages_is_read_whole():
+    result = _read([_page("a", "b", has_more=True), _page("c", has_more=False)])
+    assert [each.key for each in result.ok.items] == ["a", "b", "c"]
+
+
+@pytest.mark.parametrize("page_count", [1, keyvalue.PAGE_LIMIT_COUNT])
+def test_a_range_cut_short_is_no_whole_list(page_count):
+    # The upstreams on the missing pages were taken for gone.
+    pages = [_page(f"k{n}", has_more=True) for n in range(page_count)]
+    result = _read([*pages, _page(has_more=True)])
+    assert result.error.kind is keyvalue.FailureKind.REFUSED
