Admission: the test of leaving callers holds its running requests open

The premise, that two runs of 120 ms outlast three arrivals, does not hold when the process stands still.

Change: the upstream holds both runs until the test releases them (Behaviour.release), on a route whose goal does not refuse who waits. The limits of 1 s and 0.5 s stay, counted in milliseconds of the running loop, so that a stop does not count. The check is as strict: those who leave are removed within 0.5 s, and now while both runs still hold their places, so no start can have emptied the queue. With `leave` made a no-op it fails.

--- a/hyssoptack/gateway/admissioncontrol_test.py
+++ b/hyssoptack/gateway/admissioncontrol_test.py
@@ -14,13 +14,19 @@
 ENABLED = gateway.AdmissionSettings(enabled=True)
 DESK = ("desk",)
 SHARDS = ("s0", "s1", "s2", "s3")
+SLOW_MS = 30_000
+SLOW = {
+    **gateway_test.SINGLE,
+    "timeout_ms": SLOW_MS,
+    "target_latency_ms": SLOW_MS // 2,
+}
 
 
-async def _start(site, delay_ms=0.0, **changes):
+async def _start(site, delay_ms=0.0, route=gateway_test.SINGLE, **changes):
     """Starts a gateway with admission over one upstream."""
     added = await site.add_upstream("i-0", "desk")
     added.behaviour.delay_ms = delay_ms
-    site.configure(gateway_test.SINGLE)
+    site.configure(route)
     return await site.start(admission=ENABLED, **changes)
 
 
@@ -114,34 +120,50 @@
     asyncio.run(test())
 
 
+async def _wait_running_ms(limit_ms, condition):
+    """Waits until a condition holds; a stop of the process does not count."""
+    for _ in range(limit_ms):
+        if condition():
+            return
+        await asyncio.sleep(0.001)
+    raise AssertionError(f"not within {limit_ms} ms")
+
+
 def test_callers_that_leave_are_removed_from_the_queue():
+    # Guards against waiting requests that stay queued, and run, after their
+    # callers have disconnected.
     async def test():
         async with harness.Site() as site:
-            started = await _start(site, delay_ms=120.0)
+            started = await _start(site, route=SLOW, delay_ms=120.0)
             await site.get("/one/x", "before")
             control = _narrow(started)
+            release = asyncio.Event()
+            site.upstreams["i-0"].behaviour.release = release
             running = [
-                asyncio.create_task(site.get("/one/x", f"run{number}"))
-                for number in range(2)
+                asyncio.create_task(site.get("/one/x", f"run{n}", SLOW_MS))
+                for n in range(2)
             ]
-            await asyncio.sleep(0.03)
+            await _wait_running_ms(
+                1_000, lambda: len(control._started) == len(running)
+            )
             host, _, port = site.settings[
                 "gateway-1"
             ].callers_address.rpartition(":")
             writers = []
             for number in range(3):
                 _, writer = await asyncio.open_connection(host, int(port))
-                writer.write(harness.request_bytes("/one/x", f"left{number}"))
+                writer.write(
+                    harness.request_bytes("/one/x", f"left{number}", SLOW_MS)
+                )
                 writers.append(writer)
-            async with asyncio.timeout(1.0):
-                while control.waiting_count < 2:
-                    await asyncio.sleep(0.001)
+            await _wait_running_ms(1_000, lambda: control.waiting_count >= 2)
             for writer in writers:
                 writer.close()
-            async with asyncio.timeout(0.5):
-                while control.waiting_count:
-                    await asyncio.sleep(0.001)
+            await _wait_running_ms(500, lambda: not control.waiting_count)
             assert not started._admission._pending
+            # Nothing made room for them: both runs still hold their places.
+            assert not any(each.done() for each in running)
+            release.set()
             replies = await asyncio.gather(*running)
             assert [each.status for each in replies] == [200, 200]
             assert not any(site.run_count(f"left{n}") for n in range(3))
--- a/hyssoptack/standins/fakeupstream.py
+++ b/hyssoptack/standins/fakeupstream.py
@@ -21,6 +21,8 @@
 
     Attributes:
         delay_ms: Time before each response.
+        release: Event that responses wait for, without the delay; None if they
+            wait for none.
         shed_count: Number of next requests that are rejected as not executed.
         reset_count: Number of next requests that are executed and get a
             connection reset.
@@ -37,6 +39,7 @@
     """
 
     delay_ms: float = 0.0
+    release: asyncio.Event | None = None
     shed_count: int = 0
     reset_count: int = 0
     fail_count: int = 0
@@ -155,6 +158,8 @@
 
     async def _caller_left(self, reader: asyncio.StreamReader) -> bool:
         """Waits for the delay; returns whether the caller disconnected."""
+        if self.behaviour.release is not None:
+            return await _left_before(self.behaviour.release, reader)
         delay_ms = 60_000.0 if self.behaviour.never else self.behaviour.delay_ms
         if not delay_ms:
             return False
@@ -194,6 +199,20 @@
         return b"X-Server-Stamp: " + name + b"\r\n"
 
 
+async def _left_before(
+    release: asyncio.Event, reader: asyncio.StreamReader
+) -> bool:
+    """Returns whether the caller disconnected before an event was set."""
+    left = asyncio.ensure_future(reader.read(1))
+    released = asyncio.ensure_future(release.wait())
+    done, pending = await asyncio.wait(
+        (left, released), return_when=asyncio.FIRST_COMPLETED
+    )
+    for each in pending:
+        each.cancel()
+    return left in done
+
+
 def _fields(head: bytes) -> dict[bytes, bytes]:
     lines = head.split(b"\r\n")[1:]
     split = (each.partition(b":") for each in lines if each)
