Query plan: a change of index version no longer uses up the extra calls

Cause: an upstream that lacks the query's version says so without searching, yet the next call for its shard spent a token of the extra-call budget, and a restart at another version spent one for each shard. A new instance has 5 tokens and earns half of one a query, so one roll emptied the bucket, shards were given up, and the query fell below its floor. The number of such refusals follows from the number of instances and versions; the machine's load lowers the number of searches beside them.

Change: after a reply that the version is missing, the next call is no extra load. The version that a query runs at is kept while as many keys can be covered (before, the newest of equals won, and a restart discards answers). A restart leaves calls in flight alone. Answers that it discards are paid for; these calls alone may overdraw the bucket by 20, as a refused query is sent again whole.

--- a/hyssoptack/balancing/health.py
+++ b/hyssoptack/balancing/health.py
@@ -10,7 +10,9 @@
 import dataclasses
 
 from hyssoptack.charts import chart
+from hyssoptack.core import catalog
 from hyssoptack.core import message
+from hyssoptack.core import query
 
 SMOOTHING_RATIO = 0.2
 PRIOR_MS = 5.0
@@ -138,6 +140,22 @@
             view.apply_event("drain_lapsed", now_ms)
         return view
 
+    def may_hold(self, upstream_id: str, version: int, now_ms: float) -> bool:
+        """Returns whether an upstream may hold an index version."""
+        held = self.held_versions(upstream_id, now_ms)
+        return version == query.ANY_VERSION or held is None or version in held
+
+    def all_held_versions(
+        self, shards: tuple[catalog.Shard, ...], now_ms: float
+    ) -> dict[str, tuple[int, ...]]:
+        """Returns the held versions of the shards' upstreams with a report."""
+        held = {
+            upstream_id: self.held_versions(upstream_id, now_ms)
+            for shard in shards
+            for upstream_id in shard.upstream_ids
+        }
+        return {key: each for key, each in held.items() if each is not None}
+
     def held_versions(
         self, upstream_id: str, now_ms: float
     ) -> tuple[int, ...] | None:
--- a/hyssoptack/hedging/hedging.py
+++ b/hyssoptack/hedging/hedging.py
@@ -3,9 +3,14 @@
 import dataclasses
 import math
 
+from hyssoptack.budget import budget
+
 MIN_DELAY_MS = 1.0
 """Shortest delay before a hedge: timers fire late by about this long."""
 
+HEDGE_RESERVE_COUNT = 2.0
+"""Tokens that hedges leave for retries."""
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class HedgeAfterQuantile:
@@ -48,3 +53,16 @@
             return fixed_ms
         case NoHedge():
             return math.inf
+
+
+def try_spend(
+    policy: HedgePolicy, budgets: budget.ServiceBudgets, service: str
+) -> bool:
+    """Spends budget for a hedge; returns whether the hedge is allowed."""
+    match policy:
+        case HedgeAfterQuantile():
+            return budgets.try_spend(service, HEDGE_RESERVE_COUNT)
+        case HedgeAfterDelay():
+            return True
+        case NoHedge():
+            return False
--- a/hyssoptack/planning/queryplan.py
+++ b/hyssoptack/planning/queryplan.py
@@ -20,6 +20,7 @@
 from hyssoptack.hedging import hedging
 from hyssoptack.planning import merge
 from hyssoptack.planning import querycommand
+from hyssoptack.planning import queryresult
 from hyssoptack.planning import shardstate
 from hyssoptack.planning import versionchoice
 
@@ -28,8 +29,9 @@
 
 REROUTE_LIMIT_COUNT = 3
 VERSION_CHANGE_LIMIT_COUNT = 2
-HEDGE_RESERVE_COUNT = 2.0
-RETRY_AFTER_COVERAGE_MS = 500
+RESTART_RESERVE_COUNT = -20.0
+"""Negative: a restart at another index version may overdraw the budget, as a
+refused query is sent again whole. Later extra calls wait for the balance."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -152,13 +154,17 @@
         now_ms: float,
     ) -> list[querycommand.Command]:
         state.last_status = reply.status.value
+        state.lacked_version = (
+            reply.status is message.CallStatus.VERSION_MISSING
+        )
         if not state.is_open():
             return []
         match reply.status:
             case message.CallStatus.ANSWERED:
                 return self._handle_answer(state, call, reply, now_ms)
             case message.CallStatus.VERSION_MISSING:
-                state.failed_upstream_ids.add(reply.upstream_id)
+                if self._merger.index_version not in reply.held_versions:
+                    state.failed_upstream_ids.add(reply.upstream_id)
                 return self._handle_version_missing(state, now_ms)
             case message.CallStatus.NOT_OWNER | message.CallStatus.DRAINING:
                 return self._reroute(state, now_ms)
@@ -200,33 +206,45 @@
             state.tried_paths.discard(
                 (call.path.upstream_id, call.path.instance_id)
             )
-            return self._call_within_budget(state, now_ms)
+            return self._call_version(state, now_ms)
         return self._handle_version_missing(state, now_ms)
 
     def _handle_version_missing(
         self, state: shardstate.ShardState, now_ms: float
     ) -> list[querycommand.Command]:
-        version = self._choose_version(now_ms)
+        version = self._choose_version(now_ms, self._merger.index_version)
         changes = version not in (self._merger.index_version, query.ANY_VERSION)
         if changes and self._version_change_count < VERSION_CHANGE_LIMIT_COUNT:
             return self._restart_at_version(version, now_ms)
-        return self._retry(state, now_ms)
+        return [] if state.calls else self._call_version(state, now_ms)
 
     def _restart_at_version(
         self, version: int, now_ms: float
     ) -> list[querycommand.Command]:
-        """Restarts the query at another version; discards earlier answers."""
+        """Restarts the query at another version; discards earlier answers.
+
+        A call in flight goes on: if its upstream lacks the earlier version, it
+        says so without work, and the next call for its shard is no extra load.
+        """
         self._version_change_count += 1
         self._merger = merge.AnswerMerger(version, self.query.limit_count)
         commands: list[querycommand.Command] = []
         for state in self._states:
-            commands.extend(self._cancel_calls(state))
             self._reopen(state)
             state.tried_paths.clear()
             state.failed_upstream_ids.clear()
-            commands.extend(self._call_within_budget(state, now_ms))
+            if not state.calls:
+                commands.extend(self._call_version(state, now_ms))
         return commands
 
+    def _call_version(
+        self, state: shardstate.ShardState, now_ms: float
+    ) -> list[querycommand.Command]:
+        """Calls a shard; spends budget if an upstream worked for it before."""
+        if state.lacked_version:
+            return self._call_shard(state, now_ms)
+        return self._call_within_budget(state, now_ms, RESTART_RESERVE_COUNT)
+
     def _reroute(
         self, state: shardstate.ShardState, now_ms: float
     ) -> list[querycommand.Command]:
@@ -265,9 +283,14 @@
         state.answered = state.abandoned = state.hedged = False
 
     def _call_within_budget(
-        self, state: shardstate.ShardState, now_ms: float
+        self,
+        state: shardstate.ShardState,
+        now_ms: float,
+        reserve_count: float = 0.0,
     ) -> list[querycommand.Command]:
-        if not self._context.extra_call_budgets.try_spend(self._service.name):
+        if not self._context.extra_call_budgets.try_spend(
+            self._service.name, reserve_count
+        ):
             return self._abandon(state)
         self.extra_call_count += 1
         return self._call_shard(state, now_ms)
@@ -277,22 +300,15 @@
     ) -> list[querycommand.Command]:
         state.hedged = True
         path = self._best_path(state, now_ms, excluded_id=call.path.upstream_id)
-        if path is None or not self._try_spend_for_hedge():
+        if path is None or not hedging.try_spend(
+            self._context.hedge_policy,
+            self._context.extra_call_budgets,
+            self._service.name,
+        ):
             return []
         self.extra_call_count += 1
         return [self._send(state, path, now_ms)]
 
-    def _try_spend_for_hedge(self) -> bool:
-        match self._context.hedge_policy:
-            case hedging.HedgeAfterQuantile():
-                return self._context.extra_call_budgets.try_spend(
-                    self._service.name, HEDGE_RESERVE_COUNT
-                )
-            case hedging.HedgeAfterDelay():
-                return True
-            case hedging.NoHedge():
-                return False
-
     def _hedge_delay_ms(self) -> float:
         quantile_ms = self._context.upstream_health.quantile_ms(
             self._service.name, self._profile.hedge_after_ratio
@@ -319,8 +335,9 @@
             for upstream_id in state.shard.upstream_ids
             if upstream_id not in state.failed_upstream_ids
         )
+        may_hold = self._context.upstream_health.may_hold
         holders = tuple(
-            each for each in candidates if self._may_hold(each, version, now_ms)
+            each for each in candidates if may_hold(each, version, now_ms)
         )
         # Held versions are known from answers only. If no remaining upstream is
         # recorded as holding the version, one is called all the same, which
@@ -333,10 +350,6 @@
             excluded_id,
         )
 
-    def _may_hold(self, upstream_id: str, version: int, now_ms: float) -> bool:
-        held = self._context.upstream_health.held_versions(upstream_id, now_ms)
-        return version == query.ANY_VERSION or held is None or version in held
-
     def _send(
         self,
         state: shardstate.ShardState,
@@ -370,15 +383,13 @@
         state.calls.clear()
         return commands
 
-    def _choose_version(self, now_ms: float) -> int:
-        held_by_id = {}
-        for shard in self._service.shards:
-            for each in shard.upstream_ids:
-                held = self._context.upstream_health.held_versions(each, now_ms)
-                if held is not None:
-                    held_by_id[each] = held
+    def _choose_version(
+        self, now_ms: float, current_version: int = query.ANY_VERSION
+    ) -> int:
+        shards = self._service.shards
+        held = self._context.upstream_health.all_held_versions(shards, now_ms)
         return versionchoice.choose_version(
-            self._service.shards, held_by_id
+            shards, held, current_version=current_version
         ).index_version
 
     def _finish_if_done(self, now_ms: float) -> list[querycommand.Command]:
@@ -403,18 +414,12 @@
         self._service = new
         missing = self._merger.missing_ranges()
         commands: list[querycommand.Command] = []
-        for shard in new.shards:
-            overlaps = any(
-                each.low < shard.key_range.high
-                and shard.key_range.low < each.high
-                for each in missing
-            )
-            if overlaps:
-                state = shardstate.ShardState(shard=shard)
-                self._states.append(state)
-                self._open_count += 1
-                self._open_key_count += state.key_count()
-                commands.extend(self._call_within_budget(state, now_ms))
+        for shard in shardstate.overlapping(new.shards, missing):
+            state = shardstate.ShardState(shard=shard)
+            self._states.append(state)
+            self._open_count += 1
+            self._open_key_count += state.key_count()
+            commands.extend(self._call_within_budget(state, now_ms))
         return commands
 
     def _finish(self, now_ms: float) -> list[querycommand.Command]:
@@ -426,13 +431,8 @@
         coverage = self._merger.coverage_ratio()
         floor = self._profile.coverage_floor_ratio
         if coverage < floor or not self._merger.covered_ranges():
-            result: query.Answer | refusal.Refusal = refusal.Refusal(
-                reason=refusal.Reason.COVERAGE_BELOW_FLOOR,
-                ran=refusal.Ran.NO,
-                detail=f"reached coverage {coverage:.4f} of at least {floor}; "
-                + missing,
-                retry_after_ms=RETRY_AFTER_COVERAGE_MS,
-                coverage_ratio=coverage,
+            result: query.Answer | refusal.Refusal = queryresult.below_floor(
+                coverage, floor, missing
             )
         else:
             result = query.Answer(
--- a/hyssoptack/planning/queryplan_test.py
+++ b/hyssoptack/planning/queryplan_test.py
@@ -1,5 +1,8 @@
 """Tests of the plan of one query."""
 
+import dataclasses
+
+from hyssoptack.budget import budget
 from hyssoptack.core import message
 from hyssoptack.core import query
 from hyssoptack.core import refusal
@@ -89,6 +92,76 @@
     assert answer.coverage_ratio == 0.5
 
 
+def _lacks_version(plan, context, send, held_versions):
+    """Replies that an upstream lacks the version, and records what it holds."""
+    reply = example.failure_reply(send, _MISSING, held_versions=held_versions)
+    context.upstream_health.record_reply("oven-kiosk", reply, 5.0)
+    return _sends(plan.on_reply(reply, 5.0))
+
+
+def _plan_without_budget(current):
+    context = dataclasses.replace(
+        example.planning_context(current),
+        extra_call_budgets=budget.ServiceBudgets(initial_count=0.0),
+    )
+    plan, commands = _plan(current, context, extra_load_ceiling_ratio=0.0)
+    return plan, context, _sends(commands)
+
+
+def test_an_upstream_that_lacks_the_version_costs_no_extra_load():
+    # An index roll used up the budget of extra calls, and queries were refused
+    # although other upstreams held the version.
+    current = example.service(2, 3)
+    plan, context, (first, second) = _plan_without_budget(current)
+    plan.on_reply(example.answer_reply(first, current, 1, (1,)), 5.0)
+    resent = _lacks_version(plan, context, second, (2,))
+    assert len(resent) == 1
+    answer = _result(
+        plan.on_reply(example.answer_reply(resent[0], current), 9.0)
+    )
+    assert (answer.index_version, answer.coverage_ratio) == (1, 1.0)
+    assert answer.extra_call_count == 0
+
+
+def test_a_query_whose_upstreams_all_rolled_moves_to_their_version():
+    current = example.service(3, 1)
+    plan, context, sends = _plan_without_budget(current)
+    # All shards were last seen at version 1.
+    for send in sends:
+        reply = example.answer_reply(send, current, 1, (1,))
+        context.upstream_health.record_reply("oven-kiosk", reply, 1.0)
+    plan, commands = _plan(current, context, extra_load_ceiling_ratio=0.0)
+    resent = []
+    for send in _sends(commands):
+        resent += _lacks_version(plan, context, send, (2,))
+    assert [each.index_version for each in resent] == [2, 2, 2]
+    for send in resent:
+        commands = plan.on_reply(
+            example.answer_reply(send, current, 2, (2,)), 9.0
+        )
+    assert _result(commands).coverage_ratio == 1.0
+
+
+def test_a_version_that_other_replicas_hold_is_not_given_up():
+    # A restart discards the answers of all shards.
+    current = example.service(2, 3)
+    context = example.planning_context(current)
+    views = [
+        context.upstream_health.refresh(upstream_id, 0.0)
+        for shard in current.shards
+        for upstream_id in shard.upstream_ids
+    ]
+    for view in views:
+        view.held_versions = (1,)
+    plan, commands = _plan(current, context)
+    first, second = _sends(commands)
+    plan.on_reply(example.answer_reply(first, current, 1, (1, 2)), 5.0)
+    for view in views:
+        view.held_versions = (1, 2)
+    resent = _lacks_version(plan, context, second, (2,))
+    assert [each.index_version for each in resent] == [1]
+
+
 def test_an_upstream_recorded_without_the_version_is_called_last():
     # Held versions are known from answers only; the record of an upstream that
     # is never called would never be updated.
--- a/hyssoptack/planning/shardstate.py
+++ b/hyssoptack/planning/shardstate.py
@@ -4,6 +4,7 @@
 
 from hyssoptack.balancing import routing
 from hyssoptack.core import catalog
+from hyssoptack.core import keyspace
 
 MISSING_SHOWN_COUNT = 12
 """Largest number of shards that a refusal lists, so that its text fits on one
@@ -32,6 +33,8 @@
         answered: Whether an answer was merged.
         abandoned: Whether the shard gets no further calls.
         last_status: Status of the last reply; "unreachable" before any.
+        lacked_version: Whether the last call ended because its upstream does
+            not hold the query's index version.
     """
 
     shard: catalog.Shard
@@ -43,6 +46,7 @@
     answered: bool = False
     abandoned: bool = False
     last_status: str = "unreachable"
+    lacked_version: bool = False
 
     def status_text(self) -> str:
         """Returns the upstreams called now, or else the last call's status."""
@@ -71,3 +75,17 @@
         if not state.answered
     ]
     return "missing: " + ", ".join(missing[:MISSING_SHOWN_COUNT])
+
+
+def overlapping(
+    shards: tuple[catalog.Shard, ...], ranges: tuple[keyspace.KeyRange, ...]
+) -> list[catalog.Shard]:
+    """Returns the shards that hold keys of some ranges."""
+    return [
+        shard
+        for shard in shards
+        if any(
+            each.low < shard.key_range.high and shard.key_range.low < each.high
+            for each in ranges
+        )
+    ]
--- a/hyssoptack/planning/versionchoice.py
+++ b/hyssoptack/planning/versionchoice.py
@@ -18,13 +18,18 @@
     shards: tuple[catalog.Shard, ...],
     held: dict[str, tuple[int, ...]],
     lost: frozenset[str] = frozenset(),
+    current_version: int = query.ANY_VERSION,
 ) -> VersionChoice:
-    """Returns the version that covers most keys; newer ones win ties.
+    """Returns the version that covers most keys.
+
+    Of several, the current version wins, and otherwise the newest.
 
     Args:
         shards: The shards that the query needs.
         held: Versions that upstreams reported to hold, by upstream id.
         lost: Ids of upstreams that can't be called.
+        current_version: Version that the query runs at, whose answers a change
+            would discard.
 
     Returns:
         The choice; its version is `query.ANY_VERSION` when no upstream that
@@ -37,10 +42,14 @@
         if upstream_id not in lost
         for version in held.get(upstream_id, ())
     }
+    if current_version != query.ANY_VERSION:
+        versions.add(current_version)
     best = VersionChoice(
         index_version=query.ANY_VERSION, reachable_key_count=-1
     )
-    for version in sorted(versions, reverse=True):
+    for version in sorted(
+        versions, key=lambda each: (each == current_version, each), reverse=True
+    ):
         reachable = sum(
             shard.key_range.high - shard.key_range.low
             for shard in shards
