Admission: an outdated usual duration refuses no query

Cause: the usual duration changes only when a query ends, and none ran.

Change: the duration refuses a query only if another has ended within that time; the first measurement after a longer silence may lower it at once. One long query raises it by a tenth, as before.

The test fails without the change: DeadlineTooShort 10 s after the last query.

--- a/hyssoptack/admission/limiter.py
+++ b/hyssoptack/admission/limiter.py
@@ -125,6 +125,7 @@
         browsing_count: Number of browsing queries in flight.
         urgent_refused_at_ms: Time at which an urgent query was last refused.
         overload_ratio: Smoothed ratio of answers that were late or shed.
+        ended_at_ms: Time at which a query last ended.
     """
 
     reserve_count: int
@@ -132,6 +133,7 @@
     browsing_count: int = 0
     urgent_refused_at_ms: float = -math.inf
     overload_ratio: float = 0.0
+    ended_at_ms: float = 0.0
 
     @property
     def in_progress_count(self) -> int:
@@ -185,6 +187,15 @@
     )
 
 
+def _is_duration_outdated(limiter: Limiter, now_ms: float) -> bool:
+    """Returns whether no query has ended for as long as queries took.
+
+    Only queries that run can correct the usual duration, so an outdated one
+    must not refuse them.
+    """
+    return now_ms - limiter.ended_at_ms > limiter.duration_ms
+
+
 def _available_count(
     limiter: Limiter, urgency: query.Urgency, now_ms: float
 ) -> float:
@@ -220,7 +231,8 @@
     Returns:
         `Admitted`, or the reason for the refusal.
     """
-    if limiter.duration_ms > 2 * request.deadline_ms:
+    too_long = limiter.duration_ms > 2 * request.deadline_ms
+    if too_long and not _is_duration_outdated(limiter, now_ms):
         return DeadlineTooShort(expected_ms=limiter.duration_ms)
     available_count = _available_count(limiter, request.urgency, now_ms)
     if available_count >= 1.0:
@@ -296,9 +308,13 @@
     if not in_time and elapsed_ms - stalled_ms <= timely_max_ms < elapsed_ms:
         # Without the stall of this process the answer would have been in time.
         return ended
+    duration_ms = smoothed(ended.duration_ms, elapsed_ms)
     ended = dataclasses.replace(
         ended,
-        duration_ms=smoothed(ended.duration_ms, elapsed_ms),
+        duration_ms=min(elapsed_ms, duration_ms)
+        if _is_duration_outdated(ended, now_ms)
+        else duration_ms,
+        ended_at_ms=now_ms,
         overload_ratio=smoothed(
             ended.overload_ratio,
             0.0 if in_time else 1.0,
--- a/hyssoptack/admission/limiter_test.py
+++ b/hyssoptack/admission/limiter_test.py
@@ -139,6 +139,26 @@
     assert isinstance(decision, limiter.Overloaded)
 
 
+def test_short_queries_run_again_some_time_after_long_ones():
+    # The usual duration changes only when a query ends. Once it was twice the
+    # deadline of all queries that came, all of them were refused for good.
+    long_ms = 5_000.0
+    current = limiter.new_limiter(24, 8)
+    for _ in range(30):
+        current = limiter.end_query(
+            _begin(current, 1), _BROWSING, long_ms, True, 10_000.0, long_ms
+        )
+    short = _query(_BROWSING)
+    refused = limiter.decide(current, short, 0.5, long_ms + 100.0)
+    assert isinstance(refused, limiter.DeadlineTooShort)
+    for now_ms in range(int(3 * long_ms), int(3 * long_ms) + 1_000, 100):
+        decision = limiter.decide(current, short, 0.5, now_ms)
+        assert isinstance(decision, limiter.Admitted)
+        current = limiter.end_query(
+            _begin(current, 1), _BROWSING, 20.0, True, DEADLINE_MS, now_ms
+        )
+
+
 def _useful_ratio(slot_count: int, service_ms: float, factor: float) -> float:
     """Simulates a seeded load; returns the ratio of useful queries.
 
@@ -172,7 +192,9 @@
                 current, _BROWSING, elapsed_ms, good, DEADLINE_MS, ended_ms
             )
         sent += 1
-        decision = limiter.decide(current, _query(_BROWSING), rng.random())
+        decision = limiter.decide(
+            current, _query(_BROWSING), rng.random(), now_ms
+        )
         if isinstance(decision, limiter.Admitted):
             current = limiter.begin_query(current, _BROWSING)
             slot = free_ms.index(min(free_ms))
