Relay: a timeout after a stop of this process ejects no upstream

Callers could see: fewer upstreams in use, and refusals, after an instance had stood still, as it took the upstreams of its open calls for failed.

Cause: timers run before sockets are read, so after a stop each open call times out although its answer may lie in the socket; two such timeouts eject an upstream.

Timeouts in time still eject it.

--- a/hyssoptack/relay/relay.py
+++ b/hyssoptack/relay/relay.py
@@ -22,6 +22,9 @@
 """A relay ends a call this long before the coordinator's deadline, so that the
 reply still arrives in time."""
 
+LATE_TIMEOUT_MS = 100.0
+"""Lateness of a timeout that shows that this process stood still meanwhile."""
+
 OnReplies = collections.abc.Callable[[tuple[message.UpstreamReply, ...]], None]
 OnDrain = collections.abc.Callable[[str], None]
 
@@ -225,7 +228,12 @@
         finally:
             now_ms = clock.now_ms()
             self._jobs.pop((sub_query.query_id, ask.call_id), None)
-        self._record_reply(sub_query.service, reply, now_ms)
+        if (
+            reply.status is not message.CallStatus.TIMED_OUT
+            or now_ms - expires_ms < LATE_TIMEOUT_MS
+        ):
+            self._record_reply(sub_query.service, reply, now_ms)
+        # Otherwise the answer may have come while this process stood still.
         self._deliver(batch, reply)
 
     def _record_reply(
