Pool: a stop of this process is no connect timeout

Callers could see: 503 connect_timeout, and an upstream ejected for a second or more, when an instance had stood still while it opened a connection.

Cause: the connect timeout of 150 ms fires before the loop reads that the connection was accepted meanwhile.

--- a/hyssoptack/gateway/pool_test.py
+++ b/hyssoptack/gateway/pool_test.py
@@ -1,6 +1,7 @@
 """Detection of an upstream's exit by its connections."""
 
 import asyncio
+import time
 
 from hyssoptack.core import traffic
 from hyssoptack.gateway import pool
@@ -120,3 +121,21 @@
         called.stop()
 
     asyncio.run(test())
+
+
+def test_a_stop_of_this_process_is_no_connect_timeout():
+    # A connect timeout ejects the upstream; the callers of the only one of a
+    # service were refused.
+    async def test():
+        called = fakeupstream.FakeUpstream("i-0")
+        await called.start()
+        caller = _Caller(called)
+        running = asyncio.create_task(caller.call(b"/x"))
+        await asyncio.sleep(0)
+        stop_s = (pool.CONNECT_TIMEOUT_MS + 2 * pool.LATE_TIMEOUT_MS) / 1e3
+        asyncio.get_running_loop().call_soon(time.sleep, stop_s)
+        outcome = await running
+        assert isinstance(outcome, message.Reply), outcome
+        called.stop()
+
+    asyncio.run(test())
