--- a/bench/proofs/answers_test.py
+++ b/bench/proofs/answers_test.py
@@ -97,7 +97,9 @@
     return callers.LoadGenerator(run, SERVICE, TEXTS, 6, **body)
 
 
-def test_index_versions_roll_under_load(run):
+def test_an_index_roll_under_load_leaves_searches_whole(run):
+    # Guards against searches refused, or partly answered, because a change of
+    # version uses up the budget of extra calls.
     load = _start_load(run)
     for version in (2, 3):
         for upstream_id in run.upstream_ids(SERVICE):
--- a/bench/proofs/leaving_test.py
+++ b/bench/proofs/leaving_test.py
@@ -85,7 +85,11 @@
 
 
 @pytest.mark.parametrize("keep_alive", [True, False])
-def test_a_planned_stop_of_each_instance_in_turn_cuts_nothing(run, keep_alive):
+def test_a_planned_stop_of_each_instance_in_turn_cuts_and_refuses_nothing(
+    run, keep_alive
+):
+    # Guards against connections that a stop cuts, and against refusals as
+    # overloaded by an instance that has just started.
     load = callers.LoadGenerator(run, SERVICE, TEXTS, 8, keep_alive=keep_alive)
     statuses = []
     for each in run.instances[:5]:
--- a/hyssoptack/gateway/gateway_test.py
+++ b/hyssoptack/gateway/gateway_test.py
@@ -332,6 +332,8 @@
 
 
 def test_entries_lost_in_an_outage_are_kept_for_their_return_only():
+    # Guards against calls to an upstream that the store has lost, beyond the
+    # time in which it can register again.
     async def test():
         async with harness.Site() as site:
             await _start_single_service(site, 1)
--- a/hyssoptack/gateway/peering_test.py
+++ b/hyssoptack/gateway/peering_test.py
@@ -55,7 +55,7 @@
             started._peering._receive_view(
                 gatewaymessage.ViewNotice(
                     sender_id="g2",
-                    sender_address="",
+                    sender_address="127.0.0.1:1",
                     version=in_force["version"] + 1,
                     configuration=codec.compress(older),
                     revision=0,
