--- a/hyssoptack/reports/margins.py
+++ b/hyssoptack/reports/margins.py
@@ -54,6 +54,23 @@
     end_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ListAge:
+    """Age of the list of upstreams that an instance used for a request.
+
+    Attributes:
+        request_id: The request's id.
+        instance_id: The instance.
+        age_ms: Age of the list at the end of the request.
+        revision: The store's revision of the list.
+    """
+
+    request_id: str
+    instance_id: str
+    age_ms: float
+    revision: int
+
+
 def services_by_upstream(
     entries: collections.abc.Iterable[timeline.Entry],
 ) -> dict[str, str]:
@@ -157,6 +174,21 @@
     )
 
 
+def list_ages(entries: list[timeline.Entry]) -> list[ListAge]:
+    """Returns the age of the list for each request, the oldest first."""
+    result = [
+        ListAge(
+            request_id=str(each.fields["request_id"]),
+            instance_id=each.instance_id,
+            age_ms=float(each.fields["list_age_ms"]),
+            revision=int(each.fields.get("list_revision", 0)),
+        )
+        for each in entries
+        if each.kind == "request_ended" and "list_age_ms" in each.fields
+    ]
+    return sorted(result, key=lambda each: -each.age_ms)
+
+
 def text(entries: list[timeline.Entry], window_s: float) -> str:
     """Formats the margins as text."""
     result = spreads(entries)
@@ -179,6 +211,12 @@
             f"  {each.service}: {each.extra_count} in addition to"
             f" {each.first_call_count} first calls, until {each.end_s:.3f} s"
         )
+    rows.append("oldest lists of upstreams in use:")
+    for each in list_ages(entries)[:SHOWN_COUNT]:
+        rows.append(
+            f"  {each.age_ms:.0f} ms, revision {each.revision}, by"
+            f" {each.instance_id} for {each.request_id}"
+        )
     return "\n".join(rows)
 
 
--- a/hyssoptack/reports/margins_test.py
+++ b/hyssoptack/reports/margins_test.py
@@ -52,3 +52,22 @@
     text = margins.text(timeline.read(LINES), 10.0)
     assert "3: 1 requests (delegated and taken back)" in text
     assert "r1: 3 of s1, by narrow, wide" in text
+
+
+def test_the_oldest_list_of_upstreams_in_use_is_found():
+    lines = [
+        timeline_test.line(
+            float(number),
+            "request_ended",
+            instance="g-1",
+            request_id=f"r{number}",
+            calls=[],
+            list_age_ms=age_ms,
+            list_revision=7 + number,
+        )
+        for number, age_ms in enumerate((900, 4_800, 20))
+    ]
+    found, *_ = margins.list_ages(timeline.read(lines))
+    assert (found.request_id, found.age_ms, found.revision) == ("r1", 4_800, 8)
+    text = margins.text(timeline.read(lines), 10.0)
+    assert "4800 ms, revision 8, by g-1 for r1" in text
