Admission: a limit is halved where most answers are late or shed

Change: where most answers are late or shed the limit is halved, at most once in a deadline, and each such reduction needs new evidence: queries that began before the last one don't count. A single late answer takes a fifth as before.

The new test (8 or less after four deadlines) fails with 9.6 without the change.

--- a/hyssoptack/admission/limiter.py
+++ b/hyssoptack/admission/limiter.py
@@ -24,6 +24,10 @@
 """Part of the limit that must be in use for a single late or shed answer to
 shrink it."""
 
+MOSTLY_SHRINK_RATIO = 0.5
+"""Factor on the limit if most answers are late or shed: the limit is then far
+from what the upstreams bear, as after the start of an instance."""
+
 MOSTLY_OVERLOADED_RATIO = 0.5
 """Smoothed ratio of late and shed answers above which the limit shrinks even if
 it is not in use, as many instances may overload the upstreams together."""
@@ -126,6 +130,7 @@
         urgent_refused_at_ms: Time at which an urgent query was last refused.
         overload_ratio: Smoothed ratio of answers that were late or shed.
         ended_at_ms: Time at which a query last ended.
+        halved_at_ms: Time at which the limit was last halved.
     """
 
     reserve_count: int
@@ -134,6 +139,7 @@
     urgent_refused_at_ms: float = -math.inf
     overload_ratio: float = 0.0
     ended_at_ms: float = 0.0
+    halved_at_ms: float = 0.0
 
     @property
     def in_progress_count(self) -> int:
@@ -309,23 +315,51 @@
         # Without the stall of this process the answer would have been in time.
         return ended
     duration_ms = smoothed(ended.duration_ms, elapsed_ms)
+    if _is_duration_outdated(ended, now_ms):
+        duration_ms = min(elapsed_ms, duration_ms)
     ended = dataclasses.replace(
-        ended,
-        duration_ms=min(elapsed_ms, duration_ms)
-        if _is_duration_outdated(ended, now_ms)
-        else duration_ms,
-        ended_at_ms=now_ms,
-        overload_ratio=smoothed(
-            ended.overload_ratio,
-            0.0 if in_time else 1.0,
-            OVERLOAD_SMOOTHING_RATIO,
-        ),
+        ended, duration_ms=duration_ms, ended_at_ms=now_ms
     )
+    if now_ms - elapsed_ms >= limiter.halved_at_ms:
+        # Queries that began before the limit was halved don't show the effect.
+        ended = dataclasses.replace(
+            ended,
+            overload_ratio=smoothed(
+                ended.overload_ratio,
+                0.0 if in_time else 1.0,
+                OVERLOAD_SMOOTHING_RATIO,
+            ),
+        )
     if in_time:
         return grow(ended, 1.0 / ended.limit_count)
-    used_count = limiter.in_progress_count
-    if ended.overload_ratio > MOSTLY_OVERLOADED_RATIO:
-        return shrink(ended, deadline_ms, now_ms, used_count)
-    if used_count >= IN_USE_RATIO * ended.limit_count:
-        return shrink(ended, deadline_ms, now_ms)
-    return ended
+    return _shrunk(ended, limiter.in_progress_count, deadline_ms, now_ms)
+
+
+def _shrunk(
+    limiter: Limiter, used_count: int, deadline_ms: float, now_ms: float
+) -> Limiter:
+    """Returns the limiter after a late or shed answer.
+
+    Args:
+        limiter: The limiter without the query.
+        used_count: Queries in flight before it ended.
+        deadline_ms: Deadline of the query in milliseconds.
+        now_ms: Current time in milliseconds.
+    """
+    if (
+        limiter.overload_ratio > MOSTLY_OVERLOADED_RATIO
+        and now_ms - limiter.halved_at_ms >= deadline_ms
+    ):
+        return dataclasses.replace(
+            limiter,
+            limit_count=max(
+                limiter.floor_count, limiter.limit_count * MOSTLY_SHRINK_RATIO
+            ),
+            shrunk_at_ms=now_ms,
+            halved_at_ms=now_ms,
+            # Another such reduction needs new evidence.
+            overload_ratio=0.0,
+        )
+    if used_count >= IN_USE_RATIO * limiter.limit_count:
+        return shrink(limiter, deadline_ms, now_ms)
+    return limiter
--- a/hyssoptack/admission/limiter_test.py
+++ b/hyssoptack/admission/limiter_test.py
@@ -139,6 +139,18 @@
     assert isinstance(decision, limiter.Overloaded)
 
 
+def test_a_new_limit_under_overload_is_reduced_within_four_deadlines():
+    # A new instance starts at its ceiling, whatever its upstreams bear.
+    current = limiter.new_limiter(24, 8)
+    for number in range(1, 5):
+        admitted_count = int(current.limit_count)
+        now_ms = (DEADLINE_MS + 1.0) * number
+        current = _end_late(
+            _begin(current, admitted_count), admitted_count, now_ms
+        )
+    assert current.limit_count <= 8.0
+
+
 def test_short_queries_run_again_some_time_after_long_ones():
     # The usual duration changes only when a query ends. Once it was twice the
     # deadline of all queries that came, all of them were refused for good.
