Timeouts: one wait and one threshold for stops of the process

Change: keyvalue calls wait_until_done; the threshold is timeouts.STOP_MIN_MS. A call to the store counts as delayed at the same lateness as before: 100 ms, plus the time in which its sockets are read in vain. The limiter's docstring says that the limit is halved. No test's check is changed; pool_test takes the threshold from its new place.

Measured: tests of core, platform, relay, admission, entry, pool, storewatch and lost answers pass (170).

--- a/hyssoptack/admission/limiter.py
+++ b/hyssoptack/admission/limiter.py
@@ -7,10 +7,10 @@
 
 `Limiter` admits queries of one service with a reserve for urgent ones. It grows
 by about one after as many timely answers as the limit. A late or shed answer
-shrinks it, at most once per deadline, if the limit is in use or if most answers
-are late or shed: a single one of a nearly idle instance shows a slow upstream
-or peer, which a lower limit does not help. A refused query causes no upstream
-calls and carries a retry delay.
+shrinks it, at most once per deadline, if the limit is in use: one of a nearly
+idle instance shows a slow upstream or peer, which a lower limit does not help.
+If most answers are late or shed, it is halved. A refused query causes no
+upstream calls and carries a retry delay.
 """
 
 import dataclasses
@@ -29,8 +29,8 @@
 from what the upstreams bear, as after the start of an instance."""
 
 MOSTLY_OVERLOADED_RATIO = 0.5
-"""Smoothed ratio of late and shed answers above which the limit shrinks even if
-it is not in use, as many instances may overload the upstreams together."""
+"""Smoothed ratio of late and shed answers above which the limit is halved even
+if it is not in use, as many instances may overload the upstreams together."""
 
 OVERLOAD_SMOOTHING_RATIO = 0.05
 """Weight of the newest answer in that ratio. It takes 14 late answers without a
--- a/hyssoptack/core/timeouts.py
+++ b/hyssoptack/core/timeouts.py
@@ -15,6 +15,10 @@
 """A timer that fires later than this shows that the process was stalled; on an
 idle machine timers fire within 1 ms."""
 
+STOP_MIN_MS = 100.0
+"""A timer that fires later than this shows that the process stood still, not
+only that its event loop was busy."""
+
 SOCKET_READ_MS = 50.0
 """Extra wait after a stall, in which buffered replies are read from sockets: a
 reply takes under 1 ms, and some hundred may be waiting."""
--- a/hyssoptack/entry/loopstall.py
+++ b/hyssoptack/entry/loopstall.py
@@ -7,16 +7,11 @@
 import asyncio
 
 from hyssoptack.core import clock
-
-MS_PER_S = 1000.0
+from hyssoptack.core import timeouts
 
 PERIOD_MS = 20.0
 """Period of the measurements."""
 
-STALL_MIN_MS = 100.0
-"""Delays below this are passes of a busy event loop, which count as load of
-this instance and not as a stall."""
-
 
 class StallMonitor:
     """Adds up the stalls of the event loop.
@@ -38,7 +33,8 @@
         """
         while True:
             due_ms = clock.now_ms() + PERIOD_MS
-            await asyncio.sleep(PERIOD_MS / MS_PER_S)
+            await asyncio.sleep(PERIOD_MS / timeouts.MS_PER_S)
             delay_ms = clock.now_ms() - due_ms
-            if delay_ms >= STALL_MIN_MS:
+            # Shorter delays count as load of this instance.
+            if delay_ms >= timeouts.STOP_MIN_MS:
                 self.total_ms += delay_ms
--- a/hyssoptack/gateway/pool.py
+++ b/hyssoptack/gateway/pool.py
@@ -7,6 +7,7 @@
 import errno
 
 from hyssoptack.core import clock
+from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
@@ -18,10 +19,6 @@
 after a second. After this timeout a call to another upstream is better, if
 time is left before the latency goal (40 to 175 ms)."""
 
-LATE_TIMEOUT_MS = 100.0
-"""Lateness of a timeout that shows that this process stood still. Timers run
-before sockets are read, so the connection may have been accepted meanwhile."""
-
 IDLE_MARGIN_RATIO = 0.6
 """Part of the upstream's idle timeout for which an idle connection is reused,
 so that no request is sent while the upstream closes the connection."""
@@ -234,7 +231,9 @@
     async def _connect(self, call: Call) -> None:
         due_ms = clock.now_ms() + CONNECT_TIMEOUT_MS
         connection = await self._open_connection(CONNECT_TIMEOUT_MS)
-        if connection is None and clock.now_ms() - due_ms >= LATE_TIMEOUT_MS:
+        late_ms = clock.now_ms() - due_ms
+        if connection is None and late_ms >= timeouts.STOP_MIN_MS:
+            # It may have been accepted while this process stood still.
             self._open_count += 1
             connection = await self._open_connection(CONNECT_TIMEOUT_MS)
         call.task = None
--- a/hyssoptack/gateway/pool_test.py
+++ b/hyssoptack/gateway/pool_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
 from hyssoptack.gateway import pool
 from hyssoptack.http1 import httpclient
@@ -132,7 +133,7 @@
         caller = _Caller(called)
         running = asyncio.create_task(caller.call(b"/x"))
         await asyncio.sleep(0)
-        stop_s = (pool.CONNECT_TIMEOUT_MS + 2 * pool.LATE_TIMEOUT_MS) / 1e3
+        stop_s = (pool.CONNECT_TIMEOUT_MS + 2 * timeouts.STOP_MIN_MS) / 1e3
         asyncio.get_running_loop().call_soon(time.sleep, stop_s)
         outcome = await running
         assert isinstance(outcome, message.Reply), outcome
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -16,6 +16,7 @@
 
 from hyssoptack.core import clock
 from hyssoptack.core import position
+from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
 from hyssoptack.gateway import pool
 from hyssoptack.http1 import httpclient
@@ -35,12 +36,9 @@
 """An answer handled more than this long after its timeout is discarded: it was
 delayed by a pause of the whole process, not by the network."""
 
-LATE_TIMER_MS = 100.0
-"""Lateness of a timeout's timer that shows that this process stood still. The
-answer may then have arrived, as timers run before sockets are read."""
-
-LATE_READ_S = 0.02
-"""Time to read an answer that arrived while the process stood still."""
+DELAYED_MIN_MS = timeouts.STOP_MIN_MS + timeouts.SOCKET_READ_MS
+"""Time beyond its timeout after which a call without an answer says nothing
+about the store: this process stood still, and then read its sockets in vain."""
 
 _ERA = b"store-era"
 
@@ -327,7 +325,7 @@
             outcome = httpclient.BrokenCall(reason="answer_too_old", sent=True)
         match outcome:
             case httpclient.BrokenCall(reason=reason) if (
-                took_ms > timeout_ms + LATE_TIMER_MS
+                took_ms > timeout_ms + DELAYED_MIN_MS
             ):
                 kind = FailureKind.DELAYED
                 detail = f"{method} {name}: {reason}"
@@ -368,12 +366,8 @@
             on_outcome=sink,
         )
         call = self._pools.call(job, CONNECTION_LIMIT_COUNT)
-        due_ms = clock.now_ms() + timeout_ms
         try:
-            await asyncio.wait((done,), timeout=timeout_ms / message.MS_PER_S)
-            if not done.done() and clock.now_ms() - due_ms >= LATE_TIMER_MS:
-                await asyncio.wait((done,), timeout=LATE_READ_S)
-            if done.done():
+            if await timeouts.wait_until_done(done, timeout_ms):
                 return done.result()
             return httpclient.BrokenCall(reason="timeout", sent=True)
         finally:
--- a/hyssoptack/relay/relay.py
+++ b/hyssoptack/relay/relay.py
@@ -13,6 +13,7 @@
 from hyssoptack.core import clock
 from hyssoptack.core import message
 from hyssoptack.core import query
+from hyssoptack.core import timeouts
 from hyssoptack.membership import ownership
 from hyssoptack.relay import client
 from hyssoptack.relay import upstreamqueue
@@ -22,9 +23,6 @@
 """A relay ends a call this long before the coordinator's deadline, so that the
 reply still arrives in time."""
 
-LATE_TIMEOUT_MS = 100.0
-"""Lateness of a timeout that shows that this process stood still meanwhile."""
-
 OnReplies = collections.abc.Callable[[tuple[message.UpstreamReply, ...]], None]
 OnDrain = collections.abc.Callable[[str], None]
 
@@ -230,7 +228,7 @@
             self._jobs.pop((sub_query.query_id, ask.call_id), None)
         if (
             reply.status is not message.CallStatus.TIMED_OUT
-            or now_ms - expires_ms < LATE_TIMEOUT_MS
+            or now_ms - expires_ms < timeouts.STOP_MIN_MS
         ):
             self._record_reply(sub_query.service, reply, now_ms)
         # Otherwise the answer may have come while this process stood still.
