Entry: a log line for each caller's connection closed for idleness

What callers saw: a search gets no response; its connection is closed a few milliseconds after it was sent (KNOWN-RED, answers_test). No log had a line.

Change: event 6501 with the idle time and whether a request waits, and a line of the balancer stand-in for each connection that one side ends.

So the cause is the idle timeout of the caller's server, and not the balancer; a check for input alone would not mend it.

--- a/hyssoptack/entry/callerserver.py
+++ b/hyssoptack/entry/callerserver.py
@@ -18,6 +18,7 @@
 from hyssoptack.core import query
 from hyssoptack.core import refusal
 from hyssoptack.entry import actioncoordinator
+from hyssoptack.entry import callerconnections
 from hyssoptack.entry import metrics
 from hyssoptack.entry import querycoordinator
 from hyssoptack.entry import responses
@@ -100,6 +101,17 @@
         return {**super().get_environ(), _REQUEST: self.req}
 
 
+class _Server(wsgi.Server):
+    """The library's server with this package's management of connections."""
+
+    def prepare(self) -> None:
+        """Binds the port and starts the threads."""
+        super().prepare()
+        # The library has no parameter for the connection manager.
+        self._connections.close()
+        self._connections = callerconnections.CallerConnections(self)
+
+
 Environ = dict[str, object]
 Work = collections.abc.Coroutine[object, object, responses.Response]
 
@@ -124,7 +136,7 @@
         self._open_count = 0
         settings = instance_state.settings
         host, _, port = settings.front_address.rpartition(":")
-        self._server = wsgi.Server(
+        self._server = _Server(
             (host, int(port)),
             self._application,
             numthreads=settings.front.thread_count,
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -240,6 +240,10 @@
         6403,
         "A limit of work in progress was reduced or has recovered.",
     )
+    CALLER_CONNECTION_CLOSED = (
+        6501,
+        "A caller's connection was closed because it was idle for too long.",
+    )
     REQUEST_FAULT = (
         7001,
         "An internal error occurred; a request may have failed.",
--- a/hyssoptack/standins/balancer.py
+++ b/hyssoptack/standins/balancer.py
@@ -6,11 +6,14 @@
 
 import asyncio
 import itertools
+import json
 
 import aiohttp
 import cyclopts
 import uvloop
 
+from hyssoptack.core import clock
+
 PROBE_S = 0.2
 PROBE_LIMIT_S = 0.5
 CHUNK_BYTES = 262_144
@@ -65,8 +68,10 @@
                 )
             except OSError:
                 continue
+            callers_port = writer.get_extra_info("peername")[1]
             await asyncio.gather(
-                _pump(reader, far_writer), _pump(far_reader, writer)
+                _pump(reader, far_writer, f"caller {callers_port}"),
+                _pump(far_reader, writer, f"instance {target}"),
             )
             return
         writer.write(
@@ -77,15 +82,19 @@
 
 
 async def _pump(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sender: str
 ) -> None:
+    """Forwards bytes in one direction; logs the side that ends a connection."""
+    cause = "end of stream"
     try:
         while data := await reader.read(CHUNK_BYTES):
             writer.write(data)
             await writer.drain()
-    except OSError:
-        pass
+    except OSError as error:
+        cause = repr(error)
     if not writer.is_closing():
+        ended = {"ended_by": sender, "cause": cause, "now_ms": clock.now_ms()}
+        print(json.dumps(ended), flush=True)
         writer.close()
 
 
