--- a/hyssoptack/entry/callerserver.py
+++ b/hyssoptack/entry/callerserver.py
@@ -4,7 +4,6 @@
 import collections.abc
 import dataclasses
 import re
-import socket
 import threading
 import time
 import urllib.parse
@@ -101,17 +100,6 @@
         return {**super().get_environ(), _REQUEST: self.req}
 
 
-class _Server(wsgi.Server):
-    """The library's server with this package's management of connections."""
-
-    def prepare(self) -> None:
-        """Binds the port and starts the threads."""
-        super().prepare()
-        # The library has no parameter for the connection manager.
-        self._connections.close()
-        self._connections = callerconnections.CallerConnections(self)
-
-
 Environ = dict[str, object]
 Work = collections.abc.Coroutine[object, object, responses.Response]
 
@@ -136,7 +124,7 @@
         self._open_count = 0
         settings = instance_state.settings
         host, _, port = settings.front_address.rpartition(":")
-        self._server = _Server(
+        self._server = callerconnections.CallerHTTPServer(
             (host, int(port)),
             self._application,
             numthreads=settings.front.thread_count,
@@ -153,9 +141,6 @@
     def start(self) -> None:
         """Opens the port."""
         self._server.prepare()
-        self._server.socket.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
-        )
         self._thread.start()
 
     def stop(self) -> None:
