HTTP server: a stop of the process times out no caller

After a stop longer than the timeout, idle connections were closed and heads that had begun refused with 408, although the caller may have stood still as well; and an idle connection was closed by a timer with a request in its socket.

Change: check_timeouts counts from the end of the last stop (core/stops) and leaves a connection with unread input to its next check.

--- a/hyssoptack/http1/httpserver.py
+++ b/hyssoptack/http1/httpserver.py
@@ -14,12 +14,20 @@
 import httptools
 
 from hyssoptack.core import clock
+from hyssoptack.core import sockets
+from hyssoptack.core import stops
+from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
 from hyssoptack.http1 import message
 
 TIMEOUT_CHECK_PERIOD_S = 0.25
 """Interval between checks of caller timeouts, which are seconds long."""
 
+# Checks that come later show a stop of this process.
+_GAP_LIMIT_MS = (
+    TIMEOUT_CHECK_PERIOD_S * timeouts.MS_PER_S + timeouts.STOP_MIN_MS
+)
+
 BODY_STALL_MS = 10_000.0
 """Longest pause within a body before the connection is closed: longer than the
 retransmissions of a lossy link, too short for stalled connections to pile up.
@@ -91,11 +99,13 @@
 
     async def close_timed_out_connections(self) -> None:
         """Periodically checks the timeouts of all connections."""
+        own_stops = stops.StopDetector(_GAP_LIMIT_MS, clock.now_ms())
         while True:
             await asyncio.sleep(TIMEOUT_CHECK_PERIOD_S)
             now_ms = clock.now_ms()
+            own_stops.check(now_ms)
             for each in tuple(self.connections):
-                each.check_timeouts(now_ms)
+                each.check_timeouts(now_ms, own_stops)
 
     def close_idle(self) -> None:
         """Closes all connections on which no request has begun."""
@@ -318,19 +328,39 @@
         if self._is_idle():
             self._end()
 
-    def check_timeouts(self, now_ms: float) -> None:
-        """Closes the connection on a timeout, with a 408 if a request began."""
-        if self._current is not None or self._queue:
-            return
-        if self._closing:
+    def check_timeouts(
+        self, now_ms: float, own_stops: stops.StopDetector
+    ) -> None:
+        """Closes the connection on a timeout, with a 408 if a request began.
+
+        Timers run before sockets are read, so a connection with unread input
+        is left to its next check.
+
+        Args:
+            now_ms: Current time.
+            own_stops: Stops of this process, in which no timeout runs out.
+        """
+        if self._current is not None or self._queue or self._closing:
             return
         limits = self._server.limits
-        inactive_ms = now_ms - self._last_activity_ms
+        inactive_ms = own_stops.elapsed_ms(self._last_activity_ms, now_ms)
         if self._in_body:
-            if inactive_ms > BODY_STALL_MS:
-                self._refuse(408, "body_timeout")
+            has_timed_out, reason = inactive_ms > BODY_STALL_MS, "body_timeout"
         elif self._started_ms:
-            if now_ms - self._started_ms > limits.header_timeout_ms:
-                self._refuse(408, "head_timeout")
-        elif inactive_ms > limits.idle_timeout_ms:
+            head_ms = own_stops.elapsed_ms(self._started_ms, now_ms)
+            has_timed_out = head_ms > limits.header_timeout_ms
+            reason = "head_timeout"
+        else:
+            has_timed_out, reason = inactive_ms > limits.idle_timeout_ms, ""
+        if not has_timed_out or self._has_input():
+            return
+        if reason:
+            self._refuse(408, reason)
+        else:
             self._end()
+
+    def _has_input(self) -> bool:
+        connection = self._transport and self._transport.get_extra_info(
+            "socket"
+        )
+        return bool(connection) and sockets.has_input(connection.fileno())
