Entry: peers confirm an instance's ownership after a stop

What callers saw: after a stop of all instances of 1.2 s or more every search of the next two seconds is refused (503 coverage_below_floor, coverage 0.0).

Cause: an instance that stood still for longer than its ownership is valid used no share of an upstream for the lag of the instance list, as its peers may have taken them; when all stood still, nobody had. A stop longer than the lag also made it forget all peers. Evidence: event 1005 on all instances, not_owner as the status of the missing shards, refusals as long as the lag.

Change: after a stop an instance has the list read and asks the peers of its domain to confirm that they count it and call none of its upstreams; with the last confirmation it owns them again. The stop does not count for sightings and pending answers. Without confirmations the lag passes as before.

--- a/bench/slopes/gossip.py
+++ b/bench/slopes/gossip.py
@@ -90,7 +90,7 @@
             self.state, self.config, self.links.send, self._on_config
         )
         members = tuple(_member(each) for each in range(total))
-        self.state.merge_listed(members, clock.now_ms())
+        self.state.merge_listed(members, clock.now_ms(), clock.now_ms())
         self.links.start()
 
     def _on_received(self, received: link.ReceivedFrame) -> None:
--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -146,6 +146,34 @@
     parts: dict[str, str]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OwnershipClaim:
+    """Asks a peer to count the sender, which stood still, among the owners.
+
+    Attributes:
+        sender: The sender's membership record.
+        number: Number of the sender's renewal.
+    """
+
+    sender: member.Member
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OwnershipConfirmation:
+    """Confirms a claim: the sender calls no upstream that it does not own.
+
+    Attributes:
+        sender: The confirming instance's membership record.
+        claimant: Incarnation of the instance whose claim is confirmed.
+        number: Number of the claimant's renewal.
+    """
+
+    sender: member.Member
+    claimant: str
+    number: int
+
+
 Message = (
     SubQuery
     | SubAnswer
@@ -156,6 +184,8 @@
     | Heartbeat
     | ConfigWanted
     | ConfigOffer
+    | OwnershipClaim
+    | OwnershipConfirmation
 )
 
 KINDS: dict[int, type] = {
@@ -168,6 +198,8 @@
     7: Heartbeat,
     8: ConfigWanted,
     9: ConfigOffer,
+    33: OwnershipClaim,
+    34: OwnershipConfirmation,
 }
 """Message classes by number for `peers.codec`; `core.gatewaymessage` defines
 the other numbers."""
--- a/hyssoptack/entry/daemon.py
+++ b/hyssoptack/entry/daemon.py
@@ -21,6 +21,7 @@
 from hyssoptack.entry import loopstall
 from hyssoptack.entry import metrics
 from hyssoptack.entry import operatorserver
+from hyssoptack.entry import ownershiprenewer
 from hyssoptack.entry import queryadmission
 from hyssoptack.entry import querycoordinator
 from hyssoptack.entry import state
@@ -38,7 +39,6 @@
 from hyssoptack.settings import instance
 
 MS_PER_S = 1000.0
-REFRESH_MS = 100.0
 IDLE_CHECK_MS = 20.0
 THREAD_COUNT = 32
 EXIT_OK = 0
@@ -118,6 +118,13 @@
             members.MembersClient(settings.platform),
             self._threads,
             self._on_config,
+            self._on_listed,
+        )
+        self._renewer = ownershiprenewer.OwnershipRenewer(
+            self._state,
+            self._relay,
+            self._links.send,
+            self._platform_watcher.request_instances,
         )
         self._caller_server = callerserver.CallerServer(
             self._state,
@@ -176,7 +183,8 @@
     async def _refresh_periodically(self) -> None:
         while True:
             self._state.refresh(self._relay, clock.now_ms())
-            await asyncio.sleep(REFRESH_MS / MS_PER_S)
+            self._renewer.advance()
+            await asyncio.sleep(state.REFRESH_MS / MS_PER_S)
 
     def _on_signal(self) -> None:
         hurried = self._stop_requested.is_set()
@@ -238,6 +246,9 @@
         self._state.refresh(self._relay, now_ms)
         self._gossip.send_heartbeat()
 
+    def _on_listed(self) -> None:
+        self._renewer.advance()
+
     def _send_to(self, instance_id: str, body: message.Message) -> bool:
         address = self._state.peer_address(instance_id)
         if address is None:
@@ -308,6 +319,10 @@
                 self._gossip.on_config_wanted(body)
             case message.ConfigOffer():
                 self._gossip.on_config_offer(body)
+            case message.OwnershipClaim():
+                self._renewer.on_claim(body)
+            case message.OwnershipConfirmation():
+                self._renewer.on_confirmation(body)
 
     def _reply_sender(self, sub_query: message.SubQuery) -> relay.OnReplies:
         def send_replies(replies: tuple[message.UpstreamReply, ...]) -> None:
--- a/hyssoptack/entry/state.py
+++ b/hyssoptack/entry/state.py
@@ -10,15 +10,21 @@
 from hyssoptack.core import catalog
 from hyssoptack.core import clock
 from hyssoptack.core import member
+from hyssoptack.core import stops
+from hyssoptack.core import timeouts
 from hyssoptack.events import log
 from hyssoptack.hedging import hedging
 from hyssoptack.membership import membership
 from hyssoptack.membership import ownership
+from hyssoptack.membership import renewal
 from hyssoptack.planning import queryplan
 from hyssoptack.relay import relay
 from hyssoptack.settings import instance
 
 _CHART = chart.load("instance")
+REFRESH_MS = 100.0
+"""Period of `InstanceState.refresh`."""
+
 OWNERSHIP_VALID_RATIO = 0.5
 """Fraction of `instance_list_lag_ms` for which ownership stays valid without
 renewal."""
@@ -56,6 +62,8 @@
         visible_since_ms: Time at which this process was first in the
             platform's instance list, or at which its last long pause ended, if
             later; 0 before both.
+        renewal: Renewal of the ownership after the last long pause; None before
+            the first one.
     """
 
     def __init__(
@@ -85,7 +93,12 @@
             current_service=lambda name: self.catalog.services.get(name),
         )
         self.visible_since_ms = 0.0
+        self.renewal: renewal.Renewal | None = None
+        self._is_renewing = False
         self._last_refresh_ms = clock.now_ms()
+        self._stops = stops.StopDetector(
+            REFRESH_MS + timeouts.STOP_MIN_MS, self._last_refresh_ms
+        )
         self._view: routing.RoutingView | None = None
         self._owned: frozenset[str] = frozenset()
 
@@ -145,9 +158,18 @@
         return set()
 
     def merge_listed(
-        self, members: tuple[member.Member, ...], now_ms: float
+        self,
+        members: tuple[member.Member, ...],
+        read_started_ms: float,
+        now_ms: float,
     ) -> None:
-        """Merges the platform's instance list into the roster."""
+        """Merges the platform's instance list into the roster.
+
+        Args:
+            members: Instances on the list.
+            read_started_ms: Time at which the read of the list began.
+            now_ms: Current time.
+        """
         self.roster = membership.merge_listed(self.roster, members, now_ms)
         self_listed = any(
             each.incarnation == self.incarnation for each in members
@@ -155,6 +177,35 @@
         if self_listed and not self.visible_since_ms:
             self.visible_since_ms = now_ms
         self.peer_addresses = membership.addresses(self.roster)
+        if self.renewal is not None:
+            self.renewal = renewal.with_listing(
+                self.renewal,
+                self.incarnation,
+                members,
+                self._domain_peers(now_ms),
+                read_started_ms,
+            )
+
+    def _domain_peers(self, now_ms: float) -> dict[str, member.Member]:
+        lag_ms = self.settings.platform.instance_list_lag_ms
+        found = membership.latest(
+            self.roster, self.settings.failure_domain, lag_ms, now_ms
+        )
+        found.pop(self.incarnation, None)
+        return found
+
+    def record_confirmation(self, number: int, incarnation: str) -> bool:
+        """Records a peer's confirmation of this instance's ownership.
+
+        Returns:
+            Whether all peers have confirmed.
+        """
+        if self.renewal is None:
+            return False
+        self.renewal = renewal.with_confirmation(
+            self.renewal, number, incarnation
+        )
+        return self.renewal.is_confirmed
 
     def record_message(self, sender: member.Member, now_ms: float) -> None:
         """Records that a message arrived from a peer."""
@@ -182,7 +233,8 @@
 
         Runs periodically. After the process was paused for longer than its
         ownership is valid, its routing view may be out of date: the instance
-        then owns no upstream for `instance_list_lag_ms`.
+        then owns no upstream until its peers have confirmed its ownership, or
+        for `instance_list_lag_ms`.
 
         Args:
             own_relay: Relay that receives the owned upstreams.
@@ -192,16 +244,18 @@
         valid_ms = OWNERSHIP_VALID_RATIO * lag_ms
         paused_ms = now_ms - self._last_refresh_ms
         self._last_refresh_ms = now_ms
+        if stop_ms := self._stops.check(now_ms):
+            self.roster = membership.delayed(self.roster, stop_ms, now_ms)
+            self.pending_answers.delay(stop_ms, now_ms)
         if paused_ms > valid_ms:
-            log.write(log.Event.THAWED, paused_ms=paused_ms)
-            self.visible_since_ms = now_ms
+            self._begin_renewal(paused_ms, now_ms)
         self.roster = membership.pruned(
             self.roster, RETENTION_LAGS_COUNT * max(lag_ms, 1.0), now_ms
         )
         self._update_view(now_ms)
-        may_own = bool(self.visible_since_ms) and ownership.may_use_shares(
-            self.visible_since_ms, lag_ms, now_ms
-        )
+        may_own = self._may_own(now_ms)
+        if may_own and self._is_renewing:
+            self._log_renewal(now_ms)
         owned = self._owned if may_own else frozenset()
         # Ownership is valid for at least 100 ms, whatever the lag of the list.
         own_relay.set_owned_upstreams(
@@ -210,6 +264,35 @@
         if may_own:
             self.apply_event("settled")
 
+    def _begin_renewal(self, paused_ms: float, now_ms: float) -> None:
+        log.write(log.Event.THAWED, paused_ms=paused_ms)
+        self.visible_since_ms = now_ms
+        number = self.renewal.number + 1 if self.renewal is not None else 1
+        self.renewal = renewal.Renewal(number=number, resumed_ms=now_ms)
+        self._is_renewing = True
+
+    def _log_renewal(self, now_ms: float) -> None:
+        self._is_renewing = False
+        log.write(
+            log.Event.OWNERSHIP_RENEWED,
+            after_ms=round(now_ms - self.renewal.resumed_ms, 1),
+            confirmed=self.renewal.is_confirmed,
+        )
+
+    def _may_own(self, now_ms: float) -> bool:
+        """Returns whether this instance may use its shares of upstreams."""
+        if self.renewal is not None and self.renewal.is_confirmed:
+            return True
+        lag_ms = self.settings.platform.instance_list_lag_ms
+        return bool(self.visible_since_ms) and ownership.may_use_shares(
+            self.visible_since_ms, lag_ms, now_ms
+        )
+
+    @property
+    def owned_upstream_ids(self) -> frozenset[str]:
+        """Upstreams that this instance owns once it may use its shares."""
+        return self._owned
+
     def _update_view(self, now_ms: float) -> None:
         lag_ms = self.settings.platform.instance_list_lag_ms
         domains = {each.failure_domain for each in self._members()}
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -48,6 +48,10 @@
         1005,
         "The process was paused too long; it gives up its upstreams for now.",
     )
+    OWNERSHIP_RENEWED = (
+        1010,
+        "The instance owns its upstreams again after a pause.",
+    )
     CONFIG_IN_FORCE = (
         2001,
         "A new configuration revision is in force.",
--- a/hyssoptack/membership/membership.py
+++ b/hyssoptack/membership/membership.py
@@ -103,6 +103,42 @@
     return Roster(sightings=kept)
 
 
+def delayed(roster: Roster, stop_ms: float, now_ms: float) -> Roster:
+    """Returns the roster after a stop of this process.
+
+    Nothing could be seen during the stop, so it does not count as time in which
+    an instance was not seen.
+    """
+
+    def moved(seen_ms: float) -> float:
+        return min(now_ms, seen_ms + stop_ms) if seen_ms else 0.0
+
+    sightings = {
+        name: dataclasses.replace(
+            each,
+            listed_ms=moved(each.listed_ms),
+            last_message_ms=moved(each.last_message_ms),
+        )
+        for name, each in roster.sightings.items()
+    }
+    return Roster(sightings=sightings)
+
+
+def latest(
+    roster: Roster, failure_domain: str, lag_ms: float, now_ms: float
+) -> dict[str, member.Member]:
+    """Returns a domain's instances seen within the lag, by incarnation.
+
+    Of several incarnations of an instance only the latest is returned.
+    """
+    return {
+        each.member.incarnation: each.member
+        for each in _newest(roster).values()
+        if each.member.failure_domain == failure_domain
+        and now_ms - each.last_seen_ms() < lag_ms
+    }
+
+
 def recently_seen(
     roster: Roster, failure_domain: str, lag_ms: float, now_ms: float
 ) -> tuple[str, ...]:
@@ -126,6 +162,11 @@
         """Records that a request was sent that the instance has to answer."""
         self._since_ms.setdefault(instance_id, now_ms)
 
+    def delay(self, stop_ms: float, now_ms: float) -> None:
+        """Moves pending answers by a stop, in which none could be read."""
+        for instance_id, since_ms in self._since_ms.items():
+            self._since_ms[instance_id] = min(now_ms, since_ms + stop_ms)
+
     def record_unreachable(self, instance_id: str) -> None:
         """Records that the instance cannot be reached; it counts as overdue."""
         self._since_ms[instance_id] = -math.inf
--- a/hyssoptack/relay/relay.py
+++ b/hyssoptack/relay/relay.py
@@ -94,6 +94,14 @@
         """Returns the number of waiting and running calls."""
         return len(self._jobs) + self._action_count
 
+    def called_upstream_ids(self) -> frozenset[str]:
+        """Returns the upstreams with waiting or running calls."""
+        return frozenset(
+            upstream_id
+            for upstream_id, queue in self._queues.items()
+            if queue.running_count or queue.waiting_count()
+        )
+
     def upstream_queues(self) -> dict[str, upstreamqueue.UpstreamQueue]:
         """Returns the queues by upstream id, for the operator port."""
         return self._queues
--- a/hyssoptack/revisions/platformwatch.py
+++ b/hyssoptack/revisions/platformwatch.py
@@ -27,6 +27,8 @@
 WATCH_ROLE = "config-watch"
 
 OnConfig = collections.abc.Callable[[configuration.NewConfiguration], None]
+OnListed = collections.abc.Callable[[], None]
+"""Called after each read of the instance list."""
 
 
 class PlatformWatcher:
@@ -44,6 +46,7 @@
         members_client: members.MembersClient,
         threads: concurrent.futures.Executor,
         on_config: OnConfig,
+        on_listed: OnListed,
     ):
         self._state = instance_state
         self._config = config
@@ -51,32 +54,48 @@
         self._members = members_client
         self._threads = threads
         self._on_config = on_config
+        self._on_listed = on_listed
         self._store_lost = False
         self._list_lost = False
         self._random = random.Random()
+        self._read_requested = asyncio.Event()
         self.watch_count = 0
 
     async def poll_instances(self) -> None:
         """Reads the instance list periodically, without end."""
         period_ms = self._state.settings.platform.list_period_ms
         while True:
+            self._read_requested.clear()
+            started_ms = clock.now_ms()
             result = await self._run_in_thread(self._members.read)
             match result:
                 case expression.Result(tag="ok", ok=listing):
-                    self._apply_listing(listing)
+                    self._apply_listing(listing, started_ms)
                 case expression.Result(error=detail):
                     self._set_list_lost(True, detail)
             jitter = self._random.uniform(0.8, 1.2)
-            await asyncio.sleep(period_ms * jitter / MS_PER_S)
+            try:
+                await asyncio.wait_for(
+                    self._read_requested.wait(), period_ms * jitter / MS_PER_S
+                )
+            except TimeoutError:
+                continue
+
+    def request_instances(self) -> None:
+        """Has the instance list read at once, after a read in progress."""
+        self._read_requested.set()
 
-    def _apply_listing(self, listing: members.Listing) -> None:
+    def _apply_listing(
+        self, listing: members.Listing, started_ms: float
+    ) -> None:
         now_ms = clock.now_ms()
         self._set_list_lost(False, "")
-        self._state.merge_listed(listing.members, now_ms)
+        self._state.merge_listed(listing.members, started_ms, now_ms)
         for upstream_id in listing.leaving_upstream_ids:
             # The list may mark an upstream as leaving, but never clears a mark.
             view = self._state.upstream_health.upstreams[upstream_id]
             view.apply_event("listed_leaving", now_ms)
+        self._on_listed()
 
     async def watch_configuration(self) -> None:
         """Watches the configuration's head, without end.
