Delegation: a stop of the sender takes no query back

What callers saw: after a stop of its gateway of 30 ms or more a delegated query ran on all upstreams twice, or got 502 no_retry_budget or neighbour_lost though the neighbour answered it.

Cause: the timer for the neighbour's first report fires after the stop before the report is read.

Change: timeouts.Timer waits once more if it fires late, and is cancelled by what is read meanwhile.

--- a/hyssoptack/core/timeouts.py
+++ b/hyssoptack/core/timeouts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections.abc
 
 from hyssoptack.core import clock
 
@@ -41,3 +42,49 @@
             {future}, timeout=SOCKET_READ_MS / MS_PER_S
         )
     return bool(done)
+
+
+class Timer:
+    """Calls a function after a time, unless the process stalled meanwhile.
+
+    After a stall, what others sent is read first, and the function is called
+    if the timer was not cancelled on account of it.
+    """
+
+    def __init__(
+        self,
+        wait_ms: float,
+        function: collections.abc.Callable[[], None],
+        stall_min_ms: float = STALL_THRESHOLD_MS,
+    ):
+        """Starts the timer on the running event loop.
+
+        Args:
+            wait_ms: Time until the call.
+            function: The function.
+            stall_min_ms: Delay of the timer from which it counts as a stall.
+        """
+        self._function = function
+        self._stall_min_ms = stall_min_ms
+        self._was_extended = False
+        self._start(wait_ms)
+
+    def _start(self, wait_ms: float) -> None:
+        self._due_ms = clock.now_ms() + wait_ms
+        self._handle = asyncio.get_running_loop().call_later(
+            wait_ms / MS_PER_S, self._on_due
+        )
+
+    def _on_due(self) -> None:
+        late_ms = clock.now_ms() - self._due_ms
+        # A loop that is always busy must not put the call off for ever.
+        limit_ms = STOP_MIN_MS if self._was_extended else self._stall_min_ms
+        if late_ms > limit_ms:
+            self._was_extended = True
+            self._start(SOCKET_READ_MS)
+        else:
+            self._function()
+
+    def cancel(self) -> None:
+        """Cancels the call."""
+        self._handle.cancel()
--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 
+from hyssoptack.core import clock
 from hyssoptack.gateway import daemon
 from hyssoptack.http1 import message
 from hyssoptack.settings import gateway
@@ -256,6 +257,52 @@
         return sum(each.run_counts[key] for each in self.upstreams.values())
 
 
+class RunningTime:
+    """Time that this process was running, to check durations in tests.
+
+    A stop of the process stops the tested instances and the test's clock alike,
+    so it does not count.
+    """
+
+    _STEP_MS = 5.0
+
+    def __init__(self) -> None:
+        self._stopped_ms = 0.0
+        self._started_ms = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> "RunningTime":
+        """Starts the measurement."""
+        self._started_ms = clock.now_ms()
+        self._task = asyncio.create_task(self._watch())
+        return self
+
+    async def __aexit__(self, *_details: object) -> None:
+        """Ends the measurement."""
+        self._task.cancel()
+
+    async def _watch(self) -> None:
+        last_ms = self._started_ms
+        while True:
+            await asyncio.sleep(self._STEP_MS / message.MS_PER_S)
+            now_ms = clock.now_ms()
+            late_ms = now_ms - last_ms - self._STEP_MS
+            if late_ms > self._STEP_MS:
+                self._stopped_ms += late_ms
+            last_ms = now_ms
+
+    async def stopped_ms(self) -> float:
+        """Returns how long the process stood still in all."""
+        # A stop that has just ended is measured by then.
+        await asyncio.sleep(2 * self._STEP_MS / message.MS_PER_S)
+        return self._stopped_ms
+
+    async def elapsed_ms(self) -> float:
+        """Returns the running time since the start of the measurement."""
+        stopped_ms = await self.stopped_ms()
+        return clock.now_ms() - self._started_ms - stopped_ms
+
+
 def _route(index: int, given: dict[str, object]) -> dict[str, object]:
     return {
         "name": f"route-{index}",
--- a/hyssoptack/gateway/querydelegation.py
+++ b/hyssoptack/gateway/querydelegation.py
@@ -18,6 +18,7 @@
 from hyssoptack.core import clock
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import member
+from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
 from hyssoptack.delegation import delegation
 from hyssoptack.events import log
@@ -275,7 +276,7 @@
         self._state = _State.SENT
         self._hop_ms = delegator.selector.hop_delays.estimate_ms
         self._goal_ms = query.goal_at_ms(clock.now_ms())
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer: timeouts.Timer | None = None
 
     def start(self, version: int) -> None:
         """Sends the query to the neighbour and starts the accept timeout."""
@@ -313,8 +314,7 @@
     ) -> None:
         if self._timer is not None:
             self._timer.cancel()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(wait_ms / message.MS_PER_S, function)
+        self._timer = timeouts.Timer(wait_ms, function)
 
     def _on_accept_timeout(self) -> None:
         """Takes the query back, or waits if it can't be rerun here."""
