Relay, coordinator: answers that came in a stop are read before a timeout

What callers saw: a search whose deadline fell into a stop of the instance is refused (coverage_below_floor) though its upstreams have answered.

Cause: the plan's timer and the timeout of the HTTP client run before the sockets are read.

Change: both use timeouts.Timer, which waits 50 ms more after a stop of over 100 ms; timeouts.limit is asyncio.timeout with such a timer.

--- a/hyssoptack/core/timeouts.py
+++ b/hyssoptack/core/timeouts.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 
 from hyssoptack.core import clock
 
@@ -88,3 +89,27 @@
     def cancel(self) -> None:
         """Cancels the call."""
         self._handle.cancel()
+
+
+@contextlib.asynccontextmanager
+async def limit(
+    limit_ms: float, stall_min_ms: float = STALL_THRESHOLD_MS
+) -> collections.abc.AsyncIterator[None]:
+    """Limits the time of its body, as `asyncio.timeout`, by a `Timer`.
+
+    Args:
+        limit_ms: Timeout in milliseconds.
+        stall_min_ms: Delay of the timer from which it counts as a stall.
+
+    Raises:
+        TimeoutError: The body took longer.
+    """
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(None) as scope:
+        timer = Timer(
+            limit_ms, lambda: scope.reschedule(loop.time()), stall_min_ms
+        )
+        try:
+            yield
+        finally:
+            timer.cancel()
--- a/hyssoptack/entry/querycoordinator.py
+++ b/hyssoptack/entry/querycoordinator.py
@@ -11,6 +11,7 @@
 from hyssoptack.core import message
 from hyssoptack.core import query
 from hyssoptack.core import refusal
+from hyssoptack.core import timeouts
 from hyssoptack.entry import burncounts
 from hyssoptack.entry import metrics
 from hyssoptack.entry import queryadmission
@@ -58,7 +59,7 @@
     service: catalog.Service
     done: asyncio.Future[Result]
     sent: dict[int, _SentCall] = dataclasses.field(default_factory=dict)
-    timer: asyncio.TimerHandle | None = None
+    timer: timeouts.Timer | None = None
 
 
 class QueryCoordinator:
@@ -236,9 +237,11 @@
         """Sets the timer for the plan's next deadline."""
         if running.timer is not None:
             running.timer.cancel()
-        wait_s = max(0.0, running.plan.next_deadline_ms() - now_ms) / MS_PER_S
-        loop = asyncio.get_running_loop()
-        running.timer = loop.call_later(wait_s, self._on_timer, running)
+        running.timer = timeouts.Timer(
+            max(0.0, running.plan.next_deadline_ms() - now_ms),
+            lambda: self._on_timer(running),
+            timeouts.STOP_MIN_MS,
+        )
 
     def _on_timer(self, running: _RunningQuery) -> None:
         if running.done.done():
--- a/hyssoptack/relay/client.py
+++ b/hyssoptack/relay/client.py
@@ -101,6 +101,11 @@
 _ACT_DECODER = msgspec.json.Decoder(ActionReplyBody)
 
 
+_CONNECT_TIMEOUT = aiohttp.ClientTimeout(
+    total=None, sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S
+)
+
+
 class UpstreamClient:
     """HTTP client that owns the connections to this instance's upstreams."""
 
@@ -142,12 +147,16 @@
         )
         sent_ms = clock.now_ms()
         reached = True
+        limit = timeouts.limit(max(remaining_ms, 1.0), timeouts.STOP_MIN_MS)
         try:
-            async with self._session.post(
-                f"http://{upstream.address}/search",
-                data=_ENCODER.encode(body),
-                timeout=_timeout(remaining_ms),
-            ) as response:
+            async with (
+                limit,
+                self._session.post(
+                    f"http://{upstream.address}/search",
+                    data=_ENCODER.encode(body),
+                    timeout=_CONNECT_TIMEOUT,
+                ) as response,
+            ):
                 raw = await response.read()
                 elapsed_ms = clock.now_ms() - sent_ms
                 state = response.headers.get(STATE_HEADER, "")
@@ -209,12 +218,9 @@
         return MayHaveRun(detail="no answer from the upstream in time")
 
     async def _post_act(self, url: str, body: ActRequest) -> ActionResult:
-        timeout = aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S
-        )
         try:
             async with self._session.post(
-                url, data=_ENCODER.encode(body), timeout=timeout
+                url, data=_ENCODER.encode(body), timeout=_CONNECT_TIMEOUT
             ) as response:
                 raw = await response.read()
                 return _parse_act_response(response, raw)
@@ -224,13 +230,6 @@
             return MayHaveRun(detail=f"no answer from the upstream: {error!r}")
 
 
-def _timeout(remaining_ms: float) -> aiohttp.ClientTimeout:
-    return aiohttp.ClientTimeout(
-        total=max(remaining_ms, 1.0) / MS_PER_S,
-        sock_connect=CONNECT_TIMEOUT_MS / MS_PER_S,
-    )
-
-
 def _parse_search_response(
     ask: message.UpstreamAsk,
     http_status: int,
