Catalog: services that are no mapping are an error, not an empty list

What operators saw: 'services: [1]', or 'services:' with nothing below it, is accepted; 'config apply' then drops every service in force.

Cause: split() took a value that is no mapping for an empty mapping. Evidence: four such documents are split without an error.

Change: an error at 'services'. An empty mapping still means no services.

Tests: four cases failed before, pass now.

--- a/hyssoptack/settings/catalog.py
+++ b/hyssoptack/settings/catalog.py
@@ -174,10 +174,17 @@
             expected="profiles and services",
         )
         return {}, [error]
+    services = document["services"]
+    if not isinstance(services, dict):
+        # Read as no services, it would drop all that are in force.
+        error = validation.SettingsError(
+            file=file,
+            key="services",
+            value=validation.abbreviated(services),
+            expected="a mapping from names to services",
+        )
+        return {}, [error]
     parts = {PROFILES_PART: _dump({"profiles": document["profiles"]})}
-    services = (
-        document["services"] if isinstance(document["services"], dict) else {}
-    )
     for name, body in services.items():
         parts[SERVICE_PREFIX + str(name)] = _dump({"service": body})
     _, errors = assemble(0, parts, file)
--- a/hyssoptack/settings/settings_test.py
+++ b/hyssoptack/settings/settings_test.py
@@ -3,6 +3,7 @@
 import pathlib
 
 import pytest
+import yaml
 
 from hyssoptack.settings import catalog
 from hyssoptack.settings import instance
@@ -66,6 +67,16 @@
     )
 
 
+@pytest.mark.parametrize("services", ["[1]", "null", "7", "'a'"])
+def test_services_that_are_no_mapping_are_an_error(services):
+    # Guards against a configuration that drops all services by mistake.
+    text = (ROOT / "deploy/dakar/catalog.yaml").read_text("utf-8")
+    document = yaml.safe_load(text) | {"services": yaml.safe_load(services)}
+    parts, errors = catalog.split(yaml.safe_dump(document), "x.yaml")
+    assert not parts
+    assert [each.key for each in errors] == ["services"]
+
+
 def test_a_service_must_name_an_existing_profile():
     errors = _errors_after_change("profile: dawn-batch", "profile: dusk")
     assert any("one of: dawn-batch" in each for each in errors)
