Addresses: a port that is no number is an error value

What operators saw: an address such as 10.0.0.1:² in the settings, or in one entry of the list of upstreams, raises ValueError; the list is not read.

Cause: str.isdigit accepts characters that int does not, and int refuses texts of some thousand digits. The same stood at the Content-Length of the product's own daemon (500 instead of 400) and at the port of a Host header.

Change: core/digits reads such numbers in all four places.

--- a/hyssoptack/core/traffic.py
+++ b/hyssoptack/core/traffic.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from hyssoptack.core import digits
 from hyssoptack.core import teams
 
 
@@ -201,7 +202,8 @@
 
 def split_address(address: str) -> tuple[str, int] | None:
     """Returns host and port of `HOST:PORT`; None if the text is malformed."""
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= PORT_MAX:
+    host, _, port_text = address.rpartition(":")
+    port = digits.parse(port_text)
+    if not host or port is None or not 0 < port <= PORT_MAX:
         return None
-    return host, int(port)
+    return host, port
--- a/hyssoptack/entry/callerserver.py
+++ b/hyssoptack/entry/callerserver.py
@@ -14,6 +14,7 @@
 
 from hyssoptack.core import action
 from hyssoptack.core import catalog
+from hyssoptack.core import digits
 from hyssoptack.core import query
 from hyssoptack.core import refusal
 from hyssoptack.entry import actioncoordinator
@@ -343,21 +344,21 @@
 
     def _read(self, environ: Environ) -> bytes:
         limit = self._state.settings.front.body_limit_bytes
-        length = str(environ.get("CONTENT_LENGTH") or "")
-        if not length.isdigit():
+        length = digits.parse(str(environ.get("CONTENT_LENGTH") or ""))
+        if length is None:
             raise _malformed("header Content-Length: the body's length")
-        if int(length) > limit:
+        if length > limit:
             raise _refused(
                 refusal.Reason.TOO_LARGE, f"the body may have {limit} bytes"
             )
         source = environ["wsgi.input"]
         try:
-            raw = source.read(int(length))
+            raw = source.read(length)
         except (TimeoutError, OSError, cheroot_errors.MaxSizeExceeded):
             raise _refused(
                 refusal.Reason.TIMEOUT_READING, "the body came too slowly"
             ) from None
-        if len(raw) < int(length):
+        if len(raw) < length:
             raise _malformed("the body is shorter than Content-Length")
         return raw
 
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -6,6 +6,7 @@
 import dataclasses
 import http
 
+from hyssoptack.core import digits
 from hyssoptack.core import traffic
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
@@ -69,7 +70,7 @@
     parts = hosts[0].decode("latin-1").rpartition(":")
     host = (
         parts[0]
-        if parts[2].isdigit() and parts[0]
+        if digits.parse(parts[2]) is not None and parts[0]
         else hosts[0].decode("latin-1")
     )
     return RequestMetadata(
--- a/hyssoptack/settings/validation.py
+++ b/hyssoptack/settings/validation.py
@@ -6,6 +6,8 @@
 
 import yaml
 
+from hyssoptack.core import digits
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SettingsError:
@@ -229,7 +231,7 @@
         ipaddress.ip_address(host)
     except ValueError:
         return False
-    return port.isdigit() and 0 < int(port) <= _PORT_MAX
+    return 0 < (digits.parse(port) or 0) <= _PORT_MAX
 
 
 def parse_yaml(text: str, file: str) -> tuple[object, list[SettingsError]]:
