Relay: an unforeseen exception ends a call with a reply

What callers saw: seen in the code only. An exception that nobody foresaw in a call left the sender of an action waiting until its own deadline, and a sub-query without a reply; an answer after the sender was cancelled raised InvalidStateError.

Cause: the future of an action and the reply of a search were set only where the client returned.

A result after the sender was cancelled is dropped.

--- a/hyssoptack/relay/relay.py
+++ b/hyssoptack/relay/relay.py
@@ -14,6 +14,7 @@
 from hyssoptack.core import message
 from hyssoptack.core import query
 from hyssoptack.core import timeouts
+from hyssoptack.events import log
 from hyssoptack.membership import ownership
 from hyssoptack.relay import client
 from hyssoptack.relay import upstreamqueue
@@ -221,6 +222,18 @@
             reply = await self._client.search(
                 upstream, ask, sub_query, expires_ms - started_ms
             )
+        except Exception as error:
+            log.write(
+                log.Event.REQUEST_FAULT,
+                query_id=sub_query.query_id,
+                error=repr(error),
+            )
+            # Says nothing about the upstream's health.
+            failed = _reply_without_call(ask, message.CallStatus.FAILED)
+            self._deliver(
+                batch, dataclasses.replace(failed, reached_upstream=True)
+            )
+            return
         except asyncio.CancelledError:
             # The reply is no longer needed, but the time that the call has
             # taken so far still shows how slow the upstream is.
@@ -291,19 +304,27 @@
             asyncio.get_running_loop().create_future()
         )
 
+        def end(result: client.ActionResult) -> None:
+            # The sender may have been cancelled.
+            if not done.done():
+                done.set_result(result)
+
         async def run() -> None:
             now_ms = clock.now_ms()
             if now_ms >= expires_ms:
-                late = client.DidNotRun(detail="too late to send")
-                done.set_result(late)
+                end(client.DidNotRun(detail="too late to send"))
                 return
-            result = await self._client.send_action(
-                upstream, request, attempt_id, expires_ms - now_ms
-            )
-            done.set_result(result)
+            try:
+                result = await self._client.send_action(
+                    upstream, request, attempt_id, expires_ms - now_ms
+                )
+            except Exception as error:
+                log.write(log.Event.REQUEST_FAULT, error=repr(error))
+                result = client.MayHaveRun(detail="an internal error")
+            end(result)
 
         def on_dropped(_status: message.CallStatus) -> None:
-            done.set_result(client.DidNotRun(detail="no free slot in time"))
+            end(client.DidNotRun(detail="no free slot in time"))
 
         job = upstreamqueue.Job(
             query_id="",
