Actions: a service dropped meanwhile is a refusal, not an internal error

What callers saw: seen in the code. An action, or a search, whose service a new configuration drops between its check and its start ends as 'internal', for an action with 'may have run', though nothing was sent. An executor whose address is not known counted as one that owes an answer, and was avoided.

Cause: the service is looked up again without a check; the request was noted before it was sent.

Tests: three of actioncoordinator_test failed before, pass now.

--- a/hyssoptack/entry/actioncoordinator.py
+++ b/hyssoptack/entry/actioncoordinator.py
@@ -94,7 +94,12 @@
 
     async def _execute(self, request: action.Action) -> action.Outcome:
         now_ms = clock.now_ms()
-        service = self._state.catalog.services[request.service]
+        service = self._state.catalog.services.get(request.service)
+        if service is None:
+            return claim.not_run_outcome(
+                refusal.Reason.UNKNOWN_SERVICE,
+                f"a new configuration has dropped service {request.service}",
+            )
         upstream = _upstream_for(service, request)
         path = self._select_path(service, upstream, now_ms)
         if path is None:
@@ -113,7 +118,7 @@
         )
         if path.instance_id == self._own_id:
             return await self._executor.execute(ask)
-        return await self._ask_peer(path, ask)
+        return await self._ask_peer(path, ask, service)
 
     def _select_path(
         self,
@@ -140,22 +145,28 @@
         return self._random.choice(remote) if remote else None
 
     async def _ask_peer(
-        self, path: routing.RelayPath, ask: message.ActionAsk
+        self,
+        path: routing.RelayPath,
+        ask: message.ActionAsk,
+        service: catalog.Service,
     ) -> action.Outcome:
         done = asyncio.get_running_loop().create_future()
         self._pending_outcomes[ask.request_id] = done
-        self._state.pending_answers.record_request(
-            path.instance_id, clock.now_ms()
-        )
+        pending_answers = self._state.pending_answers
         try:
             if not self._send_to(path.instance_id, ask):
                 return _not_sent_outcome()
+            pending_answers.record_request(path.instance_id, clock.now_ms())
             if not await timeouts.wait_until_done(done, ask.remaining_ms):
-                return await self._determine_outcome(ask)
+                return await self._determine_outcome(
+                    ask, service.action_retention_ms
+                )
             outcome = done.result()
-            if outcome is not None:
-                self._state.pending_answers.record_response(path.instance_id)
-            return outcome if outcome is not None else _not_sent_outcome()
+            if outcome is None:
+                pending_answers.record_unreachable(path.instance_id)
+                return _not_sent_outcome()
+            pending_answers.record_response(path.instance_id)
+            return outcome
         finally:
             del self._pending_outcomes[ask.request_id]
 
@@ -172,7 +183,7 @@
             done.set_result(None)
 
     async def _determine_outcome(
-        self, ask: message.ActionAsk
+        self, ask: message.ActionAsk, ttl_ms: int
     ) -> action.Outcome:
         """Determines the outcome after the executor did not answer.
 
@@ -181,7 +192,6 @@
         """
         digest = claim.digest_of(ask.action)
         key = claim.key_of(ask.action)
-        ttl_ms = self._ttl_ms(ask.action.service)
         for _ in range(OUTCOME_TRY_COUNT):
             read = await self._claim_store.read(key)
             if read is None:
@@ -215,9 +225,6 @@
             )
         return claim.recorded_outcome(read[0])
 
-    def _ttl_ms(self, service: str) -> int:
-        return self._state.catalog.services[service].action_retention_ms
-
 
 def _upstream_for(
     service: catalog.Service, request: action.Action
--- a/hyssoptack/entry/actioncoordinator_test.py
+++ b/hyssoptack/entry/actioncoordinator_test.py
@@ -68,3 +68,50 @@
     assert not instance_state.pending_answers.is_overdue(
         EXECUTOR_ID, SUSPECT_AFTER_MS, later_ms
     )
+
+
+def _run_action(instance_state, send_to):
+    coordinator = actioncoordinator.ActionCoordinator(
+        instance_state, None, None, None, send_to
+    )
+
+    async def run() -> action.Outcome:
+        return await coordinator.run_action(_request())
+
+    return coordinator, run
+
+
+def test_an_action_whose_service_was_dropped_meanwhile_did_not_run():
+    # Guards against "may have run" for an action that nobody has sent.
+    instance_state = _state(example.service(4, 3))
+    instance_state.catalog.services.clear()
+    _, run = _run_action(instance_state, None)
+    outcome = asyncio.run(run())
+    assert outcome.ran is refusal.Ran.NO
+    assert outcome.refused.reason is refusal.Reason.UNKNOWN_SERVICE
+
+
+def test_an_executor_without_an_address_owes_no_answer():
+    # Guards against an executor that is avoided though it got no request.
+    instance_state = _state(example.service(4, 3))
+    _, run = _run_action(instance_state, lambda *_: False)
+    assert asyncio.run(run()).ran is refusal.Ran.NO
+    later_ms = clock.now_ms() + 2 * SUSPECT_AFTER_MS
+    assert not instance_state.pending_answers.is_overdue(
+        EXECUTOR_ID, SUSPECT_AFTER_MS, later_ms
+    )
+
+
+def test_an_executor_that_can_not_be_reached_gets_no_more_work():
+    instance_state = _state(example.service(4, 3))
+
+    def send_to(_instance_id: str, ask: message.ActionAsk) -> bool:
+        loop = asyncio.get_running_loop()
+        loop.call_soon(coordinator.on_undelivered, ask)
+        return True
+
+    coordinator, run = _run_action(instance_state, send_to)
+    assert asyncio.run(run()).ran is refusal.Ran.NO
+    assert instance_state.pending_answers.is_overdue(
+        EXECUTOR_ID, SUSPECT_AFTER_MS, clock.now_ms()
+    )
--- a/hyssoptack/entry/querycoordinator.py
+++ b/hyssoptack/entry/querycoordinator.py
@@ -97,13 +97,20 @@
         """Runs a query to its final result.
 
         Args:
-            request: The query. Its service must be in the catalog.
+            request: The query.
 
         Returns:
             The answer, which may cover only part of the keys, or a refusal.
         """
         now_ms = clock.now_ms()
-        service = self._state.catalog.services[request.service]
+        service = self._state.catalog.services.get(request.service)
+        if service is None:
+            return refusal.Refusal(
+                reason=refusal.Reason.UNKNOWN_SERVICE,
+                ran=refusal.Ran.NO,
+                detail="a new configuration has dropped service "
+                f"{request.service}",
+            )
         profile = self._state.catalog.profiles[service.profile]
         refused = self._admission.refusal_of(request, len(self._running))
         if refused is not None:
