Callers' server: names in a path are decoded once

What callers saw: the outcome of an action with the key 'x%41' is looked up as that of 'xA', so a caller may be told that it did not run; keys with a slash could be used and not looked up.

Cause: the library decodes the path, and so did the server; the library leaves an encoded slash as it is.

Change: routes match the path as it was sent, and the names in it are decoded once.

--- a/bench/proofs/actions_test.py
+++ b/bench/proofs/actions_test.py
@@ -7,6 +7,7 @@
 import concurrent.futures
 import pathlib
 import time
+import urllib.parse
 
 import pytest
 
@@ -96,6 +97,20 @@
     assert all("no" not in answers for answers in reported.values())
 
 
+@pytest.mark.parametrize("key", ["x%41", "a/b", "a%2Fb", "50%", "?q#f", "+"])
+def test_the_outcome_of_any_key_can_be_looked_up(run, calls, key):
+    # Guards against a key that is decoded twice and taken for another one.
+    front = calls.front_address(run.instances[0]["instance_id"])
+    sent = calls.act(front, SERVICE, key, "Awa")
+    assert sent.execution_status() == "yes"
+    path = f"/services/{SERVICE}/actions/{urllib.parse.quote(key, safe='')}"
+    found = run.get(front, path)
+    assert (found.get("ran"), found.get("receipt")) == (
+        "yes",
+        sent.body["receipt"],
+    )
+
+
 def test_repeated_action_gets_the_recorded_outcome(run, calls):
     fronts = [
         calls.front_address(each["instance_id"]) for each in run.instances
--- a/hyssoptack/entry/callerserver.py
+++ b/hyssoptack/entry/callerserver.py
@@ -34,6 +34,7 @@
 DEADLINE_MIN_MS = 10
 STARTING_RETRY_MS = 1_000
 
+_ORIGIN = re.compile(r"^[A-Za-z][A-Za-z0-9+.-]*://[^/]*")
 _SERVICE = r"/services/(?P<service>[^/]+)"
 _SEARCH = re.compile(_SERVICE + r"/search")
 _ACTIONS = re.compile(_SERVICE + r"/actions")
@@ -201,17 +202,21 @@
         Raises:
             Refused: The request is malformed or can't be served.
         """
-        path = urllib.parse.unquote(str(environ["PATH_INFO"]))
+        # `PATH_INFO` is decoded, which hides whether a slash is part of a name.
+        uri = str(environ["REQUEST_URI"])
+        path = _ORIGIN.sub("", uri.partition("?")[0])
         method = environ["REQUEST_METHOD"]
         if found := _SEARCH.fullmatch(path):
             _require_method(method, "POST")
-            return self._search(found["service"], environ)
+            return self._search(_unquoted(found, "service"), environ)
         if found := _ACTIONS.fullmatch(path):
             _require_method(method, "POST")
-            return self._submit_action(found["service"], environ)
+            return self._submit_action(_unquoted(found, "service"), environ)
         if found := _OUTCOME.fullmatch(path):
             _require_method(method, "GET")
-            return self._query_outcome(found["service"], found["key"])
+            return self._query_outcome(
+                _unquoted(found, "service"), _unquoted(found, "key")
+            )
         raise _refused(
             refusal.Reason.UNKNOWN_PATH,
             "paths are /services/NAME/search, /services/NAME/actions and "
@@ -363,6 +368,10 @@
         return raw
 
 
+def _unquoted(found: re.Match, group: str) -> str:
+    return urllib.parse.unquote(found[group])
+
+
 def _require_method(method: object, expected: str) -> None:
     if method != expected:
         raise _malformed(f"this path takes {expected}")
