Gateway settings: addresses and numbers that can't work are refused

What operators saw: seen in the code. A malformed peer_address or metrics_address, and a NaN or infinity in any number, are accepted; the gateway then fails at its start, or compares with NaN, which is never true.

Change: both addresses are checked if they are given; a number that is not finite is an error that names it.

Tests: six cases of gateway_test (settings) failed before, pass now.

--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import os
 import pathlib
 
@@ -174,9 +175,23 @@
             settings = msgspec.yaml.decode(data, type=GatewaySettings)
     except msgspec.DecodeError as error:
         return expression.Error(str(error))
+    if name := _nonfinite_name(dataclasses.asdict(settings)):
+        return expression.Error(f"{name}: expected a finite number")
     return _validated(settings)
 
 
+def _nonfinite_name(document: dict[str, object], path: str = "") -> str:
+    """Returns the path of a number that is NaN or infinite; empty if none."""
+    for name, value in document.items():
+        match value:
+            case float() if not math.isfinite(value):
+                return path + name
+            case dict():
+                if found := _nonfinite_name(value, f"{path}{name}."):
+                    return found
+    return ""
+
+
 def _validated(
     settings: GatewaySettings,
 ) -> expression.Result[GatewaySettings, str]:
@@ -185,6 +200,11 @@
         "readiness_address": settings.readiness_address,
         "store_address": settings.store_address,
     }
+    optional = {
+        "peer_address": settings.peer_address,
+        "metrics_address": settings.metrics_address,
+    }
+    addresses.update({name: each for name, each in optional.items() if each})
     for name, address in addresses.items():
         if traffic.split_address(address) is None:
             return expression.Error(
--- a/hyssoptack/settings/gateway_test.py
+++ b/hyssoptack/settings/gateway_test.py
@@ -60,6 +60,26 @@
     assert named in parse(**changes).error
 
 
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        (b"peer_address: nowhere", "peer_address"),
+        (b"metrics_address: '127.0.0.1'", "metrics_address"),
+        (b"grace_ms: .nan", "grace_ms"),
+        (b"lease_ms: .inf", "lease_ms"),
+        (b"crossing_ratio: .nan", "crossing_ratio"),
+        (b"warmup: {slack_count: .nan}", "warmup.slack_count"),
+    ],
+)
+def test_settings_that_can_not_work_are_refused(changes, named):
+    # Guards against a gateway that starts and fails or misbehaves later.
+    data = "\n".join(f"{name}: {json.dumps(v)}" for name, v in MINIMAL.items())
+    assert gateway.parse(data.encode()).ok
+    result = gateway.parse(data.encode() + b"\n" + changes)
+    assert result.is_error()
+    assert result.error.startswith(named)
+
+
 def test_a_missing_file_is_an_error_value(tmp_path):
     path = str(tmp_path / "none.yaml")
     assert path in gateway.load(path).error
