State: an instance that was never listed owns nothing after a stop

Seen in the code: after a long stop an instance counted as visible from its end on, also one that had never been on the instance list; one lag later it used shares of upstreams that no peer counted.

Change: only an instance that was visible before is visible from then on.

Test: test_an_instance_that_was_never_listed_owns_nothing_after_a_stop failed before, passes now.

--- a/hyssoptack/entry/ownershiprenewer_test.py
+++ b/hyssoptack/entry/ownershiprenewer_test.py
@@ -170,6 +170,21 @@
     asyncio.run(test())
 
 
+def test_an_instance_that_was_never_listed_owns_nothing_after_a_stop():
+    # Guards against shares used by an instance that no peer counts.
+    async def test():
+        (one, _), _ = _two_instances()
+        start_ms = clock.now_ms()
+        one.state.refresh(one.relay, start_ms)
+        resumed_ms = start_ms + 1_700.0
+        one.state.refresh(one.relay, resumed_ms)
+        for number in range(1, 31):
+            one.state.refresh(one.relay, resumed_ms + 100.0 * number)
+        assert not one.relay.owned
+
+    asyncio.run(test())
+
+
 def test_without_confirmations_the_lag_must_pass():
     async def test():
         (one, two), members = _two_instances()
--- a/hyssoptack/entry/state.py
+++ b/hyssoptack/entry/state.py
@@ -266,7 +266,9 @@
 
     def _begin_renewal(self, paused_ms: float, now_ms: float) -> None:
         log.write(log.Event.THAWED, paused_ms=paused_ms)
-        self.visible_since_ms = now_ms
+        if self.visible_since_ms:
+            # An instance that was never listed is still invisible.
+            self.visible_since_ms = now_ms
         number = self.renewal.number + 1 if self.renewal is not None else 1
         self.renewal = renewal.Renewal(number=number, resumed_ms=now_ms)
         self._is_renewing = True
