Ownership: claims end once an instance owns its upstreams again

Seen when the change was read again: an instance whose peer never confirms got its ownership after the lag, but went on sending claims, ten a second.

Change: nothing is sent once it owns upstreams. A peer that still has calls to upstreams that it gave up looks every 20 ms, not every 5, whether they have ended, as each look recomputes its view.

Test: test_claims_end_when_the_lag_has_passed_without_a_confirmation failed before, passes now.

--- a/hyssoptack/entry/ownershiprenewer.py
+++ b/hyssoptack/entry/ownershiprenewer.py
@@ -9,7 +9,7 @@
 from hyssoptack.relay import relay
 
 MS_PER_S = 1000.0
-CALL_CHECK_MS = 5.0
+CALL_CHECK_MS = 20.0
 """Interval of checks whether calls to upstreams of other owners have ended."""
 
 Send = collections.abc.Callable[[str, message.Message], None]
@@ -44,7 +44,7 @@
         that have not confirmed yet.
         """
         current = self._state.renewal
-        if current is None or current.is_confirmed:
+        if current is None or not self._state.is_renewing:
             return
         if current.number != self._requested_number:
             self._requested_number = current.number
--- a/hyssoptack/entry/state.py
+++ b/hyssoptack/entry/state.py
@@ -64,6 +64,7 @@
             later; 0 before both.
         renewal: Renewal of the ownership after the last long pause; None before
             the first one.
+        is_renewing: Whether this instance owns nothing since that pause.
     """
 
     def __init__(
@@ -94,7 +95,7 @@
         )
         self.visible_since_ms = 0.0
         self.renewal: renewal.Renewal | None = None
-        self._is_renewing = False
+        self.is_renewing = False
         self._last_refresh_ms = clock.now_ms()
         self._stops = stops.StopDetector(
             REFRESH_MS + timeouts.STOP_MIN_MS, self._last_refresh_ms
@@ -254,7 +255,7 @@
         )
         self._update_view(now_ms)
         may_own = self._may_own(now_ms)
-        if may_own and self._is_renewing:
+        if may_own and self.is_renewing:
             self._log_renewal(now_ms)
         owned = self._owned if may_own else frozenset()
         # Ownership is valid for at least 100 ms, whatever the lag of the list.
@@ -271,10 +272,10 @@
             self.visible_since_ms = now_ms
         number = self.renewal.number + 1 if self.renewal is not None else 1
         self.renewal = renewal.Renewal(number=number, resumed_ms=now_ms)
-        self._is_renewing = True
+        self.is_renewing = True
 
     def _log_renewal(self, now_ms: float) -> None:
-        self._is_renewing = False
+        self.is_renewing = False
         log.write(
             log.Event.OWNERSHIP_RENEWED,
             after_ms=round(now_ms - self.renewal.resumed_ms, 1),
