Stops proof: a stop counts if searches were answered before it

Seen: at a load average of 45 to 50 all four cases failed; in one of them no search was answered in the second before the stop, so the machine was too busy. The check of connection limits stood in two proofs.

Change: 50 searches must have been answered in that second; the limits are checked by Controls.upstreams_over_limit, with the same bounds.

--- a/bench/controls.py
+++ b/bench/controls.py
@@ -48,6 +48,19 @@
         path = "/account?brief=1" if brief else "/account"
         return self.get(self.upstream(upstream_id).address, path)
 
+    def upstreams_over_limit(self, service: str) -> list[str]:
+        """Returns the upstreams that got more connections than they accept."""
+        found = []
+        for upstream_id in self.upstream_ids(service):
+            account = self.upstream_counters(upstream_id)
+            limit_count = self.upstream(upstream_id).connection_limit_count
+            if (
+                account["over_limit_count"]
+                or account["connection_peak_count"] > limit_count
+            ):
+                found.append(upstream_id)
+        return found
+
     def upstream(self, upstream_id: str) -> catalog.Upstream:
         """Returns the catalog entry of an upstream."""
         return self._shard_of(upstream_id)[0].upstreams[upstream_id]
--- a/bench/proofs/leaving_test.py
+++ b/bench/proofs/leaving_test.py
@@ -161,10 +161,4 @@
 
 
 def test_no_upstream_exceeds_its_connection_limit(run):
-    for upstream_id in run.upstream_ids(SERVICE):
-        account = run.upstream_counters(upstream_id)
-        upstream = run.upstream(upstream_id)
-        assert account["over_limit_count"] == 0
-        assert (
-            account["connection_peak_count"] <= upstream.connection_limit_count
-        )
+    assert not run.upstreams_over_limit(SERVICE)
--- a/bench/proofs/stops_test.py
+++ b/bench/proofs/stops_test.py
@@ -20,6 +20,7 @@
 WATCH_S = 2.2
 WATCH_MAX_S = 20.0
 REPLY_MIN_COUNT = 100
+EARLIER_MIN_COUNT = 50
 PAUSE_SLACK_S = 0.5
 WHOLE_MIN_RATIO = 0.98
 THAWED = log.message_type(log.Event.THAWED)
@@ -103,16 +104,19 @@
 def _play_stop_that_ends(run, names: list[str], stop_s: float) -> _Play:
     """Plays stops until one began and ended as it should.
 
-    On a machine that is too busy searches are refused before it as well, or an
+    On a machine that is too busy searches are late before it as well, or an
     instance does not run for seconds after it.
     """
     for _ in range(5):
         play = _play_stop(run, names, stop_s)
         pause_s = _longest_pause_s(run)
-        before = _whole_ratio(play.earlier)
-        if pause_s < stop_s + PAUSE_SLACK_S and before >= WHOLE_MIN_RATIO:
+        serves = (
+            len(play.earlier) >= EARLIER_MIN_COUNT
+            and _whole_ratio(play.earlier) >= WHOLE_MIN_RATIO
+        )
+        if serves and pause_s < stop_s + PAUSE_SLACK_S:
             return play
-        print(f"whole before: {before:.3f}; longest pause: {pause_s:.1f} s")
+        print(f"{len(play.earlier)} searches before, pause of {pause_s:.1f} s")
     raise AssertionError("no stop began and ended as it should")
 
 
@@ -141,10 +145,4 @@
 
 def test_no_upstream_exceeds_its_limits_around_the_stops(run):
     # Guards against shares that two instances use after a stop.
-    for upstream_id in run.upstream_ids(SERVICE):
-        account = run.upstream_counters(upstream_id)
-        upstream = run.upstream(upstream_id)
-        assert account["over_limit_count"] == 0
-        assert (
-            account["connection_peak_count"] <= upstream.connection_limit_count
-        )
+    assert not run.upstreams_over_limit(SERVICE)
