Renewal: whether it is confirmed follows from the awaited peers

Found when the change was read again: is_confirmed was kept beside the peers from which it follows, and each read of the instance list after the first stop looked up the peers of the domain, though no renewal was in progress.

Change: a property, and the lookup only during a renewal. Behaviour is the same.

Measured: the tests of membership and of the renewer, 56 passed; lint clean.

--- a/hyssoptack/entry/state.py
+++ b/hyssoptack/entry/state.py
@@ -178,7 +178,7 @@
         if self_listed and not self.visible_since_ms:
             self.visible_since_ms = now_ms
         self.peer_addresses = membership.addresses(self.roster)
-        if self.renewal is not None:
+        if self.is_renewing:
             self.renewal = renewal.with_listing(
                 self.renewal,
                 self.incarnation,
--- a/hyssoptack/membership/renewal.py
+++ b/hyssoptack/membership/renewal.py
@@ -30,13 +30,16 @@
         resumed_ms: Time at which the stop ended.
         awaited: Peers that have not confirmed yet, by incarnation; None while
             they are not known.
-        is_confirmed: Whether all peers have confirmed.
     """
 
     number: int
     resumed_ms: float
     awaited: dict[str, member.Member] | None = None
-    is_confirmed: bool = False
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the peers are known and all have confirmed."""
+        return self.awaited is not None and not self.awaited
 
 
 def with_listing(
@@ -62,7 +65,7 @@
         return renewal
     if len(peers) > PEER_LIMIT_COUNT:
         return renewal
-    return dataclasses.replace(renewal, awaited=peers, is_confirmed=not peers)
+    return dataclasses.replace(renewal, awaited=peers)
 
 
 def with_confirmation(
@@ -76,6 +79,4 @@
         for name, each in renewal.awaited.items()
         if name != incarnation
     }
-    return dataclasses.replace(
-        renewal, awaited=awaited, is_confirmed=not awaited
-    )
+    return dataclasses.replace(renewal, awaited=awaited)
