--- a/review/1/run.py
+++ b/review/1/run.py
@@ -71,6 +71,7 @@
             return standins.NOT_RUN
         return await observe(record, store, gateways)
     finally:
+        record.write_runs(runs)
         await asyncio.gather(*(each.close() for each in gateways))
         for each in (*leafs, store):
             each.stop()
@@ -87,6 +88,9 @@
     probing = asyncio.create_task(balancer.probe_periodically())
     await asyncio.sleep(1.5)
     calm = await send_for(consumers, balancer, gateways, CALM_S)
+    if any(each.ends for each in gateways):
+        record.write("a gateway ended before the disruption")
+        return standins.NOT_RUN
     if standins.has_trouble():
         is_slots = os.environ.get("ENTRY") == "slots"
         entry = SLOTS_ENTRY if is_slots else UNREADABLE_ENTRY
--- a/review/standins.py
+++ b/review/standins.py
@@ -48,16 +48,33 @@
         """Writes one line."""
         self._file.write(f"{now() - self._started:9.3f} {text}\n")
 
+    def write_runs(self, runs: "list[Run]") -> None:
+        """Writes what leafs ran, each with the time at which it began."""
+        for each in runs:
+            self._file.write(
+                f"{each.at - self._started:9.3f} run {each.request_id} "
+                f"by {each.leaf_id}\n"
+            )
+
     def close(self) -> None:
         """Closes the file."""
         self._file.close()
 
 
 def free_address() -> str:
-    """Returns a loopback address whose port is free at present."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns a loopback address whose port is free at present.
+
+    The system gives no port below 32,768 to a connection, so that none takes
+    the port before a gateway listens on it.
+    """
+    while True:
+        address = "127.0.0.1", random.randrange(12_000, 32_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(address)
+            except OSError:
+                continue
+        return f"{address[0]}:{address[1]}"
 
 
 # HTTP.
@@ -181,9 +198,7 @@
         if self._items.pop(key, None) is None:
             return
         self._revision += 1
-        self._notify(
-            {"key": key, "revision": self._revision, "removed": True}
-        )
+        self._notify({"key": key, "revision": self._revision, "removed": True})
 
     def _notify(self, event: dict) -> None:
         self._events.append(event)
