View: a return from a cut brings no removed upstream back to neighbours

Cause: an instance that returns from a cut can't tell it from an outage of the store and keeps, for a grace period of 2 s, the upstreams that are missing from its first read. Its notice carried one list with them in it, at the revision of that read. Neighbours compared revisions only, replaced their own list and took over the grace period as a whole.

Where a neighbour's list came before the own read, nothing came back.

Change: a notice carries the list as read, and beside it the kept upstreams with an end each. Each instance knows since when the list was observed without a gap in which entries expire unseen, and says so. A list that was observed for the grace period holds all running upstreams, so it shows that what it lacks has left; an instance without such a list takes the kept ones over. The decision is a function of two lists (membership/upstreamlist). A process that was stopped, and so did not read for too long without a failure, has not observed the list either (event 4105).

Why it works: the instances in touch decide from what they saw themselves, and the one that returns believes the first of them, before or after its own read. In an outage for all nobody has observed the list, so all keep.

One test of storewatch_test set the time of the store's return as a field; it calls record_store_return now, with the same checks.

--- a/hyssoptack/core/gatewaymessage.py
+++ b/hyssoptack/core/gatewaymessage.py
@@ -6,27 +6,10 @@
 
 import dataclasses
 
+from hyssoptack.core import listmessage
 from hyssoptack.core import member
 from hyssoptack.core import position
 from hyssoptack.core import ratelimitmessage
-from hyssoptack.core import traffic
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class ListChange:
-    """Difference between two lists of upstreams.
-
-    Attributes:
-        base_digest: Digest of the list that the change applies to.
-        digest: Digest of the resulting list.
-        changed: Entries that are new or different.
-        removed: Ids of removed entries.
-    """
-
-    base_digest: int
-    digest: int
-    changed: tuple[traffic.Upstream, ...] = ()
-    removed: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -43,9 +26,12 @@
             receiver should already have it.
         revision: Revision of the store at which the list of upstreams was read.
         change: Change of the list since the previous notice.
-        grace_ms: Remaining time for which the sender keeps upstreams that an
-            outage removed from the store, so that they can register again.
+        kept: Upstreams that the sender keeps beside the list.
+        grace_ms: Remaining time in which entries that vanish may have expired
+            in an outage of the store, as far as the sender has observed.
         list_age_ms: Age of the list, in milliseconds.
+        observed_age_ms: Time for which the list has been read without a gap in
+            which entries could expire unseen, in milliseconds.
         exact_age_ms: Age of the last read that can't have returned stale data,
             in milliseconds.
         evacuated: Failure domains whose upstreams must not be called.
@@ -58,9 +44,11 @@
     version: int
     configuration: bytes
     revision: int
-    change: ListChange
+    change: listmessage.ListChange
+    kept: tuple[listmessage.KeptUpstream, ...] = ()
     grace_ms: float = 0.0
     list_age_ms: float = 0.0
+    observed_age_ms: float = 0.0
     exact_age_ms: float = 0.0
     evacuated: tuple[str, ...] = ()
     evacuated_at: position.Position = position.START
--- /dev/null
+++ b/hyssoptack/core/listmessage.py
@@ -0,0 +1,38 @@
+"""Parts of messages that carry the list of upstreams between gateways."""
+
+import dataclasses
+
+from hyssoptack.core import traffic
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ListChange:
+    """Difference between two lists of upstreams.
+
+    Attributes:
+        base_digest: Digest of the list that the change applies to.
+        digest: Digest of the resulting list.
+        changed: Entries that are new or different.
+        removed: Ids of removed entries.
+    """
+
+    base_digest: int
+    digest: int
+    changed: tuple[traffic.Upstream, ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KeptUpstream:
+    """An upstream that the sender uses although the store does not list it.
+
+    Attributes:
+        upstream: The upstream as it was last listed.
+        listed_revision: Store revision of the last read that listed it.
+        remaining_ms: Time until it is gone unless it registers again, in
+            milliseconds; negative if another read is due to show that.
+    """
+
+    upstream: traffic.Upstream
+    listed_revision: int
+    remaining_ms: float
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -132,6 +132,10 @@
         4103,
         "An invalid entry of the upstream list was ignored.",
     )
+    LIST_OUTDATED = (
+        4105,
+        "The list of upstreams was not read for too long, without a failure.",
+    )
     QUERY_REFUSED = (
         5001,
         "A query was refused.",
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -9,11 +9,13 @@
 
 from hyssoptack.core import clock
 from hyssoptack.core import gatewaymessage
+from hyssoptack.core import listmessage
 from hyssoptack.core import member
 from hyssoptack.events import log
 from hyssoptack.gateway import replicatedview
 from hyssoptack.membership import listdelta
 from hyssoptack.membership import readerelection
+from hyssoptack.membership import upstreamlist
 from hyssoptack.peers import codec
 from hyssoptack.peers import link
 from hyssoptack.platform import storeformat
@@ -117,7 +119,7 @@
         """Sends all neighbours what has changed since their last notice."""
         if self._links is None:
             return
-        self._history.add(self._view.upstreams)
+        self._history.add(self._view.upstream_list.listed)
         for peer in self.reader_election.neighbours():
             sent_state = self._sent_states.get(peer.address, _NOTHING_SENT)
             is_current = sent_state.version == self._view.version
@@ -132,19 +134,24 @@
     def _send_view(
         self,
         address: str,
-        change: gatewaymessage.ListChange,
+        change: listmessage.ListChange,
         configuration: bytes,
     ) -> None:
         now_ms = clock.now_ms()
+        known = self._view.upstream_list
         notice = gatewaymessage.ViewNotice(
             sender_id=self._settings.instance_id,
             sender_address=self._settings.peer_address,
             version=self._view.version,
             configuration=configuration,
-            revision=self._view.list_revision,
+            revision=known.revision,
             change=change,
+            kept=tuple(
+                _kept_notice(each, now_ms) for each in known.kept.values()
+            ),
             grace_ms=self._view.remaining_grace_ms(now_ms),
-            list_age_ms=now_ms - self._view.list_read_ms,
+            list_age_ms=now_ms - known.read_ms,
+            observed_age_ms=now_ms - known.observed_since_ms,
             exact_age_ms=self.reader_election.exact_age_ms(now_ms),
             evacuated=tuple(self._view.evacuations.evacuated_domains(now_ms)),
             evacuated_at=self._view.evacuations.store_position,
@@ -156,7 +163,7 @@
 
     def _on_view_request(self, request: gatewaymessage.ViewRequest) -> None:
         """Sends the whole view to a neighbour that could not use a change."""
-        self._history.add(self._view.upstreams)
+        self._history.add(self._view.upstream_list.listed)
         is_current = request.version >= self._view.version
         self._send_view(
             request.address,
@@ -256,14 +263,15 @@
         if notice.configuration and notice.version > self._view.version:
             self._apply_configuration(notice)
         behind = notice.revision < self._view.list_revision
-        listed = not behind and self._apply_list(notice)
+        merged = self._merge_list(notice)
         if notice.version > self._view.version:
             self._request_view(notice)
-        elif listed:
+        elif merged and not behind:
             self.reader_election.record_other_reader(
                 notice.sender_id, clock.now_ms(), notice.exact_age_ms
             )
-        elif not behind:
+        elif not merged and (not behind or self._view.upstream_list.kept):
+            # An older list may still show that a kept upstream has left.
             self._request_view(notice)
 
     def _request_view(self, notice: gatewaymessage.ViewNotice) -> None:
@@ -291,30 +299,65 @@
             case expression.Result(error=detail):
                 log.write(log.Event.CONFIG_REFUSED, errors=[detail])
 
-    def _apply_list(self, notice: gatewaymessage.ViewNotice) -> bool:
-        """Applies the list of a notice; returns whether it could be applied."""
-        self._history.add(self._view.upstreams)
-        upstreams = listdelta.apply_change(
-            notice.change, self._view.upstreams, self._history.digest
+    def _merge_list(self, notice: gatewaymessage.ViewNotice) -> bool:
+        """Merges the list of a notice; returns whether it could be decoded."""
+        known = self._view.upstream_list
+        self._history.add(known.listed)
+        listed = listdelta.apply_change(
+            notice.change, known.listed, self._history.digest
         )
-        if upstreams is None:
+        if listed is None:
             return False
         now_ms = clock.now_ms()
-        self._view.extend_grace(notice.grace_ms, now_ms)
-        read_ms = now_ms - notice.list_age_ms
-        if upstreams is self._view.upstreams:
-            self._view.confirm_list(notice.revision, read_ms)
-        else:
-            self._view.apply_list(
-                upstreams,
-                notice.revision,
-                now_ms,
-                read_ms,
-                f"peer {notice.sender_id}",
-            )
+        offered = _offered_list(notice, listed, now_ms)
+        self._view.merge_list(offered, f"peer {notice.sender_id}", now_ms)
         return True
 
 
+def _kept_notice(
+    kept: upstreamlist.KeptUpstream, now_ms: float
+) -> listmessage.KeptUpstream:
+    return listmessage.KeptUpstream(
+        upstream=kept.upstream,
+        listed_revision=kept.listed_revision,
+        remaining_ms=kept.until_ms - now_ms,
+    )
+
+
+def _offered_list(
+    notice: gatewaymessage.ViewNotice,
+    listed: upstreamlist.Upstreams,
+    now_ms: float,
+) -> upstreamlist.UpstreamList:
+    """Returns the list that a notice offers, in this instance's clock.
+
+    Args:
+        notice: The notice.
+        listed: The upstreams that the sender read from the store.
+        now_ms: Time at which the notice arrived.
+    """
+    grace_max_ms = upstreamlist.REREGISTRATION_GRACE_MS
+    grace_end_ms = upstreamlist.NEVER_MS
+    if notice.grace_ms > 0:
+        grace_end_ms = now_ms + min(grace_max_ms, notice.grace_ms)
+    read_ms = now_ms - max(0.0, notice.list_age_ms)
+    return upstreamlist.UpstreamList(
+        listed=listed,
+        kept={
+            each.upstream.upstream_id: upstreamlist.KeptUpstream(
+                upstream=each.upstream,
+                listed_revision=each.listed_revision,
+                until_ms=now_ms + min(grace_max_ms, each.remaining_ms),
+            )
+            for each in notice.kept
+        },
+        revision=notice.revision,
+        read_ms=read_ms,
+        observed_since_ms=min(read_ms, now_ms - notice.observed_age_ms),
+        grace_end_ms=grace_end_ms,
+    )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _SentState:
     """State of the view that a neighbour was last sent.
--- a/hyssoptack/gateway/replicatedview.py
+++ b/hyssoptack/gateway/replicatedview.py
@@ -2,7 +2,7 @@
 
 The configuration's version never decreases. An upstream that vanishes from the
 list around an outage of the store is kept for a grace period, within which it
-has to register again.
+has to register again (`membership.upstreamlist`).
 """
 
 import collections.abc
@@ -14,16 +14,9 @@
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import pool
+from hyssoptack.membership import upstreamlist
 from hyssoptack.planning import routetable
 
-REREGISTRATION_GRACE_MS = 2_000.0
-"""Time within which a running upstream registers again after the store's
-return (specified); an upstream that is missing for longer is gone."""
-
-EXTENSION_MIN_MS = 1_000.0
-"""Length from which another outage within the grace period extends it.
-Upstreams register about every 1.2 s, so a shorter one leaves them time."""
-
 LOGGED_TEAM_COUNT = 20
 """Maximum number of ambiguous teams named in one log line: there may be
 10,000, and the log buffer holds 256 KB."""
@@ -39,13 +32,10 @@
         on_configuration: Called with each new configuration.
         route_table: Routes in force.
         config_applied_ms: Time at which the configuration was applied.
-        list_read_ms: Time at which this instance or a neighbour last read the
-            list of upstreams.
-        list_revision: Store revision of the list.
-        upstreams: Listed upstreams by id.
+        upstream_list: The list of upstreams, as this instance or a neighbour
+            last read it.
+        upstreams: Upstreams in use by id.
         evacuations: Failure domains whose upstreams must get no requests.
-        store_recovered_ms: Time at which the store last returned from an
-            outage long enough for entries to expire.
         keeps_expired_upstreams: Whether entries that expired in an outage are
             kept for the grace period.
     """
@@ -57,22 +47,19 @@
         default_factory=lambda: routetable.RouteTable(None)
     )
     config_applied_ms: float = 0.0
-    list_read_ms: float = 0.0
-    list_revision: int = 0
+    upstream_list: upstreamlist.UpstreamList = dataclasses.field(
+        default_factory=upstreamlist.UpstreamList
+    )
     upstreams: dict[str, traffic.Upstream] = dataclasses.field(
         default_factory=dict
     )
     evacuations: evacuation.Evacuations = dataclasses.field(
         default_factory=evacuation.Evacuations
     )
-    store_recovered_ms: float = float("-inf")
     _evacuated: frozenset[str] = dataclasses.field(
         default=frozenset(), init=False
     )
     keeps_expired_upstreams: bool = True
-    _kept_until_ms: dict[str, float] = dataclasses.field(
-        default_factory=dict, init=False
-    )
 
     @property
     def version(self) -> int:
@@ -80,6 +67,16 @@
         configuration = self.route_table.configuration
         return configuration.version if configuration else 0
 
+    @property
+    def list_read_ms(self) -> float:
+        """Time at which the list was last read; 0 before the first read."""
+        return self.upstream_list.read_ms
+
+    @property
+    def list_revision(self) -> int:
+        """Store revision of the list."""
+        return self.upstream_list.revision
+
     @property
     def is_complete(self) -> bool:
         """Whether both the configuration and the list have been read."""
@@ -134,63 +131,64 @@
         revision: int,
         now_ms: float,
         read_ms: float | None = None,
-        source: str = "store",
     ) -> None:
-        """Replaces the list of upstreams, unless the new one is older.
+        """Applies a read of the store, unless the new list is older.
 
         Args:
             listed: Upstreams by id.
             revision: Store revision at which the list was read.
             now_ms: The current time.
             read_ms: Time of the read, if it was not now.
-            source: Where the list came from, for the log.
         """
-        if revision < self.list_revision:
-            return
-        kept = self._expired_upstreams(listed, now_ms) | listed
         read_ms = now_ms if read_ms is None else read_ms
-        self._log_changes(kept, revision, now_ms - read_ms, source)
-        self.upstreams = kept
-        self.confirm_list(revision, read_ms)
+        if revision < self.upstream_list.revision:
+            return
+        self._replace_list(
+            upstreamlist.after_read(
+                self.upstream_list, listed, revision, read_ms
+            ),
+            "store",
+            now_ms,
+        )
         self._install(now_ms)
 
-    def _expired_upstreams(
-        self, listed: dict[str, traffic.Upstream], now_ms: float
-    ) -> dict[str, traffic.Upstream]:
-        """Returns the upstreams to keep although they are not listed.
+    def merge_list(
+        self, offered: upstreamlist.UpstreamList, source: str, now_ms: float
+    ) -> None:
+        """Merges a neighbour's list into this instance's.
 
-        A missing entry may merely have expired in an outage of the store. That
-        holds for a neighbour's list too: the neighbour may have just started.
+        Args:
+            offered: The neighbour's list.
+            source: The neighbour, for the log.
+            now_ms: The current time.
         """
+        before = self.upstreams
+        self._replace_list(
+            upstreamlist.merge(self.upstream_list, offered), source, now_ms
+        )
+        if self.upstreams != before:
+            self._install(now_ms)
+
+    def _replace_list(
+        self, changed: upstreamlist.UpstreamList, source: str, now_ms: float
+    ) -> None:
         if not self.keeps_expired_upstreams:
-            return {}
-        missing = _unreplaced(self.upstreams, listed)
-        ends_ms = self.store_recovered_ms + REREGISTRATION_GRACE_MS
-        self._kept_until_ms = {
-            upstream_id: until_ms
-            for upstream_id in missing
-            if (until_ms := self._kept_until_ms.get(upstream_id, ends_ms))
-            > now_ms
-        }
-        return {each: missing[each] for each in self._kept_until_ms}
+            changed = dataclasses.replace(changed, kept={})
+        in_use = changed.in_use
+        self._log_changes(in_use, changed, source, now_ms)
+        self.upstream_list = changed
+        self.upstreams = in_use
 
     def record_store_return(self, lost_ms: float, now_ms: float) -> None:
         """Starts the grace period after an outage in which entries may expire.
 
-        An upstream that an earlier grace period keeps does not get another
-        whole one: it could register again while the store answered in between.
-
         Args:
             lost_ms: Time for which the store did not answer.
             now_ms: The current time.
         """
-        self.store_recovered_ms = now_ms
-        if lost_ms < EXTENSION_MIN_MS:
-            return
-        self._kept_until_ms = {
-            upstream_id: until_ms + lost_ms
-            for upstream_id, until_ms in self._kept_until_ms.items()
-        }
+        self.upstream_list = upstreamlist.after_outage(
+            self.upstream_list, lost_ms, now_ms
+        )
 
     def _install(
         self, now_ms: float, returning: frozenset[str] = frozenset()
@@ -247,9 +245,7 @@
         """Returns the rest of the grace period for expired upstreams."""
         if not self.keeps_expired_upstreams:
             return 0.0
-        return max(
-            0.0, self.store_recovered_ms + REREGISTRATION_GRACE_MS - now_ms
-        )
+        return max(0.0, self.upstream_list.grace_end_ms - now_ms)
 
     def expiry_wait_ms(self, now_ms: float) -> float:
         """Returns the time until a kept upstream is dropped, or the grace ends.
@@ -259,72 +255,46 @@
         """
         waits_ms = [
             self.remaining_grace_ms(now_ms),
-            *(each - now_ms for each in self._kept_until_ms.values()),
+            *(
+                each.until_ms - now_ms
+                for each in self.upstream_list.kept.values()
+            ),
         ]
         return min((each for each in waits_ms if each > 0), default=0.0)
 
-    def extend_grace(self, grace_ms: float, now_ms: float) -> None:
-        """Extends the grace period to a neighbour's.
-
-        The neighbour's list still holds expired upstreams, which may return.
-        """
-        if grace_ms > 0:
-            back_ms = (
-                now_ms
-                + min(REREGISTRATION_GRACE_MS, grace_ms)
-                - REREGISTRATION_GRACE_MS
-            )
-            self.store_recovered_ms = max(self.store_recovered_ms, back_ms)
-
-    def confirm_list(self, revision: int, read_ms: float) -> None:
-        """Records the list's revision, and the time of its read if it is later.
-
-        A neighbour's notice of another change carries its old list along, which
-        must not make this instance's list younger.
-        """
-        self.list_revision = revision
-        self.list_read_ms = max(self.list_read_ms, read_ms)
-
     def _log_changes(
         self,
-        kept: dict[str, traffic.Upstream],
-        revision: int,
-        age_ms: float,
+        in_use: dict[str, traffic.Upstream],
+        changed: upstreamlist.UpstreamList,
         source: str,
+        now_ms: float,
     ) -> None:
         added = {
             upstream_id: upstream.service
-            for upstream_id, upstream in kept.items()
+            for upstream_id, upstream in in_use.items()
             if upstream_id not in self.upstreams
         }
-        removed = [each for each in self.upstreams if each not in kept]
+        removed = [each for each in self.upstreams if each not in in_use]
         now_draining = [
             upstream_id
-            for upstream_id, upstream in kept.items()
+            for upstream_id, upstream in in_use.items()
             if upstream.draining
             and not getattr(self.upstreams.get(upstream_id), "draining", False)
         ]
-        if added or removed or now_draining:
+        newly_kept = [
+            each for each in changed.kept if each not in self.upstream_list.kept
+        ]
+        if added or removed or now_draining or newly_kept:
             log.write(
                 log.Event.UPSTREAMS_CHANGED,
                 came=added,
                 went=removed,
                 draining=now_draining,
-                count=len(kept),
-                kept_count=len(self._kept_until_ms),
-                revision=revision,
-                age_ms=round(age_ms),
+                newly_kept=newly_kept,
+                count=len(in_use),
+                kept_count=len(changed.kept),
+                revision=changed.revision,
+                age_ms=round(now_ms - changed.read_ms),
+                observed_ms=round(now_ms - changed.observed_since_ms),
                 source=source,
             )
-
-
-def _unreplaced(
-    before: dict[str, traffic.Upstream], listed: dict[str, traffic.Upstream]
-) -> dict[str, traffic.Upstream]:
-    """Returns the upstreams whose expected id no listed upstream has."""
-    expected_ids = {each.expected_id for each in listed.values()}
-    return {
-        upstream_id: upstream
-        for upstream_id, upstream in before.items()
-        if upstream.expected_id not in expected_ids
-    }
--- a/hyssoptack/gateway/storereachability.py
+++ b/hyssoptack/gateway/storereachability.py
@@ -8,15 +8,9 @@
 from hyssoptack.events import log
 from hyssoptack.gateway import replicatedview
 from hyssoptack.membership import readerelection
+from hyssoptack.membership import upstreamlist
 from hyssoptack.platform import keyvalue
 
-GRACE_MIN_LIST_AGE_MS = 2_250.0
-"""List age below which no grace applies after an outage. A younger list was
-kept up to date by neighbours, or the outage was too short for entries to
-expire, so an upstream that is missing from the next list has left. An entry
-expires after three heartbeats of 1.2 s, the last of which may have come one
-before the outage; the rest is for heartbeats that are late."""
-
 SINGLE_FAILURE_SLACK_MS = 100.0
 """Allowance for the time of a read when two reads in a row are compared with
 their period."""
@@ -71,18 +65,36 @@
             asked_ms: Time at which the read was asked for.
             failure_count: Number of reads that failed in a row before.
         """
-        self._record_recovered(failure_count)
+        if self.lost_ms is None:
+            self._record_late_read(asked_ms)
+        else:
+            self._record_recovered(self.lost_ms, failure_count)
         self._last_read_ms = asked_ms
 
-    def _record_recovered(self, failure_count: int) -> None:
-        if self.lost_ms is None:
-            return
+    def _record_late_read(self, asked_ms: float) -> None:
+        """Starts the grace if this process did not read for too long.
+
+        A process that was stopped saw no failure, but the store may have been
+        away meanwhile.
+        """
+        list_read_ms = self._view.list_read_ms
+        list_age_ms = asked_ms - list_read_ms
+        if (
+            list_read_ms
+            and list_age_ms > self._reader_election.read_timings.unread_max_ms
+        ):
+            self._view.record_store_return(list_age_ms, clock.now_ms())
+            log.write(log.Event.LIST_OUTDATED, list_age_ms=round(list_age_ms))
+
+    def _record_recovered(
+        self, lost_since_ms: float, failure_count: int
+    ) -> None:
         now_ms = clock.now_ms()
-        lost_ms = now_ms - self.lost_ms
+        lost_ms = now_ms - lost_since_ms
         list_age_ms = now_ms - self._view.list_read_ms
         may_have_expired = (
-            list_age_ms > GRACE_MIN_LIST_AGE_MS
-            and not self._was_single_failure(self.lost_ms, failure_count)
+            list_age_ms > upstreamlist.EXPIRY_MIN_MS
+            and not self._was_single_failure(lost_since_ms, failure_count)
         )
         self.lost_ms = None
         if may_have_expired:
--- a/hyssoptack/gateway/storewatch_test.py
+++ b/hyssoptack/gateway/storewatch_test.py
@@ -18,6 +18,7 @@
 from hyssoptack.gateway import storewatch
 from hyssoptack.membership import listdelta
 from hyssoptack.membership import readerelection
+from hyssoptack.membership import upstreamlist
 from hyssoptack.planning import callplan_test
 from hyssoptack.platform import keyvalue
 
@@ -107,13 +108,13 @@
         watcher,
         view,
         view.upstreams,
-        replicatedview.REREGISTRATION_GRACE_MS,
+        upstreamlist.REREGISTRATION_GRACE_MS,
     )
     watcher.reachability.record_read(clock.now_ms(), 0)
     view.apply_list({}, 3, clock.now_ms())
     assert "a" in view.upstreams
     view.apply_list(
-        {}, 4, clock.now_ms() + replicatedview.REREGISTRATION_GRACE_MS + 1.0
+        {}, 4, clock.now_ms() + upstreamlist.REREGISTRATION_GRACE_MS + 1.0
     )
     assert not view.upstreams
 
@@ -132,16 +133,16 @@
     view.apply_list({}, 2, clock.now_ms())
     assert "a" in view.upstreams
     pause_ms = watcher._list_pause_ms(clock.now_ms())
-    assert pause_ms <= replicatedview.REREGISTRATION_GRACE_MS
-    later_ms = clock.now_ms() + replicatedview.REREGISTRATION_GRACE_MS + 1.0
+    assert pause_ms <= upstreamlist.REREGISTRATION_GRACE_MS
+    later_ms = clock.now_ms() + upstreamlist.REREGISTRATION_GRACE_MS + 1.0
     view.apply_list({}, 3, later_ms)
     assert not view.upstreams
 
 
 def test_a_read_is_due_when_the_grace_ends():
     watcher, view = store_watcher(list_age_ms=9_000.0)
-    view.store_recovered_ms = 1_000.0
-    ends_ms = 1_000.0 + replicatedview.REREGISTRATION_GRACE_MS
+    view.record_store_return(9_000.0, 1_000.0)
+    ends_ms = 1_000.0 + upstreamlist.REREGISTRATION_GRACE_MS
     assert watcher._list_pause_ms(ends_ms - 300.0) <= 310.0
     assert watcher._list_pause_ms(ends_ms + 1.0) == 1_000.0
 
@@ -174,7 +175,7 @@
 def test_another_outage_extends_the_grace_only_by_its_length():
     watcher, view = store_watcher(list_age_ms=9_000.0)
     now_ms = clock.now_ms()
-    grace_ms = replicatedview.REREGISTRATION_GRACE_MS
+    grace_ms = upstreamlist.REREGISTRATION_GRACE_MS
     view.record_store_return(9_000.0, now_ms)
     view.apply_list({}, 2, now_ms)
     view.record_store_return(400.0, now_ms + 1_500.0)
--- a/hyssoptack/membership/listdelta.py
+++ b/hyssoptack/membership/listdelta.py
@@ -12,7 +12,7 @@
 import msgspec
 import xxhash
 
-from hyssoptack.core import gatewaymessage
+from hyssoptack.core import listmessage
 from hyssoptack.core import traffic
 
 HISTORY_COUNT = 6
@@ -34,7 +34,7 @@
 
 
 def apply_change(
-    change: gatewaymessage.ListChange, own: Upstreams, own_digest: int
+    change: listmessage.ListChange, own: Upstreams, own_digest: int
 ) -> Upstreams | None:
     """Returns the list after a change; None if it is based on another list.
 
@@ -77,11 +77,11 @@
         if len(self._lists) > HISTORY_COUNT:
             self._lists.popitem(last=False)
 
-    def full_change(self) -> gatewaymessage.ListChange:
+    def full_change(self) -> listmessage.ListChange:
         """Returns the full list in force, as a change to the empty list."""
         return self._change(EMPTY_DIGEST, {})
 
-    def change_since(self, digest: int | None) -> gatewaymessage.ListChange:
+    def change_since(self, digest: int | None) -> listmessage.ListChange:
         """Returns the changes since an earlier list.
 
         Args:
@@ -92,15 +92,13 @@
         """
         before = self._lists.get(digest) if digest is not None else None
         if before is None:
-            return gatewaymessage.ListChange(
+            return listmessage.ListChange(
                 base_digest=self.digest, digest=self.digest
             )
         return self._change(digest, before)
 
-    def _change(
-        self, digest: int, before: Upstreams
-    ) -> gatewaymessage.ListChange:
-        return gatewaymessage.ListChange(
+    def _change(self, digest: int, before: Upstreams) -> listmessage.ListChange:
+        return listmessage.ListChange(
             base_digest=digest,
             digest=self.digest,
             changed=tuple(
--- a/hyssoptack/membership/readerelection.py
+++ b/hyssoptack/membership/readerelection.py
@@ -93,6 +93,12 @@
     exact_silence_ms: float
     exact_step_ms: float
 
+    @property
+    def unread_max_ms(self) -> float:
+        """Maximum age of the list at a running instance if no read fails."""
+        last_rank_ms = self.silence_step_ms * RANK_STEP_LIMIT_COUNT
+        return self.silence_ms + last_rank_ms + self.list_timeout_ms
+
 
 def read_timings(bound_ms: float) -> ReadTimings:
     """Returns the intervals at which changes take effect in time.
