Peers: a notice that was held up does not make a list fresh

Callers saw: none seen; found by reading, as a related path of the removed upstreams that came back. After an outage of the store that falls into a cut between instances, living upstreams whose entries expired would be dropped at once, and calls refused until they register again (up to 2 s).

Cause: a link that is cut without a reset holds notices for as long as the cut, and delivers them when it is back; so does the socket of a process that was stopped. Their ages (of the list, of the last exact read, of a grace period) are those of the sending. A list of before the outage counted as read just now, so that no outage was seen at the next read.

Change: a notice says when it was sent by the sender's clock, and by which process. The smallest difference to the arrival so far is that of a message without delay; what is 500 ms above it was held up, and its ages are corrected by that (membership/transit; event 3003).

test_a_held_up_notice_does_not_make_an_old_list_fresh fails with the correction switched off.

--- a/hyssoptack/core/gatewaymessage.py
+++ b/hyssoptack/core/gatewaymessage.py
@@ -37,6 +37,8 @@
         evacuated: Failure domains whose upstreams must not be called.
         evacuated_at: Position in the store's history at which `evacuated` was
             read.
+        run_id: Id of the sender's process.
+        sent_ms: Time of sending by the sender's clock, in milliseconds.
     """
 
     sender_id: str
@@ -52,6 +54,8 @@
     exact_age_ms: float = 0.0
     evacuated: tuple[str, ...] = ()
     evacuated_at: position.Position = position.START
+    run_id: int = 0
+    sent_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -108,6 +108,10 @@
         3002,
         "A message to a peer could not be sent.",
     )
+    PEER_HELD_UP = (
+        3003,
+        "A notice of a peer was held up on its way; its ages were corrected.",
+    )
     VIEW_CHANGED = (
         3101,
         "The owners of upstreams were recomputed and have changed.",
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -15,6 +15,7 @@
 from hyssoptack.gateway import replicatedview
 from hyssoptack.membership import listdelta
 from hyssoptack.membership import readerelection
+from hyssoptack.membership import transit
 from hyssoptack.membership import upstreamlist
 from hyssoptack.peers import codec
 from hyssoptack.peers import link
@@ -40,6 +41,8 @@
 """Maximum number of neighbours that get the list of instances each time that it
 was read (every 5 s). A neighbour that misses one gets it a few rounds later."""
 
+RUN_ID_BITS = 32
+"""Size of the random id of a process."""
 
 OnInstances = collections.abc.Callable[[tuple[member.Peer, ...]], None]
 """Called with the gatherers of other domains for each new instance list."""
@@ -81,6 +84,8 @@
         self._history = listdelta.ListHistory()
         self._configuration = b""
         self._random = random.Random()
+        self._run_id = self._random.getrandbits(RUN_ID_BITS)
+        self._transit_times = transit.TransitTimes()
         self._links: link.Links | None = None
         self.on_message: OnMessage = _ignore
         self.on_undelivered: OnMessage = _ignore
@@ -155,6 +160,8 @@
             exact_age_ms=self.reader_election.exact_age_ms(now_ms),
             evacuated=tuple(self._view.evacuations.evacuated_domains(now_ms)),
             evacuated_at=self._view.evacuations.store_position,
+            run_id=self._run_id,
+            sent_ms=now_ms,
         )
         self._sent_states[address] = _SentState(
             version=self._view.version, digest=change.digest
@@ -253,7 +260,8 @@
         if received.decoded.dropped_count:
             log.write(log.Event.PEER_UNREADABLE, reason=received.decoded.reason)
 
-    def _receive_view(self, notice: gatewaymessage.ViewNotice) -> None:
+    def _receive_view(self, received: gatewaymessage.ViewNotice) -> None:
+        notice = self._with_ages_at_arrival(received)
         self._view.replace_evacuations(
             frozenset(notice.evacuated),
             notice.evacuated_at,
@@ -274,6 +282,37 @@
             # An older list may still show that a kept upstream has left.
             self._request_view(notice)
 
+    def _with_ages_at_arrival(
+        self, notice: gatewaymessage.ViewNotice
+    ) -> gatewaymessage.ViewNotice:
+        """Adds the time for which a notice was held up to its ages."""
+        if not notice.run_id:
+            return notice
+        held_up_ms = self._transit_times.held_up_ms(
+            notice.sender_id, notice.run_id, notice.sent_ms, clock.now_ms()
+        )
+        if not held_up_ms:
+            return notice
+        log.write(
+            log.Event.PEER_HELD_UP,
+            sender_id=notice.sender_id,
+            held_up_ms=round(held_up_ms),
+            revision=notice.revision,
+        )
+        return dataclasses.replace(
+            notice,
+            kept=tuple(
+                dataclasses.replace(
+                    each, remaining_ms=each.remaining_ms - held_up_ms
+                )
+                for each in notice.kept
+            ),
+            grace_ms=max(0.0, notice.grace_ms - held_up_ms),
+            list_age_ms=notice.list_age_ms + held_up_ms,
+            observed_age_ms=notice.observed_age_ms + held_up_ms,
+            exact_age_ms=notice.exact_age_ms + held_up_ms,
+        )
+
     def _request_view(self, notice: gatewaymessage.ViewNotice) -> None:
         """Requests the whole view from the sender of a notice."""
         request = gatewaymessage.ViewRequest(
--- a/hyssoptack/gateway/storewatch_test.py
+++ b/hyssoptack/gateway/storewatch_test.py
@@ -64,15 +64,20 @@
     assert not view.upstreams
 
 
-def receive_view(watcher, view, upstreams, grace_ms=0.0, list_age_ms=0.0):
-    """Delivers a neighbour's whole list of upstreams to an instance."""
-    peers = peering.Peering(
+def new_peering(watcher, view):
+    """Returns the peering of a watcher's instance."""
+    return peering.Peering(
         watcher._settings,
         view,
         watcher._reader_election,
         lambda: None,
         lambda: None,
     )
+
+
+def receive_view(watcher, view, upstreams, grace_ms=0.0, list_age_ms=0.0):
+    """Delivers a neighbour's whole list of upstreams to an instance."""
+    peers = new_peering(watcher, view)
     history = listdelta.ListHistory()
     history.add(upstreams)
     notice = gatewaymessage.ViewNotice(
@@ -99,6 +104,36 @@
     assert "a" in view.upstreams
 
 
+def test_a_held_up_notice_does_not_make_an_old_list_fresh(monkeypatch):
+    # A cut link delivered notices of before an outage when it was back. The
+    # list counted as just read, and what had expired was dropped at once.
+    watcher, view = store_watcher(list_age_ms=0.0)
+    peers = new_peering(watcher, view)
+    history = listdelta.ListHistory()
+    history.add(view.upstreams)
+    began_ms = clock.now_ms()
+    for sent_ms, arrived_ms in ((0.0, 5.0), (1_000.0, 7_500.0)):
+        now_ms = began_ms + arrived_ms
+        monkeypatch.setattr(clock, "now_ms", lambda now_ms=now_ms: now_ms)
+        peers._receive_view(
+            gatewaymessage.ViewNotice(
+                sender_id="g2",
+                sender_address="",
+                version=0,
+                configuration=b"",
+                revision=1,
+                change=history.full_change(),
+                observed_age_ms=60_000.0,
+                run_id=1,
+                sent_ms=sent_ms,
+            )
+        )
+    assert view.list_read_ms <= began_ms + 1_100.0
+    watcher.reachability.record_read(clock.now_ms(), 0)
+    view.apply_list({}, 2, clock.now_ms())
+    assert "a" in view.upstreams
+
+
 def test_a_neighbours_grace_applies_to_the_next_own_read():
     # A reader keeps expired upstreams after an outage and publishes them. If a
     # neighbour took this list for fresh, its own read 10 ms later would drop
