Delegation: a neighbour that may use removed upstreams declines

A neighbour that has not read at all since its cut would use its whole old list.

Change: a delegated query says which revision of the list its sender uses, and whether that list was observed for the grace period. In an outage for all nobody has observed the list, so that delegation goes on.

--- a/hyssoptack/core/gatewaymessage.py
+++ b/hyssoptack/core/gatewaymessage.py
@@ -150,6 +150,7 @@
             only asks whether it is still running.
         team: Name of the caller's team, which the sender determined by this
             version; empty if there is none.
+        sender_list: The sender's list of upstreams.
     """
 
     sender_address: str
@@ -164,6 +165,7 @@
     away_ms: float = 0.0
     fresh: bool = True
     team: str = ""
+    sender_list: listmessage.ListSummary = listmessage.UNKNOWN_LIST
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/core/listmessage.py
+++ b/hyssoptack/core/listmessage.py
@@ -36,3 +36,19 @@
     upstream: traffic.Upstream
     listed_revision: int
     remaining_ms: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ListSummary:
+    """What an instance says of its list with a query that it delegates.
+
+    Attributes:
+        revision: Store revision at which the list was read.
+        is_observed: Whether the list is known to hold all running upstreams.
+    """
+
+    revision: int = 0
+    is_observed: bool = False
+
+
+UNKNOWN_LIST = ListSummary()
--- a/hyssoptack/gateway/querydelegation.py
+++ b/hyssoptack/gateway/querydelegation.py
@@ -10,13 +10,13 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import enum
 import http
 import math
 
 from hyssoptack.core import clock
 from hyssoptack.core import gatewaymessage
+from hyssoptack.core import listmessage
 from hyssoptack.core import member
 from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
@@ -24,6 +24,7 @@
 from hyssoptack.events import log
 from hyssoptack.gateway import correlationids
 from hyssoptack.gateway import inbound
+from hyssoptack.gateway import peerexchange
 from hyssoptack.http1 import message
 from hyssoptack.platform import headers
 
@@ -42,28 +43,6 @@
 Messages buffered in a link are read within some tens of milliseconds."""
 
 
-@dataclasses.dataclass(kw_only=True)
-class PeerExchange:
-    """The exchange of a query that a neighbour has delegated.
-
-    Attributes:
-        request: The request as the neighbour's caller sent it.
-        send_reply: Sends the answer to the neighbour.
-        on_abandoned: Called when the neighbour cancels the query.
-        on_commit: Called on confirmation that the query is not taken back.
-    """
-
-    request: message.Request
-    send_reply: collections.abc.Callable[[message.Reply], None]
-    on_abandoned: collections.abc.Callable[[], None] | None = None
-    on_commit: collections.abc.Callable[[], None] | None = None
-
-    def answer(self, reply: message.Reply) -> None:
-        """Sends the answer to the neighbour and clears the callbacks."""
-        self.on_abandoned = self.on_commit = None
-        self.send_reply(reply)
-
-
 class _State(enum.Enum):
     """The state of a delegated query, as the neighbour last reported it."""
 
@@ -78,6 +57,9 @@
 """Returns whether a query that a neighbour may have started can run here."""
 
 
+_Notice = gatewaymessage.DelegationCancel | gatewaymessage.DelegationCommit
+
+
 class Delegator:
     """Tracks the queries that this instance delegates and accepts."""
 
@@ -97,14 +79,20 @@
         self.run_locally = run_locally
         self.pending: dict[int, DelegatedQuery] = {}
         self._ask_ids = correlationids.new_sequence()
-        self._accepted: dict[tuple[str, int], PeerExchange] = {}
+        self._accepted: dict[tuple[str, int], peerexchange.PeerExchange] = {}
         self._last_tick_ms = clock.now_ms()
         self._resumed_ms = -math.inf
 
-    def try_delegate(self, query: inbound.RoutedRequest, version: int) -> bool:
+    def try_delegate(
+        self,
+        query: inbound.RoutedRequest,
+        version: int,
+        own_list: listmessage.ListSummary,
+    ) -> bool:
         """Delegates a query if a neighbour is better; returns whether it did.
 
-        The query must run under the configuration version `version`.
+        The query must run under the configuration version `version`, on no
+        upstream that has left by `own_list`.
         """
         now_ms = clock.now_ms()
         route = query.route_match.route
@@ -122,7 +110,8 @@
                 return False
         if peer is None:
             return False
-        delegated = DelegatedQuery(self, query, peer, next(self._ask_ids))
+        ask_id = next(self._ask_ids)
+        delegated = DelegatedQuery(self, query, peer, ask_id, own_list)
         delegated.start(version)
         return True
 
@@ -147,7 +136,7 @@
 
     def accept(
         self, received: gatewaymessage.DelegationRequest, can_serve: bool
-    ) -> PeerExchange | None:
+    ) -> peerexchange.PeerExchange | None:
         """Accepts or declines a neighbour's query and reports which to it.
 
         `can_serve` says whether this instance is ready and has the sender's
@@ -190,7 +179,7 @@
         if not begun:
             return None
         route_name = received.route_name
-        exchange = PeerExchange(
+        exchange = peerexchange.PeerExchange(
             request=request,
             send_reply=lambda reply: self._send_answer(key, route_name, reply),
         )
@@ -267,8 +256,10 @@
         query: inbound.RoutedRequest,
         peer: member.Peer,
         ask_id: int,
+        own_list: listmessage.ListSummary = listmessage.UNKNOWN_LIST,
     ):
         self._parent = delegator
+        self._own_list = own_list
         self._query = query
         self._peer = peer
         self._ask_id = ask_id
@@ -306,6 +297,7 @@
             away_ms=self._query.reserved_ms + self._hop_ms,
             fresh=fresh,
             team=self._query.team_name,
+            sender_list=self._own_list,
         )
         self._parent.send(self._peer.address, delegation_request)
 
@@ -332,7 +324,7 @@
             # Not sent again: a neighbour that has answered would rerun it.
             self._start_timer(self._goal_ms - now_ms, self._on_accept_timeout)
             return
-        self._send_cancel()
+        self._notify(gatewaymessage.DelegationCancel)
         self._take_back("not_begun", may_have_run=True)
 
     def _check_liveness(self) -> None:
@@ -347,7 +339,7 @@
         match self._state, begun:
             case _State.SENT, True:
                 self._state = _State.BEGUN
-                self._send_commit()
+                self._notify(gatewaymessage.DelegationCommit)
                 goal_ms = self._query.route_match.route.latency_goal_ms
                 due_ms = self._received_ms + goal_ms
                 left_ms = max(0.0, due_ms - clock.now_ms())
@@ -377,7 +369,7 @@
             self._take_back(reason, may_have_run=True)
             return
         self._parent.selector.record_failure(self._peer.address, clock.now_ms())
-        self._send_cancel()
+        self._notify(gatewaymessage.DelegationCancel)
         self._end()
         status = http.HTTPStatus.BAD_GATEWAY
         # A line with a status ends the query; without one it runs here.
@@ -428,20 +420,13 @@
         )
 
     def _on_caller_left(self) -> None:
-        self._send_cancel()
+        self._notify(gatewaymessage.DelegationCancel)
         self._end()
 
-    def _send_cancel(self) -> None:
-        cancel = gatewaymessage.DelegationCancel(
-            sender_address=self._parent.own_address, ask_id=self._ask_id
-        )
-        self._parent.send(self._peer.address, cancel)
-
-    def _send_commit(self) -> None:
-        commit = gatewaymessage.DelegationCommit(
-            sender_address=self._parent.own_address, ask_id=self._ask_id
-        )
-        self._parent.send(self._peer.address, commit)
+    def _notify(self, kind: type[_Notice]) -> None:
+        own_address = self._parent.own_address
+        notice = kind(sender_address=own_address, ask_id=self._ask_id)
+        self._parent.send(self._peer.address, notice)
 
     def _end(self) -> None:
         if self._timer is not None:
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -74,6 +74,9 @@
             ready
             and delegation_request.version == self._view.version
             and self._knows_team(delegation_request.team)
+            and not self._view.upstream_list.is_behind(
+                delegation_request.sender_list, clock.now_ms()
+            )
             and self._has_room_for(delegation_request)
         )
         exchange = self.delegator.accept(delegation_request, can_serve)
@@ -211,7 +214,9 @@
             suspect_registry.has_entries
             and suspect_registry.is_tracked(timed.fingerprint)
         )
-        if keep_local or not self.delegator.try_delegate(timed, timed.version):
+        if keep_local or not self.delegator.try_delegate(
+            timed, timed.version, self._view.upstream_list.summary
+        ):
             self.run_locally(timed, may_have_run=False)
 
     def run_locally(
--- a/hyssoptack/gateway/returning_test.py
+++ b/hyssoptack/gateway/returning_test.py
@@ -1,6 +1,7 @@
 """Instances that return from a cut, beside neighbours that saw all changes."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -8,6 +9,7 @@
 from hyssoptack.gateway import daemon
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
+from hyssoptack.membership import upstreamlist
 
 CUT_S = 4.0
 WATCHED_S = 2.5
@@ -86,3 +88,35 @@
                 assert set(each.view.upstreams) == {"i-0"}
 
     gateway_test.run(test())
+
+
+def test_a_returning_neighbour_declines_queries_of_instances_in_touch():
+    # A query that an instance in touch delegated to a neighbour that had just
+    # returned from a cut was sent to upstreams that had left.
+    async def test():
+        async with harness.Site() as site:
+            await site.add_upstream("i-0", "s0")
+            site.configure({**gateway_test.SHARDS, "fanout_services": ["s0"]})
+            narrow, wide = await site.start_delegating_pair()
+            await _wait_for(lambda: narrow.view.upstream_list.is_observed)
+            known = wide.view.upstream_list
+            removed = upstreamlist.KeptUpstream(
+                upstream=dataclasses.replace(
+                    known.listed["i-0"], upstream_id="i-1"
+                ),
+                listed_revision=known.revision,
+                until_ms=clock.now_ms() + CUT_S * 1_000.0,
+            )
+            wide.view.upstream_list = dataclasses.replace(
+                known,
+                kept={"i-1": removed},
+                observed_since_ms=known.read_ms,
+            )
+            taken = []
+            wide._request_handler._serve = lambda *each: taken.append(each)
+            async with asyncio.timeout(WAIT_S):
+                response = await site.get("/all/x", "r1", name="narrow")
+            assert response.status == 200
+            assert not taken
+
+    gateway_test.run(test())
--- a/hyssoptack/membership/upstreamlist.py
+++ b/hyssoptack/membership/upstreamlist.py
@@ -16,6 +16,7 @@
 
 import dataclasses
 
+from hyssoptack.core import listmessage
 from hyssoptack.core import traffic
 
 REREGISTRATION_GRACE_MS = 2_000.0
@@ -81,17 +82,41 @@
         kept = {name: each.upstream for name, each in self.kept.items()}
         return kept | self.listed
 
-    def shows_removal(self, upstream_id: str, kept: KeptUpstream) -> bool:
-        """Returns whether the list shows that a kept upstream has left.
+    @property
+    def is_observed(self) -> bool:
+        """Whether the list was observed for the grace period.
+
+        It holds all running upstreams then: those whose entries expired before
+        have registered again.
+        """
+        return self.read_ms - self.observed_since_ms >= REREGISTRATION_GRACE_MS
+
+    @property
+    def summary(self) -> listmessage.ListSummary:
+        """What neighbours need to know to compare their lists with this one."""
+        return listmessage.ListSummary(
+            revision=self.revision, is_observed=self.is_observed
+        )
+
+    def is_behind(self, other: listmessage.ListSummary, now_ms: float) -> bool:
+        """Returns whether the list may hold upstreams that others saw leave.
 
-        A list that was observed for the grace period lists all upstreams that
-        run: those whose entries expired before have registered again.
+        Args:
+            other: The list of a neighbour.
+            now_ms: The current time.
         """
+        if self.kept and other.is_observed and not self.is_observed:
+            return True
+        is_old = now_ms - self.read_ms > EXPIRY_MIN_MS
+        return is_old and self.revision < other.revision
+
+    def shows_removal(self, upstream_id: str, kept: KeptUpstream) -> bool:
+        """Returns whether the list shows that a kept upstream has left."""
         return (
             upstream_id not in self.listed
             and upstream_id not in self.kept
             and self.revision >= kept.listed_revision
-            and self.read_ms - self.observed_since_ms >= REREGISTRATION_GRACE_MS
+            and self.is_observed
         )
 
     def refutes_outage_of(self, other: "UpstreamList") -> bool:
--- a/hyssoptack/membership/upstreamlist_test.py
+++ b/hyssoptack/membership/upstreamlist_test.py
@@ -185,3 +185,13 @@
     late = upstreamlist.after_read(BEFORE, BOTH, 14, LOST_MS)
     returned = read(RETURN_MS, STAYS, 16)(late)
     assert upstreamlist.merge(returned, IN_TOUCH).in_use == BOTH
+
+
+def test_a_list_is_behind_one_that_was_observed_or_is_much_later():
+    observed = IN_TOUCH.summary
+    assert RETURNED.is_behind(observed, RETURN_MS)
+    assert BEFORE.is_behind(observed, RETURN_MS)
+    assert not IN_TOUCH.is_behind(RETURNED.summary, RETURN_MS)
+    # In an outage for all, nobody's list is better.
+    assert not RETURNED.is_behind(RETURNED_LATER.summary, RETURN_MS)
+    assert not BEFORE.is_behind(BEFORE.summary, RETURN_MS)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -6,6 +6,7 @@
 import random
 
 from hyssoptack.core import clock
+from hyssoptack.platform import storeformat
 from hyssoptack.standins import fakeupstream
 from hyssoptack.standins import kvstore
 from soak import faults
@@ -91,13 +92,39 @@
         self.on_crash = lambda: recorder.record_crash(self)
 
 
+def peer_link_name(gateway: str) -> str:
+    """Returns the name of the link to a gateway's port for peers."""
+    return f"{gateway}/peers"
+
+
+class SoakStore(kvstore.Store):
+    """A store in which gateways are listed with the addresses of proxies.
+
+    Attributes:
+        peer_addresses: Listed addresses by gateway.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.peer_addresses: dict[str, str] = {}
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Writes a key; a gateway's entry gets its proxy's address."""
+        name = key.removeprefix(storeformat.PEER_PREFIX)
+        if key != name and name in self.peer_addresses:
+            entry = json.loads(value) | {"address": self.peer_addresses[name]}
+            value = json.dumps(entry).encode()
+        return super().put(key, value, lease)
+
+
 class Environment:
     """All stand-ins of one soak run, which run in the soak process.
 
     Attributes:
         store: The key-value store.
         upstreams: Upstreams by id, including those that have left.
-        links: Proxies by upstream id or gateway name.
+        links: Proxies by upstream id, gateway name (to the store) or name
+            of `peer_link_name` (to the gateway's port for peers).
         runs_by_request: Executions by request id.
         config_versions: Configuration versions in the order of writing.
         departure_ms: Monotonic times at which upstreams began to leave, by id.
@@ -107,7 +134,7 @@
     """
 
     def __init__(self, seed: int) -> None:
-        self.store = kvstore.Store()
+        self.store = SoakStore()
         self.upstreams: dict[str, RecordingUpstream] = {}
         self.links: dict[str, proxy.Proxy] = {}
         self.runs_by_request: dict[str, list[Run]] = {}
@@ -164,6 +191,11 @@
         await made.start()
         return made.address
 
+    async def add_peer_link(self, gateway: str, target: str) -> None:
+        """Starts a proxy before a gateway's port for peers and lists it."""
+        name = peer_link_name(gateway)
+        self.store.peer_addresses[gateway] = await self.add_link(name, target)
+
     async def add_upstream(self, service_name: str) -> str:
         """Starts an upstream behind a link, registers it and returns its id."""
         number = self._added_counts.get(service_name, 0)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,6 +26,20 @@
 """A throttled gateway is stopped and run in alternation. A stop is longer than
 its peers wait for its reply, but too short to be detected as a failure."""
 
+CUT_RANGE_MS = (4_000.0, 8_000.0)
+"""Length of a cut of a gateway from the store and its peers."""
+
+CUT_GAP_RANGE_MS = (4_500.0, 7_000.0)
+"""Time between two cuts, so that checks with a time limit apply in between."""
+
+LEAVING_RANGE_MS = (1_200.0, 3_000.0)
+"""Time before the end of a cut at which upstreams leave. The others still use
+none of them then, and a grace period of the returning gateway is longer than
+the rest of the time in which their use has to end."""
+
+LEAVING_COUNT = 4
+"""Number of upstreams that leave in a cut."""
+
 
 class LinkMode(enum.Enum):
     """How a link handles its connections."""
@@ -55,6 +69,21 @@
     delay_ms: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class IsolateGateway:
+    """A gateway is cut off from the store and gets no messages of its peers.
+
+    Attributes:
+        gateway: Name of the gateway.
+        mode: How its links handle connections meanwhile.
+        duration_ms: Duration of the fault.
+    """
+
+    gateway: str
+    mode: LinkMode
+    duration_ms: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class StoreFault:
     """The store fails for a time.
@@ -153,6 +182,7 @@
 
 Fault = (
     LinkFault
+    | IsolateGateway
     | StoreFault
     | PauseGateway
     | ThrottleGateway
@@ -197,6 +227,38 @@
     return tuple(sorted(scheduled, key=lambda each: each.at_ms))
 
 
+def draw_cuts(
+    seed: int,
+    length_ms: float,
+    gateways: tuple[str, ...],
+    services: tuple[str, ...],
+) -> tuple[ScheduledFault, ...]:
+    """Returns cuts of gateways, in the last seconds of which upstreams leave.
+
+    The arguments are those of `draw_schedule`.
+    """
+    rng = random.Random(f"cuts-{seed}")
+    scheduled = []
+    at_ms = 500.0
+    while at_ms < length_ms:
+        end_ms = at_ms + rng.uniform(*CUT_RANGE_MS)
+        for gateway in rng.sample(gateways, rng.choice((1, 1, 2))):
+            cut = IsolateGateway(
+                gateway=gateway,
+                mode=rng.choice((LinkMode.RESET, LinkMode.SILENT)),
+                duration_ms=end_ms - at_ms,
+            )
+            scheduled.append(ScheduledFault(at_ms=at_ms, fault=cut))
+        for service in rng.sample(sorted(set(services)), LEAVING_COUNT):
+            leaving = ReplaceUpstream(service=service, drains=False)
+            before_ms = rng.uniform(*LEAVING_RANGE_MS)
+            scheduled.append(
+                ScheduledFault(at_ms=end_ms - before_ms, fault=leaving)
+            )
+        at_ms = end_ms + rng.uniform(*CUT_GAP_RANGE_MS)
+    return tuple(sorted(scheduled, key=lambda each: each.at_ms))
+
+
 def _draw_throttling(
     seed: int, length_ms: float, gateways: tuple[str, ...]
 ) -> list[ScheduledFault]:
--- a/soak/main.py
+++ b/soak/main.py
@@ -20,6 +20,7 @@
     gateways: int = 4,
     callers: int = 16,
     folder: str = "",
+    cuts: bool = False,
 ) -> None:
     """Executes soak runs one after the other, a seed each.
 
@@ -30,6 +31,7 @@
         gateways: Number of gateway processes.
         callers: Number of concurrent callers.
         folder: Folder for settings and logs; by default a temporary one.
+        cuts: Whether gateways are only cut off while upstreams leave.
     """
     failed = []
     for seed in range(first_seed, first_seed + seeds):
@@ -42,6 +44,7 @@
             gateway_count=gateways,
             caller_count=callers,
             folder=run_folder,
+            draws_cuts=cuts,
         )
         report = play.run(settings)
         total = sum(report.outcome_counts.values())
--- a/soak/play.py
+++ b/soak/play.py
@@ -55,6 +55,8 @@
         gateway_count: Number of gateway processes.
         caller_count: Number of concurrent callers.
         folder: Folder for the gateways' settings and logs.
+        draws_cuts: Whether gateways are only cut off while upstreams leave,
+            instead of all kinds of faults.
     """
 
     seed: int
@@ -62,6 +64,7 @@
     gateway_count: int
     caller_count: int
     folder: pathlib.Path
+    draws_cuts: bool = False
 
 
 class SoakRun:
@@ -102,7 +105,8 @@
     async def _execute(self, names: tuple[str, ...]) -> invariants.Report:
         settings = self._settings
         self._started_ms = clock.now_ms()
-        planned = faults.draw_schedule(
+        draw = faults.draw_cuts if settings.draws_cuts else faults.draw_schedule
+        planned = draw(
             settings.seed, settings.fault_phase_ms, names, FAULT_TARGET_SERVICES
         )
         caller_addresses = {
@@ -192,6 +196,10 @@
             name, self._environment.store.address
         )
         self._addresses[name] = addresses
+        if self._settings.draws_cuts:
+            await self._environment.add_peer_link(
+                name, addresses["peer_address"]
+            )
         document = {
             "instance_id": name,
             "failure_domain": f"zone-{int(name[2:]) % 2}",
@@ -254,6 +262,8 @@
         match scheduled.fault:
             case faults.LinkFault():
                 await self._inject_link_fault(scheduled.fault)
+            case faults.IsolateGateway():
+                await self._isolate(scheduled.fault)
             case faults.StoreFault():
                 await self._inject_store_fault(scheduled.fault)
             case faults.ChangeConfiguration():
@@ -305,6 +315,19 @@
             # A fault of an upstream must not affect a gateway's state.
             self._record_fault_window(name, start_ms)
 
+    async def _isolate(self, fault: faults.IsolateGateway) -> None:
+        start_ms = clock.now_ms()
+        links = [
+            self._environment.links[fault.gateway],
+            self._environment.links[environment.peer_link_name(fault.gateway)],
+        ]
+        for each in links:
+            each.set_mode(fault.mode)
+        await asyncio.sleep(fault.duration_ms / MS_PER_S)
+        for each in links:
+            each.set_mode(faults.LinkMode.PASS)
+        self._record_fault_window(fault.gateway, start_ms)
+
     async def _inject_store_fault(self, fault: faults.StoreFault) -> None:
         start_ms = clock.now_ms()
         setattr(self._environment.store.faults, fault.fault_name, True)
