Peers: an older list of instances does not replace a later one

Callers saw: none seen; found by reading, as a related path of the removed upstreams that came back. For up to 5 s an instance would not know neighbours that started meanwhile: no notices to them, no delegation, another owner of a team's tokens, and another share of the budget for extra calls.

Cause: the list of instances carried neither revision nor age, whether it came in a notice (which a cut can hold up) or from a read that may be stale.

Change: the notice says at which position in the store's history the list was read, as that of evacuations does; an older one is ignored. Instances of earlier releases don't say; theirs are used as before.

test_an_older_list_of_instances_does_not_replace_a_later_one fails without the comparison.

--- a/hyssoptack/core/gatewaymessage.py
+++ b/hyssoptack/core/gatewaymessage.py
@@ -81,12 +81,14 @@
         total_count: Number of instances in all failure domains.
         far_gatherers: Instances in other failure domains that relay calls to
             upstreams there.
+        read_at: Position in the store's history at which they were read.
     """
 
     sender_id: str
     neighbours: tuple[member.Peer, ...]
     total_count: int
     far_gatherers: tuple[member.Peer, ...] = ()
+    read_at: position.Position = position.START
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -11,6 +11,7 @@
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import listmessage
 from hyssoptack.core import member
+from hyssoptack.core import position
 from hyssoptack.events import log
 from hyssoptack.gateway import replicatedview
 from hyssoptack.membership import listdelta
@@ -80,6 +81,7 @@
         self.reader_election = reader_election
         self._on_instances = on_instances
         self._on_partition_notice = on_partition_notice
+        self._instances_read_at = position.START
         self._sent_states: dict[str, _SentState] = {}
         self._history = listdelta.ListHistory()
         self._configuration = b""
@@ -183,6 +185,7 @@
         neighbours: tuple[member.Peer, ...],
         total_count: int,
         far_gatherers: tuple[member.Peer, ...],
+        read_at: position.Position,
     ) -> None:
         """Sends the list of instances to neighbours: only readers read it."""
         if self._links is None:
@@ -192,10 +195,28 @@
             neighbours=neighbours,
             total_count=total_count,
             far_gatherers=far_gatherers,
+            read_at=read_at,
         )
         for peer in self._sample_neighbours(INSTANCES_NOTICE_PEER_COUNT):
             self._links.send(peer.address, notice)
 
+    def is_latest_instances(self, read_at: position.Position) -> bool:
+        """Records a read of the list of instances, unless it is an older one.
+
+        A stale read, and a notice that was held up, may be older than the list
+        in use. Neighbours of an earlier release don't say when they read.
+
+        Args:
+            read_at: Position in the store's history of the read.
+
+        Returns:
+            Whether the list is to be used.
+        """
+        if position.START < read_at < self._instances_read_at:
+            return False
+        self._instances_read_at = max(self._instances_read_at, read_at)
+        return True
+
     def publish_partition(self) -> None:
         """Notifies neighbours that other failure domains are unreachable."""
         if self._links is None:
@@ -243,10 +264,7 @@
                 case gatewaymessage.ViewNotice():
                     self._receive_view(each)
                 case gatewaymessage.InstancesNotice():
-                    self.reader_election.set_neighbours(
-                        each.neighbours, each.total_count
-                    )
-                    self._on_instances(each.far_gatherers)
+                    self._receive_instances(each)
                 case gatewaymessage.PartitionNotice():
                     self._on_partition_notice()
                 case gatewaymessage.ViewRequest():
@@ -260,6 +278,15 @@
         if received.decoded.dropped_count:
             log.write(log.Event.PEER_UNREADABLE, reason=received.decoded.reason)
 
+    def _receive_instances(
+        self, notice: gatewaymessage.InstancesNotice
+    ) -> None:
+        if self.is_latest_instances(notice.read_at):
+            self.reader_election.set_neighbours(
+                notice.neighbours, notice.total_count
+            )
+            self._on_instances(notice.far_gatherers)
+
     def _receive_view(self, received: gatewaymessage.ViewNotice) -> None:
         notice = self._with_ages_at_arrival(received)
         self._view.replace_evacuations(
--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -352,15 +352,17 @@
             )
             match result:
                 case expression.Result(tag="ok", ok=listing):
-                    self._apply_instances(listing.items)
+                    self._apply_instances(listing)
                     self._peers.publish_view()
                     await self._on_stored(listing.items)
                 case expression.Result(error=failure):
                     self.reachability.record_lost(failure)
 
-    def _apply_instances(self, items: list[keyvalue.Item]) -> None:
+    def _apply_instances(self, listing: keyvalue.Listing) -> None:
+        if not self._peers.is_latest_instances(listing.position):
+            return
         peers: list[member.Peer] = []
-        for item in items:
+        for item in listing.items:
             if not item.key.startswith(storeformat.PEER_PREFIX):
                 continue
             try:
@@ -376,7 +378,9 @@
         self._reader_election.set_neighbours(neighbours, len(peers))
         far_gatherers = gatherers.select_gatherers(peers, domain)
         self._on_instances(far_gatherers)
-        self._peers.publish_instances(neighbours, len(peers), far_gatherers)
+        self._peers.publish_instances(
+            neighbours, len(peers), far_gatherers, listing.position
+        )
 
     async def _pause(self, period_ms: float) -> None:
         pause_ms = readerelection.jittered_ms(period_ms, self._random)
--- a/hyssoptack/gateway/storewatch_test.py
+++ b/hyssoptack/gateway/storewatch_test.py
@@ -11,6 +11,8 @@
 from hyssoptack.balancing import loadbalancer
 from hyssoptack.core import clock
 from hyssoptack.core import gatewaymessage
+from hyssoptack.core import member
+from hyssoptack.core import position
 from hyssoptack.events import log
 from hyssoptack.gateway import peering
 from hyssoptack.gateway import pool
@@ -134,6 +136,34 @@
     assert "a" in view.upstreams
 
 
+def test_an_older_list_of_instances_does_not_replace_a_later_one():
+    # A notice that a cut held up, and a stale read, made an instance forget
+    # neighbours that had started meanwhile, until the next one 5 s later.
+    watcher, view = store_watcher(list_age_ms=0.0)
+    peers = new_peering(watcher, view)
+    later, earlier = (
+        gatewaymessage.InstancesNotice(
+            sender_id="g2",
+            neighbours=tuple(
+                member.Peer(
+                    instance_id=each, failure_domain="north", address=each
+                )
+                for each in names
+            ),
+            total_count=len(names) + 1,
+            read_at=position.Position(0, revision),
+        )
+        for names, revision in ((("g2", "g3"), 9), (("g2",), 7))
+    )
+    peers._on_instances = lambda _: None
+    for each in (later, earlier):
+        peers._receive_instances(each)
+    assert len(watcher._reader_election.neighbours()) == 2
+    watcher._peers = peers
+    watcher._apply_instances(keyvalue.Listing(items=[], store_revision=8))
+    assert len(watcher._reader_election.neighbours()) == 2
+
+
 def test_a_neighbours_grace_applies_to_the_next_own_read():
     # A reader keeps expired upstreams after an outage and publishes them. If a
     # neighbour took this list for fresh, its own read 10 ms later would drop
