Decoding: no data from outside ends a process

Cause: msgspec raises RecursionError for deep values, which is no DecodeError; and it accepts numbers that its MessagePack encoder can't encode for the neighbours. The error ended the reading task, and with it the process.

Change: core/decoding.decode, for all that comes from outside: a value or an error text. Integers that messages can't hold are refused where they are read; the log names the entry's key.

--- /dev/null
+++ b/hyssoptack/core/decoding.py
@@ -0,0 +1,34 @@
+"""Decodes bytes from outside this process, which may hold anything."""
+
+import collections.abc
+import typing
+
+import expression
+import msgspec
+
+T = typing.TypeVar("T")
+
+Int64 = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+"""An integer that messages between instances can hold."""
+
+_ERRORS = (msgspec.DecodeError, UnicodeError, RecursionError, OverflowError)
+"""What msgspec raises for data that it can't decode. A value that is nested
+some thousand levels deep is none of its own errors."""
+
+
+def decode(
+    parse: collections.abc.Callable[[bytes], T], data: bytes
+) -> expression.Result[T, str]:
+    """Decodes data from outside; never raises.
+
+    Args:
+        parse: Decodes a value of the expected type (of msgspec).
+        data: The data.
+
+    Returns:
+        The value, or an error text.
+    """
+    try:
+        return expression.Ok(parse(data))
+    except _ERRORS as error:
+        return expression.Error(str(error) or type(error).__name__)
--- a/hyssoptack/entry/callerserver.py
+++ b/hyssoptack/entry/callerserver.py
@@ -8,12 +8,14 @@
 import time
 import urllib.parse
 
+import expression
 import msgspec
 from cheroot import errors as cheroot_errors
 from cheroot import wsgi
 
 from hyssoptack.core import action
 from hyssoptack.core import catalog
+from hyssoptack.core import decoding
 from hyssoptack.core import digits
 from hyssoptack.core import query
 from hyssoptack.core import refusal
@@ -378,7 +380,8 @@
 
 
 def _decode(decoder: msgspec.json.Decoder, raw: bytes):
-    try:
-        return decoder.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise _malformed(f"body: {error}") from None
+    match decoding.decode(decoder.decode, raw):
+        case expression.Result(tag="ok", ok=found):
+            return found
+        case expression.Result(error=detail):
+            raise _malformed(f"body: {detail}")
--- a/hyssoptack/entry/claimstore.py
+++ b/hyssoptack/entry/claimstore.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hyssoptack.core import action
+from hyssoptack.core import decoding
 from hyssoptack.revisions import store
 
 _DECODER = msgspec.json.Decoder(action.Claim)
@@ -80,7 +81,8 @@
         case store.Absent():
             return None, store.ABSENT_VERSION
         case store.Stored(value=value, version=version):
-            try:
-                return _DECODER.decode(value), version
-            except msgspec.DecodeError:
-                return None
+            match decoding.decode(_DECODER.decode, value):
+                case expression.Result(tag="ok", ok=claim):
+                    return claim, version
+                case _:
+                    return None
--- a/hyssoptack/gateway/quarantinestore.py
+++ b/hyssoptack/gateway/quarantinestore.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from hyssoptack.core import clock
+from hyssoptack.core import decoding
 from hyssoptack.core import gatewaymessage
 from hyssoptack.events import log
 from hyssoptack.http1 import message
@@ -54,11 +55,14 @@
     """
 
     fingerprint: str
-    blocked_count: int
+    blocked_count: decoding.Int64
     until_unix_ms: float
     over_unix_ms: float
 
 
+_ENTRY = msgspec.json.Decoder(StoredEntry)
+
+
 def _unix_ms() -> float:
     return time.time() * message.MS_PER_S
 
@@ -116,11 +120,14 @@
         stored: dict[str, int] = {}
         seen_revisions: dict[str, int] = {}
         for item in items:
-            try:
-                entry = msgspec.json.decode(item.value, type=StoredEntry)
-            except msgspec.DecodeError as error:
-                log.write(log.Event.PEER_UNREADABLE, reason=str(error))
-                continue
+            match decoding.decode(_ENTRY.decode, item.value):
+                case expression.Result(tag="ok", ok=entry):
+                    pass
+                case expression.Result(error=detail):
+                    log.write(
+                        log.Event.PEER_UNREADABLE, key=item.key, reason=detail
+                    )
+                    continue
             stored[entry.fingerprint] = entry.blocked_count
             seen_revisions[item.key] = item.revision
             if self._seen_revisions.get(item.key) != item.revision:
--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -15,6 +15,7 @@
 
 from hyssoptack.balancing import evacuation
 from hyssoptack.core import clock
+from hyssoptack.core import decoding
 from hyssoptack.core import member
 from hyssoptack.core import position
 from hyssoptack.core import traffic
@@ -57,6 +58,8 @@
 IGNORED_LIMIT_COUNT = 1_000
 """Maximum number of ignored operator keys that are remembered and logged."""
 
+_PEER = msgspec.json.Decoder(member.Peer)
+
 OnStored = collections.abc.Callable[
     [list[keyvalue.Item]], collections.abc.Awaitable[None]
 ]
@@ -365,12 +368,13 @@
         for item in listing.items:
             if not item.key.startswith(storeformat.PEER_PREFIX):
                 continue
-            try:
-                peer = msgspec.json.decode(item.value, type=member.Peer)
-            except msgspec.DecodeError as error:
-                log.write(log.Event.PEER_UNREADABLE, reason=str(error))
-                continue
-            peers.append(peer)
+            match decoding.decode(_PEER.decode, item.value):
+                case expression.Result(tag="ok", ok=peer):
+                    peers.append(peer)
+                case expression.Result(error=detail):
+                    log.write(
+                        log.Event.PEER_UNREADABLE, key=item.key, reason=detail
+                    )
         domain = self._settings.failure_domain
         neighbours = tuple(
             each for each in peers if each.failure_domain == domain
--- a/hyssoptack/peers/codec.py
+++ b/hyssoptack/peers/codec.py
@@ -9,8 +9,11 @@
 import typing
 import zlib
 
+import expression
 import msgspec
 
+from hyssoptack.core import decoding
+
 FRAME_VERSION = 1
 FRAME_LIMIT_BYTES = 4_000_000
 
@@ -103,12 +106,13 @@
                     dropped_count=1, reason="frame cannot be decompressed"
                 )
             data = plain
-        try:
-            version, encoded_messages = _FRAME_DECODER.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-            return DecodedFrame(
-                dropped_count=1, reason="frame cannot be decoded"
-            )
+        match decoding.decode(_FRAME_DECODER.decode, data):
+            case expression.Result(tag="ok", ok=(version, encoded_messages)):
+                pass
+            case _:
+                return DecodedFrame(
+                    dropped_count=1, reason="frame cannot be decoded"
+                )
         if version != FRAME_VERSION:
             return DecodedFrame(
                 dropped_count=1, reason=f"unsupported frame version {version}"
@@ -119,10 +123,13 @@
             if number not in self._kinds:
                 reason = reason or f"unknown message kind {number}"
                 continue
-            try:
-                messages.append(self._decoder(number).decode(raw))
-            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-                reason = reason or f"message of kind {number} cannot be decoded"
+            match decoding.decode(self._decoder(number).decode, raw):
+                case expression.Result(tag="ok", ok=decoded):
+                    messages.append(decoded)
+                case _:
+                    reason = (
+                        reason or f"message of kind {number} cannot be decoded"
+                    )
         return DecodedFrame(
             messages=tuple(messages),
             dropped_count=len(encoded_messages) - len(messages),
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from hyssoptack.core import clock
+from hyssoptack.core import decoding
 from hyssoptack.core import position
 from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
@@ -85,7 +86,7 @@
 
     key: str
     value: bytes = b""
-    revision: int = 0
+    revision: decoding.Int64 = 0
     removed: bool = False
 
 
@@ -111,7 +112,7 @@
 class _Page(msgspec.Struct):
     items: list[Item]
     # The revision of the whole store, not of an item.
-    current_rev: int
+    current_rev: decoding.Int64
     has_more: bool = False
 
 
@@ -125,7 +126,7 @@
     """
 
     events: list[Item]
-    current_rev: int
+    current_rev: decoding.Int64
     era: int = 0
 
     @property
@@ -135,19 +136,19 @@
 
 
 class _Lease(msgspec.Struct):
-    lease: int
+    lease: decoding.Int64
     ttl_ms: float
 
 
 class _Condition(msgspec.Struct):
     key: str
-    revision: int
+    revision: decoding.Int64
 
 
 class _Write(msgspec.Struct):
     key: str
     value: bytes
-    lease: int
+    lease: decoding.Int64
 
 
 class _Transaction(msgspec.Struct):
@@ -406,7 +407,10 @@
 
 
 def _decode(decoder: msgspec.json.Decoder[T], body: bytes) -> T | Failure:
-    try:
-        return decoder.decode(body)
-    except msgspec.DecodeError as error:
-        return Failure(kind=FailureKind.REFUSED, detail=f"unreadable: {error}")
+    match decoding.decode(decoder.decode, body):
+        case expression.Result(tag="ok", ok=found):
+            return found
+        case expression.Result(error=detail):
+            return Failure(
+                kind=FailureKind.REFUSED, detail=f"unreadable: {detail}"
+            )
--- a/hyssoptack/platform/storeformat.py
+++ b/hyssoptack/platform/storeformat.py
@@ -8,6 +8,7 @@
 import expression
 import msgspec
 
+from hyssoptack.core import decoding
 from hyssoptack.core import teams
 from hyssoptack.core import traffic
 from hyssoptack.http1 import message
@@ -40,13 +41,13 @@
     route_type: str
     timeout_ms: float
     target_latency_ms: float
-    priority: int
-    max_attempts: int
+    priority: decoding.Int64
+    max_attempts: decoding.Int64
     service: str | None = None
     traffic_split: list[_SplitPart] | None = None
     # The shards of an index, each of which is a service.
     fanout_services: list[str] | None = None
-    top_k: int = 0
+    top_k: decoding.Int64 = 0
     min_shard_fraction: float = 0.0
     allow_anonymous: bool | None = None
 
@@ -54,15 +55,15 @@
 class _Service(msgspec.Struct):
     name: str
     # Limit for one upstream over all its callers, not for each caller.
-    max_connections: int
+    max_connections: decoding.Int64
     # Absent where a cold upstream may get any number of requests.
     warmup_s: float = 0.0
     warmup_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
+    max_header_bytes: decoding.Int64
+    max_body_bytes: decoding.Int64
     header_timeout_ms: float
     idle_timeout_ms: float
 
@@ -70,14 +71,14 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str]
-    priority: int | None = None
+    priority: decoding.Int64 | None = None
     # 0 or null means that the team is not limited.
     rate_per_s: float | None = None
     burst: float | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: decoding.Int64
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -88,12 +89,12 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: decoding.Int64
     state: typing.Literal["ready", "draining"]
     warmup_remaining_ms: float = 0.0
     # Unix time of its start, in ms: distinguishes two starts under one id. 0
     # where the entry has none; ids are then new at each start.
-    born: int = 0
+    born: decoding.Int64 = 0
 
 
 _CONFIGURATION = msgspec.json.Decoder(_Configuration)
@@ -111,8 +112,12 @@
     Returns:
         The configuration, or an error text.
     """
+    match decoding.decode(_CONFIGURATION.decode, data):
+        case expression.Result(tag="ok", ok=raw):
+            pass
+        case expression.Result(error=detail):
+            return expression.Error(f"unreadable configuration: {detail}")
     try:
-        raw = _CONFIGURATION.decode(data)
         return expression.Ok(
             traffic.Configuration(
                 version=raw.version,
@@ -122,7 +127,7 @@
                 team_directory=_team_directory(raw.tenants),
             )
         )
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         return expression.Error(f"unreadable configuration: {error}")
 
 
@@ -216,10 +221,11 @@
     Returns:
         The upstream, or an error text.
     """
-    try:
-        raw = _SERVER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return expression.Error(f"unreadable entry: {error}")
+    match decoding.decode(_SERVER.decode, data):
+        case expression.Result(tag="ok", ok=raw):
+            pass
+        case expression.Result(error=detail):
+            return expression.Error(f"unreadable entry: {detail}")
     listed_id = key.removeprefix(UPSTREAM_PREFIX)
     if not _is_visible_ascii(listed_id):
         # The id is sent in a header of each call.
--- a/hyssoptack/relay/client.py
+++ b/hyssoptack/relay/client.py
@@ -8,11 +8,13 @@
 import dataclasses
 
 import aiohttp
+import expression
 import msgspec
 
 from hyssoptack.core import action
 from hyssoptack.core import catalog
 from hyssoptack.core import clock
+from hyssoptack.core import decoding
 from hyssoptack.core import keyspace
 from hyssoptack.core import message
 from hyssoptack.core import query
@@ -256,10 +258,11 @@
         )
     if http_status not in (STATUS_OK, STATUS_CONFLICT):
         return failed
-    try:
-        body = _SEARCH_DECODER.decode(raw)
-    except msgspec.DecodeError:
-        return failed
+    match decoding.decode(_SEARCH_DECODER.decode, raw):
+        case expression.Result(tag="ok", ok=body):
+            pass
+        case _:
+            return failed
     if body.query_id != query_id:
         return failed
     if http_status == STATUS_CONFLICT:
@@ -292,7 +295,8 @@
         )
     if response.status != STATUS_OK:
         return MayHaveRun(detail=f"the upstream answered {response.status}")
-    try:
-        return DidRun(receipt=_ACT_DECODER.decode(raw).receipt)
-    except msgspec.DecodeError:
-        return MayHaveRun(detail="the upstream's answer can't be read")
+    match decoding.decode(_ACT_DECODER.decode, raw):
+        case expression.Result(tag="ok", ok=body):
+            return DidRun(receipt=body.receipt)
+        case _:
+            return MayHaveRun(detail="the upstream's answer can't be read")
--- a/hyssoptack/reports/fleet.py
+++ b/hyssoptack/reports/fleet.py
@@ -3,9 +3,11 @@
 import concurrent.futures
 import dataclasses
 
+import expression
 import msgspec
 import urllib3
 
+from hyssoptack.core import decoding
 from hyssoptack.core import member
 
 TIMEOUT_S = 2.0
@@ -41,10 +43,13 @@
         if response.status != STATUS_OK:
             text = f"answered {response.status}"
             return InstanceResponse(member=each, document=None, error=text)
-        document = msgspec.json.decode(response.data)
-        return InstanceResponse(member=each, document=document)
-    except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as error:
+    except urllib3.exceptions.HTTPError as error:
         return InstanceResponse(member=each, document=None, error=repr(error))
+    match decoding.decode(msgspec.json.decode, response.data):
+        case expression.Result(tag="ok", ok=document):
+            return InstanceResponse(member=each, document=document)
+        case expression.Result(error=detail):
+            return InstanceResponse(member=each, document=None, error=detail)
 
 
 def read(
--- a/hyssoptack/reports/teams.py
+++ b/hyssoptack/reports/teams.py
@@ -8,13 +8,15 @@
 
 import collections
 import collections.abc
-import contextlib
 import dataclasses
 import heapq
 import pathlib
 
+import expression
 import msgspec
 
+from hyssoptack.core import decoding
+
 HELD_LIMIT_COUNT = 100_000
 """Maximum number of request ids of each kind that are kept: those of some 10 s
 on the largest deployment, while both lines of a request are a second apart."""
@@ -229,8 +231,9 @@
             start = text.find(b"{")
             if start >= 0:
                 # A truncated line, or one of another program, is skipped.
-                with contextlib.suppress(msgspec.DecodeError, UnicodeError):
-                    yield _DECODER.decode(text[start:])
+                match decoding.decode(_DECODER.decode, text[start:]):
+                    case expression.Result(tag="ok", ok=found):
+                        yield found
 
 
 def count(paths: collections.abc.Sequence[pathlib.Path]) -> dict[str, Total]:
--- a/hyssoptack/reports/timeline.py
+++ b/hyssoptack/reports/timeline.py
@@ -3,8 +3,11 @@
 import collections.abc
 import dataclasses
 
+import expression
 import msgspec
 
+from hyssoptack.core import decoding
+
 CONTEXT_KINDS = (
     "config_in_force",
     "store_back",
@@ -41,13 +44,13 @@
         start = line.find("{")
         if start < 0:
             continue
-        try:
-            fields = _DECODER.decode(line[start:].encode())
-        except msgspec.DecodeError:
-            # A truncated line, or one of another program.
-            continue
-        if "message_type" in fields:
-            entries.append(_entry(fields))
+        # A truncated line, or one of another program, is skipped.
+        match decoding.decode(_DECODER.decode, line[start:].encode()):
+            case expression.Result(tag="ok", ok=fields) if (
+                "message_type" in fields
+                and isinstance(fields.get("timestamp", 0.0), int | float)
+            ):
+                entries.append(_entry(fields))
     return sorted(entries, key=lambda each: each.time_s)
 
 
--- a/hyssoptack/revisions/configuration.py
+++ b/hyssoptack/revisions/configuration.py
@@ -12,6 +12,7 @@
 
 from hyssoptack.charts import chart
 from hyssoptack.core import catalog
+from hyssoptack.core import decoding
 from hyssoptack.events import log
 from hyssoptack.planning import revision
 from hyssoptack.settings import catalog as catalog_settings
@@ -31,10 +32,7 @@
 
 def decode_manifest(text: str) -> catalog.Manifest | None:
     """Decodes a stored manifest; returns None if the text is not one."""
-    try:
-        return _DECODER.decode(text)
-    except msgspec.DecodeError:
-        return None
+    return decoding.decode(_DECODER.decode, text).default_value(None)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/revisions/members.py
+++ b/hyssoptack/revisions/members.py
@@ -6,6 +6,7 @@
 import msgspec
 import urllib3
 
+from hyssoptack.core import decoding
 from hyssoptack.core import member
 from hyssoptack.settings import instance
 
@@ -67,9 +68,10 @@
                 "expected HTTP status 200 or 304 from the instance list, "
                 f"got {response.status}"
             )
-        try:
-            self._last_listing = _DECODER.decode(response.data)
-        except msgspec.DecodeError as error:
-            return expression.Error(str(error))
+        match decoding.decode(_DECODER.decode, response.data):
+            case expression.Result(tag="ok", ok=listing):
+                self._last_listing = listing
+            case expression.Result(error=detail):
+                return expression.Error(detail)
         self._etag = response.headers.get("ETag", "")
         return expression.Ok(self._last_listing)
--- a/hyssoptack/revisions/store.py
+++ b/hyssoptack/revisions/store.py
@@ -10,6 +10,7 @@
 import msgspec
 import urllib3
 
+from hyssoptack.core import decoding
 from hyssoptack.settings import instance
 
 ABSENT_VERSION = 0
@@ -148,10 +149,9 @@
 
 
 def _decode_stored(data: bytes) -> expression.Result[Stored, Unavailable]:
-    try:
-        return expression.Ok(_DECODER.decode(data))
-    except msgspec.DecodeError as error:
-        return expression.Error(Unavailable(detail=str(error)))
+    return decoding.decode(_DECODER.decode, data).map_error(
+        lambda detail: Unavailable(detail=detail)
+    )
 
 
 def _parse_conflict(data: bytes) -> expression.Result[int, WriteFailure]:
--- a/hyssoptack/settings/gateway.py
+++ b/hyssoptack/settings/gateway.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import math
 import os
 import pathlib
@@ -12,6 +13,7 @@
 import expression
 import msgspec
 
+from hyssoptack.core import decoding
 from hyssoptack.core import mechanism
 from hyssoptack.core import traffic
 from hyssoptack.core import warmuplimits
@@ -166,15 +168,18 @@
         return 0
 
 
+_decode_json = functools.partial(msgspec.json.decode, type=GatewaySettings)
+_decode_yaml = functools.partial(msgspec.yaml.decode, type=GatewaySettings)
+
+
 def parse(data: bytes) -> expression.Result[GatewaySettings, str]:
     """Parses and validates settings in YAML or JSON."""
-    try:
-        if data.lstrip().startswith(b"{"):
-            settings = msgspec.json.decode(data, type=GatewaySettings)
-        else:
-            settings = msgspec.yaml.decode(data, type=GatewaySettings)
-    except msgspec.DecodeError as error:
-        return expression.Error(str(error))
+    is_json = data.lstrip().startswith(b"{")
+    match decoding.decode(_decode_json if is_json else _decode_yaml, data):
+        case expression.Result(tag="ok", ok=settings):
+            pass
+        case expression.Result(error=detail):
+            return expression.Error(detail)
     if name := _nonfinite_name(dataclasses.asdict(settings)):
         return expression.Error(f"{name}: expected a finite number")
     return _validated(settings)
