Shutdown: a request that the stop could cut is refused, not started

Cause: a stopping gateway starts each request until its end; nothing looks at the time that is left.

--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -277,13 +277,12 @@
         self._peering.start()
         try:
             await self._serve_until_stopped(callers_port)
-            # `grace_ms` is the time until the platform kills the process, not
-            # the grace period for upstreams (`replicatedview`).
+            shutdown = draining.Shutdown(
+                started_ms=clock.now_ms(), grace_ms=self._settings.grace_ms
+            )
+            self._request_handler.shutdown = shutdown
             took_ms = await draining.drain(
-                self._caller_server,
-                self._listeners,
-                self._has_work,
-                self._settings.grace_ms,
+                self._caller_server, self._listeners, self._has_work, shutdown
             )
             log.write(
                 log.Event.STOPPED,
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -12,6 +12,7 @@
 from hyssoptack.events import log
 from hyssoptack.gateway import callrelay
 from hyssoptack.gateway import calltrace
+from hyssoptack.gateway import draining
 from hyssoptack.gateway import inbound
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import querydelegation
@@ -59,6 +60,7 @@
         self.call_relay: callrelay.CallRelay | None = None
         self.request_permits: requestpermits.RequestPermits | None = None
         self.admission: admissioncontrol.AdmissionControl | None = None
+        self.shutdown: draining.Shutdown | None = None
 
     def handle(self, exchange: httpserver.Exchange) -> None:
         """Handles a request received from a caller."""
@@ -141,7 +143,7 @@
                     version=self._view.version,
                 )
                 if delegation_request is None:
-                    self._identify_caller(request)
+                    self._start_before_stop(request)
                 else:
                     self._run_delegated(request, delegation_request)
 
@@ -167,6 +169,18 @@
             self.admission.count_started(prepared)
         run.start()
 
+    def _start_before_stop(self, request: inbound.RoutedRequest) -> None:
+        """Refuses a request that a stop of this instance could cut."""
+        limit_ms = request.route_match.route.timeout_ms
+        if request.metadata.deadline_ms is not None:
+            limit_ms = min(limit_ms, request.metadata.deadline_ms)
+        stop = self.shutdown
+        if stop is None or stop.has_time_for(limit_ms, clock.now_ms()):
+            self._identify_caller(request)
+            return
+        status = http.HTTPStatus.SERVICE_UNAVAILABLE
+        self._refuse(request.exchange, request.metadata, status, "stopping")
+
     def _identify_caller(self, request: inbound.RoutedRequest) -> None:
         """Serves a caller's request if its key or its route allows it."""
         directory = self._view.route_table.configuration.team_directory
