View: a notice that changes nothing costs microseconds again

Cause: each notice, one a second, made a record for each listed upstream before it kept those that are missing.

Measured (280 upstreams, a machine with a load average of 13): a merge without a change 2.3 ms, now 0.025; with 8 kept upstreams 2.3 and 0.16 ms. A frame without a change has 290 bytes, with 105 kept upstreams 2,023. The tables and the random model of the lists pass unchanged.

--- a/hyssoptack/gateway/replicatedview.py
+++ b/hyssoptack/gateway/replicatedview.py
@@ -175,7 +175,9 @@
         if not self.keeps_expired_upstreams:
             changed = dataclasses.replace(changed, kept={})
         in_use = changed.in_use
-        self._log_changes(in_use, changed, source, now_ms)
+        # A notice that changes nothing arrives each second.
+        if in_use != self.upstreams or changed.kept:
+            self._log_changes(in_use, changed, source, now_ms)
         self.upstream_list = changed
         self.upstreams = in_use
 
--- a/hyssoptack/membership/upstreamlist.py
+++ b/hyssoptack/membership/upstreamlist.py
@@ -79,6 +79,8 @@
     @property
     def in_use(self) -> Upstreams:
         """The listed and the kept upstreams."""
+        if not self.kept:
+            return self.listed
         kept = {name: each.upstream for name, each in self.kept.items()}
         return kept | self.listed
 
@@ -170,7 +172,10 @@
     """
     if revision < known.revision:
         return known
-    kept = {**_vanished(known, known.grace_end_ms), **known.kept}
+    kept = {
+        **_vanished(known, listed, known.grace_end_ms),
+        **known.kept,
+    }
     return UpstreamList(
         listed=listed,
         kept=_remaining(kept, listed, read_ms),
@@ -211,7 +216,7 @@
         )
     kept = {
         **_combined_kept(earlier, later, gap_ms),
-        **_vanished(earlier, grace_end_ms),
+        **_vanished(earlier, later.listed, grace_end_ms),
     }
     if grace_end_ms > NEVER_MS:
         kept = _ending_by(kept, grace_end_ms)
@@ -239,15 +244,17 @@
     return min(ends_ms, default=NEVER_MS)
 
 
-def _vanished(known: UpstreamList, until_ms: float) -> dict[str, KeptUpstream]:
-    """Returns records that keep all listed upstreams until a time."""
+def _vanished(
+    known: UpstreamList, listed: Upstreams, until_ms: float
+) -> dict[str, KeptUpstream]:
+    """Returns records that keep what a later list lacks until a time."""
     return {
         name: KeptUpstream(
-            upstream=each,
+            upstream=known.listed[name],
             listed_revision=known.revision,
             until_ms=until_ms,
         )
-        for name, each in known.listed.items()
+        for name in known.listed.keys() - listed.keys()
     }
 
 
@@ -295,6 +302,8 @@
     An upstream that restarted is listed with a new id and replaces the kept
     one.
     """
+    if not kept:
+        return {}
     expected_ids = {each.expected_id for each in listed.values()}
     return {
         name: each
