Quarantine: a stored count of any size ends no instance

Cause: 2.0 ** (count - 1) was computed before it was bounded; from about 1,000 on it raises OverflowError, which ended the reading task and the process.

Change: the doublings are bounded first; counts from outside have a range that messages can hold; an entry's fingerprint has to be the one of its key; ignored entries are logged once, with a bounded reason, in one place for both lists.

--- a/hyssoptack/core/decoding.py
+++ b/hyssoptack/core/decoding.py
@@ -11,6 +11,14 @@
 Int64 = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 """An integer that messages between instances can hold."""
 
+COUNT_MAX = 2**53 - 1
+
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
+"""A number of things; floating-point numbers hold it exactly."""
+
+PositiveCount = typing.Annotated[int, msgspec.Meta(ge=1, le=COUNT_MAX)]
+"""A `Count` that is not 0."""
+
 _ERRORS = (msgspec.DecodeError, UnicodeError, RecursionError, OverflowError)
 """What msgspec raises for data that it can't decode. A value that is nested
 some thousand levels deep is none of its own errors."""
--- a/hyssoptack/core/gatewaymessage.py
+++ b/hyssoptack/core/gatewaymessage.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from hyssoptack.core import decoding
 from hyssoptack.core import listmessage
 from hyssoptack.core import member
 from hyssoptack.core import position
@@ -356,7 +357,7 @@
     fingerprint: str
     age_ms: float
     cleared: bool = False
-    blocked_count: int = 0
+    blocked_count: decoding.Count = 0
     blocked_for_ms: float = 0.0
     kept_for_ms: float = 0.0
     endings: tuple[SuspectCrash, ...] = ()
--- a/hyssoptack/gateway/quarantinestore.py
+++ b/hyssoptack/gateway/quarantinestore.py
@@ -19,6 +19,7 @@
 from hyssoptack.core import decoding
 from hyssoptack.core import gatewaymessage
 from hyssoptack.events import log
+from hyssoptack.gateway import ignoredentries
 from hyssoptack.http1 import message
 from hyssoptack.platform import keyvalue
 from hyssoptack.quarantine import quarantine
@@ -55,7 +56,7 @@
     """
 
     fingerprint: str
-    blocked_count: decoding.Int64
+    blocked_count: decoding.PositiveCount
     until_unix_ms: float
     over_unix_ms: float
 
@@ -87,6 +88,7 @@
         self._store = store
         self._prefix = prefix
         self._seen_revisions: dict[str, int] = {}
+        self._ignored = ignoredentries.IgnoredEntries(log.Event.PEER_UNREADABLE)
 
     async def reconcile(self, items: list[keyvalue.Item]) -> None:
         """Merges the stored entries, and writes and deletes entries as needed.
@@ -119,22 +121,31 @@
         """Merges each new entry; returns the quarantine counts of all."""
         stored: dict[str, int] = {}
         seen_revisions: dict[str, int] = {}
+        ignored: dict[str, str] = {}
         for item in items:
-            match decoding.decode(_ENTRY.decode, item.value):
+            match self._parse(item):
                 case expression.Result(tag="ok", ok=entry):
                     pass
                 case expression.Result(error=detail):
-                    log.write(
-                        log.Event.PEER_UNREADABLE, key=item.key, reason=detail
-                    )
+                    ignored[item.key] = detail
                     continue
             stored[entry.fingerprint] = entry.blocked_count
             seen_revisions[item.key] = item.revision
             if self._seen_revisions.get(item.key) != item.revision:
                 self._merge_entry(entry)
         self._seen_revisions = seen_revisions
+        self._ignored.replace(ignored)
         return stored
 
+    def _parse(
+        self, item: keyvalue.Item
+    ) -> expression.Result[StoredEntry, str]:
+        """Decodes an entry; returns an error text if it is invalid."""
+        found = decoding.decode(_ENTRY.decode, item.value)
+        if found.is_ok() and self._prefix + found.ok.fingerprint != item.key:
+            return expression.Error("expected the fingerprint of the key")
+        return found
+
     def _merge_entry(self, entry: StoredEntry) -> None:
         unix_ms = _unix_ms()
         suspect = gatewaymessage.Suspect(
--- a/hyssoptack/gateway/quarantinestore_test.py
+++ b/hyssoptack/gateway/quarantinestore_test.py
@@ -1,6 +1,7 @@
 """Quarantined requests persist in the platform's store."""
 
 import asyncio
+import time
 import types
 
 import expression
@@ -11,6 +12,7 @@
 from hyssoptack.gateway import harness
 from hyssoptack.gateway import quarantinestore
 from hyssoptack.gateway import quarantinesync_test
+from hyssoptack.http1 import message
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import storeformat
 
@@ -81,6 +83,43 @@
     assert store.deleted == [each.key for each in items]
 
 
+def _put_entry(site, name, **changes):
+    unix_ms = time.time() * message.MS_PER_S
+    entry = {
+        "fingerprint": name,
+        "blocked_count": 2,
+        "until_unix_ms": unix_ms + 60_000.0,
+        "over_unix_ms": unix_ms + 120_000.0,
+        **changes,
+    }
+    site.store.put(
+        storeformat.BLOCKED_PREFIX + name, msgspec.json.encode(entry)
+    )
+
+
+def test_a_strange_quarantine_entry_ends_no_instance():
+    # One readable entry with a count of some thousand ended every gateway of
+    # the domain, again after each restart.
+    async def test():
+        async with harness.Site() as site:
+            await site.add_upstream("u1", "shop")
+            site.configure({"prefix": "/", "service": "shop"})
+            for count in (10_000, 2**63 - 1, 2**53, 0, -1):
+                _put_entry(site, f"count{count}", blocked_count=count)
+            _put_entry(site, "other", fingerprint="x" * 100_000)
+            _put_entry(site, "until", until_unix_ms=1e308, over_unix_ms=1e308)
+            _put_entry(site, "past", until_unix_ms=-1e308, over_unix_ms=-1e308)
+            _put_entry(site, "valid")
+            await site.start("n1")
+            known = quarantinesync_test._suspect_registry(site, "n1")
+            await _wait_until(lambda: known.quarantined_count)
+            assert set(known._quarantined) == {"count10000", "until", "valid"}
+            assert not known._suspects
+            assert await site.readiness_status("n1") == 200
+
+    asyncio.run(test())
+
+
 def test_a_quarantine_survives_the_restart_of_all_instances():
     async def test():
         async with harness.Site() as site:
--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -21,6 +21,7 @@
 from hyssoptack.core import traffic
 from hyssoptack.delegation import gatherers
 from hyssoptack.events import log
+from hyssoptack.gateway import ignoredentries
 from hyssoptack.gateway import peering
 from hyssoptack.gateway import replicatedview
 from hyssoptack.gateway import storereachability
@@ -94,7 +95,9 @@
         # all instances start at once, exact reads of several pages each would
         # add up to a third of the calls that the store gets in a day.
         self._next_read_number = 1
-        self._unreadable: dict[str, str] = {}
+        self._ignored_upstreams = ignoredentries.IgnoredEntries(
+            log.Event.ENTRY_UNREADABLE
+        )
         self._ignored: set[str] = set()
 
     # The list of upstreams.
@@ -191,23 +194,11 @@
                     listed[upstream.upstream_id] = upstream
                 case expression.Result(error=detail):
                     unreadable[item.key] = detail
-        self._log_unreadable(unreadable)
+        self._ignored_upstreams.replace(unreadable)
         self._view.apply_list(
             listed, listing.store_revision, clock.now_ms(), read_ms
         )
 
-    def _log_unreadable(self, unreadable: dict[str, str]) -> None:
-        """Logs skipped or corrected entries, once for each key and reason."""
-        for key, reason in unreadable.items():
-            if self._unreadable.get(key) != reason:
-                log.write(
-                    log.Event.ENTRY_UNREADABLE,
-                    key=key,
-                    reason=reason,
-                    count=len(unreadable),
-                )
-        self._unreadable = unreadable
-
     # The configuration.
 
     async def watch_configuration(self) -> None:
--- a/hyssoptack/quarantine/quarantine_test.py
+++ b/hyssoptack/quarantine/quarantine_test.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from hyssoptack.core import decoding
 from hyssoptack.quarantine import quarantine
 from hyssoptack.quarantine import suspectrecord
 
@@ -110,6 +111,14 @@
     assert suspectrecord.quarantine_ms(9) == suspectrecord.QUARANTINE_MAX_MS
 
 
+def test_a_count_of_any_size_has_a_quarantine():
+    # The power of two of a stored count of some thousand had no float.
+    for count in (2_000, decoding.COUNT_MAX + 1):
+        term = suspectrecord.quarantine_term(count)
+        assert term.duration_ms == suspectrecord.QUARANTINE_MAX_MS
+        assert term.count <= decoding.COUNT_MAX
+
+
 def test_a_request_that_became_harmless_is_served_after_one_probe():
     one, other = make_registry(1), make_registry(2)
     quarantine_request(one)
--- a/hyssoptack/quarantine/suspectrecord.py
+++ b/hyssoptack/quarantine/suspectrecord.py
@@ -3,7 +3,9 @@
 import collections.abc
 import dataclasses
 
+from hyssoptack.core import decoding
 from hyssoptack.core import gatewaymessage
+from hyssoptack.planning import backoff
 
 QUARANTINE_EVENT_COUNT = 3
 """Crash events without an answer after which a request is quarantined: the
@@ -31,6 +33,10 @@
 hours. Callers then wait at most a quarter of an hour, and probes crash an
 upstream at most four times an hour."""
 
+_QUARANTINE = backoff.Backoff(
+    min_ms=QUARANTINE_MIN_MS, max_ms=QUARANTINE_MAX_MS
+)
+
 SUSPICION_TTL_MS = 30_000.0
 """Time after the last crash during which a request is sent as a probe. A caller
 that repeats the request does so sooner; probing costs a harmless request the
@@ -104,9 +110,7 @@
     Args:
         quarantine_count: Its quarantines in a row, the latest one included.
     """
-    return min(
-        QUARANTINE_MAX_MS, QUARANTINE_MIN_MS * 2.0 ** (quarantine_count - 1)
-    )
+    return _QUARANTINE.wait_ms(quarantine_count - 1)
 
 
 def to_notice(
@@ -161,6 +165,7 @@
 
 def quarantine_term(count: int) -> QuarantineTerm:
     """Returns the term of a request's n-th quarantine in a row."""
+    count = min(count, decoding.COUNT_MAX)
     duration_ms = quarantine_ms(count)
     return QuarantineTerm(
         count=count, duration_ms=duration_ms, retention_ms=2 * duration_ms
