Peers: an address or a value that can't be sent ends no thread

What was seen: one readable entry under hyssoptack/peers/ with the address "nonsense" (or one frame that asks for an answer to an empty address), and the instances of its failure domain sent nothing to anybody any more; messages piled up in memory without a limit.

Cause: pynng raises for an address that it can't parse, and msgspec for a value that a frame can't hold; either ended the thread that owns all sockets to peers.

Change: such a message counts as undelivered. An entry with a malformed address is ignored and logged once, so that it isn't passed on.

The test in link_test and the one in storewatch_test failed before.

--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -98,6 +98,9 @@
         self._ignored_upstreams = ignoredentries.IgnoredEntries(
             log.Event.ENTRY_UNREADABLE
         )
+        self._ignored_peers = ignoredentries.IgnoredEntries(
+            log.Event.PEER_UNREADABLE
+        )
         self._ignored: set[str] = set()
 
     # The list of upstreams.
@@ -356,16 +359,16 @@
         if not self._peers.is_latest_instances(listing.position):
             return
         peers: list[member.Peer] = []
+        ignored: dict[str, str] = {}
         for item in listing.items:
             if not item.key.startswith(storeformat.PEER_PREFIX):
                 continue
-            match decoding.decode(_PEER.decode, item.value):
+            match _parse_peer(item.value):
                 case expression.Result(tag="ok", ok=peer):
                     peers.append(peer)
                 case expression.Result(error=detail):
-                    log.write(
-                        log.Event.PEER_UNREADABLE, key=item.key, reason=detail
-                    )
+                    ignored[item.key] = detail
+        self._ignored_peers.replace(ignored)
         domain = self._settings.failure_domain
         neighbours = tuple(
             each for each in peers if each.failure_domain == domain
@@ -380,3 +383,13 @@
     async def _pause(self, period_ms: float) -> None:
         pause_ms = readerelection.jittered_ms(period_ms, self._random)
         await asyncio.sleep(pause_ms / message.MS_PER_S)
+
+
+def _parse_peer(data: bytes) -> expression.Result[member.Peer, str]:
+    """Decodes an instance's entry; returns an error text if it is invalid."""
+    found = decoding.decode(_PEER.decode, data)
+    # An instance without a port for peers has no address.
+    address = found.ok.address if found.is_ok() else ""
+    if address and traffic.split_address(address) is None:
+        return expression.Error(f"expected IP:port, got {address!r}")
+    return found
--- a/hyssoptack/gateway/storewatch_test.py
+++ b/hyssoptack/gateway/storewatch_test.py
@@ -23,6 +23,7 @@
 from hyssoptack.membership import upstreamlist
 from hyssoptack.planning import callplan_test
 from hyssoptack.platform import keyvalue
+from hyssoptack.platform import storeformat
 
 
 def store_watcher(list_age_ms):
@@ -31,7 +32,9 @@
     Args:
         list_age_ms: Age of the view's list of upstreams.
     """
-    settings = types.SimpleNamespace(lease_ms=1_000.0, lease_min_ms=1_000.0)
+    settings = types.SimpleNamespace(
+        lease_ms=1_000.0, lease_min_ms=1_000.0, failure_domain="north"
+    )
     load_balancer = loadbalancer.LoadBalancer(
         loadbalancer.LoadBalancerSettings(
             failure_domain="north", crossing_ratio=1.5
@@ -45,7 +48,11 @@
     readers = readerelection.ReaderElection(
         "g", "north", readerelection.read_timings(3_000.0)
     )
-    peers = types.SimpleNamespace(reader_election=readers)
+    peers = types.SimpleNamespace(
+        reader_election=readers,
+        is_latest_instances=lambda _: True,
+        publish_instances=lambda *_: None,
+    )
     watcher = storewatch.StoreWatcher(
         settings, view, None, peers, lambda _: None, None
     )
@@ -359,3 +366,39 @@
     ]
     assert [each["key"] for each in found] == ["servers/bad"]
     assert found[0]["count"] == 1
+
+
+def test_an_instance_with_a_malformed_address_is_ignored_and_logged_once(
+    monkeypatch,
+):
+    # Its address was passed on to all neighbours, none of which could dial it.
+    lines = []
+    monkeypatch.setattr(
+        log, "write", lambda event, **fields: lines.append((event, fields))
+    )
+    watcher, _ = store_watcher(list_age_ms=0.0)
+    addresses = ("10.0.0.1:80", "", "nonsense", "x" * 100_000)
+    items = [
+        keyvalue.Item(
+            key=f"{storeformat.PEER_PREFIX}g{number}",
+            value=json.dumps(
+                {
+                    "instance_id": f"g{number}",
+                    "failure_domain": "north",
+                    "address": address,
+                }
+            ).encode(),
+        )
+        for number, address in enumerate(addresses)
+    ]
+    for revision in (2, 3):
+        watcher._apply_instances(
+            keyvalue.Listing(items=items, store_revision=revision)
+        )
+    known = watcher._reader_election.neighbours()
+    assert [each.address for each in known] == ["10.0.0.1:80", ""]
+    ignored = [
+        fields for event, fields in lines if event is log.Event.PEER_UNREADABLE
+    ]
+    assert [each["key"][-2:] for each in ignored] == ["g2", "g3"]
+    assert all(len(each["reason"]) <= 200 for each in ignored)
--- a/hyssoptack/peers/link.py
+++ b/hyssoptack/peers/link.py
@@ -13,6 +13,7 @@
 import threading
 import typing
 
+import msgspec
 import pynng
 
 from hyssoptack.core import clock
@@ -247,7 +248,12 @@
         """Sends messages to one peer in a single frame, dialling if needed."""
         link = links.get(address)
         if link is None:
-            link = links[address] = self._dial(address)
+            try:
+                link = links[address] = self._dial(address)
+            except (pynng.exceptions.NNGException, ValueError):
+                # Whoever wrote the address, the other links must go on.
+                self._report_undelivered(address, group)
+                return
         link.used_ms = clock.now_ms()
         last_received_ms = self._last_received_ms.get(address, -math.inf)
         waited_ms = link.used_ms - link.dialled_ms
@@ -262,16 +268,31 @@
         if grace_over and link.pipe_count < 1:
             self._report_undelivered(address, group)
             return
-        data = codec.encode_frame([self._codec.encode(each) for each in group])
+        encoded = self._encode(address, group)
+        if not encoded:
+            return
+        data = codec.encode_frame(encoded)
         try:
             link.socket.send(data, block=False)
         except pynng.exceptions.NNGException:
             self._report_undelivered(address, group)
             return
         self.counters.sent_frame_count += 1
-        self.counters.sent_message_count += len(group)
+        self.counters.sent_message_count += len(encoded)
         self.counters.sent_bytes += len(data)
 
+    def _encode(
+        self, address: str, group: list[typing.Any]
+    ) -> list[tuple[int, msgspec.Raw]]:
+        """Encodes messages, without those with a value that can't be sent."""
+        encoded = []
+        for each in group:
+            try:
+                encoded.append(self._codec.encode(each))
+            except (OverflowError, ValueError):
+                self._report_undelivered(address, [each])
+        return encoded
+
     def _report_undelivered(
         self, address: str, group: list[typing.Any]
     ) -> None:
--- a/hyssoptack/peers/link_test.py
+++ b/hyssoptack/peers/link_test.py
@@ -8,6 +8,19 @@
 from hyssoptack.standins import ports
 
 LATE_COUNT = 8
+STRANGE_ADDRESSES = (
+    "",
+    "nonsense",
+    "127.0.0.1:",
+    "127.0.0.1:99999",
+    "127.0.0.1:80/x",
+    "::1:80",
+    "*:80",
+    "a\x00b:80",
+    "\ud800:80",
+    "x" * 100_000 + ":80",
+    "a..b:80",
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -155,3 +168,37 @@
                 each.stop()
 
     asyncio.run(test())
+
+
+def test_a_message_that_cannot_be_sent_does_not_end_the_links():
+    # One entry with a malformed address, or a number that no frame can hold,
+    # ended the sending thread: the instance sent nothing to anybody any more.
+    async def test():
+        addresses = [f"127.0.0.1:{ports.free_port()}" for _ in range(2)]
+        received, undelivered = [], []
+        peer = links(addresses[1], received)
+        sender = link.Links(
+            addresses[0],
+            60_000.0,
+            asyncio.get_running_loop(),
+            codec.Codec({1: TextMessage}),
+            lambda _frame: None,
+            lambda address, _body: undelivered.append(address),
+        )
+        for each in (peer, sender):
+            each.start()
+        good = TextMessage(sender_address=addresses[0], text="x")
+        try:
+            for address in STRANGE_ADDRESSES:
+                sender.send(address, good)
+            for value in (2**70, "\ud800"):
+                sender.send(addresses[1], dataclasses.replace(good, text=value))
+            sender.send(addresses[1], good)
+            await until(lambda: received == ["x"], 2.0)
+            await until(lambda: addresses[1] in undelivered, 2.0)
+            assert undelivered.count(addresses[1]) == 2
+        finally:
+            for each in (peer, sender):
+                each.stop()
+
+    asyncio.run(test())
