Store: an era that is no number fails a read, not the process

Cause: int() refuses texts of more than 4,300 digits with a ValueError, which ended the task that reads the list, and with it the process; a number of more than 64 bits was passed to the sending thread, which could not encode it.

Change: the header is read like all other digits, of at most 18; a reply with any other text is a failed read, as its position in the store's history is unknown and might be taken for an older one.

Evidence: test_an_era_that_is_no_number_fails_the_read failed for all four texts before (ValueError for the first). Not seen with a real store.

--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -16,6 +16,7 @@
 
 from hyssoptack.core import clock
 from hyssoptack.core import decoding
+from hyssoptack.core import digits
 from hyssoptack.core import position
 from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
@@ -224,6 +225,8 @@
             if isinstance(page, Failure):
                 return expression.Error(page)
             era = _era(reply)
+            if era is None:
+                return expression.Error(_UNREADABLE_ERA)
             if read_at is None:
                 read_at = position.Position(era, page.current_rev)
             if era != read_at.era:
@@ -256,8 +259,12 @@
             "GET", "kv-watch", query, wait_ms + WATCH_MARGIN_MS
         )
         changes = _decode_result(result, _CHANGES)
-        if changes.is_ok():
-            changes.ok.era = _era(result.ok)
+        if changes.is_error():
+            return changes
+        era = _era(result.ok)
+        if era is None:
+            return expression.Error(_UNREADABLE_ERA)
+        changes.ok.era = era
         return changes
 
     async def grant_lease(
@@ -375,10 +382,10 @@
             call.cancel()
 
 
-def _era(reply: message.Reply) -> int:
-    """Returns the store's era; 0 where the reply has none."""
+def _era(reply: message.Reply) -> int | None:
+    """Returns the store's era, 0 if there is none, None if it is no number."""
     era_text = reply.value(_ERA)
-    return int(era_text) if era_text.isdigit() else 0
+    return digits.parse(era_text.decode("latin-1")) if era_text else 0
 
 
 _INCOMPLETE = Failure(
@@ -386,6 +393,11 @@
     detail="the range ends before its last page",
 )
 
+_UNREADABLE_ERA = Failure(
+    kind=FailureKind.REFUSED,
+    detail="the store's era is not a number",
+)
+
 _ERA_CHANGED = Failure(
     kind=FailureKind.COMPACTED,
     detail="the store's era changed between two pages",
--- a/hyssoptack/platform/keyvalue_test.py
+++ b/hyssoptack/platform/keyvalue_test.py
@@ -14,15 +14,18 @@
 class _Client(keyvalue.Client):
     """A client whose calls are answered with given pages, in order."""
 
-    def __init__(self, pages):
+    def __init__(self, pages, era=b""):
         super().__init__("127.0.0.1:1", pool.Pools(b""))
         self._pages = iter(pages)
+        self._headers = ((b"Store-Era", era),) if era else ()
 
     async def _call(self, method, name, query, timeout_ms=0.0, body=b""):
         page = next(self._pages)
         return expression.Ok(
             message.Reply(
-                status=200, headers=(), body=json.dumps(page).encode()
+                status=200,
+                headers=self._headers,
+                body=json.dumps(page).encode(),
             )
         )
 
@@ -50,3 +53,21 @@
     pages = [_page(f"k{n}", has_more=True) for n in range(page_count)]
     result = _read([*pages, _page(has_more=True)])
     assert result.error.kind is keyvalue.FailureKind.REFUSED
+
+
+@pytest.mark.parametrize("era", [b"9" * 5_000, b"9" * 30, b"-1", b"\xb2"])
+def test_an_era_that_is_no_number_fails_the_read(era):
+    # A number of some thousand digits ended the process; one of 30 could not be
+    # sent to the neighbours, which ended the thread that sends.
+    client = _Client([_page("a", has_more=False)], era)
+    result = asyncio.run(client.read_range("servers/"))
+    assert result.error.kind is keyvalue.FailureKind.REFUSED
+    client = _Client([{"events": [], "current_rev": 1}], era)
+    result = asyncio.run(client.watch("op/", 1, 10.0))
+    assert result.error.kind is keyvalue.FailureKind.REFUSED
+
+
+def test_the_era_is_part_of_the_position():
+    client = _Client([_page("a", has_more=False)], b"7")
+    result = asyncio.run(client.read_range("servers/"))
+    assert (result.ok.position.era, result.ok.position.revision) == (7, 1)
