HTTP client: a reply is delivered whatever idle limit it announces

Callers saw (in a test, not with a real upstream): a complete 200 whose Keep-Alive header holds a number of some hundred digits came back as 502 where the request may run only once.

Cause: the number has no float, or int() refuses it; the error left a callback of the parser, which counts as "no HTTP".

Change: it is read like all other digits; anything else announces no limit.

--- a/hyssoptack/http1/httpclient.py
+++ b/hyssoptack/http1/httpclient.py
@@ -12,6 +12,7 @@
 import httptools
 
 from hyssoptack.core import clock
+from hyssoptack.core import digits
 from hyssoptack.http1 import message
 
 REPLY_LIMIT_BYTES = 16 * 1024 * 1024
@@ -212,8 +213,9 @@
         """Stores the idle timeout that the upstream announces, if any."""
         for each in reply.value(b"keep-alive").split(b","):
             name, _, value = each.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
-                self.idle_limit_ms = int(value) * message.MS_PER_S
+            limit_s = digits.parse(value.decode("latin-1"))
+            if name.lower() == b"timeout" and limit_s is not None:
+                self.idle_limit_ms = limit_s * message.MS_PER_S
 
     def _abort(self, reason: str) -> None:
         """Aborts the connection and fails a call in progress."""
