HTTP client: the head of a reply has a limit, like its body

Cause: only bodies had one. A faulty upstream that sends a head or trailers without an end could use up an instance's memory within a call's deadline (16 MB of body are allowed; a link of 1 Gbit/s brings 300 MB in 2.5 s).

Change: 64 KB of head and trailers a reply, also while the parser collects one header that has not ended and reports nothing. The call counts as broken.

A head of 40 KB and a body of 1 MB are delivered. Not seen with a real upstream.

--- a/hyssoptack/http1/httpclient.py
+++ b/hyssoptack/http1/httpclient.py
@@ -19,6 +19,10 @@
 """Largest reply body accepted. It is far larger than what services send and
 keeps a faulty service from exhausting the memory."""
 
+HEAD_LIMIT_BYTES = 64 * 1024
+"""Largest reply head, and trailers, accepted, beyond which a faulty service
+could exhaust the memory as well."""
+
 FINAL_STATUS_MIN = 200
 """Lowest final status code. After a lower, informational one (1xx), the final
 reply follows."""
@@ -73,6 +77,8 @@
         self._headers: list[message.Header] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._head_bytes = 0
+        self._unreported_bytes = 0
         self._head_done = False
         self._until_close = False
 
@@ -125,10 +131,19 @@
         if self._sink is None:
             self.close()
             return
+        before_bytes = self._head_bytes + self._body_bytes
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._abort("not_http")
+            return
+        if self._head_bytes + self._body_bytes > before_bytes:
+            self._unreported_bytes = 0
+        else:
+            # The parser is collecting a header that has not ended.
+            self._unreported_bytes += len(data)
+        if max(self._head_bytes, self._unreported_bytes) > HEAD_LIMIT_BYTES:
+            self._abort("reply_head_too_large")
 
     def eof_received(self) -> bool:
         """Completes a reply whose body ends with the connection."""
@@ -157,6 +172,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header."""
         self._headers.append((name, value))
+        self._head_bytes += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Records how the body is delimited; completes replies to HEAD."""
--- a/hyssoptack/http1/httpclient_test.py
+++ b/hyssoptack/http1/httpclient_test.py
@@ -1,5 +1,7 @@
 """Replies of upstreams with strange heads."""
 
+import itertools
+
 import pytest
 
 from hyssoptack.http1 import httpclient
@@ -47,3 +49,41 @@
 def test_the_announced_idle_limit_is_used():
     connection, _ = exchange(reply(b"5, max=100"))
     assert connection.idle_limit_ms == 5 * message.MS_PER_S
+
+
+def _endless_header():
+    yield b"HTTP/1.1 200 OK\r\nX-Long: "
+    while True:
+        yield b"x" * 16_384
+
+
+def _endless_headers():
+    yield b"HTTP/1.1 200 OK\r\n"
+    while True:
+        yield b"X-Field: some value\r\n" * 500
+
+
+def _endless_trailers():
+    yield b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+    while True:
+        yield b"X-Field: some value\r\n" * 500
+
+
+@pytest.mark.parametrize(
+    "received", [_endless_header, _endless_headers, _endless_trailers]
+)
+def test_a_reply_head_without_an_end_breaks_the_call(received):
+    # Only bodies had a limit: one faulty upstream could use up the memory of an
+    # instance before the call's deadline.
+    start = itertools.islice(received(), 100)
+    connection, outcomes = exchange(*start)
+    assert [each.reason for each in outcomes] == ["reply_head_too_large"]
+    assert connection._transport.is_aborted
+
+
+def test_a_large_head_and_body_are_delivered():
+    fields = b"X-Field: some value\r\n" * 2_000
+    body = b"x" * 1_000_000
+    head = b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n"
+    _, outcomes = exchange(head % (fields, len(body)) + body)
+    assert [len(each.body) for each in outcomes] == [len(body)]
