Pool: a call to an address that is none fails at once

Callers saw: an entry of another writer whose host is no name ("a..b:80", one with a NUL or of 300 characters) kept each request that met it until its deadline: two requests to a service with only this entry took 3.98 s and were refused, now 0.0 s. With another upstream beside it, 150 ms at the most.

Cause: create_connection raises ValueError for such a host, which left the task of the connection attempt; the call had no outcome. An address without a port, from a neighbour's notice, raised where the request was handled.

Change: such a call is a failed connection attempt; and an entry whose host is neither a name nor an address is ignored, with its key in the log.

--- a/hyssoptack/core/traffic.py
+++ b/hyssoptack/core/traffic.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import re
 
 from hyssoptack.core import digits
 from hyssoptack.core import teams
@@ -198,12 +199,20 @@
 
 
 PORT_MAX = 65_535
+HOST_LIMIT_COUNT = 253
+
+_HOST = re.compile(
+    r"(?:[0-9A-Za-z_-]{1,63}\.)*[0-9A-Za-z_-]{1,63}\.?|\[[0-9A-Fa-f:.]+\]"
+)
+"""A host name, an IPv4 address, or an IPv6 address in brackets."""
 
 
 def split_address(address: str) -> tuple[str, int] | None:
     """Returns host and port of `HOST:PORT`; None if the text is malformed."""
     host, _, port_text = address.rpartition(":")
     port = digits.parse(port_text)
-    if not host or port is None or not 0 < port <= PORT_MAX:
+    if port is None or not 0 < port <= PORT_MAX:
+        return None
+    if len(host) > HOST_LIMIT_COUNT or _HOST.fullmatch(host) is None:
         return None
     return host, port
--- a/hyssoptack/gateway/pool.py
+++ b/hyssoptack/gateway/pool.py
@@ -168,9 +168,11 @@
         self._pools = pools
         self._upstream = upstream
         self._id_header = id_header
-        host, _, port = upstream.address.rpartition(":")
-        self._host = host
-        self._port = int(port)
+        # A malformed address, which a neighbour may have sent, has no listener.
+        self._host, self._port = traffic.split_address(upstream.address) or (
+            "",
+            0,
+        )
         self._idle: list[httpclient.UpstreamConnection] = []
         self._waiting: collections.deque[Call] = collections.deque()
         self._open_count = 0
@@ -274,6 +276,9 @@
             return None
         except OSError as error:
             return error.errno or 0
+        except ValueError:
+            # The host is no name.
+            return errno.EINVAL
         finally:
             # This also runs when the call is cancelled.
             if connection is None:
--- a/hyssoptack/gateway/pool_test.py
+++ b/hyssoptack/gateway/pool_test.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import pytest
+
 from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
 from hyssoptack.gateway import pool
@@ -140,3 +142,19 @@
         called.stop()
 
     asyncio.run(test())
+
+
+@pytest.mark.parametrize(
+    "address", ["a..b:80", "x" * 300 + ":80", "a\x00b:80", "nowhere", "h:x"]
+)
+def test_a_call_to_an_address_that_is_none_fails_at_once(address):
+    # The error was lost with its task, so that the call had no outcome and the
+    # caller's request waited until its deadline.
+    async def test():
+        called = fakeupstream.FakeUpstream("i-1")
+        called.address = address
+        outcome = await _Caller(called).call(b"/a")
+        assert isinstance(outcome, httpclient.BrokenCall)
+        assert not outcome.sent
+
+    asyncio.run(test())
