Messages: a number that is not finite is refused where it is read

What was seen: after one frame on the peers' port with an infinite time of sending, each later notice of that sender raised OverflowError; its list was not merged, and the other messages of its frames were lost.

Cause: MessagePack holds infinite numbers and NaN. The smallest difference of the two clocks became minus infinity.

Change: each floating-point number in messages has bounds, so that such a message is dropped and counted; rates of teams are bounded where they are read.

Both new tests failed before.

--- a/hyssoptack/core/decoding.py
+++ b/hyssoptack/core/decoding.py
@@ -11,6 +11,13 @@
 Int64 = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 """An integer that messages between instances can hold."""
 
+FINITE_MAX = 1e15
+"""Bound of `Finite`; as a time in milliseconds it is 30,000 years."""
+
+Finite = typing.Annotated[float, msgspec.Meta(ge=-FINITE_MAX, le=FINITE_MAX)]
+"""A number that stays finite when it is added to others. Messages between
+instances, unlike JSON, can hold infinite numbers and NaN."""
+
 COUNT_MAX = 2**53 - 1
 
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=COUNT_MAX)]
--- a/hyssoptack/core/decoding_fuzz_test.py
+++ b/hyssoptack/core/decoding_fuzz_test.py
@@ -1,6 +1,7 @@
 """Damaged data, for all that reads bytes from outside the process."""
 
 import json
+import math
 import random
 import re
 import types
@@ -8,6 +9,8 @@
 import msgspec
 import pytest
 
+from hyssoptack.core import gatewaymessage
+from hyssoptack.core import message
 from hyssoptack.entry import callerserver
 from hyssoptack.entry import claimstore
 from hyssoptack.gateway import peering
@@ -185,3 +188,48 @@
     # ended all gateways, again after each restart.
     for data in damaged(document):
         read(data)
+
+
+VIEW = {
+    "sender_id": "g",
+    "sender_address": "a:1",
+    "version": 1,
+    "configuration": b"",
+    "revision": 1,
+    "change": {"base_digest": 1, "digest": 1},
+    "run_id": 1,
+}
+
+
+@pytest.mark.parametrize(
+    "value", [math.nan, math.inf, -math.inf, 1e308, -1e308]
+)
+@pytest.mark.parametrize("field", ["sent_ms", "list_age_ms", "grace_ms"])
+def test_a_message_with_a_number_that_is_not_finite_is_dropped(field, value):
+    # One notice with an infinite time of sending broke the handling of each
+    # later notice of its sender.
+    notices = codec.Codec({12: gatewaymessage.ViewNotice})
+    body = msgspec.Raw(msgspec.msgpack.encode(VIEW | {field: value}))
+    assert not notices.decode(codec.encode_frame([(12, body)])).messages
+    body = msgspec.Raw(msgspec.msgpack.encode(VIEW | {field: 5.0}))
+    assert notices.decode(codec.encode_frame([(12, body)])).messages
+
+
+def _floats(schema):
+    """Yields the float types in a type's JSON schema."""
+    match schema:
+        case {"type": "number"}:
+            yield schema
+        case dict():
+            for each in schema.values():
+                yield from _floats(each)
+        case list():
+            for each in schema:
+                yield from _floats(each)
+
+
+@pytest.mark.parametrize("kinds", [gatewaymessage.KINDS, message.KINDS])
+def test_each_floating_point_number_in_a_message_has_bounds(kinds):
+    found = list(_floats(msgspec.json.schema_components(kinds.values())[1]))
+    assert found
+    assert all({"minimum", "maximum"} <= each.keys() for each in found)
--- a/hyssoptack/core/gatewaymessage.py
+++ b/hyssoptack/core/gatewaymessage.py
@@ -49,14 +49,14 @@
     revision: int
     change: listmessage.ListChange
     kept: tuple[listmessage.KeptUpstream, ...] = ()
-    grace_ms: float = 0.0
-    list_age_ms: float = 0.0
-    observed_age_ms: float = 0.0
-    exact_age_ms: float = 0.0
+    grace_ms: decoding.Finite = 0.0
+    list_age_ms: decoding.Finite = 0.0
+    observed_age_ms: decoding.Finite = 0.0
+    exact_age_ms: decoding.Finite = 0.0
     evacuated: tuple[str, ...] = ()
     evacuated_at: position.Position = position.START
     run_id: int = 0
-    sent_ms: float = 0.0
+    sent_ms: decoding.Finite = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -113,8 +113,8 @@
             milliseconds.
     """
 
-    ratio: float
-    age_ms: float
+    ratio: decoding.Finite
+    age_ms: decoding.Finite
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -164,8 +164,8 @@
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
-    elapsed_ms: float
-    away_ms: float = 0.0
+    elapsed_ms: decoding.Finite
+    away_ms: decoding.Finite = 0.0
     fresh: bool = True
     team: str = ""
     sender_list: listmessage.ListSummary = listmessage.UNKNOWN_LIST
@@ -201,7 +201,7 @@
 
     sender_address: str
     ask_id: int
-    reply_bytes: float
+    reply_bytes: decoding.Finite
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
@@ -259,8 +259,8 @@
     request_id: bytes
     head: bytes
     body: bytes
-    remaining_ms: float
-    to_goal_ms: float
+    remaining_ms: decoding.Finite
+    to_goal_ms: decoding.Finite
     calls: tuple[RelayedCall, ...]
     fingerprint: str = ""
 
@@ -333,7 +333,7 @@
     """
 
     upstream_id: str
-    age_ms: float
+    age_ms: decoding.Finite
     proven: bool
 
 
@@ -355,11 +355,11 @@
     """
 
     fingerprint: str
-    age_ms: float
+    age_ms: decoding.Finite
     cleared: bool = False
     blocked_count: decoding.Count = 0
-    blocked_for_ms: float = 0.0
-    kept_for_ms: float = 0.0
+    blocked_for_ms: decoding.Finite = 0.0
+    kept_for_ms: decoding.Finite = 0.0
     endings: tuple[SuspectCrash, ...] = ()
 
 
--- a/hyssoptack/core/listmessage.py
+++ b/hyssoptack/core/listmessage.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from hyssoptack.core import decoding
 from hyssoptack.core import traffic
 
 
@@ -35,7 +36,7 @@
 
     upstream: traffic.Upstream
     listed_revision: int
-    remaining_ms: float
+    remaining_ms: decoding.Finite
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/core/member.py
+++ b/hyssoptack/core/member.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from hyssoptack.core import decoding
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Member:
@@ -38,4 +40,4 @@
     instance_id: str
     failure_domain: str
     address: str
-    link_mbps: float = 0.0
+    link_mbps: decoding.Finite = 0.0
--- a/hyssoptack/core/message.py
+++ b/hyssoptack/core/message.py
@@ -4,6 +4,7 @@
 import enum
 
 from hyssoptack.core import action
+from hyssoptack.core import decoding
 from hyssoptack.core import keyspace
 from hyssoptack.core import member
 from hyssoptack.core import query
@@ -56,7 +57,7 @@
     held_versions: tuple[int, ...] = ()
     key_range: keyspace.KeyRange | None = None
     hits: tuple[query.Hit, ...] = ()
-    service_ms: float = 0.0
+    service_ms: decoding.Finite = 0.0
     reached_upstream: bool = False
     draining: bool = False
 
@@ -71,7 +72,7 @@
     text: str
     limit_count: int
     urgency: query.Urgency
-    remaining_ms: float
+    remaining_ms: decoding.Finite
     asks: tuple[UpstreamAsk, ...]
 
 
@@ -98,7 +99,7 @@
 
     origin: str
     request_id: str
-    remaining_ms: float
+    remaining_ms: decoding.Finite
     upstream_id: str
     action: action.Action
 
--- a/hyssoptack/core/query.py
+++ b/hyssoptack/core/query.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from hyssoptack.core import decoding
 from hyssoptack.core import keyspace
 
 ANY_VERSION = 0
@@ -42,7 +43,7 @@
     """A matching record: its index key, score and title."""
 
     key: int
-    score: float
+    score: decoding.Finite
     title: str
 
 
@@ -67,8 +68,8 @@
     query_id: str
     hits: tuple[Hit, ...]
     index_version: int
-    coverage_ratio: float
+    coverage_ratio: decoding.Finite
     ranges: tuple[keyspace.KeyRange, ...]
     upstream_call_count: int
     extra_call_count: int
-    elapsed_ms: float
+    elapsed_ms: decoding.Finite
--- a/hyssoptack/core/ratelimitmessage.py
+++ b/hyssoptack/core/ratelimitmessage.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from hyssoptack.core import decoding
 from hyssoptack.core import teams
 
 
@@ -75,11 +76,11 @@
     ask_id: int
     team: str
     permit_count: int = 0
-    retry_after_ms: float = 0.0
+    retry_after_ms: decoding.Finite = 0.0
     in_doubt: bool = False
     redirect_id: str = ""
     redirect_address: str = ""
-    ask_first_ms: float = 0.0
+    ask_first_ms: decoding.Finite = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -102,7 +103,7 @@
     ask_id: int
     team: str
     limit: VersionedLimit
-    wanted_count: float
+    wanted_count: decoding.Finite
     forwarded: bool = False
 
 
@@ -141,7 +142,7 @@
     sender_id: str
     ask_id: int
     team: str
-    token_count: float
+    token_count: decoding.Finite
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -157,7 +158,7 @@
 
     sender_id: str
     team: str
-    ask_first_ms: float
+    ask_first_ms: decoding.Finite
 
 
 Message = (
--- a/hyssoptack/core/refusal.py
+++ b/hyssoptack/core/refusal.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from hyssoptack.core import decoding
+
 
 class Ran(enum.Enum):
     """States whether a request took effect on an upstream."""
@@ -51,4 +53,4 @@
     ran: Ran
     detail: str
     retry_after_ms: int | None = None
-    coverage_ratio: float | None = None
+    coverage_ratio: decoding.Finite | None = None
--- a/hyssoptack/core/teams.py
+++ b/hyssoptack/core/teams.py
@@ -8,6 +8,8 @@
 import dataclasses
 import hashlib
 
+from hyssoptack.core import decoding
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RateLimit:
@@ -18,8 +20,8 @@
         burst_count: Requests allowed at once in addition to the rate.
     """
 
-    rate_per_s: float
-    burst_count: float
+    rate_per_s: decoding.Finite
+    burst_count: decoding.Finite
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/core/traffic.py
+++ b/hyssoptack/core/traffic.py
@@ -7,6 +7,7 @@
 import dataclasses
 import re
 
+from hyssoptack.core import decoding
 from hyssoptack.core import digits
 from hyssoptack.core import teams
 
@@ -189,7 +190,7 @@
     failure_domain: str
     slot_count: int
     draining: bool
-    cold_ms: float
+    cold_ms: decoding.Finite
     listed_id: str = ""
 
     @property
--- a/hyssoptack/platform/storeformat.py
+++ b/hyssoptack/platform/storeformat.py
@@ -193,7 +193,8 @@
     rate_limit = None
     if raw.rate_per_s is not None and raw.rate_per_s > 0:
         rate_limit = teams.RateLimit(
-            rate_per_s=raw.rate_per_s, burst_count=max(0.0, raw.burst or 0.0)
+            rate_per_s=min(decoding.FINITE_MAX, raw.rate_per_s),
+            burst_count=min(decoding.FINITE_MAX, max(0.0, raw.burst or 0.0)),
         )
     return teams.Team(
         name=raw.name, priority=raw.priority, rate_limit=rate_limit
