Gateway: an error of a task that reads from outside ends no process

Cause: each task that runs for a gateway's life ends the process if it raises. Five of them read what others have written; a restart changes nothing there.

A message of a peer that raises no longer takes the rest of its frame along.

--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -260,6 +260,10 @@
         7001,
         "An internal error occurred; a request may have failed.",
     )
+    TASK_FAILED = (
+        7002,
+        "A task that reads the store or a file failed; it is started again.",
+    )
 
     @property
     def number(self) -> int:
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import itertools
 import random
 import signal
 import socket
@@ -42,6 +43,7 @@
 from hyssoptack.gateway import settingsfile
 from hyssoptack.gateway import statuspages
 from hyssoptack.gateway import storewatch
+from hyssoptack.gateway import supervision
 from hyssoptack.http1 import httpserver
 from hyssoptack.membership import partitiondetector
 from hyssoptack.membership import readerelection
@@ -303,14 +305,17 @@
             self._on_instances,
             self._quarantine_store.reconcile,
         )
+        reading = {
+            "upstreams": watcher.poll_upstreams,
+            "configuration": watcher.watch_configuration,
+            "instances": watcher.poll_instances,
+            "registration": registered.maintain_registration,
+            "settings": lambda: settingsfile.watch(self._path, self.reload),
+        }
         tasks = [
             loop.create_task(each)
             for each in (
-                watcher.poll_upstreams(),
-                watcher.watch_configuration(),
-                watcher.poll_instances(),
-                registered.maintain_registration(),
-                settingsfile.watch(self._path, self.reload),
+                *itertools.starmap(supervision.keep_running, reading.items()),
                 self._delegator.watch_event_loop(),
                 self._caller_server.close_timed_out_connections(),
                 self._probe_server.close_timed_out_connections(),
@@ -327,7 +332,8 @@
             (*tasks, stopped), return_when=asyncio.FIRST_COMPLETED
         )
         for each in done:
-            # A failed task stops the process; no task returns by itself.
+            # No task returns by itself. One that reads nothing from outside
+            # fails only if an invariant is violated, which stops the process.
             each.result()
 
     def _optional_tasks(self) -> list[collections.abc.Coroutine]:
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -13,11 +13,12 @@
 from hyssoptack.core import member
 from hyssoptack.core import position
 from hyssoptack.events import log
+from hyssoptack.gateway import exceptionlog
 from hyssoptack.gateway import replicatedview
+from hyssoptack.gateway import viewnotice
 from hyssoptack.membership import listdelta
 from hyssoptack.membership import readerelection
 from hyssoptack.membership import transit
-from hyssoptack.membership import upstreamlist
 from hyssoptack.peers import codec
 from hyssoptack.peers import link
 from hyssoptack.platform import storeformat
@@ -154,7 +155,8 @@
             revision=known.revision,
             change=change,
             kept=tuple(
-                _kept_notice(each, now_ms) for each in known.kept.values()
+                viewnotice.kept_notice(each, now_ms)
+                for each in known.kept.values()
             ),
             grace_ms=self._view.remaining_grace_ms(now_ms),
             list_age_ms=now_ms - known.read_ms,
@@ -260,24 +262,35 @@
 
     def _on_received(self, received: link.ReceivedFrame) -> None:
         for each in received.decoded.messages:
-            match each:
-                case gatewaymessage.ViewNotice():
-                    self._receive_view(each)
-                case gatewaymessage.InstancesNotice():
-                    self._receive_instances(each)
-                case gatewaymessage.PartitionNotice():
-                    self._on_partition_notice()
-                case gatewaymessage.ViewRequest():
-                    self._on_view_request(each)
-                case gatewaymessage.LatencyNotice(seen_calls=seen_calls):
-                    self._view.load_balancer.merge_neighbour_calls(
-                        seen_calls, clock.now_ms()
-                    )
-                case _:
-                    self.on_message(each)
+            try:
+                self._on_message(each)
+            except Exception as error:
+                # The other messages of the frame are not affected.
+                log.write(
+                    log.Event.REQUEST_FAULT,
+                    detail=f"message {type(each).__name__}",
+                    trace=exceptionlog.trace(error),
+                )
         if received.decoded.dropped_count:
             log.write(log.Event.PEER_UNREADABLE, reason=received.decoded.reason)
 
+    def _on_message(self, received: gatewaymessage.Message) -> None:
+        match received:
+            case gatewaymessage.ViewNotice():
+                self._receive_view(received)
+            case gatewaymessage.InstancesNotice():
+                self._receive_instances(received)
+            case gatewaymessage.PartitionNotice():
+                self._on_partition_notice()
+            case gatewaymessage.ViewRequest():
+                self._on_view_request(received)
+            case gatewaymessage.LatencyNotice(seen_calls=seen_calls):
+                self._view.load_balancer.merge_neighbour_calls(
+                    seen_calls, clock.now_ms()
+                )
+            case _:
+                self.on_message(received)
+
     def _receive_instances(
         self, notice: gatewaymessage.InstancesNotice
     ) -> None:
@@ -375,55 +388,11 @@
         if listed is None:
             return False
         now_ms = clock.now_ms()
-        offered = _offered_list(notice, listed, now_ms)
+        offered = viewnotice.offered_list(notice, listed, now_ms)
         self._view.merge_list(offered, f"peer {notice.sender_id}", now_ms)
         return True
 
 
-def _kept_notice(
-    kept: upstreamlist.KeptUpstream, now_ms: float
-) -> listmessage.KeptUpstream:
-    return listmessage.KeptUpstream(
-        upstream=kept.upstream,
-        listed_revision=kept.listed_revision,
-        remaining_ms=kept.until_ms - now_ms,
-    )
-
-
-def _offered_list(
-    notice: gatewaymessage.ViewNotice,
-    listed: upstreamlist.Upstreams,
-    now_ms: float,
-) -> upstreamlist.UpstreamList:
-    """Returns the list that a notice offers, in this instance's clock.
-
-    Args:
-        notice: The notice.
-        listed: The upstreams that the sender read from the store.
-        now_ms: Time at which the notice arrived.
-    """
-    grace_max_ms = upstreamlist.REREGISTRATION_GRACE_MS
-    grace_end_ms = upstreamlist.NEVER_MS
-    if notice.grace_ms > 0:
-        grace_end_ms = now_ms + min(grace_max_ms, notice.grace_ms)
-    read_ms = now_ms - max(0.0, notice.list_age_ms)
-    return upstreamlist.UpstreamList(
-        listed=listed,
-        kept={
-            each.upstream.upstream_id: upstreamlist.KeptUpstream(
-                upstream=each.upstream,
-                listed_revision=each.listed_revision,
-                until_ms=now_ms + min(grace_max_ms, each.remaining_ms),
-            )
-            for each in notice.kept
-        },
-        revision=notice.revision,
-        read_ms=read_ms,
-        observed_since_ms=min(read_ms, now_ms - notice.observed_age_ms),
-        grace_end_ms=grace_end_ms,
-    )
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _SentState:
     """State of the view that a neighbour was last sent.
