--- a/hyssoptack/peers/link_test.py
+++ b/hyssoptack/peers/link_test.py
@@ -31,9 +31,6 @@
     text: str
 
 
-CODEC = codec.Codec({1: TextMessage})
-
-
 def links(address, received):
     """Returns links that append received texts to a list."""
 
@@ -44,7 +41,7 @@
         address,
         60_000.0,
         asyncio.get_running_loop(),
-        CODEC,
+        codec.Codec({1: TextMessage}),
         on_received,
         lambda _address, _body: None,
     )
@@ -145,7 +142,7 @@
             addresses[0],
             100.0,
             asyncio.get_running_loop(),
-            CODEC,
+            codec.Codec({1: TextMessage}),
             lambda _frame: None,
             lambda _address, _body: None,
             lost.append,
@@ -184,7 +181,7 @@
             addresses[0],
             60_000.0,
             asyncio.get_running_loop(),
-            CODEC,
+            codec.Codec({1: TextMessage}),
             lambda _frame: None,
             lambda address, _body: undelivered.append(address),
         )
