Ejections: failures in a row of any number have a wait

An upstream that refuses connections over 1,024 times in a row (over an hour) raised OverflowError at each further one.

Change: planning/backoff, which bounds the doublings, serves both ejections, as it serves retries and quarantines. All other waits are the same.

Evidence: the new test failed before with that OverflowError.

--- a/hyssoptack/balancing/ejectionstate.py
+++ b/hyssoptack/balancing/ejectionstate.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from hyssoptack.planning import backoff
+
 BASE_EJECTION_MS = 1_000.0
 """Duration of the first ejection: a restart or a short stop is over by then.
 Each further failure in a row doubles it, up to `MAX_EJECTION_MS`."""
@@ -10,6 +12,8 @@
 """Longest ejection. Network partitions last 4 to 6 s, so an instance or domain
 that is lost in one is tried again soon after it."""
 
+_EJECTION = backoff.Backoff(min_ms=BASE_EJECTION_MS, max_ms=MAX_EJECTION_MS)
+
 
 @dataclasses.dataclass(kw_only=True)
 class EjectionState:
@@ -35,9 +39,9 @@
         """
         if self.is_ejected(now_ms):
             return
-        wait_ms = BASE_EJECTION_MS * 2**self.ejection_count
+        wait_ms = _EJECTION.wait_ms(self.ejection_count)
         self.ejection_count += 1
-        self.ejected_until_ms = now_ms + min(MAX_EJECTION_MS, wait_ms)
+        self.ejected_until_ms = now_ms + wait_ms
 
     def record_answer(self) -> None:
         """Records an answer, so that the next failure counts as the first."""
--- a/hyssoptack/balancing/loadbalancer.py
+++ b/hyssoptack/balancing/loadbalancer.py
@@ -19,6 +19,7 @@
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import mechanism
 from hyssoptack.core import traffic
+from hyssoptack.planning import backoff
 
 DEFAULT_CALL_MS = 15.0
 """Assumed time of a call before any call of the route was answered."""
@@ -31,6 +32,8 @@
 """Longest ejection: the entry of a crashed upstream expires after about this
 long."""
 
+_EJECTION = backoff.Backoff(min_ms=BASE_EJECTION_MS, max_ms=MAX_EJECTION_MS)
+
 FAILURE_SLOWNESS_RATIO = 6.0
 """A failed call counts as one that took this many times the typical time, so
 that upstreams that fail some of their calls are avoided like slow ones."""
@@ -432,8 +435,8 @@
         newly_ejected = state.ejected_until_ms <= now_ms
         if newly_ejected:
             state.failure_count += 1
-            wait_ms = BASE_EJECTION_MS * 2 ** (state.failure_count - 1)
-            state.ejected_until_ms = now_ms + min(MAX_EJECTION_MS, wait_ms)
+            wait_ms = _EJECTION.wait_ms(state.failure_count - 1)
+            state.ejected_until_ms = now_ms + wait_ms
         return newly_ejected
 
     def record_shed(self, upstream_id: str, now_ms: float) -> None:
--- a/hyssoptack/balancing/loadbalancer_test.py
+++ b/hyssoptack/balancing/loadbalancer_test.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from hyssoptack.balancing import ejectionstate
 from hyssoptack.balancing import loadbalancer
 from hyssoptack.balancing import slowness
 from hyssoptack.core import gatewaymessage
@@ -76,6 +77,19 @@
     assert balancer.upstream_states["a"].ejected_until_ms == 3_100.0
 
 
+def test_what_fails_a_thousand_times_in_a_row_is_still_ejected():
+    # The power of two of the failures had no float any more.
+    balancer = load_balancer(upstream("a"))
+    domain = ejectionstate.EjectionState()
+    for number in range(1_100):
+        now_ms = 10_000.0 * number
+        assert balancer.record_connect_failure("a", now_ms)
+        domain.record_failure(now_ms)
+    state = balancer.upstream_states["a"]
+    assert state.ejected_until_ms == now_ms + loadbalancer.MAX_EJECTION_MS
+    assert domain.ejected_until_ms == now_ms + ejectionstate.MAX_EJECTION_MS
+
+
 def test_an_ejected_upstream_is_chosen_if_all_are_ejected():
     balancer = load_balancer(upstream("a"))
     balancer.record_connect_failure("a", 0.0)
