--- a/hyssoptack/core/digits_test.py
+++ b/hyssoptack/core/digits_test.py
@@ -24,3 +24,9 @@
     # the whole list of upstreams.
     assert traffic.split_address(f"10.0.0.1:{port}") is None
     assert not validation.is_address(f"10.0.0.1:{port}")
+
+
+def test_an_ipv6_address_is_a_host():
+    # Only the form in brackets was accepted, to which nothing connects.
+    assert traffic.split_address("::1:80") == ("::1", 80)
+    assert traffic.split_address("fe80::a:1:80") == ("fe80::a:1", 80)
--- a/hyssoptack/core/traffic.py
+++ b/hyssoptack/core/traffic.py
@@ -203,9 +203,10 @@
 HOST_LIMIT_COUNT = 253
 
 _HOST = re.compile(
-    r"(?:[0-9A-Za-z_-]{1,63}\.)*[0-9A-Za-z_-]{1,63}\.?|\[[0-9A-Fa-f:.]+\]"
+    r"(?:[0-9A-Za-z_-]{1,63}\.)*[0-9A-Za-z_-]{1,63}\.?"
+    r"|\[[0-9A-Fa-f:.]+\]|[0-9A-Fa-f]*:[0-9A-Fa-f:.]*"
 )
-"""A host name, an IPv4 address, or an IPv6 address in brackets."""
+"""A host name, an IPv4 address, or an IPv6 address with or without brackets."""
 
 
 def split_address(address: str) -> tuple[str, int] | None:
