Supervision: failed tasks wait as failed reads do, by the same constant

storewatch.RETRY stood a second time under another name, with the same values; registration already uses it. The waits are the same. The tests of supervision, start-up and the store's watcher pass.

--- a/hyssoptack/gateway/supervision.py
+++ b/hyssoptack/gateway/supervision.py
@@ -11,11 +11,8 @@
 from hyssoptack.core import clock
 from hyssoptack.events import log
 from hyssoptack.gateway import exceptionlog
+from hyssoptack.gateway import storewatch
 from hyssoptack.http1 import message
-from hyssoptack.planning import backoff
-
-RESTART = backoff.Backoff(min_ms=100.0, max_ms=800.0)
-"""Waits before a failed task is started again, as after failed reads."""
 
 HEALTHY_MIN_MS = 10_000.0
 """Time without a failure after which the waits begin anew."""
@@ -46,4 +43,5 @@
                 failure_count=failure_count,
                 trace=exceptionlog.trace(error),
             )
-        await asyncio.sleep(RESTART.wait_ms(failure_count) / message.MS_PER_S)
+        wait_ms = storewatch.RETRY.wait_ms(failure_count)
+        await asyncio.sleep(wait_ms / message.MS_PER_S)
