--- a/hyssoptack/peers/link_crash_test.py
+++ b/hyssoptack/peers/link_crash_test.py
@@ -8,7 +8,6 @@
 
 import pynng
 
-from hyssoptack.peers import codec
 from hyssoptack.peers import link
 from hyssoptack.peers import link_test
 from hyssoptack.standins import ports
@@ -33,14 +32,7 @@
 async def send(addresses):
     """Sends to peers that come and go; ends with the process if it crashes."""
     link.REDIAL_MIN_MS = 0.0
-    own_links = link.Links(
-        f"127.0.0.1:{ports.free_port()}",
-        60_000.0,
-        asyncio.get_running_loop(),
-        codec.Codec({1: link_test.TextMessage}),
-        lambda _frame: None,
-        lambda _address, _body: None,
-    )
+    own_links = link_test.links(f"127.0.0.1:{ports.free_port()}", [])
     own_links.start()
     text = link_test.TextMessage(sender_address="", text="x" * 100)
     end_s = time.monotonic() + PLAY_S
--- a/hyssoptack/peers/link_test.py
+++ b/hyssoptack/peers/link_test.py
@@ -31,19 +31,32 @@
     text: str
 
 
-def links(address, received):
-    """Returns links that append received texts to a list."""
+def links(address, received, undelivered=None, lost=None, idle_ms=60_000.0):
+    """Returns links that record what happens in lists.
+
+    Args:
+        address: The address that they receive on.
+        received: Gets the received texts.
+        undelivered: Gets the address of each message that is not delivered.
+        lost: Gets the address of each connection that a peer closes.
+        idle_ms: Time after which an unused link is closed.
+    """
 
     def on_received(frame):
         received.extend(each.text for each in frame.decoded.messages)
 
+    def on_undelivered(each_address, _body):
+        if undelivered is not None:
+            undelivered.append(each_address)
+
     return link.Links(
         address,
-        60_000.0,
+        idle_ms,
         asyncio.get_running_loop(),
         codec.Codec({1: TextMessage}),
         on_received,
-        lambda _address, _body: None,
+        on_undelivered,
+        None if lost is None else lost.append,
     )
 
 
@@ -138,15 +151,7 @@
         addresses = [f"127.0.0.1:{ports.free_port()}" for _ in range(3)]
         received, lost = [], []
         peers = [links(each, received) for each in addresses[1:]]
-        sender = link.Links(
-            addresses[0],
-            100.0,
-            asyncio.get_running_loop(),
-            codec.Codec({1: TextMessage}),
-            lambda _frame: None,
-            lambda _address, _body: None,
-            lost.append,
-        )
+        sender = links(addresses[0], [], lost=lost, idle_ms=100.0)
         running = [*peers, sender]
         for each in running:
             each.start()
@@ -177,14 +182,7 @@
         addresses = [f"127.0.0.1:{ports.free_port()}" for _ in range(2)]
         received, undelivered = [], []
         peer = links(addresses[1], received)
-        sender = link.Links(
-            addresses[0],
-            60_000.0,
-            asyncio.get_running_loop(),
-            codec.Codec({1: TextMessage}),
-            lambda _frame: None,
-            lambda address, _body: undelivered.append(address),
-        )
+        sender = links(addresses[0], [], undelivered)
         for each in (peer, sender):
             each.start()
         good = TextMessage(sender_address=addresses[0], text="x")
