--- a/hyssoptack/peers/link.py
+++ b/hyssoptack/peers/link.py
@@ -322,7 +322,12 @@
 
         socket.add_post_pipe_connect_cb(on_connected)
         socket.add_post_pipe_remove_cb(on_disconnected)
-        socket.dial(f"tcp://{address}", block=False)
+        try:
+            socket.dial(f"tcp://{address}", block=False)
+        except (pynng.exceptions.NNGException, ValueError):
+            # Each further message to the address opens a socket.
+            socket.close()
+            raise
         return link
 
     def _redial(self, link: _Link, address: str) -> None:
--- a/hyssoptack/peers/link_test.py
+++ b/hyssoptack/peers/link_test.py
@@ -3,6 +3,8 @@
 import asyncio
 import dataclasses
 
+import pynng
+
 from hyssoptack.peers import codec
 from hyssoptack.peers import link
 from hyssoptack.standins import ports
@@ -200,3 +202,35 @@
                 each.stop()
 
     asyncio.run(test())
+
+
+def test_a_socket_that_cannot_dial_is_closed(monkeypatch):
+    # Each message to a malformed address left a socket open.
+    opened, closed = [], []
+
+    class Socket(pynng.Push0):
+        def __init__(self, **options):
+            super().__init__(**options)
+            opened.append(id(self))
+
+        def close(self):
+            closed.append(id(self))
+            super().close()
+
+    monkeypatch.setattr(pynng, "Push0", Socket)
+
+    async def test():
+        undelivered = []
+        sender = links(f"127.0.0.1:{ports.free_port()}", [], undelivered)
+        sender.start()
+        text = TextMessage(sender_address="", text="x")
+        try:
+            for count in range(1, 6):
+                sender.send("nonsense", text)
+                await until(lambda n=count: len(undelivered) == n, 2.0)
+            assert len(opened) == 5
+            assert closed == opened
+        finally:
+            sender.stop()
+
+    asyncio.run(test())
