Shutdown: each request gets an answer before its process ends

Callers saw: a gateway that is being stopped ended with requests in progress and closed their connections without an answer.

Cause: `draining.drain` returned at the end of the grace time whatever was in progress; `has_time_for` looked at a request only as it arrived.

Change: a request is told of the shutdown, as of a partition or quarantine, and its plan ends it (`planning/timelimit`). Not run: 503 `stopping` as soon as it is not sure to end, at once if calls of the route usually take longer than is left. May have run: answered from the parts that are in, or 504 `stopping`, 400 ms before the kill. Retries and hedges go out only if they usually end in time. The same on related paths: requests that wait for admission, queries delegated to a neighbour, calls relayed for one, requests that are half read. Ports stay open until the last responses are sent.

Why it works: whatever is in progress ends by a timer of its own plan before the process does, and the process waits until the responses are sent, at most 250 ms.

Tests of planning, admission, the stops and relays pass.

--- a/hyssoptack/admission/refusal.py
+++ b/hyssoptack/admission/refusal.py
@@ -10,6 +10,7 @@
 import random
 
 from hyssoptack.admission import queue
+from hyssoptack.planning import shutdown
 
 RETRY_GAIN_RATIO = 0.25
 """Part of its latency goal within which a refused caller gains by a retry: a
@@ -42,6 +43,7 @@
     GOAL = "no_room_before_goal"
     DEADLINE = "no_room_before_deadline"
     QUEUE_FULL = "queue_full"
+    STOPPING = shutdown.STOPPING
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/gateway/admissioncontrol.py
+++ b/hyssoptack/gateway/admissioncontrol.py
@@ -17,12 +17,15 @@
 from hyssoptack.core import clock
 from hyssoptack.core import traffic
 from hyssoptack.events import log
+from hyssoptack.gateway import draining
 from hyssoptack.gateway import inbound
 from hyssoptack.gateway import limitlog
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import slotcounts
 from hyssoptack.http1 import message
 from hyssoptack.membership import partitiondetector
+from hyssoptack.planning import retrydelay
+from hyssoptack.planning import shutdown
 
 DELAY_PERIOD_MS = 25.0
 """Interval of the measurements of the event loop's delay: a third of the
@@ -43,6 +46,10 @@
 """Assumed number of instances before the first list of instances, as in
 `balancing.connections`."""
 
+_STOPPING_REFUSAL = retrydelay.RefusalContext(
+    cause=retrydelay.cause_of(shutdown.STOPPING)
+)
+
 Start = collections.abc.Callable[[], None]
 RefuseRequest = collections.abc.Callable[[str, float], None]
 """Refuses a request with a reason and a retry delay in milliseconds."""
@@ -77,6 +84,8 @@
         self._load_balancer = load_balancer
         self._slots = slotcounts.SlotCounts(load_balancer, detector)
         self._metrics = collectors
+        self._random = rng
+        self._shutdown: shutdown.Shutdown | None = None
         self._controller = controller.AdmissionController(rng, clock.now_ms())
         self._controller.instance_count = UNKNOWN_INSTANCE_COUNT
         self._routes_of: dict[queue.Group, list[traffic.Route]] = {}
@@ -194,9 +203,6 @@
             self._routes_of.setdefault(group, [route])
             self._set_facts(group, now_ms)
         received_ms = request.exchange.request.received_ms
-        wait_ms = route.timeout_ms
-        if request.metadata.deadline_ms is not None:
-            wait_ms = min(wait_ms, request.metadata.deadline_ms)
         rate_limit = request.team.rate_limit if request.team else None
         return queue.Ask(
             ask_id=next(self._ask_ids),
@@ -211,7 +217,7 @@
             goal_at_ms=received_ms
             + route.latency_goal_ms
             - request.reserved_ms,
-            deadline_at_ms=received_ms + wait_ms,
+            deadline_at_ms=request.deadline_at_ms,
         )
 
     def _begin(self, ask: queue.Ask, pending: _Pending) -> None:
@@ -287,6 +293,31 @@
             "process_in_progress": process.in_progress_count,
         }
 
+    # Shutdown.
+
+    def on_shutdown(self, started: shutdown.Shutdown) -> None:
+        """Refuses requests as soon as they can't end before this process."""
+        self._shutdown = started
+        self._refuse_stopping(clock.now_ms())
+
+    def _refuse_stopping(self, now_ms: float) -> None:
+        """Refuses the waiting requests that this process can't finish."""
+        for ask_id, pending in tuple(self._pending.items()):
+            if not draining.leaves_no_time(
+                self._shutdown, pending.request, self._load_balancer, now_ms
+            ):
+                continue
+            del self._pending[ask_id]
+            ask = self._controller.leave(ask_id)
+            refused = refusal.Refuse(
+                reason=refusal.Reason.STOPPING,
+                retry_after_ms=retrydelay.retry_delay_ms(
+                    _STOPPING_REFUSAL, self._random
+                ),
+                expected_wait_ms=0.0,
+            )
+            self._refuse(ask, pending, refused, now_ms)
+
     # Periodic work.
 
     async def watch(self) -> None:
@@ -324,6 +355,7 @@
 
     def _review(self, now_ms: float) -> None:
         """Starts or refuses waiting requests whose time has come."""
+        self._refuse_stopping(now_ms)
         refused = self._controller.review(now_ms)
         for ask, decision in refused:
             self._refuse(ask, self._pending.pop(ask.ask_id), decision, now_ms)
--- a/hyssoptack/gateway/admissioncontrol_test.py
+++ b/hyssoptack/gateway/admissioncontrol_test.py
@@ -15,6 +15,7 @@
 DESK = ("desk",)
 SHARDS = ("s0", "s1", "s2", "s3")
 SLOW_MS = 30_000
+GRACE_MS = 2_000.0
 SLOW = {
     **gateway_test.SINGLE,
     "timeout_ms": SLOW_MS,
@@ -257,3 +258,40 @@
             assert limit.extra_count == limit.extra_max_count
 
     asyncio.run(test())
+
+
+def test_a_stop_refuses_waiting_requests_that_it_leaves_no_time_for(
+    monkeypatch,
+):
+    # They waited until the process ended, and were cut.
+    lines = _count_logged(monkeypatch)
+
+    async def test():
+        async with harness.Site() as site:
+            started = await _start(site, 120.0, SLOW, grace_ms=GRACE_MS)
+            await site.get("/one/x", "before", SLOW_MS)
+            _narrow(started)
+            site.upstreams["i-0"].behaviour.delay_ms = SLOW_MS
+            sending = [
+                asyncio.create_task(site.get("/one/x", f"r{n}", SLOW_MS))
+                for n in range(6)
+            ]
+            async with asyncio.timeout(5.0):
+                while len(started._admission._pending) < 4:
+                    await asyncio.sleep(0.005)
+            stop_ms = clock.now_ms()
+            started.stop()
+            replies = await asyncio.gather(*sending[2:])
+            assert clock.now_ms() - stop_ms < 0.7 * GRACE_MS
+            assert {each.status for each in replies} == {503}
+            assert not any(site.run_count(f"r{n}") for n in range(2, 6))
+            waited = [
+                fields["request_id"]
+                for event, fields in lines
+                if event is log.Event.REQUEST_REFUSED
+                and fields["reason"] == "stopping"
+            ]
+            assert waited
+            assert started._admission._controller.waiting_count == 0
+
+    asyncio.run(test())
--- a/hyssoptack/gateway/callrelay_test.py
+++ b/hyssoptack/gateway/callrelay_test.py
@@ -106,7 +106,7 @@
         async with harness.Site() as site:
             await _start_north_and_south(site)
             south = site.gateways["south"]
-            south._delegator._last_tick_ms -= 1_000.0
+            south._delegator.loop_watch._last_tick_ms -= 1_000.0
             response = await site.get("/all/x", "r1", name="north")
             assert response.status == 200
             assert _runs(site, b"r1") == [1] * SHARD_COUNT
@@ -215,3 +215,30 @@
             assert not site.gateways["south"]._gatherer_service.active_gathers
 
     asyncio.run(test())
+
+
+def test_calls_at_a_gatherer_that_ends_are_made_elsewhere_before_it_ends():
+    # The instance that relayed them learned it from the lost link, after the
+    # process had ended.
+    async def test():
+        async with harness.Site() as site:
+            north = await _start_north_and_south(site)
+            for each in site.upstreams.values():
+                each.behaviour.never = True
+            sending = asyncio.create_task(
+                site.get("/all/x", "r1", name="north")
+            )
+            service = site.gateways["south"]._gatherer_service
+            async with asyncio.timeout(WAIT_S):
+                while not service.active_gathers:
+                    await asyncio.sleep(0.001)
+            for each in site.upstreams.values():
+                each.behaviour.never = False
+            service.on_process_end()
+            response = await sending
+            assert response.status == 200
+            assert response.headers["x-missing-parts"] == "0"
+            assert not service.active_gathers
+            assert not north._call_relay.pending
+
+    asyncio.run(test())
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -48,6 +48,7 @@
 from hyssoptack.membership import partitiondetector
 from hyssoptack.membership import readerelection
 from hyssoptack.planning import plancontext
+from hyssoptack.planning import shutdown
 from hyssoptack.platform import headers
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import storeformat
@@ -142,7 +143,7 @@
             settings.peer_address,
             self._peering.send,
             self._request_handler.connection_limit_count,
-            self._delegator.messages_may_be_stale,
+            self._delegator.loop_watch.messages_may_be_stale,
             self._suspect_registry,
         )
         self._quarantine_sync = quarantinesync.QuarantineSync(
@@ -279,12 +280,13 @@
         self._peering.start()
         try:
             await self._serve_until_stopped(callers_port)
-            shutdown = draining.Shutdown(
-                started_ms=clock.now_ms(), grace_ms=self._settings.grace_ms
+            started = shutdown.Shutdown(
+                started_ms=clock.now_ms(),
+                grace_ms=self._settings.grace_ms,
             )
-            self._request_handler.shutdown = shutdown
+            self._request_handler.on_shutdown(started)
             took_ms = await draining.drain(
-                self._caller_server, self._listeners, self._has_work, shutdown
+                self._caller_server, self._listeners, self, started
             )
             log.write(
                 log.Event.STOPPED,
@@ -316,7 +318,7 @@
             loop.create_task(each)
             for each in (
                 *itertools.starmap(supervision.keep_running, reading.items()),
-                self._delegator.watch_event_loop(),
+                self._delegator.loop_watch.watch(),
                 self._caller_server.close_timed_out_connections(),
                 self._probe_server.close_timed_out_connections(),
                 self._pools.sweep(),
@@ -413,13 +415,18 @@
             self._extra_call_budget, self._settings, self.reader_election
         )
 
-    def _has_work(self) -> bool:
+    def is_in_progress(self) -> bool:
         """Returns whether requests, or calls for other instances, run here."""
         return bool(
             self._request_handler.active_runs
             or self._gatherer_service.active_gathers
         )
 
+    def on_process_end(self) -> None:
+        """Answers delegated queries, and reports relayed calls as lost."""
+        self._delegator.on_process_end()
+        self._gatherer_service.on_process_end()
+
 
 def run(
     settings: gateway.GatewaySettings,
--- a/hyssoptack/gateway/draining.py
+++ b/hyssoptack/gateway/draining.py
@@ -1,90 +1,115 @@
 """Finishes the work of a gateway that is being stopped."""
 
 import asyncio
-import collections.abc
-import dataclasses
+import typing
 
+from hyssoptack.balancing import loadbalancer
 from hyssoptack.core import clock
+from hyssoptack.gateway import inbound
 from hyssoptack.gateway import listeners
 from hyssoptack.http1 import httpserver
 from hyssoptack.http1 import message
+from hyssoptack.planning import retrydelay
+from hyssoptack.planning import shutdown
 
 IDLE_CLOSE_DELAY_MS = 2_600.0
 """Time from a stop signal to closing idle connections: the platform's balancer
 needs two probes, a second apart, to see that an instance is not ready."""
 
-KILL_MARGIN_MS = 400.0
-"""Time before the platform's kill at which the process ends by itself."""
-
 DRAIN_CHECK_MS = 50.0
 """Pause between two checks for unfinished work while the process drains."""
 
+FLUSH_LIMIT_MS = 200.0
+"""Time in which the last responses are sent, to slow callers as well. It ends
+half of `shutdown.KILL_MARGIN_MS` before the platform kills the process."""
 
-REFUSAL_DELAY_RATIO = 0.45
-"""Part of the grace time after which a request is refused that is not sure to
-end in the rest of it. The platform's balancer sends most callers elsewhere by
-then, and excuses the cut of a request that arrived in the first half."""
-
-FINISH_MARGIN_MS = 100.0
-"""Time from the end of a request's time limit until its response is sent."""
 
+def leaves_no_time(
+    started: shutdown.Shutdown | None,
+    request: inbound.RoutedRequest,
+    load_balancer: loadbalancer.LoadBalancer,
+    now_ms: float,
+) -> bool:
+    """Returns whether a request that has not run is refused for a shutdown.
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Shutdown:
-    """A graceful shutdown in progress.
-
-    Attributes:
-        started_ms: Time of the stop signal.
-        grace_ms: Time until the platform kills the process.
+    Args:
+        started: The shutdown; None while there is none.
+        request: The request.
+        load_balancer: Knows how long calls of the request's route take.
+        now_ms: The current time.
     """
+    if started is None:
+        return False
+    estimate = load_balancer.latency_of(request.route_match.route.name)
+    refusal_at_ms = started.refusal_at_ms(
+        request.deadline_at_ms, estimate.median_ms
+    )
+    return now_ms >= refusal_at_ms
 
-    started_ms: float
-    grace_ms: float
 
-    @property
-    def end_ms(self) -> float:
-        """Time at which the process ends by itself at the latest."""
-        return self.started_ms + self.grace_ms - KILL_MARGIN_MS
+class Work(typing.Protocol):
+    """What a process does for callers and for other instances."""
 
-    def has_time_for(self, time_limit_ms: float, now_ms: float) -> bool:
-        """Returns whether a request that arrives now may be started.
+    def is_in_progress(self) -> bool:
+        """Returns whether requests, or calls for others, are in progress."""
 
-        Args:
-            time_limit_ms: Time within which the request ends.
-            now_ms: The current time.
-        """
-        refusal_delay_ms = REFUSAL_DELAY_RATIO * self.grace_ms
-        return (
-            now_ms < self.started_ms + refusal_delay_ms
-            or now_ms + time_limit_ms + FINISH_MARGIN_MS <= self.end_ms
-        )
+    def on_process_end(self) -> None:
+        """Ends what was delegated to other instances or by them."""
 
 
 async def drain(
     server: httpserver.Server,
     ports: listeners.Listeners,
-    has_work: collections.abc.Callable[[], bool],
-    shutdown: Shutdown,
+    work: Work,
+    started: shutdown.Shutdown,
 ) -> float:
     """Closes connections to callers, finishes the work and closes ports.
 
+    Requests end by themselves at `started.end_ms` at the latest. Their last
+    responses are sent before this returns.
+
     Args:
         server: The server for callers.
         ports: The open ports.
-        has_work: Returns whether requests are in progress.
-        shutdown: The shutdown.
+        work: The work in progress.
+        started: The shutdown.
 
     Returns:
         How long it took, in milliseconds.
     """
     server.closing = True
-    end_ms = shutdown.end_ms
-    idle_close_ms = min(shutdown.started_ms + IDLE_CLOSE_DELAY_MS, end_ms)
-    await asyncio.sleep((idle_close_ms - clock.now_ms()) / message.MS_PER_S)
+    end_ms = started.end_ms
+    idle_wait_ms = min(IDLE_CLOSE_DELAY_MS, end_ms - clock.now_ms())
+    await asyncio.sleep(idle_wait_ms / message.MS_PER_S)
+    await _close_idle_until(end_ms, server, work)
+    await _answer_all(end_ms + FLUSH_LIMIT_MS, server, work)
+    ports.close()
+    # Until here requests were accepted, if only to be refused.
+    await _close_idle_until(end_ms, server, work)
+    if server.connections or work.is_in_progress():
+        await _answer_all(end_ms + FLUSH_LIMIT_MS, server, work)
+    return clock.now_ms() - started.started_ms
+
+
+async def _answer_all(
+    end_ms: float, server: httpserver.Server, work: Work
+) -> None:
+    """Answers what is still in progress and sends the last responses."""
+    if clock.now_ms() >= end_ms:
+        return
+    work.on_process_end()
+    server.refuse_incomplete(shutdown.STOPPING, retrydelay.OVERLOADED_RETRY_MS)
+    await _close_idle_until(end_ms, server, work)
+    # Messages to other instances leave meanwhile.
+    await asyncio.sleep(DRAIN_CHECK_MS / message.MS_PER_S)
+
+
+async def _close_idle_until(
+    end_ms: float, server: httpserver.Server, work: Work
+) -> None:
+    """Closes idle connections until none is open and no work is left."""
     while clock.now_ms() < end_ms:
         server.close_idle()
-        if not server.connections and not has_work():
+        if not server.connections and not work.is_in_progress():
             break
         await asyncio.sleep(DRAIN_CHECK_MS / message.MS_PER_S)
-    ports.close()
-    return clock.now_ms() - shutdown.started_ms
--- a/hyssoptack/gateway/gathererservice.py
+++ b/hyssoptack/gateway/gathererservice.py
@@ -100,6 +100,11 @@
         if gather is not None:
             gather.end()
 
+    def on_process_end(self) -> None:
+        """Reports the open calls as lost, so that others make them."""
+        for each in tuple(self.active_gathers.values()):
+            each.report_lost()
+
 
 class GatherTask:
     """The calls of one relay request."""
@@ -282,6 +287,12 @@
         if not self._open_upstream_ids:
             self.end()
 
+    def report_lost(self) -> None:
+        """Reports the open calls as lost and cancels them."""
+        self._unsent.extend(map(_outcome_unknown, self._open_upstream_ids))
+        self._flush()
+        self.end()
+
     def end(self) -> None:
         """Cancels the open calls and removes the task."""
         for timer in (self._timer, self._end_timer):
@@ -305,3 +316,13 @@
         reason=reason,
         reached=False,
     )
+
+
+def _outcome_unknown(call_id: int) -> gatewaymessage.RelayedOutcome:
+    """Returns the outcome of a call that its upstream may have run."""
+    return gatewaymessage.RelayedOutcome(
+        call_id=call_id,
+        kind=callcommand.OutcomeKind.FAILED.value,
+        reason=callresult.GATHERER_LOST,
+        reached=True,
+    )
--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -157,6 +157,25 @@
             ready: Whether to wait until the gateway is ready.
             **changes: Settings that differ from the defaults.
         """
+        settings = self.new_settings(name, **changes)
+        started = daemon.Gateway(settings)
+        self.gateways[name] = started
+        loop = asyncio.get_running_loop()
+        self._tasks[name] = loop.create_task(started.run())
+        if ready:
+            await self.wait_ready(name)
+            await self._wait_for_budget_share(started)
+        return started
+
+    def new_settings(
+        self, name: str, **changes: object
+    ) -> gateway.GatewaySettings:
+        """Returns the settings of a new gateway and records them.
+
+        Args:
+            name: Id of the instance.
+            **changes: Settings that differ from the defaults.
+        """
         settings = gateway.GatewaySettings(
             instance_id=name,
             failure_domain="north",
@@ -171,16 +190,8 @@
             ),
             grace_ms=6_000.0,
         )
-        settings = dataclasses.replace(settings, **changes)
-        started = daemon.Gateway(settings)
-        self.gateways[name] = started
-        self.settings[name] = settings
-        loop = asyncio.get_running_loop()
-        self._tasks[name] = loop.create_task(started.run())
-        if ready:
-            await self.wait_ready(name)
-            await self._wait_for_budget_share(started)
-        return started
+        self.settings[name] = dataclasses.replace(settings, **changes)
+        return self.settings[name]
 
     def kill(self, name: str) -> None:
         """Ends a gateway at once, without a graceful shutdown."""
@@ -190,7 +201,7 @@
         """Waits until a gateway reports that it is ready."""
         async with asyncio.timeout(START_TIMEOUT_S):
             while await self.readiness_status(name) != 200:
-                if self._tasks[name].done():
+                if name in self._tasks and self._tasks[name].done():
                     # Raises the error that ended the gateway.
                     self._tasks[name].result()
                 await asyncio.sleep(0.02)
--- a/hyssoptack/gateway/inbound.py
+++ b/hyssoptack/gateway/inbound.py
@@ -87,6 +87,19 @@
         rate_per_s = limit.rate_per_s if limit is not None else None
         return team_fields(self.team_name, rate_per_s)
 
+    @property
+    def time_limit_ms(self) -> float:
+        """Time from its arrival after which the request ends."""
+        timeout_ms = self.route_match.route.timeout_ms
+        if self.metadata.deadline_ms is None:
+            return timeout_ms
+        return min(timeout_ms, self.metadata.deadline_ms)
+
+    @property
+    def deadline_at_ms(self) -> float:
+        """Time at which the request ends at the latest."""
+        return self.exchange.request.received_ms + self.time_limit_ms
+
     @property
     def reserved_ms(self) -> float:
         """Part of the latency goal used by transit and earlier attempts."""
--- a/hyssoptack/gateway/querydelegation.py
+++ b/hyssoptack/gateway/querydelegation.py
@@ -8,11 +8,9 @@
 the caller may retry it with all attempts.
 """
 
-import asyncio
 import collections.abc
 import enum
 import http
-import math
 
 from hyssoptack.core import clock
 from hyssoptack.core import gatewaymessage
@@ -24,24 +22,15 @@
 from hyssoptack.events import log
 from hyssoptack.gateway import correlationids
 from hyssoptack.gateway import inbound
+from hyssoptack.gateway import loopwatch
 from hyssoptack.gateway import peerexchange
 from hyssoptack.http1 import message
+from hyssoptack.planning import shutdown
 from hyssoptack.platform import headers
 
 Send = collections.abc.Callable[[str, gatewaymessage.Message], None]
 """Sends a message to the instance at an address."""
 
-LOOP_CHECK_PERIOD_S = 0.1
-"""Period of checks for event loop stalls; 20 checks cost 1 ms of CPU time."""
-
-LOOP_STALL_MS = 300.0
-"""Stall of the event loop after which an instance declines queries that may
-have waited during the stall. Their senders have run those queries by then."""
-
-RESUME_WINDOW_MS = 100.0
-"""Time after a stall during which received messages may date from the stall.
-Messages buffered in a link are read within some tens of milliseconds."""
-
 
 class _State(enum.Enum):
     """The state of a delegated query, as the neighbour last reported it."""
@@ -80,8 +69,7 @@
         self.pending: dict[int, DelegatedQuery] = {}
         self._ask_ids = correlationids.new_sequence()
         self._accepted: dict[tuple[str, int], peerexchange.PeerExchange] = {}
-        self._last_tick_ms = clock.now_ms()
-        self._resumed_ms = -math.inf
+        self.loop_watch = loopwatch.LoopWatch()
 
     def try_delegate(
         self,
@@ -115,25 +103,6 @@
         delegated.start(version)
         return True
 
-    async def watch_event_loop(self) -> None:
-        """Records stalls of the event loop until cancelled."""
-        while True:
-            now_ms = clock.now_ms()
-            if now_ms - self._last_tick_ms >= LOOP_STALL_MS:
-                self._resumed_ms = now_ms
-            self._last_tick_ms = now_ms
-            await asyncio.sleep(LOOP_CHECK_PERIOD_S)
-
-    def messages_may_be_stale(self) -> bool:
-        """Returns whether received messages may date from a recent stall.
-
-        After a stall the event loop runs `watch_event_loop` before it reads
-        messages, so the time of the last tick alone does not show the stall.
-        """
-        now_ms = clock.now_ms()
-        stalled = now_ms - self._last_tick_ms >= LOOP_STALL_MS
-        return stalled or now_ms - self._resumed_ms < RESUME_WINDOW_MS
-
     def accept(
         self, received: gatewaymessage.DelegationRequest, can_serve: bool
     ) -> peerexchange.PeerExchange | None:
@@ -146,7 +115,7 @@
         now_ms = clock.now_ms()
         key = received.sender_address, received.ask_id
         already_running = key in self._accepted
-        stale = self.messages_may_be_stale()
+        stale = self.loop_watch.messages_may_be_stale()
         begun = already_running or (can_serve and not stale and received.fresh)
         status = gatewaymessage.DelegationStatus(
             sender_address=self.own_address, ask_id=received.ask_id, begun=begun
@@ -240,6 +209,11 @@
                 if (delegated := self.pending.get(ask_id)) is not None:
                     delegated.on_undelivered()
 
+    def on_process_end(self) -> None:
+        """Answers the delegated queries that neighbours have not answered."""
+        for each in tuple(self.pending.values()):
+            each.on_process_end()
+
     def on_link_lost(self, address: str) -> None:
         """Handles the loss of the connection to a neighbour."""
         for each in tuple(self.pending.values()):
@@ -369,14 +343,23 @@
             self._take_back(reason, may_have_run=True)
             return
         self._parent.selector.record_failure(self._peer.address, clock.now_ms())
+        self._fail(reason, http.HTTPStatus.BAD_GATEWAY, "neighbour_lost")
+
+    def on_process_end(self) -> None:
+        """Fails the query because this process ends before its answer."""
+        status = http.HTTPStatus.GATEWAY_TIMEOUT
+        self._fail(shutdown.STOPPING, status, shutdown.STOPPING)
+
+    def _fail(
+        self, log_reason: str, status: http.HTTPStatus, reply_reason: str
+    ) -> None:
+        """Fails a query that the neighbour may have run."""
         self._notify(gatewaymessage.DelegationCancel)
         self._end()
-        status = http.HTTPStatus.BAD_GATEWAY
         # A line with a status ends the query; without one it runs here.
-        self._log_back(reason, True, status=int(status))
-        self._query.exchange.answer(
-            message.problem_reply(status, "neighbour_lost")
-        )
+        self._log_back(log_reason, True, status=int(status))
+        reply = message.problem_reply(status, reply_reason)
+        self._query.exchange.answer(reply)
 
     def on_answer(self, answer: gatewaymessage.DelegationAnswer) -> None:
         """Sends the neighbour's answer to the caller."""
--- a/hyssoptack/gateway/querydelegation_stops_test.py
+++ b/hyssoptack/gateway/querydelegation_stops_test.py
@@ -113,3 +113,20 @@
         assert sender.count_sent(gatewaymessage.DelegationCancel) == 1
 
     uvloop.run(test())
+
+
+@pytest.mark.parametrize("is_begun", [False, True])
+def test_a_query_at_a_neighbour_is_answered_when_this_process_ends(is_begun):
+    # The connection of its caller closed without a response.
+    async def test():
+        sender = _Sender()
+        if is_begun:
+            sender.receive_status()
+        sender.delegator.on_process_end()
+        (answer,) = sender.answers
+        assert answer.status == 504
+        assert not sender.delegator.pending
+        assert not sender.rerun
+        assert sender.count_sent(gatewaymessage.DelegationCancel) == 1
+
+    uvloop.run(test())
--- a/hyssoptack/gateway/querydelegation_test.py
+++ b/hyssoptack/gateway/querydelegation_test.py
@@ -10,6 +10,7 @@
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
 from hyssoptack.gateway import inbound
+from hyssoptack.gateway import loopwatch
 from hyssoptack.gateway import querydelegation
 from hyssoptack.http1 import message
 
@@ -236,10 +237,10 @@
         None,
         None,
     )
-    delegator._last_tick_ms -= 2 * querydelegation.LOOP_STALL_MS
+    delegator.loop_watch._last_tick_ms -= 2 * loopwatch.LOOP_STALL_MS
     assert delegator.accept(_delegation_request(), can_serve=True) is None
     assert [each.begun for each in sent] == [False]
-    delegator._last_tick_ms += 2 * querydelegation.LOOP_STALL_MS
+    delegator.loop_watch._last_tick_ms += 2 * loopwatch.LOOP_STALL_MS
     exchange = delegator.accept(_delegation_request(), can_serve=True)
     assert exchange is not None
     assert sent[-1].begun
@@ -258,10 +259,10 @@
         None,
         None,
     )
-    delegator._last_tick_ms -= 2 * querydelegation.LOOP_STALL_MS
+    delegator.loop_watch._last_tick_ms -= 2 * loopwatch.LOOP_STALL_MS
 
     async def run_watch():
-        watch = asyncio.create_task(delegator.watch_event_loop())
+        watch = asyncio.create_task(delegator.loop_watch.watch())
         await asyncio.sleep(0.01)
         watch.cancel()
 
--- a/hyssoptack/gateway/ratelimitsetup.py
+++ b/hyssoptack/gateway/ratelimitsetup.py
@@ -42,7 +42,7 @@
 
     limiter = ratelimiter.for_instance(settings, view, send, far_peers)
     handler.request_permits = requestpermits.RequestPermits(
-        limiter, handler.serve_identified, handler.refuse_limited
+        limiter, handler.serve_identified, handler.refusals.refuse_limited
     )
     collectors.on_render.append(limiter.render)
     return limiter
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import http
-import random
 import typing
 
 from hyssoptack.balancing import connections
@@ -16,6 +15,7 @@
 from hyssoptack.gateway import inbound
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import querydelegation
+from hyssoptack.gateway import refusals
 from hyssoptack.gateway import replicatedview
 from hyssoptack.gateway import requestrun
 from hyssoptack.gateway import runcontext
@@ -24,8 +24,8 @@
 from hyssoptack.planning import callcommand
 from hyssoptack.planning import callerlatency
 from hyssoptack.planning import plancontext
-from hyssoptack.planning import retrydelay
 from hyssoptack.planning import routetable
+from hyssoptack.planning import shutdown
 from hyssoptack.platform import headers
 
 if typing.TYPE_CHECKING:
@@ -54,13 +54,13 @@
         self._failure_domain = failure_domain
         self.instance_counts = connections.InstanceCounts()
         self.active_runs: set[runcontext.ActiveRun] = set()
-        self._random = random.Random()
+        self.refusals = refusals.Refusals(view, plan_context, collectors)
         self._caller_latency = callerlatency.CallerLatency()
         self.delegator: querydelegation.Delegator | None = None
         self.call_relay: callrelay.CallRelay | None = None
         self.request_permits: requestpermits.RequestPermits | None = None
         self.admission: admissioncontrol.AdmissionControl | None = None
-        self.shutdown: draining.Shutdown | None = None
+        self.shutdown: shutdown.Shutdown | None = None
 
     def handle(self, exchange: httpserver.Exchange) -> None:
         """Handles a request received from a caller."""
@@ -131,10 +131,14 @@
         match match_result:
             case routetable.RouteMiss.NOT_CONFIGURED:
                 status = http.HTTPStatus.SERVICE_UNAVAILABLE
-                self._refuse(exchange, metadata, status, match_result.value)
+                self.refusals.refuse(
+                    exchange, metadata, status, match_result.value
+                )
             case routetable.RouteMiss.NO_ROUTE:
                 status = http.HTTPStatus.NOT_FOUND
-                self._refuse(exchange, metadata, status, match_result.value)
+                self.refusals.refuse(
+                    exchange, metadata, status, match_result.value
+                )
             case routetable.RouteMatch():
                 request = inbound.RoutedRequest(
                     exchange=exchange,
@@ -170,16 +174,19 @@
         run.start()
 
     def _start_before_stop(self, request: inbound.RoutedRequest) -> None:
-        """Refuses a request that a stop of this instance could cut."""
-        limit_ms = request.route_match.route.timeout_ms
-        if request.metadata.deadline_ms is not None:
-            limit_ms = min(limit_ms, request.metadata.deadline_ms)
-        stop = self.shutdown
-        if stop is None or stop.has_time_for(limit_ms, clock.now_ms()):
+        """Refuses a request that this process is not sure to finish."""
+        load_balancer = self._plan_context.load_balancer
+        if not draining.leaves_no_time(
+            self.shutdown, request, load_balancer, clock.now_ms()
+        ):
             self._identify_caller(request)
             return
-        status = http.HTTPStatus.SERVICE_UNAVAILABLE
-        self._refuse(request.exchange, request.metadata, status, "stopping")
+        self.refusals.refuse(
+            request.exchange,
+            request.metadata,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            shutdown.STOPPING,
+        )
 
     def _identify_caller(self, request: inbound.RoutedRequest) -> None:
         """Serves a caller's request if its key or its route allows it."""
@@ -192,7 +199,7 @@
         team = directory.find(key) if key is not None else None
         if team is None and not request.route_match.route.allows_anonymous:
             reason = "no_key" if key is None else "unknown_key"
-            self._refuse(
+            self.refusals.refuse(
                 exchange, request.metadata, http.HTTPStatus.UNAUTHORIZED, reason
             )
             return
@@ -258,26 +265,11 @@
             self.admission.submit(
                 request,
                 start,
-                lambda reason, retry_after_ms: self._refuse_admission(
+                lambda reason, retry_after_ms: self.refusals.refuse_admission(
                     request, reason, retry_after_ms
                 ),
             )
 
-    def _refuse_admission(
-        self,
-        request: inbound.RoutedRequest,
-        reason: str,
-        retry_after_ms: float,
-    ) -> None:
-        """Refuses a request for which no call was sent."""
-        status = http.HTTPStatus.SERVICE_UNAVAILABLE
-        self.metrics.requests.inc(
-            {"route": request.route_match.route.name, "status": str(status)}
-        )
-        request.exchange.answer(
-            message.problem_reply(status, reason, retry_after_ms)
-        )
-
     def can_rerun_locally(self, request: inbound.RoutedRequest) -> bool:
         """Returns whether the extra call budget allows rerunning a query here.
 
@@ -295,61 +287,6 @@
         )
         return affordable_count >= floor_count
 
-    def _refuse(
-        self,
-        exchange: inbound.Exchange,
-        metadata: headers.RequestMetadata,
-        status: int,
-        reason: str,
-    ) -> None:
-        match status:
-            case http.HTTPStatus.SERVICE_UNAVAILABLE:
-                wait_ms = self.retry_delay_ms(reason)
-                reply = message.problem_reply(status, reason, wait_ms)
-            case http.HTTPStatus.UNAUTHORIZED:
-                reply = headers.unauthorized_reply(reason)
-            case _:
-                reply = message.problem_reply(status, reason)
-        self._answer_refusal(exchange, metadata, reply, reason)
-
-    def refuse_limited(
-        self,
-        request: inbound.RoutedRequest,
-        status: int,
-        reason: str,
-        retry_after_ms: float,
-    ) -> None:
-        """Refuses a request because of its team's rate limit."""
-        self._answer_refusal(
-            request.exchange,
-            request.metadata,
-            message.problem_reply(status, reason, retry_after_ms),
-            reason,
-            request.team_name,
-        )
-
-    def _answer_refusal(
-        self,
-        exchange: inbound.Exchange,
-        metadata: headers.RequestMetadata,
-        reply: message.Reply,
-        reason: str,
-        team_name: str = "",
-    ) -> None:
-        status = reply.status
-        self.metrics.requests.inc({"route": "", "status": str(status)})
-        exchange.answer(reply)
-        log.write(
-            log.Event.REQUEST_ENDED,
-            request_id=metadata.request_id.decode("latin-1"),
-            host=metadata.host,
-            path=exchange.request.path.decode("latin-1"),
-            status=status,
-            reason=reason,
-            version=self._view.version,
-            **inbound.team_fields(team_name),
-        )
-
     def counts_as_shed(
         self, trace: calltrace.Trace, outcome: callcommand.Outcome
     ) -> bool:
@@ -392,20 +329,6 @@
             size_bytes = message.reply_size_bytes(reply)
             self.delegator.selector.record_reply_size(route_name, size_bytes)
 
-    def retry_delay_ms(self, reason: str) -> float:
-        """Returns how long a refused caller should wait before it retries."""
-        if not self._plan_context.mechanisms.comeback_by_cause:
-            return retrydelay.OVERLOADED_RETRY_MS
-        detector = self._plan_context.partition_detector
-        partitioned_for_ms = clock.now_ms() - detector.partitioned_since_ms
-        refusal = retrydelay.RefusalContext(
-            cause=retrydelay.cause_of(reason),
-            partitioned_for_ms=partitioned_for_ms
-            if detector.is_partitioned
-            else 0.0,
-        )
-        return retrydelay.retry_delay_ms(refusal, self._random)
-
     def can_relay_to(self, failure_domain: str) -> bool:
         """Returns whether calls to a failure domain may be relayed."""
         return self.call_relay is not None and (
@@ -417,6 +340,14 @@
         for each in tuple(self.active_runs):
             each.on_partition()
 
+    def on_shutdown(self, started: shutdown.Shutdown) -> None:
+        """Ends the requests of this instance before its process ends."""
+        self.shutdown = started
+        for each in tuple(self.active_runs):
+            each.on_shutdown(started)
+        if self.admission is not None:
+            self.admission.on_shutdown(started)
+
     def on_quarantined(self, fingerprint: str) -> None:
         """Fails active requests that have a newly quarantined fingerprint."""
         for each in tuple(self.active_runs):
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -18,6 +18,7 @@
 from hyssoptack.planning import callplan
 from hyssoptack.planning import callresult
 from hyssoptack.planning import records
+from hyssoptack.planning import shutdown
 from hyssoptack.platform import headers
 
 TIMER_LATE_MS = 3.0
@@ -62,9 +63,7 @@
         self._spent_ms = request.caller_spent_ms
         self._team_name = request.team_name
         self._team_fields = request.team_fields
-        self._time_limit_ms = route_match.route.timeout_ms
-        if metadata.deadline_ms is not None:
-            self._time_limit_ms = min(self._time_limit_ms, metadata.deadline_ms)
+        self._time_limit_ms = request.time_limit_ms
         self._caller_deadline_at_ms = received_ms + (
             metadata.deadline_ms
             if metadata.deadline_ms is not None
@@ -74,7 +73,7 @@
             route=route_match.route,
             services=route_match.services,
             goal_at_ms=request.goal_at_ms(self._now_ms),
-            deadline_at_ms=received_ms + self._time_limit_ms,
+            deadline_at_ms=request.deadline_at_ms,
             may_have_run=may_have_run,
             awaits_grant=awaits_grant,
             fingerprint=request.fingerprint,
@@ -105,7 +104,11 @@
         """Starts the plan and sends the first calls."""
         self._handler.active_runs.add(self)
         self._exchange.on_abandoned = self._on_caller_left
-        self._execute(self._plan.start(self._now_ms))
+        started = self._handler.shutdown
+        if started is not None:
+            self.on_shutdown(started)
+        if not self._plan.finished:
+            self._execute(self._plan.start(self._now_ms))
 
     def _execute(self, commands: list[callcommand.Command]) -> None:
         self._send_calls(
@@ -319,6 +322,11 @@
         self._now_ms = clock.now_ms()
         self._execute(self._plan.on_partition(self._now_ms))
 
+    def on_shutdown(self, started: shutdown.Shutdown) -> None:
+        """Ends the request before this process does."""
+        self._now_ms = clock.now_ms()
+        self._execute(self._plan.on_shutdown(started, self._now_ms))
+
     def on_quarantined(self) -> None:
         """Fails the request because its fingerprint is quarantined."""
         self._now_ms = clock.now_ms()
@@ -340,7 +348,7 @@
                 )
             case callcommand.Refuse(reason=detail):
                 status = http.HTTPStatus.SERVICE_UNAVAILABLE
-                wait_ms = self._handler.retry_delay_ms(detail)
+                wait_ms = self._handler.refusals.retry_delay_ms(detail)
                 reply = message.problem_reply(status, detail, wait_ms)
             case callcommand.Fail(
                 reason=detail, reply=message.Reply() as failure
--- a/hyssoptack/gateway/runcontext.py
+++ b/hyssoptack/gateway/runcontext.py
@@ -7,10 +7,12 @@
 from hyssoptack.gateway import calltrace
 from hyssoptack.gateway import inbound
 from hyssoptack.gateway import metrics
+from hyssoptack.gateway import refusals
 from hyssoptack.gateway import replicatedview
 from hyssoptack.http1 import message
 from hyssoptack.planning import callcommand
 from hyssoptack.planning import plancontext
+from hyssoptack.planning import shutdown
 
 
 class ActiveRun(typing.Protocol):
@@ -25,6 +27,9 @@
     def on_partition(self) -> None:
         """Abandons calls to other failure domains, which are unreachable."""
 
+    def on_shutdown(self, started: shutdown.Shutdown) -> None:
+        """Ends the request before this process does."""
+
     def on_quarantined(self) -> None:
         """Fails the request because its fingerprint is quarantined."""
 
@@ -37,11 +42,15 @@
         active_runs: The requests in progress.
         call_relay: Relays calls to other failure domains; `None` before it is
             connected.
+        refusals: Answers refused requests.
+        shutdown: The shutdown of this process; None while there is none.
     """
 
     metrics: metrics.Metrics
     active_runs: set[ActiveRun]
     call_relay: callrelay.CallRelay | None
+    refusals: refusals.Refusals
+    shutdown: shutdown.Shutdown | None
 
     @property
     def view(self) -> replicatedview.ReplicatedView:
@@ -57,9 +66,6 @@
     def can_relay_to(self, failure_domain: str) -> bool:
         """Returns whether calls to a failure domain may be relayed."""
 
-    def retry_delay_ms(self, reason: str) -> float:
-        """Returns how long a refused caller should wait before it retries."""
-
     def counts_as_shed(
         self, trace: calltrace.Trace, outcome: callcommand.Outcome
     ) -> bool:
--- a/hyssoptack/planning/callcommand.py
+++ b/hyssoptack/planning/callcommand.py
@@ -169,7 +169,8 @@
 
     Attributes:
         reason: Short identifier of the cause.
-        timed_out: Whether the request reached its deadline.
+        timed_out: Whether the request ended while calls were open, at its
+            deadline or before this process ends.
         reply: An upstream's failure reply to pass on, if there is one.
     """
 
--- a/hyssoptack/planning/callplan.py
+++ b/hyssoptack/planning/callplan.py
@@ -23,12 +23,11 @@
 from hyssoptack.planning import extracalls
 from hyssoptack.planning import opencalls
 from hyssoptack.planning import plancontext
+from hyssoptack.planning import shutdown
+from hyssoptack.planning import timelimit
 from hyssoptack.planning import upstreamchoice
 from hyssoptack.quarantine import probeguard
 
-DEADLINE_MARGIN_MS = 10.0
-"""Time reserved before the caller's deadline to write and send the answer."""
-
 
 class CallPlan:
     """Decides which calls one request makes and how the request ends.
@@ -60,15 +59,17 @@
             context, request.services, self._parts
         )
         self.calls = opencalls.OpenCalls(
-            context.load_balancer, request.route.name
+            context.load_balancer, request.route.name, request.may_have_run
         )
-        self._may_have_run = request.may_have_run
         self.finished = False
         self._started_ms = now_ms
         self._remote_tally = partitiondetector.RemoteCallTally()
-        self._end_ms = max(now_ms, request.deadline_at_ms - DEADLINE_MARGIN_MS)
+        latency = context.load_balancer.latency_of(request.route.name)
+        self._time_limit = timelimit.TimeLimit(
+            request, self.calls, latency, now_ms
+        )
         self._hedge_timing = hedgetiming.HedgeTiming(
-            context.load_balancer.latency_of(request.route.name),
+            latency,
             request.route.latency_goal_ms,
             request.goal_at_ms,
             now_ms,
@@ -82,7 +83,7 @@
         )
         self.attempts = attempts.Attempts(request)
         self._choice = upstreamchoice.UpstreamChoice(
-            request, context, self.probe_guard, self.attempts
+            request, context, self.probe_guard, self.attempts, self._time_limit
         )
 
     def start(self, now_ms: float) -> list[callcommand.Command]:
@@ -102,7 +103,7 @@
             if upstream is None:
                 self._parts.abandon(part)
         if not self._parts.can_reach_floor():
-            return self._finish(now_ms, timed_out=False)
+            return self._finish(now_ms)
         commands: list[callcommand.Command] = []
         for part, upstream in chosen:
             if upstream is not None:
@@ -120,7 +121,7 @@
 
     def next_deadline_ms(self) -> float:
         """Returns the time at which `on_timeout` must be called next."""
-        next_ms = self._end_ms
+        next_ms = self._time_limit.due_ms()
         if self.attempts.granted:
             next_ms = min(next_ms, self._hedge_queue.next_due_ms())
         if self._answers_at_goal():
@@ -238,6 +239,13 @@
             return []
         return self._reject_crashing(now_ms)
 
+    def on_shutdown(
+        self, started: shutdown.Shutdown, now_ms: float
+    ) -> list[callcommand.Command]:
+        """Ends the request before this process does, at once if due."""
+        self._time_limit.shutdown = started
+        return self._finish_if_due(now_ms)
+
     def on_caller_left(self, now_ms: float) -> list[callcommand.Command]:
         """Cancels all calls because the caller has disconnected."""
         self.finished = True
@@ -258,10 +266,10 @@
                 self._parts.record_answer(part, outcome.reply)
                 self.probe_guard.record_answer(now_ms)
                 self._hedge_timing.record_answer(now_ms)
-                self._may_have_run = True
-                return self._cancel_part(part, now_ms)
+                self.calls.has_run = True
+                return self.calls.cancel(part, now_ms)
             case callcommand.OutcomeKind.FAILED:
-                self._may_have_run = True
+                self.calls.has_run = True
                 part.failure = outcome.reply or part.failure
                 if outcome.reason in callresult.GATHERER_FAULTS:
                     part.tried_upstream_ids.discard(upstream_id)
@@ -294,7 +302,7 @@
             return []
         upstream = self._choice.retry_upstream(part, now_ms)
         if upstream is not None:
-            may_have_run = self._may_have_run or self.calls.any_sent()
+            may_have_run = self.calls.may_have_run()
             if self._extra_calls.try_retry(part, may_have_run, now_ms):
                 return self._send_to(part, upstream, now_ms, reason)
         if not part.calls:
@@ -374,6 +382,8 @@
         part = call.part
         if self._extra_calls.are_held_back:
             return []
+        if not self._time_limit.allows_call(now_ms):
+            return []
         part.hedged = True
         if not self._extra_calls.try_hedge(part, now_ms):
             return []
@@ -383,18 +393,10 @@
             part.tried_upstream_ids.discard(call.upstream_id)
         return self._send(part, now_ms, probeguard.HEDGE)
 
-    def _cancel_part(
-        self, part: callpart.Part, now_ms: float
-    ) -> list[callcommand.Command]:
-        return [
-            callcommand.Cancel(call_id=call_id)
-            for call_id in self.calls.cancel(part, now_ms)
-        ]
-
     def _cancel_all(self, now_ms: float) -> list[callcommand.Command]:
         commands: list[callcommand.Command] = []
         for part in self._parts.all:
-            commands.extend(self._cancel_part(part, now_ms))
+            commands.extend(self.calls.cancel(part, now_ms))
         return commands
 
     @property
@@ -413,21 +415,20 @@
         if self.finished:
             return []
         if not self._parts.open_count or not self._parts.can_reach_floor():
-            return self._finish(now_ms, timed_out=False)
+            return self._finish(now_ms)
         if now_ms >= self.request.goal_at_ms and self._answers_at_goal():
-            return self._finish(now_ms, timed_out=False)
-        if now_ms >= self._end_ms:
-            return self._finish(now_ms, timed_out=True)
-        return []
+            return self._finish(now_ms)
+        limit_reason = self._time_limit.reason(now_ms)
+        return self._finish(now_ms, limit_reason) if limit_reason else []
 
     def _finish(
-        self, now_ms: float, timed_out: bool
+        self, now_ms: float, limit_reason: str = ""
     ) -> list[callcommand.Command]:
         result = callresult.request_result(
             self._parts,
             meets_floor=self._parts.meets_floor(),
-            timed_out=timed_out,
-            may_have_run=self._may_have_run or self.calls.any_sent(),
+            limit_reason=limit_reason,
+            may_have_run=self.calls.may_have_run(),
         )
         return self._finish_with(result, now_ms)
 
--- a/hyssoptack/planning/callresult.py
+++ b/hyssoptack/planning/callresult.py
@@ -3,6 +3,9 @@
 from hyssoptack.planning import callcommand
 from hyssoptack.planning import callpart
 
+DEADLINE = "deadline"
+"""Reason for a request that its caller or its route gives no more time."""
+
 PARTITIONED = "failure_domain_cut_off"
 """Reason for a part or call that cannot reach an upstream in another failure
 domain during a network partition."""
@@ -32,7 +35,7 @@
     parts: callpart.Parts,
     *,
     meets_floor: bool,
-    timed_out: bool,
+    limit_reason: str,
     may_have_run: bool,
 ) -> callcommand.Result:
     """Returns the result of a request.
@@ -40,7 +43,8 @@
     Args:
         parts: The parts of the request.
         meets_floor: Whether the answered parts reach the coverage floor.
-        timed_out: Whether the request reached its deadline.
+        limit_reason: Why the request ends before all its parts have; empty if
+            they have ended.
         may_have_run: Whether any part ran or may still run.
     """
     if meets_floor:
@@ -51,10 +55,12 @@
     unanswered = [part for part in parts.all if part.reply is None]
     lost = [part for part in unanswered if part.abandoned]
     worst = (lost or unanswered)[0]
-    reason = "deadline" if timed_out else worst.last_reason
+    reason = limit_reason or worst.last_reason
     if may_have_run:
         reply = worst.failure if len(parts.all) == 1 else None
-        return callcommand.Fail(reason=reason, timed_out=timed_out, reply=reply)
+        return callcommand.Fail(
+            reason=reason, timed_out=bool(limit_reason), reply=reply
+        )
     return callcommand.Refuse(reason=reason)
 
 
--- a/hyssoptack/planning/opencalls.py
+++ b/hyssoptack/planning/opencalls.py
@@ -4,14 +4,22 @@
 
 from hyssoptack.balancing import loadbalancer
 from hyssoptack.core import traffic
+from hyssoptack.planning import callcommand
 from hyssoptack.planning import callpart
 
 
 class OpenCalls:
-    """Holds the open calls of one request by call ID."""
+    """Holds the open calls of one request by call ID.
+
+    Attributes:
+        has_run: Whether an earlier call has run or may have run.
+    """
 
     def __init__(
-        self, load_balancer: loadbalancer.LoadBalancer, route_name: str
+        self,
+        load_balancer: loadbalancer.LoadBalancer,
+        route_name: str,
+        has_run: bool = False,
     ):
         """Creates an empty set of calls.
 
@@ -19,9 +27,11 @@
             load_balancer: Load balancer that is notified when a call begins,
                 ends or is cancelled.
             route_name: Name of the request's route.
+            has_run: Whether another instance may have run the request.
         """
         self._load_balancer = load_balancer
         self._route_name = route_name
+        self.has_run = has_run
         self._calls: dict[int, callpart.Call] = {}
         self._last_id = 0
 
@@ -88,12 +98,16 @@
         if call := self._calls.get(call_id):
             call.is_sent = True
 
-    def any_sent(self) -> bool:
-        """Returns whether an upstream may have seen any of the open calls."""
-        return any(call.is_sent for call in self._calls.values())
+    def may_have_run(self) -> bool:
+        """Returns whether an upstream may have run any call, open or ended."""
+        return self.has_run or any(
+            call.is_sent for call in self._calls.values()
+        )
 
-    def cancel(self, part: callpart.Part, now_ms: float) -> list[int]:
-        """Removes the calls of a part as cancelled and returns their IDs."""
+    def cancel(
+        self, part: callpart.Part, now_ms: float
+    ) -> list[callcommand.Command]:
+        """Removes the calls of a part; returns the commands to cancel them."""
         call_ids = list(part.calls)
         for call_id in call_ids:
             call = self.pop(call_id)
@@ -103,4 +117,4 @@
                 now_ms - call.created_ms,
                 now_ms,
             )
-        return call_ids
+        return [callcommand.Cancel(call_id=each) for each in call_ids]
--- a/hyssoptack/planning/upstreamchoice.py
+++ b/hyssoptack/planning/upstreamchoice.py
@@ -7,6 +7,8 @@
 from hyssoptack.planning import callresult
 from hyssoptack.planning import extracalls
 from hyssoptack.planning import plancontext
+from hyssoptack.planning import shutdown
+from hyssoptack.planning import timelimit
 from hyssoptack.quarantine import probeguard
 
 MAX_RESEND_COUNT = 2
@@ -23,10 +25,12 @@
         context: plancontext.PlanContext,
         probe_guard: probeguard.ProbeGuard,
         request_attempts: attempts.Attempts,
+        time_limit: timelimit.TimeLimit,
     ):
         self._request = request
         self._attempts = request_attempts
         self._probe_guard = probe_guard
+        self._time_limit = time_limit
         self._context = context
         self._preferred_domains: dict[str, str] = {}
         if len(request.services) > 1 and context.mechanisms.relaying:
@@ -57,6 +61,8 @@
         self, part: callpart.Part, now_ms: float
     ) -> traffic.Upstream | None:
         """Returns the best upstream not yet tried for a part."""
+        if self._is_too_late(part, now_ms):
+            return None
         partitioned = self._context.partition_detector.is_partitioned
         upstream = self._context.load_balancer.choose(
             self._request.route.name,
@@ -83,6 +89,8 @@
         upstream that shed the request is called again, since it has not run
         the request.
         """
+        if self._is_too_late(part, now_ms):
+            return None
         if len(part.reached_upstream_ids) < self._attempts.limit_count:
             other = self.untried_upstream(part, now_ms)
             if other is not None:
@@ -96,6 +104,16 @@
             part.shed_upstream_ids.pop(0), self._request.priority, now_ms
         )
 
+    def _is_too_late(self, part: callpart.Part, now_ms: float) -> bool:
+        """Returns whether this process ends too soon to call an upstream.
+
+        If so, the part gets that as its reason.
+        """
+        if self._time_limit.allows_call(now_ms):
+            return False
+        part.last_reason = shutdown.STOPPING
+        return True
+
     def is_cross_domain_only(self, part: callpart.Part) -> bool:
         """Returns whether no upstream of a part is in the local domain.
 
