Shutdown: the grace time counts from before a stall of the process

Callers saw: an instance that stood still as its stop signal came planned its end by the time of handling, and was killed with requests in progress.

Cause: the platform counts from the signal, the shutdown from its handling.

Change: the shutdown counts from the last turn of the event loop that is known to have ended before the signal (`LoopWatch.earliest_event_ms`): at most 100 ms early on a process that runs. Closing idle connections still counts from the handling, since the balancer's probes do.

--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -176,6 +176,7 @@
             self._on_partition_change,
         )
         self._stopping = asyncio.Event()
+        self._stop_signal_ms = 0.0
         self._listeners = listeners.Listeners()
 
     def _context(self) -> plancontext.PlanContext:
@@ -281,7 +282,7 @@
         try:
             await self._serve_until_stopped(callers_port)
             started = shutdown.Shutdown(
-                started_ms=clock.now_ms(),
+                started_ms=self._stop_signal_ms,
                 grace_ms=self._settings.grace_ms,
             )
             self._request_handler.on_shutdown(started)
@@ -358,6 +359,9 @@
         log.write(
             log.Event.STOP_ASKED, running=len(self._request_handler.active_runs)
         )
+        if not self._stopping.is_set():
+            loop_watch = self._delegator.loop_watch
+            self._stop_signal_ms = loop_watch.earliest_event_ms()
         self._stopping.set()
 
     def reload(self) -> None:
--- a/hyssoptack/gateway/loopwatch.py
+++ b/hyssoptack/gateway/loopwatch.py
@@ -18,17 +18,18 @@
 
 
 class LoopWatch:
-    """Records the last stall of the event loop."""
+    """Records the turns of the event loop and its last stall."""
 
     def __init__(self) -> None:
         self._last_tick_ms = clock.now_ms()
-        self._resumed_ms = -math.inf
+        self._stalled_ms = self._resumed_ms = -math.inf
 
     async def watch(self) -> None:
         """Records stalls of the event loop until cancelled."""
         while True:
             now_ms = clock.now_ms()
             if now_ms - self._last_tick_ms >= LOOP_STALL_MS:
+                self._stalled_ms = self._last_tick_ms
                 self._resumed_ms = now_ms
             self._last_tick_ms = now_ms
             await asyncio.sleep(LOOP_CHECK_PERIOD_S)
@@ -42,3 +43,13 @@
         now_ms = clock.now_ms()
         stalled = now_ms - self._last_tick_ms >= LOOP_STALL_MS
         return stalled or now_ms - self._resumed_ms < RESUME_WINDOW_MS
+
+    def earliest_event_ms(self) -> float:
+        """Returns the earliest time of an event that is handled now.
+
+        It may have waited since the last turn of the event loop that is known
+        to have ended before it.
+        """
+        if clock.now_ms() - self._resumed_ms < RESUME_WINDOW_MS:
+            return self._stalled_ms
+        return self._last_tick_ms
--- a/hyssoptack/gateway/stopping_test.py
+++ b/hyssoptack/gateway/stopping_test.py
@@ -5,6 +5,7 @@
 import json
 import signal
 import sys
+import time
 
 import msgspec
 import pytest
@@ -22,6 +23,9 @@
 """Work that outlasts the grace time."""
 
 LONG_LIMIT_MS = 10_000
+STALL_S = 0.8
+"""Stall of a process, longer than it keeps in hand before it is killed."""
+
 REQUEST_ENDED = log.Event.REQUEST_ENDED
 LARGE_BODY = b"x" * 16_000_000
 """More than the sockets of a connection hold."""
@@ -236,3 +240,25 @@
             assert [each["unfinished"] for each in stopped] == [0]
 
     gateway_test.run(test())
+
+
+def test_a_stop_that_is_handled_late_ends_before_the_platform_kills():
+    # It was counted from the time of handling: the platform killed the process
+    # with requests in progress.
+    async def test():
+        async with harness.Site() as site:
+            upstream = await site.add_upstream("i-0", "desk")
+            upstream.behaviour.delay_ms = LONG_WORK_MS
+            site.configure({**gateway_test.SINGLE, "timeout_ms": LONG_LIMIT_MS})
+            started = await site.start(grace_ms=GRACE_MS)
+            sending = asyncio.create_task(
+                site.get("/one/x", "r1", LONG_LIMIT_MS)
+            )
+            await asyncio.sleep(10 * PERIOD_S)
+            signal_ms = clock.now_ms()
+            time.sleep(STALL_S)
+            started.stop()
+            assert (await sending).status == 504
+            assert clock.now_ms() - signal_ms < GRACE_MS
+
+    gateway_test.run(test())
