--- a/hyssoptack/gateway/querydelegation_test.py
+++ b/hyssoptack/gateway/querydelegation_test.py
@@ -53,7 +53,7 @@
             narrow = await _start_pair(site)
             # A neighbour declines queries for a while after a stop.
             await asyncio.sleep(
-                2 * querydelegation.RESUME_WINDOW_MS / message.MS_PER_S
+                2 * loopwatch.RESUME_WINDOW_MS / message.MS_PER_S
             )
             first = await site.get("/all/x", "r1", name="narrow")
             wide = site.gateways["wide"]
