Entry: requests in progress at the drain limit are answered

Callers saw: an instance of the product's own daemon that reached its drain limit (or got a second signal) with requests in progress did not answer them, and did not end: it waited for its threads until it was killed.

Cause: the threads of the callers' server wait for their requests, and the server's stop joins them without a limit. Nothing ended the requests.

Change: at the limit they are cancelled, and their callers get 504 with `outcome_unknown` and a line in the log (6101, `stopping`).

Not tried on a whole deployment.

--- a/hyssoptack/entry/callerserver.py
+++ b/hyssoptack/entry/callerserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import concurrent.futures
 import dataclasses
 import re
 import threading
@@ -126,6 +127,10 @@
         self._loop = loop
         self._lock = threading.Lock()
         self._open_count = 0
+        self._is_ending = False
+        self._running: set[concurrent.futures.Future[responses.Response]] = (
+            set()
+        )
         settings = instance_state.settings
         host, _, port = settings.front_address.rpartition(":")
         self._server = callerconnections.CallerHTTPServer(
@@ -152,6 +157,14 @@
         self._server.stop()
         self._thread.join()
 
+    def end_requests(self) -> None:
+        """Answers the requests in progress, because this process ends."""
+        with self._lock:
+            self._is_ending = True
+            running = tuple(self._running)
+        for each in running:
+            each.cancel()
+
     def open_request_count(self) -> int:
         """Returns the number of requests received and not yet answered."""
         with self._lock:
@@ -178,10 +191,21 @@
 
     def _respond(self, environ: Environ) -> responses.Response:
         try:
-            work = self._route(environ)
-            response = asyncio.run_coroutine_threadsafe(
-                work, self._loop
-            ).result()
+            response = self._run(self._route(environ))
+        except concurrent.futures.CancelledError:
+            log.write(
+                log.Event.REQUEST_ENDED,
+                path=environ["REQUEST_URI"],
+                status=504,
+                reason="stopping",
+            )
+            return responses.refusal_response(
+                refusal.Refusal(
+                    reason=refusal.Reason.OUTCOME_UNKNOWN,
+                    ran=refusal.Ran.UNKNOWN,
+                    detail="this instance stops before the request has ended",
+                )
+            )
         except Refused as refused:
             if refused.refusal.reason in _UNREAD_BODY_REASONS:
                 # Otherwise the library would first read the rest of the body.
@@ -198,6 +222,24 @@
             )
         return response
 
+    def _run(self, work: Work) -> responses.Response:
+        """Runs a request on the event loop and waits for its response.
+
+        Raises:
+            concurrent.futures.CancelledError: `end_requests` was called.
+        """
+        future = asyncio.run_coroutine_threadsafe(work, self._loop)
+        with self._lock:
+            self._running.add(future)
+            is_ending = self._is_ending
+        if is_ending:
+            future.cancel()
+        try:
+            return future.result()
+        finally:
+            with self._lock:
+                self._running.discard(future)
+
     def _route(self, environ: Environ) -> Work:
         """Checks a request and returns the coroutine that executes it.
 
--- a/hyssoptack/entry/daemon.py
+++ b/hyssoptack/entry/daemon.py
@@ -210,6 +210,7 @@
         while not self._is_idle():
             if clock.now_ms() >= limit_at_ms or self._second_signal.is_set():
                 self._state.apply_event("drain_limit")
+                self._caller_server.end_requests()
                 return
             await asyncio.sleep(IDLE_CHECK_MS / MS_PER_S)
         self._state.apply_event("idle")
