--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -4,6 +4,7 @@
 another.
 """
 
+import collections.abc
 import dataclasses
 import json
 import os
@@ -59,7 +60,11 @@
 
 
 class Fleet(controls.Controls):
-    """The processes of one run."""
+    """The processes of one run.
+
+    Attributes:
+        on_stop: Functions to call before the processes are killed.
+    """
 
     def __init__(self, options: Options, run_folder: pathlib.Path):
         self.options = options
@@ -69,6 +74,7 @@
             num_pools=200, retries=False, timeout=5.0
         )
         self.processes: dict[str, subprocess.Popen] = {}
+        self.on_stop: list[collections.abc.Callable[[], None]] = []
         source = ROOT / "deploy" / options.deployment
         self._plan = yaml.safe_load((source / "fleet.yaml").read_text("utf-8"))
         self.catalog_path = self.folder / "catalog.yaml"
@@ -405,6 +411,8 @@
 
     def stop(self) -> None:
         """Kills every process that this fleet started."""
+        for function in self.on_stop:
+            function()
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
--- a/bench/proofs/callers.py
+++ b/bench/proofs/callers.py
@@ -105,6 +105,8 @@
         self._body = body
         self._headers = {} if keep_alive else {"Connection": "close"}
         self._stopping = threading.Event()
+        # A test that fails does not stop it, and its threads end with it.
+        run.on_stop.append(self._stopping.set)
         self._lock = threading.Lock()
         # Set before the threads start, because they append to it.
         self.replies: list[tuple[str, Reply]] = []
