Logs: each stall, and the age of the list by which a request was routed

What callers saw: requests to an upstream that had left (rule DRAIN). Our logs could not tell a process that stood still from other causes: request_ended gave the age of the list as the request ended, so a request routed by a list 4 s old was logged with some milliseconds, and no line named a stall.

Gauges stall_count and stall_ms. No decision depends on them.

--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -52,6 +52,10 @@
         1010,
         "The instance owns its upstreams again after a pause.",
     )
+    STALLED = (
+        1011,
+        "The process stood still for a time and handles what waited meanwhile.",
+    )
     CONFIG_IN_FORCE = (
         2001,
         "A new configuration revision is in force.",
--- a/hyssoptack/gateway/calltrace.py
+++ b/hyssoptack/gateway/calltrace.py
@@ -1,5 +1,6 @@
 """Traces of a request's calls, for the request's log line."""
 
+import collections.abc
 import dataclasses
 
 TARGET_LOGGED_BYTES = 200
@@ -19,6 +20,8 @@
         sent_ms: Time at which the call was sent.
         extra_reason: Reason of an extra call; empty for the first call of a
             part.
+        list_age_ms: Age of the list of upstreams when the call was sent.
+        list_revision: Store revision of that list.
         gatherer_id: The instance that makes the call; empty if it is this one.
         outcome: Outcome of the call, or `OPEN` until it ends.
         took_ms: Duration of the call.
@@ -28,6 +31,8 @@
     service: str
     sent_ms: float
     extra_reason: str
+    list_age_ms: float
+    list_revision: int
     gatherer_id: str = ""
     outcome: str = OPEN
     took_ms: float = 0.0
@@ -43,6 +48,19 @@
         )
 
 
+def list_fields(
+    traces: collections.abc.Collection[Trace],
+) -> dict[str, float]:
+    """Returns log fields of the oldest list by which a call was sent."""
+    if not traces:
+        return {}
+    oldest = max(traces, key=lambda each: each.list_age_ms)
+    return {
+        "list_age_ms": round(oldest.list_age_ms),
+        "list_revision": oldest.list_revision,
+    }
+
+
 def target_fields(host: str, target: bytes) -> dict[str, str]:
     """Returns the log fields that show a request's host and target."""
     shown = target[:TARGET_LOGGED_BYTES].decode("latin-1")
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -241,6 +241,8 @@
             "version": self.view.version,
             "version_age_ms": now_ms - self.view.config_applied_ms,
             "list_age_ms": now_ms - self.view.list_read_ms,
+            "stall_count": self._delegator.loop_watch.stall_count,
+            "stall_ms": self._delegator.loop_watch.total_stall_ms,
             "upstream_count": len(self.view.upstreams),
             "running_count": len(self._request_handler.active_runs),
             "caller_connection_count": len(self._caller_server.connections),
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -329,6 +329,12 @@
             size_bytes = message.reply_size_bytes(reply)
             self.delegator.selector.record_reply_size(route_name, size_bytes)
 
+    def stall_fields(self, received_ms: float) -> dict[str, float]:
+        """Returns log fields of a stall shortly before or during a request."""
+        if self.delegator is None:
+            return {}
+        return self.delegator.loop_watch.stall_fields(received_ms)
+
     def can_relay_to(self, failure_domain: str) -> bool:
         """Returns whether calls to a failure domain may be relayed."""
         return self.call_relay is not None and (
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -135,6 +135,8 @@
                 service=each.upstream.service,
                 sent_ms=self._now_ms,
                 extra_reason=each.extra_reason,
+                list_age_ms=self._now_ms - self._handler.view.list_read_ms,
+                list_revision=self._handler.view.list_revision,
             )
             if each.extra_reason:
                 runlog.log_extra_call(
@@ -216,7 +218,11 @@
 
     def _build_request(self, call_id: int, upstream: traffic.Upstream) -> bytes:
         self._plan.calls.mark_sent(call_id)
-        remaining_ms = self._caller_deadline_at_ms - clock.now_ms()
+        now_ms = clock.now_ms()
+        trace, view = self._traces[call_id], self._handler.view
+        trace.list_age_ms = now_ms - view.list_read_ms
+        trace.list_revision = view.list_revision
+        remaining_ms = self._caller_deadline_at_ms - now_ms
         return headers.upstream_request(self._forwarded, upstream, remaining_ms)
 
     def _cancel(self, call_id: int) -> None:
@@ -422,11 +428,11 @@
             spent_ms=round(self._spent_ms, 1),
             version=self._version,
             version_age_ms=round(now_ms - self._handler.view.config_applied_ms),
-            list_age_ms=round(now_ms - self._handler.view.list_read_ms),
-            list_revision=self._handler.view.list_revision,
             attempts_count=self._plan.attempts.limit_count,
             widest_count=self._plan.max_reached_count,
             calls=[each.describe(started_ms) for each in self._traces.values()],
+            **calltrace.list_fields(self._traces.values()),
+            **self._handler.stall_fields(started_ms),
             **self._target_fields(),
             **self._team_fields,
         )
--- a/hyssoptack/gateway/runcontext.py
+++ b/hyssoptack/gateway/runcontext.py
@@ -63,6 +63,9 @@
     def connection_limit_count(self, upstream: traffic.Upstream) -> int:
         """Returns this instance's connection limit for an upstream."""
 
+    def stall_fields(self, received_ms: float) -> dict[str, float]:
+        """Returns log fields of a stall shortly before or during a request."""
+
     def can_relay_to(self, failure_domain: str) -> bool:
         """Returns whether calls to a failure domain may be relayed."""
 
