--- a/hyssoptack/gateway/harness.py
+++ b/hyssoptack/gateway/harness.py
@@ -3,6 +3,10 @@
 import asyncio
 import dataclasses
 import json
+import pathlib
+import sys
+
+import msgspec
 
 from hyssoptack.core import clock
 from hyssoptack.gateway import daemon
@@ -193,6 +197,28 @@
         self.settings[name] = dataclasses.replace(settings, **changes)
         return self.settings[name]
 
+    async def start_process(
+        self, folder: pathlib.Path, name: str, **changes: object
+    ) -> asyncio.subprocess.Process:
+        """Starts a gateway in a process of its own and waits until it is ready.
+
+        Args:
+            folder: Folder for its settings file and its log.
+            name: Id of the instance.
+            **changes: Settings that differ from the defaults.
+        """
+        path = folder / f"{name}.yaml"
+        path.write_bytes(
+            msgspec.json.encode(self.new_settings(name, **changes))
+        )
+        with (folder / f"{name}.log").open("wb") as log_file:
+            process = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "hyssoptack.scripts.gateway", path),
+                stdout=log_file,
+            )
+        await self.wait_ready(name)
+        return process
+
     def kill(self, name: str) -> None:
         """Ends a gateway at once, without a graceful shutdown."""
         self._tasks[name].cancel()
@@ -268,6 +294,12 @@
         return sum(each.run_counts[key] for each in self.upstreams.values())
 
 
+def read_log(folder: pathlib.Path, name: str) -> list[dict[str, object]]:
+    """Returns the log lines of a gateway that `Site.start_process` started."""
+    data = (folder / f"{name}.log").read_bytes()
+    return [json.loads(line) for line in data.splitlines()]
+
+
 class RunningTime:
     """Time that this process was running, to check durations in tests.
 
--- a/hyssoptack/gateway/stopping_test.py
+++ b/hyssoptack/gateway/stopping_test.py
@@ -2,12 +2,9 @@
 
 import asyncio
 import collections
-import json
 import signal
-import sys
 import time
 
-import msgspec
 import pytest
 
 from hyssoptack.core import clock
@@ -73,19 +70,6 @@
     return await site.start(grace_ms=GRACE_MS)
 
 
-async def _start_process(site, folder):
-    """Starts a gateway in a process of its own."""
-    settings = site.new_settings("g", grace_ms=GRACE_MS)
-    path = folder / "g.yaml"
-    path.write_bytes(msgspec.json.encode(settings))
-    process = await asyncio.create_subprocess_exec(
-        *(sys.executable, "-m", "hyssoptack.scripts.gateway", str(path)),
-        stdout=asyncio.subprocess.PIPE,
-    )
-    await site.wait_ready("g")
-    return process
-
-
 async def _stop_as_platform(process, signal_count):
     """Stops a process; kills it if it still runs after its grace time."""
     stop_ms = clock.now_ms()
@@ -222,8 +206,7 @@
                 {**gateway_test.SINGLE, "timeout_ms": LONG_LIMIT_MS},
                 {"prefix": "/file/", "service": "files"},
             )
-            process = await _start_process(site, tmp_path)
-            output = asyncio.create_task(process.stdout.read())
+            process = await site.start_process(tmp_path, "g", grace_ms=GRACE_MS)
             _, slow_writer = await _open_connection(site, "g")
             slow_writer.transport.pause_reading()
             slow_writer.write(harness.request_bytes("/file/x", "slow"))
@@ -248,7 +231,7 @@
             assert large.run_counts[b"slow"] == 1
             for each, status in statuses.items():
                 assert (status == 504) == bool(site.run_count(each))
-            lines = [json.loads(each) for each in (await output).splitlines()]
+            lines = harness.read_log(tmp_path, "g")
             ended = collections.Counter(
                 (each["request_id"], each["status"])
                 for each in lines
