Connection pools: a call in its handshake is not sent to what has left

What callers saw: a request could reach an upstream after its instance knew that it leaves, if the call was still opening its connection (up to 150 ms, or longer after a stall).

Cause: keep_only fails the calls that wait in the queue of an upstream; one that had taken a place and was opening its connection was sent when it got it.

Change: the pool knows that its upstream was withdrawn, and a call that gets its connection after that ends as not sent, as those in the queue do; its plan chooses another upstream.

test_a_call_in_its_handshake_does_not_reach_an_upstream_that_left: the call got the upstream's reply before, and ends as withdrawn now.

--- a/bench/slopes/part.py
+++ b/bench/slopes/part.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from hyssoptack.core import traffic
+from hyssoptack.gateway import callrequest
 from hyssoptack.gateway import pool
 
 SHARD_COUNT = 42
@@ -77,7 +78,7 @@
 
     started_s = time.process_time()
     for upstream in listed:
-        job = pool.CallRequest(
+        job = callrequest.CallRequest(
             upstream=upstream,
             build_request=lambda: REQUEST,
             request_id=b"9c41d07be2a35f68",
--- a/hyssoptack/gateway/gathererservice.py
+++ b/hyssoptack/gateway/gathererservice.py
@@ -16,6 +16,7 @@
 from hyssoptack.core import gatewaymessage
 from hyssoptack.core import traffic
 from hyssoptack.delegation import gatherers
+from hyssoptack.gateway import callrequest
 from hyssoptack.gateway import pool
 from hyssoptack.gateway import replicatedview
 from hyssoptack.hedging import hedgetiming
@@ -167,7 +168,7 @@
         self._service.view.load_balancer.begin_call(
             upstream.upstream_id, self._started_ms
         )
-        job = pool.CallRequest(
+        job = callrequest.CallRequest(
             upstream=upstream,
             build_request=lambda: self._build_request(upstream),
             request_id=self._relay_request.request_id,
--- a/hyssoptack/gateway/pool.py
+++ b/hyssoptack/gateway/pool.py
@@ -9,6 +9,7 @@
 from hyssoptack.core import clock
 from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
+from hyssoptack.gateway import callrequest
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
 
@@ -54,42 +55,14 @@
 open after this wait, a running process has accepted it."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CallRequest:
-    """One call to an upstream.
-
-    Attributes:
-        upstream: The upstream to call.
-        build_request: Returns the bytes of the whole request.
-        request_id: The id that the reply must carry.
-        is_head: Whether it is a HEAD request.
-        needs_new_connection: Whether the call must not use an idle connection,
-            as its request may run only once.
-        needs_recent_connection: Whether the call may only use a connection that
-            worked recently.
-        on_outcome: Called once with the outcome.
-        fingerprint: Fingerprint of the request's content; empty if the call is
-            not tracked when its upstream exits.
-    """
-
-    upstream: traffic.Upstream
-    build_request: collections.abc.Callable[[], bytes]
-    request_id: bytes
-    is_head: bool
-    needs_new_connection: bool
-    needs_recent_connection: bool
-    on_outcome: httpclient.Sink
-    fingerprint: str = ""
-
-
 OnUpstreamExit = collections.abc.Callable[
-    [traffic.Upstream, tuple[CallRequest, ...]], None
+    [traffic.Upstream, tuple[callrequest.CallRequest, ...]], None
 ]
 """Called with an upstream that has exited and the calls it had in progress."""
 
 
 def _ignore(
-    _upstream: traffic.Upstream, _jobs: tuple[CallRequest, ...]
+    _upstream: traffic.Upstream, _jobs: tuple[callrequest.CallRequest, ...]
 ) -> None:
     """Ignores an upstream's exit when no handler is set."""
 
@@ -97,7 +70,9 @@
 class Call:
     """A call that waits for a connection or is in progress."""
 
-    def __init__(self, upstream_pool: "_UpstreamPool", job: CallRequest):
+    def __init__(
+        self, upstream_pool: "_UpstreamPool", job: callrequest.CallRequest
+    ):
         self.job = job
         self._upstream_pool = upstream_pool
         self.connection: httpclient.UpstreamConnection | None = None
@@ -132,7 +107,9 @@
         self.opened_count = 0
         self.on_upstream_exit: OnUpstreamExit = _ignore
 
-    def call(self, job: CallRequest, connection_limit_count: int) -> Call:
+    def call(
+        self, job: callrequest.CallRequest, connection_limit_count: int
+    ) -> Call:
         """Starts a call."""
         upstream_pool = self._upstream_pools.get(job.upstream.upstream_id)
         if upstream_pool is None:
@@ -144,7 +121,8 @@
     def keep_only(self, upstream_ids: collections.abc.Container[str]) -> None:
         """Closes the pools of all other upstreams, which get no new calls."""
         for upstream_id, upstream_pool in tuple(self._upstream_pools.items()):
-            if upstream_id not in upstream_ids:
+            upstream_pool.is_withdrawn = upstream_id not in upstream_ids
+            if upstream_pool.is_withdrawn:
                 upstream_pool.close_idle(0.0)
                 upstream_pool.withdraw()
                 if upstream_pool.empty:
@@ -177,6 +155,7 @@
         self._waiting: collections.deque[Call] = collections.deque()
         self._open_count = 0
         self.limit_count = 1
+        self.is_withdrawn = False
         self._broken_calls: list[tuple[Call, httpclient.BrokenCall]] = []
         self._exit_check: asyncio.Task[None] | None = None
 
@@ -185,7 +164,7 @@
         """Whether there are no connections, waiting calls or exit checks."""
         return not (self._open_count or self._waiting or self._exit_check)
 
-    def start(self, job: CallRequest) -> Call:
+    def start(self, job: callrequest.CallRequest) -> Call:
         """Starts a call, or queues it until a connection is free."""
         call = Call(self, job)
         connection = (
@@ -364,6 +343,11 @@
         if call.is_over:
             connection.close()
             return
+        if self.is_withdrawn:
+            # It left while the call waited for the connection or was held.
+            connection.close()
+            call.complete(httpclient.BrokenCall(reason=WITHDRAWN, sent=False))
+            return
         call.connection = connection
 
         def on_ended(outcome: httpclient.Outcome) -> None:
--- a/hyssoptack/gateway/pool_test.py
+++ b/hyssoptack/gateway/pool_test.py
@@ -7,6 +7,7 @@
 
 from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
+from hyssoptack.gateway import callrequest
 from hyssoptack.gateway import pool
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
@@ -23,7 +24,7 @@
         self.pools.on_upstream_exit = lambda _, jobs: self.exited_jobs.append(
             jobs
         )
-        self.exited_jobs: list[tuple[pool.CallRequest, ...]] = []
+        self.exited_jobs: list[tuple[callrequest.CallRequest, ...]] = []
         self._upstream = traffic.Upstream(
             upstream_id=called.upstream_id,
             service="desk",
@@ -41,7 +42,7 @@
             (b"X-Request-Id", b"r1"),
             (b"X-Expected-Instance", self._upstream.expected_id.encode()),
         ]
-        job = pool.CallRequest(
+        job = callrequest.CallRequest(
             upstream=self._upstream,
             build_request=lambda: message.request_bytes(
                 b"GET", path, headers, b""
@@ -158,3 +159,21 @@
         assert not outcome.sent
 
     asyncio.run(test())
+
+
+def test_a_call_in_its_handshake_does_not_reach_an_upstream_that_left():
+    async def test():
+        called = fakeupstream.FakeUpstream("i-1")
+        await called.start()
+        caller = _Caller(called)
+        calling = asyncio.create_task(caller.call(b"/one"))
+        await asyncio.sleep(0)
+        caller.pools.keep_only(())
+        outcome = await calling
+        called.stop()
+        assert outcome == httpclient.BrokenCall(
+            reason=pool.WITHDRAWN, sent=False
+        )
+        assert not called.run_counts
+
+    asyncio.run(test())
--- a/hyssoptack/gateway/quarantinesync.py
+++ b/hyssoptack/gateway/quarantinesync.py
@@ -18,8 +18,8 @@
 from hyssoptack.core import member
 from hyssoptack.core import traffic
 from hyssoptack.events import log
+from hyssoptack.gateway import callrequest
 from hyssoptack.gateway import metrics
-from hyssoptack.gateway import pool
 from hyssoptack.quarantine import quarantine
 from hyssoptack.quarantine import suspicionchange
 
@@ -125,7 +125,7 @@
     def on_upstream_exit(
         self,
         upstream: traffic.Upstream,
-        broken_jobs: tuple[pool.CallRequest, ...],
+        broken_jobs: tuple[callrequest.CallRequest, ...],
     ) -> None:
         """Counts and logs an upstream that exited with calls in progress."""
         self._metrics.upstream_exits.inc({"service": upstream.service})
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -7,6 +7,7 @@
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import callrelay
+from hyssoptack.gateway import callrequest
 from hyssoptack.gateway import calltrace
 from hyssoptack.gateway import inbound
 from hyssoptack.gateway import pool
@@ -200,7 +201,7 @@
     def _send(self, command: callcommand.Send) -> None:
         upstream = command.upstream
         call_id = command.call_id
-        job = pool.CallRequest(
+        job = callrequest.CallRequest(
             upstream=upstream,
             build_request=lambda: self._build_request(call_id, upstream),
             request_id=self._metadata.request_id,
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -20,6 +20,7 @@
 from hyssoptack.core import position
 from hyssoptack.core import timeouts
 from hyssoptack.core import traffic
+from hyssoptack.gateway import callrequest
 from hyssoptack.gateway import pool
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
@@ -364,7 +365,7 @@
             if not done.done():
                 done.set_result(outcome)
 
-        job = pool.CallRequest(
+        job = callrequest.CallRequest(
             upstream=self._store,
             build_request=lambda: data,
             request_id=b"",
