Gateway: requests wait for a fresh read after their process stood still

Cause: a belief with a time limit was used without a look at its age. A process that stood still finds requests in its sockets, timers that are due and calls that get a connection before a read or a notice has told it of what changed meanwhile, and routed them by the list and the configuration from before.

Change: one rule in one place. membership/freshness says whether what is known counts as current: by the last exact read, own or a neighbour's, for 0.9 of the bound; a read that was asked for in time counts while the process is awake, so nobody waits for a slow or silent store. gateway/viewgate holds what may not be routed: callers' requests before they are matched with a route, and calls before they are sent. They go on in their order once the list and configuration have been read, a fresh notice is in, or one read has failed; a request whose deadline passes is refused as not run. Delegated queries are declined. The instance reads at once if something waits.

Why it works: age is measured against the clock when a request is handled, so neither the order of the first turn nor the form of the stall matters.

Log events 4106 and 4107, gauges held_count, held_ms, exact_list_age_ms.

--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -144,6 +144,14 @@
         4105,
         "The list of upstreams was not read for too long, without a failure.",
     )
+    VIEW_OUTDATED = (
+        4106,
+        "The list and configuration are too old; requests wait for a read.",
+    )
+    VIEW_CURRENT = (
+        4107,
+        "Requests no longer wait: the store was read, or could not be read.",
+    )
     QUERY_REFUSED = (
         5001,
         "A query was refused.",
--- a/hyssoptack/gateway/callrequest.py
+++ b/hyssoptack/gateway/callrequest.py
@@ -33,3 +33,8 @@
     needs_recent_connection: bool
     on_outcome: httpclient.Sink
     fingerprint: str = ""
+
+
+def run_at_once(function: collections.abc.Callable[[], None]) -> None:
+    """Calls a function at once, where no call needs to be held back."""
+    function()
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -81,6 +81,8 @@
             settings.failure_domain,
             readerelection.read_timings(settings.propagation_bound_ms),
         )
+        self.view.gate.set_timings(self.reader_election.read_timings)
+        self._pools.run_when_current = self.view.gate.run_when_open
         self._extra_call_budget = windowbudget.WindowBudget(
             budgetshare.even_share(settings.budget, 0), clock.now_ms()
         )
@@ -131,6 +133,9 @@
             self._request_handler.can_rerun_locally,
         )
         self._request_handler.delegator = self._delegator
+        self.view.gate.awake_since_ms = (
+            self._delegator.loop_watch.awake_since_ms
+        )
         self._call_relay = callrelay.CallRelay(
             gatherers.GathererSelector(random.Random()),
             settings.peer_address,
@@ -238,12 +243,8 @@
 
     def _gauge_values(self, now_ms: float) -> dict[str, float]:
         return {
-            "version": self.view.version,
-            "version_age_ms": now_ms - self.view.config_applied_ms,
-            "list_age_ms": now_ms - self.view.list_read_ms,
-            "stall_count": self._delegator.loop_watch.stall_count,
-            "stall_ms": self._delegator.loop_watch.total_stall_ms,
-            "upstream_count": len(self.view.upstreams),
+            **self.view.gauge_values(now_ms),
+            **self._delegator.loop_watch.gauge_values(),
             "running_count": len(self._request_handler.active_runs),
             "caller_connection_count": len(self._caller_server.connections),
             "opened_connection_count": self._pools.opened_count,
@@ -379,6 +380,7 @@
         self.reader_election.read_timings = readerelection.read_timings(
             settings.propagation_bound_ms
         )
+        self.view.gate.set_timings(self.reader_election.read_timings)
         self._load_balancer.settings = derivedsettings.load_balancer_settings(
             settings
         )
--- a/hyssoptack/gateway/inbound.py
+++ b/hyssoptack/gateway/inbound.py
@@ -57,6 +57,7 @@
         team: The caller's team; None if it is anonymous or the configuration
             has no teams.
         is_returning: Whether the caller returns after an earlier attempt.
+        held_ms: Time for which it waited for a current view.
     """
 
     exchange: Exchange
@@ -67,6 +68,7 @@
     transit_margin_ms: float = 0.0
     team: teams.Team | None = None
     is_returning: bool = False
+    held_ms: float = 0.0
 
     @property
     def priority(self) -> int:
@@ -87,6 +89,11 @@
         rate_per_s = limit.rate_per_s if limit is not None else None
         return team_fields(self.team_name, rate_per_s)
 
+    @property
+    def held_fields(self) -> dict[str, float]:
+        """Log field of a request that waited for a current view."""
+        return {"held_ms": round(self.held_ms, 1)} if self.held_ms else {}
+
     @property
     def time_limit_ms(self) -> float:
         """Time from its arrival after which the request ends."""
--- a/hyssoptack/gateway/loopwatch.py
+++ b/hyssoptack/gateway/loopwatch.py
@@ -53,6 +53,13 @@
         self.total_stall_ms += stall_ms
         log.write(log.Event.STALLED, stall_ms=round(stall_ms))
 
+    def gauge_values(self) -> dict[str, float]:
+        """Returns gauges of the stalls so far."""
+        return {
+            "stall_count": self.stall_count,
+            "stall_ms": self.total_stall_ms,
+        }
+
     def stall_fields(self, received_ms: float) -> dict[str, float]:
         """Returns log fields of a stall shortly before or during a request.
 
@@ -77,6 +84,13 @@
         stalled = now_ms - self._last_tick_ms >= LOOP_STALL_MS
         return stalled or now_ms - self._resumed_ms < RESUME_WINDOW_MS
 
+    def awake_since_ms(self) -> float:
+        """Returns the end of the last stall; now if it has just ended."""
+        now_ms = clock.now_ms()
+        if now_ms - self._last_tick_ms >= LOOP_STALL_MS:
+            return now_ms
+        return self._resumed_ms
+
     def earliest_event_ms(self) -> float:
         """Returns the earliest time of an event that is handled now.
 
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -312,6 +312,8 @@
             self._apply_configuration(notice)
         behind = notice.revision < self._view.list_revision
         merged = self._merge_list(notice)
+        if merged and not behind and notice.version <= self._view.version:
+            self._record_read_of(received, notice)
         if notice.version > self._view.version:
             self._request_view(notice)
         elif merged and not behind:
@@ -322,6 +324,24 @@
             # An older list may still show that a kept upstream has left.
             self._request_view(notice)
 
+    def _record_read_of(
+        self,
+        received: gatewaymessage.ViewNotice,
+        notice: gatewaymessage.ViewNotice,
+    ) -> None:
+        """Records the exact read that a merged notice is based on.
+
+        Args:
+            received: The notice as it was sent.
+            notice: The notice with its ages at arrival.
+        """
+        if not received.exact_age_ms:
+            # The sender knows of no exact read.
+            return
+        self._view.gate.record_notice(
+            clock.now_ms() - notice.exact_age_ms, notice.sender_id
+        )
+
     def _with_ages_at_arrival(
         self, notice: gatewaymessage.ViewNotice
     ) -> gatewaymessage.ViewNotice:
--- a/hyssoptack/gateway/pool.py
+++ b/hyssoptack/gateway/pool.py
@@ -106,6 +106,7 @@
         self._upstream_pools: dict[str, _UpstreamPool] = {}
         self.opened_count = 0
         self.on_upstream_exit: OnUpstreamExit = _ignore
+        self.run_when_current = callrequest.run_at_once
 
     def call(
         self, job: callrequest.CallRequest, connection_limit_count: int
@@ -339,6 +340,12 @@
 
     def _use(
         self, call: Call, connection: httpclient.UpstreamConnection
+    ) -> None:
+        """Sends a call, unless its upstream turns out to have left."""
+        self._pools.run_when_current(lambda: self._send(call, connection))
+
+    def _send(
+        self, call: Call, connection: httpclient.UpstreamConnection
     ) -> None:
         if call.is_over:
             connection.close()
--- a/hyssoptack/gateway/refusals.py
+++ b/hyssoptack/gateway/refusals.py
@@ -62,6 +62,12 @@
             request.team_name,
         )
 
+    def record_caller_left(
+        self, exchange: inbound.Exchange, metadata: headers.RequestMetadata
+    ) -> None:
+        """Records that the caller of a request left before it was routed."""
+        self._record(exchange, metadata, 0, "caller_left")
+
     def _answer(
         self,
         exchange: inbound.Exchange,
@@ -70,9 +76,18 @@
         reason: str,
         team_name: str = "",
     ) -> None:
-        status = reply.status
-        self._metrics.requests.inc({"route": "", "status": str(status)})
         exchange.answer(reply)
+        self._record(exchange, metadata, reply.status, reason, team_name)
+
+    def _record(
+        self,
+        exchange: inbound.Exchange,
+        metadata: headers.RequestMetadata,
+        status: int,
+        reason: str,
+        team_name: str = "",
+    ) -> None:
+        self._metrics.requests.inc({"route": "", "status": str(status)})
         log.write(
             log.Event.REQUEST_ENDED,
             request_id=metadata.request_id.decode("latin-1"),
--- a/hyssoptack/gateway/replicatedview.py
+++ b/hyssoptack/gateway/replicatedview.py
@@ -14,6 +14,8 @@
 from hyssoptack.core import traffic
 from hyssoptack.events import log
 from hyssoptack.gateway import pool
+from hyssoptack.gateway import viewgate
+from hyssoptack.membership import readerelection
 from hyssoptack.membership import upstreamlist
 from hyssoptack.planning import routetable
 
@@ -36,6 +38,7 @@
             last read it.
         upstreams: Upstreams in use by id.
         evacuations: Failure domains whose upstreams must get no requests.
+        gate: Holds requests back while the view is too old to route them.
         keeps_expired_upstreams: Whether entries that expired in an outage are
             kept for the grace period.
     """
@@ -56,6 +59,11 @@
     evacuations: evacuation.Evacuations = dataclasses.field(
         default_factory=evacuation.Evacuations
     )
+    gate: viewgate.ViewGate = dataclasses.field(
+        default_factory=lambda: viewgate.ViewGate(
+            readerelection.read_timings(readerelection.BOUND_MAX_MS)
+        )
+    )
     _evacuated: frozenset[str] = dataclasses.field(
         default=frozenset(), init=False
     )
@@ -82,6 +90,18 @@
         """Whether both the configuration and the list have been read."""
         return self.version > 0 and self.list_read_ms > 0
 
+    def gauge_values(self, now_ms: float) -> dict[str, float]:
+        """Returns gauges of what the view holds and how old it is."""
+        return {
+            "version": self.version,
+            "version_age_ms": now_ms - self.config_applied_ms,
+            "list_age_ms": now_ms - self.list_read_ms,
+            "exact_list_age_ms": self.gate.age_ms(now_ms),
+            "held_count": self.gate.held_count,
+            "held_ms": self.gate.total_held_ms,
+            "upstream_count": len(self.upstreams),
+        }
+
     def apply_configuration(
         self, offered: traffic.Configuration, source: str, now_ms: float
     ) -> bool:
--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -74,6 +74,7 @@
         # that its sender's configuration does not allow.
         can_serve = (
             ready
+            and self._view.gate.is_open()
             and delegation_request.version == self._view.version
             and self._knows_team(delegation_request.team)
             and not self._view.upstream_list.is_behind(
@@ -125,7 +126,52 @@
                 message.problem_reply(http.HTTPStatus.BAD_REQUEST, metadata)
             )
             log_unreadable_request(http.HTTPStatus.BAD_REQUEST, metadata)
-            return
+        elif delegation_request is None and not self._view.gate.is_open():
+            self._hold(exchange, metadata)
+        else:
+            self._route(exchange, metadata, delegation_request)
+
+    def _hold(
+        self, exchange: inbound.Exchange, metadata: headers.RequestMetadata
+    ) -> None:
+        """Holds a request until the view is current, or to its deadline."""
+        received_ms = exchange.request.received_ms
+        gate = self._view.gate
+
+        def resume() -> None:
+            exchange.on_abandoned = None
+            held_ms = clock.now_ms() - received_ms
+            self._route(exchange, metadata, None, held_ms)
+
+        def expire() -> None:
+            exchange.on_abandoned = None
+            self.refusals.refuse(
+                exchange,
+                metadata,
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                refusals.VIEW_OUTDATED,
+            )
+
+        def on_abandoned() -> None:
+            gate.cancel(held)
+            self.refusals.record_caller_left(exchange, metadata)
+
+        deadline_ms = metadata.deadline_ms
+        held = gate.hold(
+            resume,
+            expire,
+            None if deadline_ms is None else received_ms + deadline_ms,
+        )
+        exchange.on_abandoned = on_abandoned
+
+    def _route(
+        self,
+        exchange: inbound.Exchange,
+        metadata: headers.RequestMetadata,
+        delegation_request: gatewaymessage.DelegationRequest | None,
+        held_ms: float = 0.0,
+    ) -> None:
+        """Matches a request with the configuration and serves it."""
         path = exchange.request.path.decode("latin-1")
         match_result = self._view.route_table.find(metadata.host, path)
         match match_result:
@@ -145,6 +191,7 @@
                     metadata=metadata,
                     route_match=match_result,
                     version=self._view.version,
+                    held_ms=held_ms,
                 )
                 if delegation_request is None:
                     self._start_before_stop(request)
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -434,6 +434,7 @@
             calls=[each.describe(started_ms) for each in self._traces.values()],
             **calltrace.list_fields(self._traces.values()),
             **self._handler.stall_fields(started_ms),
+            **self._request.held_fields,
             **self._target_fields(),
             **self._team_fields,
         )
--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -36,6 +36,10 @@
 """Delay after the end of the grace period, so that the next read falls after
 it."""
 
+NEXT_READ_MARGIN_MS = 50.0
+"""Time before the end of the last exact read's use at which the next read is
+asked for."""
+
 RETRY = backoff.Backoff(min_ms=100.0, max_ms=800.0)
 """Waits after failed calls to the store. They are short enough for changes to
 be in force within 3 s of the store's return, and long enough not to overload a
@@ -109,26 +113,22 @@
         """Reads the list of upstreams while this instance is a reader."""
         failure_count = 0
         while True:
-            await self._wait_until_reader()
-            exact = (
-                self._next_read_number
-                % readerelection.READS_PER_EXACT_READ_COUNT
-                == 0
-            )
+            await self._wait_until_list_due()
+            gate = self._view.gate
+            outdated = not gate.is_open()
+            count = readerelection.READS_PER_EXACT_READ_COUNT
+            exact = outdated or self._next_read_number % count == 0
             self._next_read_number += 1
             asked_ms = clock.now_ms()
-            result = await self._store.read_range(
-                storeformat.UPSTREAM_PREFIX,
-                allow_stale=not exact,
-                timeout_ms=self._reader_election.read_timings.list_timeout_ms,
-            )
-            match result:
+            gate.begin_read(asked_ms)
+            match await self._read_upstreams(exact, outdated):
                 case expression.Result(tag="ok", ok=listing):
                     self._reader_election.record_read(asked_ms, exact)
                     self.reachability.record_read(asked_ms, failure_count)
                     failure_count = 0
                     self._apply_list(listing, asked_ms)
                     self._view.apply_evacuations("time", clock.now_ms())
+                    gate.end_read(asked_ms, exact)
                     self._peers.publish_view()
                     await self._pause_until_read(clock.now_ms())
                 case expression.Result(error=failure):
@@ -138,8 +138,49 @@
                         continue
                     failure_count += 1
                     self.reachability.record_lost(failure, asked_ms)
+                    gate.fail_read(asked_ms)
                     await self._pause_before_retry(failure, failure_count)
 
+    async def _wait_until_list_due(self) -> None:
+        """Waits until this instance reads, or a request waits for a read."""
+        gate = self._view.gate
+        while not gate.needs_read and (
+            wait_ms := self._reader_election.read_delay_ms(clock.now_ms())
+        ):
+            self._next_read_number = 0
+            await gate.sleep(wait_ms)
+
+    async def _read_upstreams(
+        self, exact: bool, with_configuration: bool
+    ) -> expression.Result[keyvalue.Listing, keyvalue.Failure]:
+        """Reads the list of upstreams.
+
+        Args:
+            exact: Whether the result must be the current state.
+            with_configuration: Whether the configuration is read as well, as
+                its watch may not have returned since this process stood still.
+        """
+        timeout_ms = self._reader_election.read_timings.list_timeout_ms
+        reading = self._store.read_range(
+            storeformat.UPSTREAM_PREFIX,
+            allow_stale=not exact,
+            timeout_ms=timeout_ms,
+        )
+        if not with_configuration:
+            return await reading
+        listed, configured = await asyncio.gather(
+            reading,
+            self._store.read_range(
+                storeformat.OPERATOR_PREFIX, timeout_ms=timeout_ms
+            ),
+        )
+        match configured:
+            case expression.Result(tag="ok", ok=listing):
+                self._apply_operator_keys(listing)
+            case expression.Result(error=failure):
+                self.reachability.record_lost(failure)
+        return listed
+
     async def _pause_before_retry(
         self, failure: keyvalue.Failure, failure_count: int
     ) -> None:
@@ -151,7 +192,10 @@
         if failure.kind is keyvalue.FailureKind.UNREACHABLE:
             failure_count -= 1
         if failure_count:
-            await self._pause(RETRY.wait_ms(failure_count))
+            wait_ms = RETRY.wait_ms(failure_count)
+            await self._view.gate.sleep(
+                readerelection.jittered_ms(wait_ms, self._random)
+            )
 
     async def _pause_until_read(self, now_ms: float) -> None:
         """Waits for the next read, which no jitter delays beyond the grace."""
@@ -160,7 +204,10 @@
         )
         if grace_ms := self._view.expiry_wait_ms(now_ms):
             pause_ms = min(pause_ms, grace_ms + GRACE_SLACK_MS)
-        await asyncio.sleep(pause_ms / message.MS_PER_S)
+        # Where the store is slow, the view would be outdated before.
+        current_ms = self._view.gate.remaining_ms() - NEXT_READ_MARGIN_MS
+        pause_ms = min(pause_ms, max(RETRY.min_ms, current_ms))
+        await self._view.gate.sleep(pause_ms)
 
     def _list_pause_ms(self, now_ms: float) -> float:
         """Returns the pause before the next read of the list.
@@ -177,7 +224,6 @@
 
     async def _wait_until_reader(self) -> None:
         while wait_ms := self._reader_election.read_delay_ms(clock.now_ms()):
-            self._next_read_number = 0
             await asyncio.sleep(wait_ms / message.MS_PER_S)
 
     def _apply_list(self, listing: keyvalue.Listing, read_ms: float) -> None:
--- a/hyssoptack/membership/readerelection.py
+++ b/hyssoptack/membership/readerelection.py
@@ -65,6 +65,12 @@
 take effect. Above the upper limit, longer intervals would save hardly any
 calls, and the known state would get too old."""
 
+CURRENT_RATIO = 0.9
+"""Age of the last exact read up to which requests are routed by it, as a part
+of the time within which a change must take effect. The instances of all ranks
+have read before that (0.862), and the rest is left for a routed request to
+reach its upstream."""
+
 RANK_STEP_LIMIT_COUNT = 3
 """Largest number of rank steps that an instance waits. Instances of still lower
 rank wait no longer, because a change must be known in time."""
@@ -83,6 +89,8 @@
         exact_silence_ms: Age of the last exact read at which the second
             instance reads.
         exact_step_ms: Additional age for each further rank.
+        current_ms: Age of the last exact read up to which requests are routed
+            by it.
     """
 
     list_period_ms: float
@@ -92,6 +100,7 @@
     list_timeout_ms: float
     exact_silence_ms: float
     exact_step_ms: float
+    current_ms: float
 
     @property
     def unread_max_ms(self) -> float:
@@ -119,6 +128,7 @@
         list_timeout_ms=max(LIST_TIMEOUT_MIN_MS, LIST_TIMEOUT_RATIO * bound_ms),
         exact_silence_ms=EXACT_SILENCE_RATIO * bound_ms,
         exact_step_ms=EXACT_STEP_RATIO * bound_ms,
+        current_ms=CURRENT_RATIO * bound_ms,
     )
 
 
