Soak: gateways that stand still while upstreams leave

Why the soak missed the fault: its pauses end after 2.5 s, a paused gateway is exempt from every check with a time limit, and few requests wait in one as an upstream leaves.

The new plan (--stalls) stops one, some or all gateways for 3.4 to 5 s, changes the configuration and lets upstreams leave meanwhile, and sends 12 requests to each shortly before it goes on. A stall alone exempts no gateway from the checks of leaving upstreams and of outdated configurations; silent removals stay out of the plan, as a domain that stood still as a whole can't tell them from entries that expired. The draw function is a setting of the run.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -99,6 +99,10 @@
         for _, writer in self._idle_connections.values():
             writer.close()
 
+    async def send_one(self) -> None:
+        """Sends one request."""
+        await self._send_next(f"{self._number:x}-0")
+
     async def _send_next(self, request_id: str) -> None:
         path = self._random.choice(PATHS)
         await self._send(request_id, path, environment.NORMAL_SUFFIX)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 finds few errors.
 """
 
+import collections.abc
 import dataclasses
 import enum
 import random
@@ -41,6 +42,14 @@
 """Number of upstreams that leave in a cut."""
 
 
+STALL_RANGE_MS = (3_400.0, 5_000.0)
+"""Length of a stall that outlasts the time within which the use of a leaving
+upstream has to end."""
+
+STALL_GAP_RANGE_MS = (4_500.0, 6_000.0)
+"""Time between two stalls, in which gateways are undisturbed again."""
+
+
 class LinkMode(enum.Enum):
     """How a link handles its connections."""
 
@@ -112,6 +121,23 @@
     duration_ms: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StallGateways:
+    """Gateways stand still while the configuration and upstreams change.
+
+    Requests are sent to them shortly before they are resumed.
+
+    Attributes:
+        gateways: Names of the gateways.
+        services: Services of which an upstream announces that it leaves.
+        duration_ms: Time from the stop to the resumption.
+    """
+
+    gateways: tuple[str, ...]
+    services: tuple[str, ...]
+    duration_ms: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ThrottleGateway:
     """A gateway gets little processor time: it is stopped and resumed often.
@@ -185,6 +211,7 @@
     | IsolateGateway
     | StoreFault
     | PauseGateway
+    | StallGateways
     | ThrottleGateway
     | RestartGateway
     | ReloadGateway
@@ -202,6 +229,12 @@
     fault: Fault
 
 
+Draw = collections.abc.Callable[
+    [int, float, tuple[str, ...], tuple[str, ...]], tuple[ScheduledFault, ...]
+]
+"""Draws the faults of a run; `draw_schedule` documents the arguments."""
+
+
 def draw_schedule(
     seed: int,
     length_ms: float,
@@ -259,6 +292,31 @@
     return tuple(sorted(scheduled, key=lambda each: each.at_ms))
 
 
+def draw_stalls(
+    seed: int,
+    length_ms: float,
+    gateways: tuple[str, ...],
+    services: tuple[str, ...],
+) -> tuple[ScheduledFault, ...]:
+    """Returns stalls of one, some or all gateways, one after the other.
+
+    The arguments are those of `draw_schedule`.
+    """
+    rng = random.Random(f"stalls-{seed}")
+    scheduled = []
+    at_ms = 500.0
+    while at_ms < length_ms:
+        count = rng.choice((1, 1, 2, len(gateways)))
+        stall = StallGateways(
+            gateways=tuple(rng.sample(gateways, min(count, len(gateways)))),
+            services=tuple(rng.sample(sorted(set(services)), LEAVING_COUNT)),
+            duration_ms=rng.uniform(*STALL_RANGE_MS),
+        )
+        scheduled.append(ScheduledFault(at_ms=at_ms, fault=stall))
+        at_ms += stall.duration_ms + rng.uniform(*STALL_GAP_RANGE_MS)
+    return tuple(scheduled)
+
+
 def _draw_throttling(
     seed: int, length_ms: float, gateways: tuple[str, ...]
 ) -> list[ScheduledFault]:
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -51,11 +51,14 @@
         gateway: Name of the gateway; empty for all gateways.
         start_ms: Monotonic time of the fault's start.
         end_ms: Monotonic time of the fault's end.
+        is_stall: Whether the gateway stood still while its peers and the store
+            did not fail.
     """
 
     gateway: str
     start_ms: float
     end_ms: float
+    is_stall: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -106,8 +109,11 @@
             self._check_executions(each)
             self._check_response(each)
             if self._is_undisturbed(each.gateway, each.sent_ms, each.ended_ms):
-                self._check_changes_applied(each)
                 self._check_deadline(each)
+            if self._is_undisturbed(
+                each.gateway, each.sent_ms, each.ended_ms, by_stalls=False
+            ):
+                self._check_changes_applied(each)
             self._check_planned_stops(each)
         self._check_crashing_requests(crashing_requests)
         self._check_unknown_requests([*requests, *crashing_requests])
@@ -133,10 +139,23 @@
         )
 
     def _is_undisturbed(
-        self, gateway: str, start_ms: float, end_ms: float
+        self,
+        gateway: str,
+        start_ms: float,
+        end_ms: float,
+        by_stalls: bool = True,
     ) -> bool:
+        """Returns whether no fault affected a gateway.
+
+        Args:
+            gateway: Name of the gateway.
+            start_ms: Start of the time in question.
+            end_ms: End of the time in question.
+            by_stalls: Whether a stall counts as such a fault.
+        """
         return not any(
             window.gateway in ("", gateway)
+            and (by_stalls or not window.is_stall)
             and window.start_ms <= end_ms
             and window.end_ms >= start_ms - SETTLE_MS
             for window in self._fault_windows
--- a/soak/main.py
+++ b/soak/main.py
@@ -6,6 +6,7 @@
 
 import cyclopts
 
+from soak import faults
 from soak import play
 
 application = cyclopts.App(name="soak")
@@ -21,6 +22,7 @@
     callers: int = 16,
     folder: str = "",
     cuts: bool = False,
+    stalls: bool = False,
 ) -> None:
     """Executes soak runs one after the other, a seed each.
 
@@ -32,7 +34,11 @@
         callers: Number of concurrent callers.
         folder: Folder for settings and logs; by default a temporary one.
         cuts: Whether gateways are only cut off while upstreams leave.
+        stalls: Whether gateways only stand still while upstreams leave.
     """
+    draw = faults.draw_schedule
+    if cuts or stalls:
+        draw = faults.draw_cuts if cuts else faults.draw_stalls
     failed = []
     for seed in range(first_seed, first_seed + seeds):
         base = pathlib.Path(folder or tempfile.mkdtemp(prefix="soak-"))
@@ -44,7 +50,7 @@
             gateway_count=gateways,
             caller_count=callers,
             folder=run_folder,
-            draws_cuts=cuts,
+            draw=draw,
         )
         report = play.run(settings)
         total = sum(report.outcome_counts.values())
--- a/soak/play.py
+++ b/soak/play.py
@@ -34,6 +34,15 @@
 """Link rates, assigned to the gateways of a zone in turn. Gateways with a slow
 link hand queries over to those with a fast one."""
 
+STALL_MARGIN_MS = 150.0
+"""Time from the start of a stall to the changes, and from the last requests to
+its end."""
+
+LATE_REQUEST_COUNT = 12
+LATE_CALLER_NUMBER = 0x1000
+"""Requests that wait in a gateway that stands still, and the first number of
+their callers."""
+
 GRACE_MS = 6_000.0
 KILL_AFTER_S = 8.0
 START_LIMIT_S = 30.0
@@ -55,8 +64,7 @@
         gateway_count: Number of gateway processes.
         caller_count: Number of concurrent callers.
         folder: Folder for the gateways' settings and logs.
-        draws_cuts: Whether gateways are only cut off while upstreams leave,
-            instead of all kinds of faults.
+        draw: Draws the faults of the run.
     """
 
     seed: int
@@ -64,7 +72,12 @@
     gateway_count: int
     caller_count: int
     folder: pathlib.Path
-    draws_cuts: bool = False
+    draw: faults.Draw = faults.draw_schedule
+
+    @property
+    def draws_cuts(self) -> bool:
+        """Whether gateways are cut off from each other."""
+        return self.draw is faults.draw_cuts
 
 
 class SoakRun:
@@ -81,6 +94,7 @@
         self._unexpected_ends: list[str] = []
         self._started_ms = 0.0
         self._stall_count = 0
+        self._late_callers: list[callers.Caller] = []
 
     async def run(self) -> invariants.Report:
         """Executes the run and returns its report."""
@@ -105,8 +119,7 @@
     async def _execute(self, names: tuple[str, ...]) -> invariants.Report:
         settings = self._settings
         self._started_ms = clock.now_ms()
-        draw = faults.draw_cuts if settings.draws_cuts else faults.draw_schedule
-        planned = draw(
+        planned = settings.draw(
             settings.seed, settings.fault_phase_ms, names, FAULT_TARGET_SERVICES
         )
         caller_addresses = {
@@ -145,7 +158,9 @@
             self._environment, self._fault_windows, self._planned_stops, calm_ms
         )
         requests = [
-            each for one in normal_callers for each in one.sent_requests
+            each
+            for one in (*normal_callers, *self._late_callers)
+            for each in one.sent_requests
         ]
         report = checker.check(requests, crashing_caller.sent_requests)
         violations = (
@@ -281,6 +296,8 @@
         match fault:
             case faults.PauseGateway():
                 await self._pause(fault)
+            case faults.StallGateways():
+                await self._stall(fault)
             case faults.ThrottleGateway():
                 await self._throttle(fault)
             case faults.RestartGateway():
@@ -294,10 +311,13 @@
                 self._signal(gateway, signal.SIGHUP)
 
     def _record_fault_window(
-        self, gateway: str, start_ms: float
+        self, gateway: str, start_ms: float, is_stall: bool = False
     ) -> invariants.FaultWindow:
         window = invariants.FaultWindow(
-            gateway=gateway, start_ms=start_ms, end_ms=clock.now_ms()
+            gateway=gateway,
+            start_ms=start_ms,
+            end_ms=clock.now_ms(),
+            is_stall=is_stall,
         )
         self._fault_windows.append(window)
         return window
@@ -344,6 +364,43 @@
         self._signal(fault.gateway, signal.SIGCONT)
         self._record_fault_window(fault.gateway, start_ms)
 
+    async def _stall(self, fault: faults.StallGateways) -> None:
+        start_ms = clock.now_ms()
+        for each in fault.gateways:
+            self._signal(each, signal.SIGSTOP)
+        await asyncio.sleep(STALL_MARGIN_MS / MS_PER_S)
+        self._environment.write_configuration()
+        leaving = [
+            asyncio.create_task(
+                self._environment.replace_upstream(service, drains=True)
+            )
+            for service in fault.services
+        ]
+        await asyncio.sleep(
+            (fault.duration_ms - 2 * STALL_MARGIN_MS) / MS_PER_S
+        )
+        sending = [
+            asyncio.create_task(self._send_late(each))
+            for each in LATE_REQUEST_COUNT * fault.gateways
+        ]
+        await asyncio.sleep(STALL_MARGIN_MS / MS_PER_S)
+        for each in fault.gateways:
+            self._signal(each, signal.SIGCONT)
+            self._record_fault_window(each, start_ms, is_stall=True)
+        await asyncio.gather(*sending, *leaving)
+
+    async def _send_late(self, gateway: str) -> None:
+        """Sends one request that waits in a gateway that stands still."""
+        number = LATE_CALLER_NUMBER + len(self._late_callers)
+        caller = callers.Caller(
+            number,
+            self._settings.seed,
+            {gateway: self._addresses[gateway]["callers_address"]},
+            self._identity(number),
+        )
+        self._late_callers.append(caller)
+        await caller.send_one()
+
     async def _throttle(self, fault: faults.ThrottleGateway) -> None:
         name = fault.gateway
         if name in self._restarting:
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -52,7 +52,20 @@
         gateway_count=6,
         caller_count=12,
         folder=pathlib.Path(tmp_path),
-        draws_cuts=True,
+        draw=faults.draw_cuts,
+    )
+    assert not play.run(settings).violations
+
+
+def test_stalled_gateways_use_no_upstream_that_has_left(tmp_path):
+    # Requests that waited in a stall were routed by the list from before it.
+    settings = play.Settings(
+        seed=1,
+        fault_phase_ms=12_000.0,
+        gateway_count=4,
+        caller_count=12,
+        folder=pathlib.Path(tmp_path),
+        draw=faults.draw_stalls,
     )
     assert not play.run(settings).violations
 
