Shutdown: a request that crosses the close of its connection is refused

Cause: 2.6 s after the signal a gateway closes the connections on which no request has begun. It looks into their sockets first, but a request that is on its way reaches a socket that is closed already, and the caller gets a reset.

Change: an idle connection gets a refusal (503 stopping, Retry-After, Connection: close) before its sending side is closed, and what still arrives on it is read and discarded for 0.5 s, as after invalid input. A request that crosses the close finds the refusal as its response, which is true: it is never read as a request. Event 6103 with crossed_the_close names it.

Ruled out: leaving idle connections open to the end of the grace time moves the same race there and makes each stop as long as the grace time; after the sending side is closed, no response can be sent.

Measured: test_a_request_that_crosses_a_planned_close_is_refused_not_cut failed before (connection reset).

--- a/hyssoptack/gateway/draining.py
+++ b/hyssoptack/gateway/draining.py
@@ -1,6 +1,7 @@
 """Finishes the work of a gateway that is being stopped."""
 
 import asyncio
+import http
 import typing
 
 from hyssoptack.balancing import loadbalancer
@@ -78,6 +79,11 @@
         How long it took, in milliseconds.
     """
     server.closing = True
+    server.closing_refusal = message.problem_reply(
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+        shutdown.STOPPING,
+        retrydelay.OVERLOADED_RETRY_MS,
+    )
     end_ms = started.end_ms
     idle_wait_ms = min(IDLE_CLOSE_DELAY_MS, end_ms - clock.now_ms())
     await asyncio.sleep(idle_wait_ms / message.MS_PER_S)
--- a/hyssoptack/http1/httpserver.py
+++ b/hyssoptack/http1/httpserver.py
@@ -82,6 +82,9 @@
         limits: Limits in force; replaced when the configuration changes.
         connections: All open connections.
         closing: Whether connections are closed after their next reply.
+        closing_refusal: Sent on an idle connection that is closed, for a
+            request that crosses the close on its way: it is not read any more,
+            and its caller would find a closed connection. None to send nothing.
         on_refused: Called with status and reason when input is rejected.
     """
 
@@ -92,6 +95,7 @@
         default_factory=set
     )
     closing: bool = False
+    closing_refusal: message.Reply | None = None
 
     def new_connection(self) -> "CallerConnection":
         """Creates the protocol object of a new connection."""
@@ -127,6 +131,7 @@
         self._transport: asyncio.Transport | None = None
         self.lost = False
         self._closing = False
+        self._closed_as_idle = False
         self._is_first = True
         self._last_activity_ms = clock.now_ms()
         self._queue: collections.deque[message.Request] = collections.deque()
@@ -168,6 +173,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; refuses input that is not valid HTTP."""
         if self._closing:
+            self._log_crossing_request()
             return
         self._last_activity_ms = clock.now_ms()
         if not self._started_ms:
@@ -335,8 +341,19 @@
 
     def close_if_idle(self) -> None:
         """Closes the connection if no request has begun or waits on it."""
-        if self._is_idle() and not self._has_input():
+        if self._closing or not self._is_idle() or self._has_input():
+            return
+        if self._server.closing_refusal is None:
             self._end()
+        else:
+            self._closed_as_idle = True
+            self._send_refusal(self._server.closing_refusal)
+
+    def _log_crossing_request(self) -> None:
+        """Logs once that a request came after its connection was closed."""
+        if self._closed_as_idle and self._server.on_refused is not None:
+            self._closed_as_idle = False
+            self._server.on_refused(503, "crossed_the_close")
 
     def refuse_if_incomplete(self, reason: str, retry_after_ms: float) -> None:
         """Answers a request that has begun and was not read completely."""
--- a/hyssoptack/http1/httpserver_test.py
+++ b/hyssoptack/http1/httpserver_test.py
@@ -263,3 +263,35 @@
             assert (b"Retry-After: 0.050" in transport.written) == is_refused
 
     asyncio.run(test())
+
+
+def test_a_request_that_crosses_a_planned_close_is_refused_not_cut():
+    # It was sent as the idle connection closed, and got no response.
+    async def test():
+        refused = []
+        server = httpserver.Server(
+            handler=_answer,
+            limits=LIMITS,
+            closing_refusal=message.problem_reply(503, "stopping", 100.0),
+            on_refused=lambda *refusal: refused.append(refusal),
+        )
+        loop = asyncio.get_running_loop()
+        opened = await loop.create_server(server.new_connection, "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(
+            *opened.sockets[0].getsockname()
+        )
+        writer.write(VALID % 1)
+        first = await reader.readuntil(b"\r\n\r\n")
+        assert first.startswith(b"HTTP/1.1 200")
+        await reader.readexactly(len(b"answer to /1"))
+        server.close_idle()
+        writer.write(VALID % 2)
+        async with asyncio.timeout(10.0):
+            rest = await reader.read()
+        assert rest.startswith(b"HTTP/1.1 503")
+        assert b"Connection: close" in rest
+        writer.close()
+        opened.close()
+        assert refused == [(503, "crossed_the_close")]
+
+    uvloop.run(test())
