Gateway: a held request whose deadline passes is refused

What callers saw: nothing yet, found by a test of the change before: a request that waited for a read of a silent store past its own deadline got no answer, as the reason of its refusal was not defined and the error ended in a timer.

Change: the reason is defined, and an error of one held request is logged as a fault, for deadlines too. Tests: a held request is served after the read, refused at its deadline (hung before), not run once its caller has left; which notices of neighbours let requests go on.

--- a/hyssoptack/gateway/refusals.py
+++ b/hyssoptack/gateway/refusals.py
@@ -13,6 +13,9 @@
 from hyssoptack.planning import retrydelay
 from hyssoptack.platform import headers
 
+VIEW_OUTDATED = "view_outdated"
+"""Reason of a request whose deadline passed before the view was current."""
+
 
 class Refusals:
     """Answers refused requests, with the delay after which to retry."""
--- a/hyssoptack/gateway/stalled_test.py
+++ b/hyssoptack/gateway/stalled_test.py
@@ -177,3 +177,59 @@
                     await asyncio.sleep(BEFORE_END_S)
 
     gateway_test.run(test())
+
+
+async def _start_with_old_view(site):
+    """Starts a gateway whose last reads are older than the bound."""
+    await site.add_upstream("i-0", "desk")
+    site.configure(gateway_test.SINGLE)
+    started = await site.start()
+    started.view.gate._freshness._exact_ms -= 2 * BOUND_MS
+    started.view.gate.awake_since_ms = clock.now_ms
+    return started
+
+
+def test_a_request_that_waits_for_a_read_is_served_after_it():
+    async def test():
+        async with harness.Site() as site:
+            started = await _start_with_old_view(site)
+            site.store.faults.lag_ms = 50.0
+            reply = await site.get("/one/x", "r1")
+            assert reply.status == 200
+            assert started.view.gate.held_count > 0
+
+    gateway_test.run(test())
+
+
+def test_a_request_that_waits_for_a_read_ends_at_its_deadline():
+    async def test():
+        async with harness.Site() as site:
+            await _start_with_old_view(site)
+            site.store.faults.silent = True
+            started_ms = clock.now_ms()
+            reply = await site.get("/one/x", "r1", deadline_ms=100)
+            assert clock.now_ms() - started_ms < 250.0
+            assert reply.status == 503
+            assert float(reply.headers["retry-after"]) > 0
+            assert site.run_count("r1") == 0
+
+    gateway_test.run(test())
+
+
+def test_a_request_whose_caller_left_while_it_waited_does_not_run():
+    async def test():
+        async with harness.Site() as site:
+            started = await _start_with_old_view(site)
+            site.store.faults.silent = True
+            host, _, port = site.settings[
+                "gateway-1"
+            ].callers_address.rpartition(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.write(harness.request_bytes("/one/x", "r1"))
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(1.0)
+            assert started.view.gate.held_count == 1
+            assert site.run_count("r1") == 0
+
+    gateway_test.run(test())
--- a/hyssoptack/gateway/storewatch_test.py
+++ b/hyssoptack/gateway/storewatch_test.py
@@ -7,6 +7,7 @@
 import types
 
 import expression
+import pytest
 
 from hyssoptack.balancing import loadbalancer
 from hyssoptack.core import clock
@@ -33,7 +34,10 @@
         list_age_ms: Age of the view's list of upstreams.
     """
     settings = types.SimpleNamespace(
-        lease_ms=1_000.0, lease_min_ms=1_000.0, failure_domain="north"
+        lease_ms=1_000.0,
+        lease_min_ms=1_000.0,
+        failure_domain="north",
+        peer_address="",
     )
     load_balancer = loadbalancer.LoadBalancer(
         loadbalancer.LoadBalancerSettings(
@@ -84,7 +88,15 @@
     )
 
 
-def receive_view(watcher, view, upstreams, grace_ms=0.0, list_age_ms=0.0):
+def receive_view(
+    watcher,
+    view,
+    upstreams,
+    grace_ms=0.0,
+    list_age_ms=0.0,
+    exact_age_ms=0.0,
+    version=0,
+):
     """Delivers a neighbour's whole list of upstreams to an instance."""
     peers = new_peering(watcher, view)
     history = listdelta.ListHistory()
@@ -92,16 +104,41 @@
     notice = gatewaymessage.ViewNotice(
         sender_id="g2",
         sender_address="",
-        version=0,
+        version=version,
         configuration=b"",
         revision=2,
         change=history.full_change(),
         grace_ms=grace_ms,
         list_age_ms=list_age_ms,
+        exact_age_ms=exact_age_ms,
     )
     peers._receive_view(notice)
 
 
+@pytest.mark.parametrize(
+    ("exact_age_ms", "version", "is_open"),
+    [
+        pytest.param(500.0, 0, True, id="fresh"),
+        pytest.param(9_000.0, 0, False, id="held_up"),
+        pytest.param(0.0, 0, False, id="sender_knows_no_exact_read"),
+        pytest.param(500.0, 1, False, id="sender_has_a_newer_configuration"),
+    ],
+)
+def test_requests_wait_for_a_notice_that_is_as_current_as_a_read(
+    exact_age_ms, version, is_open
+):
+    watcher, view = store_watcher(list_age_ms=9_000.0)
+    view.gate.end_read(clock.now_ms() - 9_000.0, exact=True)
+    receive_view(
+        watcher,
+        view,
+        view.upstreams,
+        exact_age_ms=exact_age_ms,
+        version=version,
+    )
+    assert view.gate.is_open() == is_open
+
+
 def test_a_neighbours_notice_does_not_make_an_old_list_fresh():
     # A notice about the configuration carries the sender's old list (7 s). If
     # that list counted as fresh, the own read 10 ms later would start no grace
--- a/hyssoptack/gateway/viewgate.py
+++ b/hyssoptack/gateway/viewgate.py
@@ -116,7 +116,7 @@
     def _expire(self, held: Held) -> None:
         if held in self._waiting:
             self._waiting.remove(held)
-            held.on_expired()
+            _run_guarded(held.on_expired)
 
     def _close(self) -> None:
         self._closed_ms = clock.now_ms()
@@ -200,7 +200,7 @@
         for each in waiting:
             if each.timer is not None:
                 each.timer.cancel()
-            _run_guarded(each)
+            _run_guarded(each.run)
 
 
 def _never() -> float:
@@ -208,10 +208,10 @@
     return freshness.NEVER_MS
 
 
-def _run_guarded(held: Held) -> None:
+def _run_guarded(function: Function) -> None:
     """Runs what was held; an error does not keep back what follows."""
     try:
-        held.run()
+        function()
     except Exception as error:
         log.write(
             log.Event.REQUEST_FAULT,
