Soak: settings of a run in a module of their own

Callers that send one request have their numbers beside the other callers. A held request's log field counts from when it was held, not from its first byte.

--- a/hyssoptack/gateway/requesthandler.py
+++ b/hyssoptack/gateway/requesthandler.py
@@ -135,13 +135,12 @@
         self, exchange: inbound.Exchange, metadata: headers.RequestMetadata
     ) -> None:
         """Holds a request until the view is current, or to its deadline."""
-        received_ms = exchange.request.received_ms
+        began_ms = clock.now_ms()
         gate = self._view.gate
 
         def resume() -> None:
             exchange.on_abandoned = None
-            held_ms = clock.now_ms() - received_ms
-            self._route(exchange, metadata, None, held_ms)
+            self._route(exchange, metadata, None, clock.now_ms() - began_ms)
 
         def expire() -> None:
             exchange.on_abandoned = None
@@ -156,12 +155,10 @@
             gate.cancel(held)
             self.refusals.record_caller_left(exchange, metadata)
 
-        deadline_ms = metadata.deadline_ms
-        held = gate.hold(
-            resume,
-            expire,
-            None if deadline_ms is None else received_ms + deadline_ms,
-        )
+        expires_ms = None
+        if metadata.deadline_ms is not None:
+            expires_ms = exchange.request.received_ms + metadata.deadline_ms
+        held = gate.hold(resume, expire, expires_ms)
         exchange.on_abandoned = on_abandoned
 
     def _route(
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -25,6 +25,9 @@
 THINK_RANGE_S = (0.0, 0.06)
 
 CRASHING_CALLER_NUMBER = 0xBAD
+LATE_CALLER_NUMBER = 0x1000
+"""Number of the first caller that sends a single request."""
+
 CRASH_PAUSE_RANGE_S = (0.05, 0.5)
 """Pause between two crashing requests. It is shorter than the 2 s after which a
 crashed upstream restarts."""
--- a/soak/main.py
+++ b/soak/main.py
@@ -8,6 +8,7 @@
 
 from soak import faults
 from soak import play
+from soak import runsettings
 
 application = cyclopts.App(name="soak")
 
@@ -44,7 +45,7 @@
         base = pathlib.Path(folder or tempfile.mkdtemp(prefix="soak-"))
         run_folder = base / f"seed-{seed}"
         run_folder.mkdir(parents=True, exist_ok=True)
-        settings = play.Settings(
+        settings = runsettings.Settings(
             seed=seed,
             fault_phase_ms=seconds * 1000.0,
             gateway_count=gateways,
--- a/soak/play.py
+++ b/soak/play.py
@@ -1,9 +1,7 @@
 """Executes one soak run: starts gateway processes and injects faults."""
 
 import asyncio
-import dataclasses
 import json
-import pathlib
 import signal
 import sys
 
@@ -14,6 +12,7 @@
 from soak import environment
 from soak import faults
 from soak import invariants
+from soak import runsettings
 from soak import teams
 
 MS_PER_S = 1000.0
@@ -39,9 +38,7 @@
 its end."""
 
 LATE_REQUEST_COUNT = 12
-LATE_CALLER_NUMBER = 0x1000
-"""Requests that wait in a gateway that stands still, and the first number of
-their callers."""
+"""Requests that wait in each gateway that stands still."""
 
 GRACE_MS = 6_000.0
 KILL_AFTER_S = 8.0
@@ -54,36 +51,10 @@
 """Duration of the recovery check, during which callers continue to send."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Settings:
-    """Settings of one run.
-
-    Attributes:
-        seed: Seed of all random generators.
-        fault_phase_ms: Duration of the phase in which faults begin.
-        gateway_count: Number of gateway processes.
-        caller_count: Number of concurrent callers.
-        folder: Folder for the gateways' settings and logs.
-        draw: Draws the faults of the run.
-    """
-
-    seed: int
-    fault_phase_ms: float
-    gateway_count: int
-    caller_count: int
-    folder: pathlib.Path
-    draw: faults.Draw = faults.draw_schedule
-
-    @property
-    def draws_cuts(self) -> bool:
-        """Whether gateways are cut off from each other."""
-        return self.draw is faults.draw_cuts
-
-
 class SoakRun:
     """A soak run in progress."""
 
-    def __init__(self, settings: Settings):
+    def __init__(self, settings: runsettings.Settings):
         self._settings = settings
         self._environment = environment.Environment(settings.seed)
         self._processes: dict[str, asyncio.subprocess.Process] = {}
@@ -380,7 +351,7 @@
             (fault.duration_ms - 2 * STALL_MARGIN_MS) / MS_PER_S
         )
         sending = [
-            asyncio.create_task(self._send_late(each))
+            asyncio.create_task(self._new_late_caller(each).send_one())
             for each in LATE_REQUEST_COUNT * fault.gateways
         ]
         await asyncio.sleep(STALL_MARGIN_MS / MS_PER_S)
@@ -389,17 +360,18 @@
             self._record_fault_window(each, start_ms, is_stall=True)
         await asyncio.gather(*sending, *leaving)
 
-    async def _send_late(self, gateway: str) -> None:
-        """Sends one request that waits in a gateway that stands still."""
-        number = LATE_CALLER_NUMBER + len(self._late_callers)
-        caller = callers.Caller(
-            number,
-            self._settings.seed,
-            {gateway: self._addresses[gateway]["callers_address"]},
-            self._identity(number),
+    def _new_late_caller(self, gateway: str) -> callers.Caller:
+        number = callers.LATE_CALLER_NUMBER + len(self._late_callers)
+        address = self._addresses[gateway]["callers_address"]
+        self._late_callers.append(
+            callers.Caller(
+                number,
+                self._settings.seed,
+                {gateway: address},
+                self._identity(number),
+            )
         )
-        self._late_callers.append(caller)
-        await caller.send_one()
+        return self._late_callers[-1]
 
     async def _throttle(self, fault: faults.ThrottleGateway) -> None:
         name = fault.gateway
@@ -450,7 +422,7 @@
             setattr(behaviour, fault_name, False)
 
 
-def run(settings: Settings) -> invariants.Report:
+def run(settings: runsettings.Settings) -> invariants.Report:
     """Executes one run on a new event loop and returns its report."""
 
     async def main() -> invariants.Report:
--- a/soak/soak_test.py
+++ b/soak/soak_test.py
@@ -11,6 +11,7 @@
 from soak import faults
 from soak import invariants
 from soak import play
+from soak import runsettings
 from soak import teams
 
 FAILED_SEEDS: tuple[int, ...] = ()
@@ -20,7 +21,7 @@
 @pytest.mark.parametrize("seed", (11, 12, *FAILED_SEEDS))
 def test_short_run_violates_no_invariant(seed, tmp_path):
     # Seed 12 has teams.
-    settings = play.Settings(
+    settings = runsettings.Settings(
         seed=seed,
         fault_phase_ms=5_000.0,
         gateway_count=3,
@@ -33,7 +34,7 @@
 
 
 def test_throttled_gateways_keep_the_attempt_limit(tmp_path):
-    settings = play.Settings(
+    settings = runsettings.Settings(
         seed=1,
         fault_phase_ms=20_000.0,
         gateway_count=4,
@@ -46,7 +47,7 @@
 def test_returning_gateways_bring_back_no_upstream_that_has_left(tmp_path):
     # Gateways in touch called what had left, for 2 s after a neighbour's
     # return from a cut: 271 calls over the bound in this run.
-    settings = play.Settings(
+    settings = runsettings.Settings(
         seed=2,
         fault_phase_ms=15_000.0,
         gateway_count=6,
@@ -59,7 +60,7 @@
 
 def test_stalled_gateways_use_no_upstream_that_has_left(tmp_path):
     # Requests that waited in a stall were routed by the list from before it.
-    settings = play.Settings(
+    settings = runsettings.Settings(
         seed=1,
         fault_phase_ms=12_000.0,
         gateway_count=4,
