Log: says when a read of the list of upstreams is ignored

Event 4108 names the era and the revision of the read and the revision in use. No behaviour changes.

--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -144,6 +144,10 @@
         4105,
         "The list of upstreams was not read for too long, without a failure.",
     )
+    LIST_READ_IGNORED = (
+        4108,
+        "A read of the list of upstreams was ignored: the one in use is newer.",
+    )
     VIEW_OUTDATED = (
         4106,
         "The list and configuration are too old; requests wait for a read.",
--- a/hyssoptack/gateway/replicatedview.py
+++ b/hyssoptack/gateway/replicatedview.py
@@ -148,7 +148,7 @@
     def apply_list(
         self,
         listed: dict[str, traffic.Upstream],
-        revision: int,
+        read_at: position.Position,
         now_ms: float,
         read_ms: float | None = None,
     ) -> None:
@@ -156,16 +156,23 @@
 
         Args:
             listed: Upstreams by id.
-            revision: Store revision at which the list was read.
+            read_at: Position in the store's history of the read.
             now_ms: The current time.
             read_ms: Time of the read, if it was not now.
         """
         read_ms = now_ms if read_ms is None else read_ms
-        if revision < self.upstream_list.revision:
+        if read_at.revision < self.upstream_list.revision:
+            log.write(
+                log.Event.LIST_READ_IGNORED,
+                era=read_at.era,
+                revision=read_at.revision,
+                revision_in_use=self.upstream_list.revision,
+                list_age_ms=round(now_ms - self.list_read_ms),
+            )
             return
         self._replace_list(
             upstreamlist.after_read(
-                self.upstream_list, listed, revision, read_ms
+                self.upstream_list, listed, read_at.revision, read_ms
             ),
             "store",
             now_ms,
--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -244,9 +244,7 @@
                 case expression.Result(error=detail):
                     unreadable[item.key] = detail
         self._ignored_upstreams.replace(unreadable)
-        self._view.apply_list(
-            listed, listing.store_revision, clock.now_ms(), read_ms
-        )
+        self._view.apply_list(listed, listing.position, clock.now_ms(), read_ms)
 
     # The configuration.
 
--- a/hyssoptack/gateway/storewatch_test.py
+++ b/hyssoptack/gateway/storewatch_test.py
@@ -62,7 +62,7 @@
     )
     now_ms = clock.now_ms()
     listed = {"a": callplan_test.upstream("a")}
-    view.apply_list(listed, 1, now_ms - list_age_ms)
+    view.apply_list(listed, position.Position(0, 1), now_ms - list_age_ms)
     watcher.reachability.lost_ms = now_ms - 9_000.0
     return watcher, view
 
@@ -73,7 +73,7 @@
     # for 3 s, after 9 s without the store) and publish them.
     watcher, view = store_watcher(list_age_ms=900.0)
     watcher.reachability.record_read(clock.now_ms(), 0)
-    view.apply_list({}, 2, clock.now_ms())
+    view.apply_list({}, position.Position(0, 2), clock.now_ms())
     assert not view.upstreams
 
 
@@ -146,7 +146,7 @@
     watcher, view = store_watcher(list_age_ms=9_000.0)
     receive_view(watcher, view, view.upstreams, list_age_ms=7_000.0)
     watcher.reachability.record_read(clock.now_ms(), 0)
-    view.apply_list({}, 3, clock.now_ms())
+    view.apply_list({}, position.Position(0, 3), clock.now_ms())
     assert "a" in view.upstreams
 
 
@@ -176,7 +176,7 @@
         )
     assert view.list_read_ms <= began_ms + 1_100.0
     watcher.reachability.record_read(clock.now_ms(), 0)
-    view.apply_list({}, 2, clock.now_ms())
+    view.apply_list({}, position.Position(0, 2), clock.now_ms())
     assert "a" in view.upstreams
 
 
@@ -220,10 +220,12 @@
         upstreamlist.REREGISTRATION_GRACE_MS,
     )
     watcher.reachability.record_read(clock.now_ms(), 0)
-    view.apply_list({}, 3, clock.now_ms())
+    view.apply_list({}, position.Position(0, 3), clock.now_ms())
     assert "a" in view.upstreams
     view.apply_list(
-        {}, 4, clock.now_ms() + upstreamlist.REREGISTRATION_GRACE_MS + 1.0
+        {},
+        position.Position(0, 4),
+        clock.now_ms() + upstreamlist.REREGISTRATION_GRACE_MS + 1.0,
     )
     assert not view.upstreams
 
@@ -239,12 +241,12 @@
 def test_entries_that_expired_in_an_outage_are_kept_for_a_while():
     watcher, view = store_watcher(list_age_ms=9_000.0)
     watcher.reachability.record_read(clock.now_ms(), 0)
-    view.apply_list({}, 2, clock.now_ms())
+    view.apply_list({}, position.Position(0, 2), clock.now_ms())
     assert "a" in view.upstreams
     pause_ms = watcher._list_pause_ms(clock.now_ms())
     assert pause_ms <= upstreamlist.REREGISTRATION_GRACE_MS
     later_ms = clock.now_ms() + upstreamlist.REREGISTRATION_GRACE_MS + 1.0
-    view.apply_list({}, 3, later_ms)
+    view.apply_list({}, position.Position(0, 3), later_ms)
     assert not view.upstreams
 
 
@@ -266,7 +268,7 @@
     watcher.reachability._last_read_ms = now_ms - 2_700.0
     watcher.reachability.lost_ms = now_ms - 800.0
     watcher.reachability.record_read(now_ms, 1)
-    view.apply_list({}, 2, now_ms)
+    view.apply_list({}, position.Position(0, 2), now_ms)
     assert not view.upstreams
 
 
@@ -277,7 +279,7 @@
     watcher.reachability._last_read_ms = now_ms - 60_000.0
     watcher.reachability.lost_ms = now_ms - 800.0
     watcher.reachability.record_read(now_ms, 1)
-    view.apply_list({}, 2, now_ms)
+    view.apply_list({}, position.Position(0, 2), now_ms)
     assert "a" in view.upstreams
 
 
@@ -293,7 +295,7 @@
     receive_view(watcher, view, view.upstreams)
     monkeypatch.setattr(clock, "now_ms", lambda: began_ms + 62_400.0)
     watcher.reachability.record_read(clock.now_ms(), 1)
-    view.apply_list({}, 3, clock.now_ms())
+    view.apply_list({}, position.Position(0, 3), clock.now_ms())
     assert not view.upstreams
 
 
@@ -302,13 +304,13 @@
     now_ms = clock.now_ms()
     grace_ms = upstreamlist.REREGISTRATION_GRACE_MS
     view.record_store_return(9_000.0, now_ms)
-    view.apply_list({}, 2, now_ms)
+    view.apply_list({}, position.Position(0, 2), now_ms)
     view.record_store_return(400.0, now_ms + 1_500.0)
     assert view.expiry_wait_ms(now_ms + 1_500.0) == grace_ms - 1_500.0
     view.record_store_return(1_100.0, now_ms + 1_600.0)
-    view.apply_list({}, 3, now_ms + grace_ms + 1_000.0)
+    view.apply_list({}, position.Position(0, 3), now_ms + grace_ms + 1_000.0)
     assert "a" in view.upstreams
-    view.apply_list({}, 4, now_ms + grace_ms + 1_101.0)
+    view.apply_list({}, position.Position(0, 4), now_ms + grace_ms + 1_101.0)
     assert not view.upstreams
 
 
@@ -351,7 +353,7 @@
     again = dataclasses.replace(
         callplan_test.upstream("a"), upstream_id="a#2", listed_id="a"
     )
-    view.apply_list({"a#2": again}, 2, clock.now_ms())
+    view.apply_list({"a#2": again}, position.Position(0, 2), clock.now_ms())
     assert set(view.upstreams) == {"a#2"}
 
 
@@ -364,7 +366,7 @@
     again = dataclasses.replace(
         callplan_test.upstream("a"), upstream_id="a#2", listed_id="a"
     )
-    view.apply_list({"a#2": again}, 2, now_ms)
+    view.apply_list({"a#2": again}, position.Position(0, 2), now_ms)
     load_balancer.end_call("a")
     load_balancer.record_answer("r", "a", 900.0, now_ms)
     standing = load_balancer.upstream_states["a#2"]
