Orders lists of upstreams by the store's era, and lets a copy take nothing back

Cause: the list knew no era. Notices were ordered by revision as well, so that a gateway that started later took the old list from a neighbour, and a neighbour that ignored its reads counted as one that had read.

Ruled out: ordering reads by era alone. The copy then brings back what drained or left in the lost seconds.

Change: reads and kept upstreams have a `core.position`. Across eras, the later era is the newer list, and two things that the copy can't know hold on: an upstream that was seen to drain or leave is withdrawn until its entry changes or has outlasted its expiry (6 s), and one that the copy lacks is kept for the 2 s in which it has to register again. Soon after a return, notices carry withdrawals and departures, a reader that still uses what has left is corrected by its neighbours and publishes again, and an instance that starts in a later era asks three neighbours for their views. Notices of the last release carry no era; they count as earlier and change no settled list.

--- a/hyssoptack/core/gatewaymessage.py
+++ b/hyssoptack/core/gatewaymessage.py
@@ -26,8 +26,10 @@
         configuration: That configuration as stored, compressed; empty if the
             receiver should already have it.
         revision: Revision of the store at which the list of upstreams was read.
+        era: The store's era of that read; 0 from an earlier release.
         change: Change of the list since the previous notice.
         kept: Upstreams that the sender keeps beside the list.
+        departures: Upstreams that have left, soon after the store's return.
         grace_ms: Remaining time in which entries that vanish may have expired
             in an outage of the store, as far as the sender has observed.
         list_age_ms: Age of the list, in milliseconds.
@@ -57,6 +59,13 @@
     evacuated_at: position.Position = position.START
     run_id: int = 0
     sent_ms: decoding.Finite = 0.0
+    era: int = 0
+    departures: listmessage.Departures = listmessage.NO_DEPARTURES
+
+    @property
+    def read_at(self) -> position.Position:
+        """Position in the store's history at which the list was read."""
+        return position.Position(self.era, self.revision)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -88,6 +88,10 @@
         2102,
         "The key-value service answers again.",
     )
+    STORE_RESTORED = (
+        2105,
+        "The key-value service has returned from an older copy.",
+    )
     LIST_LOST = (
         2103,
         "The instance list does not answer any more.",
--- a/hyssoptack/gateway/peering.py
+++ b/hyssoptack/gateway/peering.py
@@ -43,6 +43,10 @@
 """Maximum number of neighbours that get the list of instances each time that it
 was read (every 5 s). A neighbour that misses one gets it a few rounds later."""
 
+FIRST_VIEW_PEER_COUNT = 3
+"""Number of neighbours that a new instance asks for their views. Some of them
+may have started as late as it has."""
+
 RUN_ID_BITS = 32
 """Size of the random id of a process."""
 
@@ -83,6 +87,7 @@
         self._on_instances = on_instances
         self._on_partition_notice = on_partition_notice
         self._instances_read_at = position.START
+        self._has_requested_views = False
         self._sent_states: dict[str, _SentState] = {}
         self._history = listdelta.ListHistory()
         self._configuration = b""
@@ -152,12 +157,14 @@
             sender_address=self._settings.peer_address,
             version=self._view.version,
             configuration=configuration,
-            revision=known.revision,
+            revision=known.read_at.revision,
+            era=known.read_at.era,
             change=change,
             kept=tuple(
                 viewnotice.kept_notice(each, now_ms)
                 for each in known.kept.values()
             ),
+            departures=viewnotice.departures_notice(known, now_ms),
             grace_ms=self._view.remaining_grace_ms(now_ms),
             list_age_ms=now_ms - known.read_ms,
             observed_age_ms=now_ms - known.observed_since_ms,
@@ -182,6 +189,19 @@
             b"" if is_current else self._configuration,
         )
 
+    def request_first_views(self) -> None:
+        """Requests the views of some neighbours, once.
+
+        An instance that starts after the store has returned from an older copy
+        can't tell which of the listed upstreams have left.
+        """
+        peers = self._sample_neighbours(FIRST_VIEW_PEER_COUNT)
+        if self._has_requested_views or not peers:
+            return
+        self._has_requested_views = True
+        for each in peers:
+            self._request_view(each.address)
+
     def publish_instances(
         self,
         neighbours: tuple[member.Peer, ...],
@@ -230,11 +250,7 @@
             self._links.send(peer.address, notice)
 
     def _sample_neighbours(self, max_count: int) -> list[member.Peer]:
-        """Returns a random sample of the neighbours.
-
-        Args:
-            max_count: Maximum size of the sample.
-        """
+        """Returns a random sample of at most `max_count` neighbours."""
         peers = self.reader_election.neighbours()
         return self._random.sample(peers, min(len(peers), max_count))
 
@@ -310,19 +326,19 @@
         )
         if notice.configuration and notice.version > self._view.version:
             self._apply_configuration(notice)
-        behind = notice.revision < self._view.list_revision
+        behind = notice.read_at < self._view.upstream_list.read_at
         merged = self._merge_list(notice)
         if merged and not behind and notice.version <= self._view.version:
             self._record_read_of(received, notice)
         if notice.version > self._view.version:
-            self._request_view(notice)
+            self._request_view(notice.sender_address)
         elif merged and not behind:
             self.reader_election.record_other_reader(
                 notice.sender_id, clock.now_ms(), notice.exact_age_ms
             )
         elif not merged and (not behind or self._view.upstream_list.kept):
             # An older list may still show that a kept upstream has left.
-            self._request_view(notice)
+            self._request_view(notice.sender_address)
 
     def _record_read_of(
         self,
@@ -357,29 +373,18 @@
             log.Event.PEER_HELD_UP,
             sender_id=notice.sender_id,
             held_up_ms=round(held_up_ms),
+            era=notice.era,
             revision=notice.revision,
         )
-        return dataclasses.replace(
-            notice,
-            kept=tuple(
-                dataclasses.replace(
-                    each, remaining_ms=each.remaining_ms - held_up_ms
-                )
-                for each in notice.kept
-            ),
-            grace_ms=max(0.0, notice.grace_ms - held_up_ms),
-            list_age_ms=notice.list_age_ms + held_up_ms,
-            observed_age_ms=notice.observed_age_ms + held_up_ms,
-            exact_age_ms=notice.exact_age_ms + held_up_ms,
-        )
+        return viewnotice.aged(notice, held_up_ms)
 
-    def _request_view(self, notice: gatewaymessage.ViewNotice) -> None:
-        """Requests the whole view from the sender of a notice."""
+    def _request_view(self, address: str) -> None:
+        """Requests the whole view of the neighbour at an address."""
         request = gatewaymessage.ViewRequest(
             address=self._settings.peer_address, version=self._view.version
         )
         if self._links is not None:
-            self._links.send(notice.sender_address, request)
+            self._links.send(address, request)
 
     def _apply_configuration(self, notice: gatewaymessage.ViewNotice) -> None:
         stored = codec.decompress(notice.configuration)
@@ -410,8 +415,21 @@
         now_ms = clock.now_ms()
         offered = viewnotice.offered_list(notice, listed, now_ms)
         self._view.merge_list(offered, f"peer {notice.sender_id}", now_ms)
+        merged = self._view.upstream_list
+        if merged.corrects(offered):
+            self._correct_view(notice)
+        is_reader = not self.reader_election.read_delay_ms(now_ms)
+        if is_reader and merged.was_corrected_since(known):
+            self.publish_view()
         return True
 
+    def _correct_view(self, notice: gatewaymessage.ViewNotice) -> None:
+        """Sends a neighbour what has left of the upstreams that it uses."""
+        if self._links is not None:
+            self._history.add(self._view.upstream_list.listed)
+            change = self._history.change_since(notice.change.digest)
+            self._send_view(notice.sender_address, change, b"")
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _SentState:
--- a/hyssoptack/gateway/replicatedview.py
+++ b/hyssoptack/gateway/replicatedview.py
@@ -24,6 +24,10 @@
 10,000, and the log buffer holds 256 KB."""
 
 
+LOGGED_UPSTREAM_COUNT = 50
+"""Maximum number of upstreams named in one log line of a restore."""
+
+
 @dataclasses.dataclass(kw_only=True)
 class ReplicatedView:
     """The configuration and upstreams that requests are served from.
@@ -83,7 +87,7 @@
     @property
     def list_revision(self) -> int:
         """Store revision of the list."""
-        return self.upstream_list.revision
+        return self.upstream_list.read_at.revision
 
     @property
     def is_complete(self) -> bool:
@@ -97,6 +101,9 @@
             "version_age_ms": now_ms - self.config_applied_ms,
             "list_age_ms": now_ms - self.list_read_ms,
             "exact_list_age_ms": self.gate.age_ms(now_ms),
+            "list_era": self.upstream_list.read_at.era,
+            "list_revision": self.list_revision,
+            "withdrawn_count": len(self.upstream_list.withdrawals),
             "held_count": self.gate.held_count,
             "held_ms": self.gate.total_held_ms,
             "upstream_count": len(self.upstreams),
@@ -161,18 +168,20 @@
             read_ms: Time of the read, if it was not now.
         """
         read_ms = now_ms if read_ms is None else read_ms
-        if read_at.revision < self.upstream_list.revision:
+        in_use_at = self.upstream_list.read_at
+        if read_at < in_use_at:
             log.write(
                 log.Event.LIST_READ_IGNORED,
                 era=read_at.era,
                 revision=read_at.revision,
-                revision_in_use=self.upstream_list.revision,
+                era_in_use=in_use_at.era,
+                revision_in_use=in_use_at.revision,
                 list_age_ms=round(now_ms - self.list_read_ms),
             )
             return
         self._replace_list(
             upstreamlist.after_read(
-                self.upstream_list, listed, read_at.revision, read_ms
+                self.upstream_list, listed, read_at, read_ms
             ),
             "store",
             now_ms,
@@ -201,6 +210,7 @@
     ) -> None:
         if not self.keeps_expired_upstreams:
             changed = dataclasses.replace(changed, kept={})
+        self._log_restore(changed, source)
         in_use = changed.in_use
         # A notice that changes nothing arrives each second.
         if in_use != self.upstreams or changed.kept:
@@ -208,6 +218,26 @@
         self.upstream_list = changed
         self.upstreams = in_use
 
+    def _log_restore(
+        self, changed: upstreamlist.UpstreamList, source: str
+    ) -> None:
+        """Logs that the store has returned from an older copy."""
+        before = self.upstream_list.read_at
+        if before == position.START or changed.read_at.era == before.era:
+            return
+        log.write(
+            log.Event.STORE_RESTORED,
+            era_before=before.era,
+            revision_before=before.revision,
+            era=changed.read_at.era,
+            revision=changed.read_at.revision,
+            kept=list(changed.kept)[:LOGGED_UPSTREAM_COUNT],
+            kept_count=len(changed.kept),
+            withdrawn=list(changed.withdrawals)[:LOGGED_UPSTREAM_COUNT],
+            withdrawn_count=len(changed.withdrawals),
+            source=source,
+        )
+
     def record_store_return(self, lost_ms: float, now_ms: float) -> None:
         """Starts the grace period after an outage in which entries may expire.
 
@@ -322,7 +352,9 @@
                 newly_kept=newly_kept,
                 count=len(in_use),
                 kept_count=len(changed.kept),
-                revision=changed.revision,
+                withdrawn_count=len(changed.withdrawals),
+                era=changed.read_at.era,
+                revision=changed.read_at.revision,
                 age_ms=round(now_ms - changed.read_ms),
                 observed_ms=round(now_ms - changed.observed_since_ms),
                 source=source,
--- a/hyssoptack/gateway/returning_test.py
+++ b/hyssoptack/gateway/returning_test.py
@@ -9,7 +9,7 @@
 from hyssoptack.gateway import daemon
 from hyssoptack.gateway import gateway_test
 from hyssoptack.gateway import harness
-from hyssoptack.membership import upstreamlist
+from hyssoptack.membership import keptupstreams
 
 CUT_S = 4.0
 WATCHED_S = 2.5
@@ -100,11 +100,11 @@
             narrow, wide = await site.start_delegating_pair()
             await _wait_for(lambda: narrow.view.upstream_list.is_observed)
             known = wide.view.upstream_list
-            removed = upstreamlist.KeptUpstream(
+            removed = keptupstreams.KeptUpstream(
                 upstream=dataclasses.replace(
                     known.listed["i-0"], upstream_id="i-1"
                 ),
-                listed_revision=known.revision,
+                listed_at=known.read_at,
                 until_ms=clock.now_ms() + CUT_S * 1_000.0,
             )
             wide.view.upstream_list = dataclasses.replace(
--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -60,6 +60,9 @@
 COLD_MAX_MS = 600_000.0
 """Upper limit for the remaining warm-up time in an upstream's entry."""
 
+FIRST_ERA = 1
+"""The store's era before it has returned from an older copy."""
+
 IGNORED_LIMIT_COUNT = 1_000
 """Maximum number of ignored operator keys that are remembered and logged."""
 
@@ -418,6 +421,8 @@
             each for each in peers if each.failure_domain == domain
         )
         self._reader_election.set_neighbours(neighbours, len(peers))
+        if listing.era > FIRST_ERA:
+            self._peers.request_first_views()
         far_gatherers = gatherers.select_gatherers(peers, domain)
         self._on_instances(far_gatherers)
         self._peers.publish_instances(
--- a/hyssoptack/membership/upstreamlist_test.py
+++ b/hyssoptack/membership/upstreamlist_test.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from hyssoptack.core import position
 from hyssoptack.membership import upstreamlist
 from hyssoptack.planning import callplan_test
 
@@ -13,7 +14,9 @@
 STAYS = {"stays": callplan_test.upstream("stays")}
 MISSING = {"missing": callplan_test.upstream("missing")}
 BOTH = STAYS | MISSING
-BEFORE = upstreamlist.UpstreamList(listed=BOTH, revision=10, read_ms=LOST_MS)
+BEFORE = upstreamlist.UpstreamList(
+    listed=BOTH, read_at=position.Position(1, 10), read_ms=LOST_MS
+)
 """The list of an instance that has been running for long."""
 
 
@@ -24,7 +27,9 @@
         age_ms = at_ms - known.read_ms
         if known.read_ms and age_ms > upstreamlist.EXPIRY_MIN_MS:
             known = upstreamlist.after_outage(known, age_ms, at_ms)
-        return upstreamlist.after_read(known, listed, revision, at_ms)
+        return upstreamlist.after_read(
+            known, listed, position.Position(1, revision), at_ms
+        )
 
     return apply
 
@@ -35,9 +40,11 @@
 
 
 IN_TOUCH = upstreamlist.after_read(
-    upstreamlist.after_read(BEFORE, BOTH, 10, RETURN_MS - 2_000.0),
+    upstreamlist.after_read(
+        BEFORE, BOTH, position.Position(1, 10), RETURN_MS - 2_000.0
+    ),
     STAYS,
-    11,
+    position.Position(1, 11),
     RETURN_MS - 400.0,
 )
 """The list of an instance that saw the removal before the others return."""
@@ -182,7 +189,9 @@
 
 def test_an_older_list_does_not_show_the_removal_of_a_later_entry():
     # The entry was written after the neighbour's read.
-    late = upstreamlist.after_read(BEFORE, BOTH, 14, LOST_MS)
+    late = upstreamlist.after_read(
+        BEFORE, BOTH, position.Position(1, 14), LOST_MS
+    )
     returned = read(RETURN_MS, STAYS, 16)(late)
     assert upstreamlist.merge(returned, IN_TOUCH).in_use == BOTH
 
--- a/hyssoptack/standins/kvstore.py
+++ b/hyssoptack/standins/kvstore.py
@@ -35,16 +35,37 @@
     lost_read_count: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Copy:
+    """What the store held at one time.
+
+    Attributes:
+        revision: The store's revision.
+        items: All items by key.
+        events: The history that watches read.
+        leases: End and period of each lease by number, in milliseconds.
+        lease_count: Number of leases granted until then.
+    """
+
+    revision: int
+    items: dict[str, dict[str, object]]
+    events: tuple[dict[str, object], ...]
+    leases: dict[int, tuple[float, float]]
+    lease_count: int
+
+
 class Store:
     """A key-value store with leases and watches.
 
     Attributes:
+        era: Number that increases each time the store returns from a copy.
         faults: Active faults.
         call_names: Names of all received calls in order.
         address: Address that it listens on; empty before the start.
     """
 
     def __init__(self, page_count: int = 50):
+        self.era = 1
         self.faults = Faults()
         self.call_names: list[str] = []
         self.address = ""
@@ -94,6 +115,39 @@
             {"key": key, "revision": self._revision, "removed": True}
         )
 
+    @property
+    def revision(self) -> int:
+        """The revision of the last change."""
+        return self._revision
+
+    def copy(self) -> Copy:
+        """Returns a copy of all that the store holds."""
+        return Copy(
+            revision=self._revision,
+            items=dict(self._items),
+            events=tuple(self._events),
+            leases=dict(self._leases),
+            lease_count=self._lease_count,
+        )
+
+    def restore(self, copy: Copy) -> None:
+        """Returns from a copy, in a new era.
+
+        What was written since is lost. Its revisions and lease numbers are
+        given out again, and the leases of the copy run on from now.
+        """
+        now_ms = clock.now_ms()
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._events = list(copy.events)
+        self._leases = {
+            lease: (now_ms + ttl_ms, ttl_ms)
+            for lease, (_, ttl_ms) in copy.leases.items()
+        }
+        self._lease_count = copy.lease_count
+        self.era += 1
+        self._notify()
+
     def value(self, key: str) -> bytes:
         """Returns the value of an existing key."""
         return base64.b64decode(str(self._items[key]["value"]))
@@ -104,6 +158,9 @@
 
     def _record_event(self, event: dict[str, object]) -> None:
         self._events.append(event)
+        self._notify()
+
+    def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -133,7 +190,9 @@
             return
         exchange.answer(
             message.Reply(
-                status=status, headers=(), body=json.dumps(body).encode()
+                status=status,
+                headers=((b"Store-Era", b"%d" % self.era),),
+                body=json.dumps(body).encode(),
             )
         )
 
@@ -172,6 +231,9 @@
             return 410, {}
         ends_ms = clock.now_ms() + float(query["wait_ms"])
         while True:
+            if int(query["after"]) > self._revision:
+                # This history was lost.
+                return 410, {}
             events = [
                 each
                 for each in self._events
