Watch of the configuration: reads anew when the store's era has changed

Callers would have seen an old configuration or evacuation in force without end: after the store's return from an older copy, the watch went on from the revision of before. Once the new era had passed that revision, the store answered, and changes that it had made at lower revisions were never seen; 410 only says that the revision does not exist.

The watch continues from a position now, and an answer of another era fails it, after which the keys are read whole.

--- a/hyssoptack/gateway/restored_test.py
+++ b/hyssoptack/gateway/restored_test.py
@@ -119,3 +119,32 @@
             assert _use(site, {"i-0", "i-1", "i-2"})
 
     gateway_test.run(test())
+
+
+def test_a_configuration_written_at_a_revision_of_before_is_put_in_force():
+    # The watch went on from the revision of before the return. A configuration
+    # that was written at a lower one in the new era was never seen.
+    async def test():
+        async with harness.Site() as site:
+            await _start(site)
+            copy = site.store.copy()
+            for _ in range(LOST_WRITE_COUNT):
+                version = site.configure(gateway_test.SINGLE)
+            await _wait_for(
+                lambda: all(
+                    each.view.version == version
+                    for each in site.gateways.values()
+                )
+            )
+            site.store.restore(copy)
+            newest = site.configure(gateway_test.SINGLE)
+            for _ in range(LOST_WRITE_COUNT):
+                site.put_upstream_entry("i-0", "desk")
+            await _wait_for(
+                lambda: all(
+                    each.view.version == newest
+                    for each in site.gateways.values()
+                )
+            )
+
+    gateway_test.run(test())
--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -254,7 +254,7 @@
     async def watch_configuration(self) -> None:
         """Watches the stored configuration while this instance is a reader."""
         failure_count = 0
-        revision: int | None = None
+        reached: position.Position | None = None
         # The first read may be stale, at a tenth of the cost: the watch from
         # its revision, or a neighbour's notice, brings newer changes.
         stale = True
@@ -263,46 +263,48 @@
                 clock.now_ms()
             ):
                 await self._wait_until_reader()
-                revision = None
-            if revision is None:
+                reached = None
+            if reached is None:
                 result = await self._read_configuration(stale)
                 stale = False
             else:
-                result = await self._wait_for_configuration_change(revision)
+                result = await self._wait_for_configuration_change(reached)
             match result:
-                case expression.Result(tag="ok", ok=reached):
+                case expression.Result(tag="ok", ok=found):
                     failure_count = 0
-                    revision = reached
+                    reached = found
                     if not self._view.version:
                         # No configuration was written yet: read again soon.
-                        revision = None
+                        reached = None
                         await self._pause(RETRY.min_ms)
                 case expression.Result(error=failure):
                     failure_count += 1
-                    revision = None
+                    reached = None
                     self.reachability.record_lost(failure)
                     await self._pause(RETRY.wait_ms(failure_count))
 
     async def _read_configuration(
         self, stale: bool
-    ) -> expression.Result[int, keyvalue.Failure]:
+    ) -> expression.Result[position.Position, keyvalue.Failure]:
         result = await self._store.read_range(
             storeformat.OPERATOR_PREFIX, stale
         )
         return result.map(self._apply_operator_keys)
 
     async def _wait_for_configuration_change(
-        self, revision: int
-    ) -> expression.Result[int, keyvalue.Failure]:
+        self, reached: position.Position
+    ) -> expression.Result[position.Position, keyvalue.Failure]:
         result = await self._store.watch(
             storeformat.OPERATOR_PREFIX,
-            revision,
+            reached,
             self._reader_election.read_timings.watch_ms,
         )
         return result.map(self._apply_operator_changes)
 
-    def _apply_operator_keys(self, listing: keyvalue.Listing) -> int:
-        """Applies all operator keys; returns the revision of the read."""
+    def _apply_operator_keys(
+        self, listing: keyvalue.Listing
+    ) -> position.Position:
+        """Applies all operator keys; returns the position of the read."""
         domains = frozenset(
             domain
             for item in listing.items
@@ -314,10 +316,12 @@
         configured = self._apply_configurations(listing.items, "store")
         if evacuated or configured:
             self._peers.publish_view()
-        return listing.store_revision
+        return listing.position
 
-    def _apply_operator_changes(self, listing: keyvalue.Changes) -> int:
-        """Applies changes to operator keys; returns the revision reached."""
+    def _apply_operator_changes(
+        self, listing: keyvalue.Changes
+    ) -> position.Position:
+        """Applies changes to operator keys; returns the position reached."""
         changes = [
             evacuation.EvacuationChange(
                 failure_domain=domain,
@@ -332,7 +336,7 @@
         configured = self._apply_configurations(listing.events, "watch")
         if evacuated or configured:
             self._peers.publish_view()
-        return listing.current_rev
+        return listing.position
 
     def _evacuated_domain(self, item: keyvalue.Item) -> str | None:
         """Returns the domain that a key evacuates; logs unknown keys once."""
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -248,12 +248,20 @@
         return expression.Error(_INCOMPLETE)
 
     async def watch(
-        self, prefix: str, after_revision: int, wait_ms: float
+        self, prefix: str, after: position.Position, wait_ms: float
     ) -> expression.Result[Changes, Failure]:
-        """Waits until an item under a prefix changes, for at most `wait_ms`."""
+        """Waits until an item under a prefix changes, for at most `wait_ms`.
+
+        Args:
+            prefix: Start of the keys.
+            after: Position from which changes are wanted. In a later era, the
+                changes up to its revision may be others, so that the call
+                fails.
+            wait_ms: Longest wait.
+        """
         query = {
             "prefix": prefix,
-            "after": str(after_revision),
+            "after": str(after.revision),
             "wait_ms": str(int(wait_ms)),
         }
         result = await self._call(
@@ -265,6 +273,8 @@
         era = _era(result.ok)
         if era is None:
             return expression.Error(_UNREADABLE_ERA)
+        if era != after.era:
+            return expression.Error(_ERA_CHANGED)
         changes.ok.era = era
         return changes
 
@@ -401,7 +411,7 @@
 
 _ERA_CHANGED = Failure(
     kind=FailureKind.COMPACTED,
-    detail="the store's era changed between two pages",
+    detail="the store's era has changed between two answers",
 )
 
 
--- a/hyssoptack/platform/keyvalue_test.py
+++ b/hyssoptack/platform/keyvalue_test.py
@@ -6,6 +6,7 @@
 import expression
 import pytest
 
+from hyssoptack.core import position
 from hyssoptack.gateway import pool
 from hyssoptack.http1 import message
 from hyssoptack.platform import keyvalue
@@ -63,10 +64,19 @@
     result = asyncio.run(client.read_range("servers/"))
     assert result.error.kind is keyvalue.FailureKind.REFUSED
     client = _Client([{"events": [], "current_rev": 1}], era)
-    result = asyncio.run(client.watch("op/", 1, 10.0))
+    result = asyncio.run(client.watch("op/", position.Position(0, 1), 10.0))
     assert result.error.kind is keyvalue.FailureKind.REFUSED
 
 
+@pytest.mark.parametrize(("era", "fails"), [(1, True), (2, False)])
+def test_a_watch_of_another_era_fails(era, fails):
+    # The changes up to the revision of before were never seen.
+    client = _Client([{"events": [], "current_rev": 12}], b"2")
+    after = position.Position(era, 10)
+    result = asyncio.run(client.watch("op/", after, 10.0))
+    assert result.is_error() == fails
+
+
 def test_the_era_is_part_of_the_position():
     client = _Client([_page("a", has_more=False)], b"7")
     result = asyncio.run(client.read_range("servers/"))
