Quarantine store: tells entries of two eras with one revision apart

An entry that was written after the store's return from an older copy could have the revision of one that was read before, and was then not merged. The test fails before.

--- a/hyssoptack/gateway/quarantinestore.py
+++ b/hyssoptack/gateway/quarantinestore.py
@@ -18,6 +18,7 @@
 from hyssoptack.core import clock
 from hyssoptack.core import decoding
 from hyssoptack.core import gatewaymessage
+from hyssoptack.core import position
 from hyssoptack.events import log
 from hyssoptack.gateway import ignoredentries
 from hyssoptack.http1 import message
@@ -87,19 +88,16 @@
         self._registry = registry
         self._store = store
         self._prefix = prefix
-        self._seen_revisions: dict[str, int] = {}
+        self._seen: dict[str, position.Position] = {}
         self._ignored = ignoredentries.IgnoredEntries(log.Event.PEER_UNREADABLE)
 
-    async def reconcile(self, items: list[keyvalue.Item]) -> None:
+    async def reconcile(self, listing: keyvalue.Listing) -> None:
         """Merges the stored entries, and writes and deletes entries as needed.
 
         Args:
-            items: All stored items under the prefix; other items are ignored.
+            listing: All stored items under the prefix; other items are ignored.
         """
-        own_items = [
-            each for each in items if each.key.startswith(self._prefix)
-        ]
-        stored = self._merge_entries(own_items)
+        stored = self._merge_entries(listing)
         now_ms = clock.now_ms()
         missing = [
             (fingerprint, entry)
@@ -117,12 +115,14 @@
             keys = [self._prefix + each for each in batch]
             self._log_write("cleared", batch, await self._store.delete(keys))
 
-    def _merge_entries(self, items: list[keyvalue.Item]) -> dict[str, int]:
+    def _merge_entries(self, listing: keyvalue.Listing) -> dict[str, int]:
         """Merges each new entry; returns the quarantine counts of all."""
         stored: dict[str, int] = {}
-        seen_revisions: dict[str, int] = {}
+        seen: dict[str, position.Position] = {}
         ignored: dict[str, str] = {}
-        for item in items:
+        for item in listing.items:
+            if not item.key.startswith(self._prefix):
+                continue
             match self._parse(item):
                 case expression.Result(tag="ok", ok=entry):
                     pass
@@ -130,10 +130,11 @@
                     ignored[item.key] = detail
                     continue
             stored[entry.fingerprint] = entry.blocked_count
-            seen_revisions[item.key] = item.revision
-            if self._seen_revisions.get(item.key) != item.revision:
+            # The same revision of another era may have another content.
+            seen[item.key] = position.Position(listing.era, item.revision)
+            if self._seen.get(item.key) != seen[item.key]:
                 self._merge_entry(entry)
-        self._seen_revisions = seen_revisions
+        self._seen = seen
         self._ignored.replace(ignored)
         return stored
 
--- a/hyssoptack/gateway/quarantinestore_test.py
+++ b/hyssoptack/gateway/quarantinestore_test.py
@@ -79,10 +79,31 @@
         )
         for number in range(70)
     ]
-    asyncio.run(stored.reconcile(items))
+    asyncio.run(stored.reconcile(keyvalue.Listing(items, 1)))
     assert store.deleted == [each.key for each in items]
 
 
+def test_an_entry_of_another_era_is_merged_at_the_same_revision():
+    # Revisions are given out again after the store's return from a copy.
+    merged = []
+    registry = types.SimpleNamespace(
+        newest_quarantined=lambda *_: [],
+        merge_notice=lambda *each: merged.append(each),
+        was_cleared=lambda _: False,
+    )
+    stored = quarantinestore.QuarantineStore(registry, _Store(), "q/")
+    entry = quarantinestore.StoredEntry(
+        fingerprint="f",
+        blocked_count=1,
+        until_unix_ms=0.0,
+        over_unix_ms=0.0,
+    )
+    item = keyvalue.Item("q/f", msgspec.json.encode(entry), 7)
+    for era, count in ((1, 1), (1, 1), (2, 2)):
+        asyncio.run(stored.reconcile(keyvalue.Listing([item], 9, era)))
+        assert len(merged) == count
+
+
 def _put_entry(site, name, **changes):
     unix_ms = time.time() * message.MS_PER_S
     entry = {
--- a/hyssoptack/gateway/storewatch.py
+++ b/hyssoptack/gateway/storewatch.py
@@ -69,7 +69,7 @@
 _PEER = msgspec.json.Decoder(member.Peer)
 
 OnStored = collections.abc.Callable[
-    [list[keyvalue.Item]], collections.abc.Awaitable[None]
+    [keyvalue.Listing], collections.abc.Awaitable[None]
 ]
 """Called after each read with all items that gateway instances have stored."""
 
@@ -402,7 +402,7 @@
                 case expression.Result(tag="ok", ok=listing):
                     self._apply_instances(listing)
                     self._peers.publish_view()
-                    await self._on_stored(listing.items)
+                    await self._on_stored(listing)
                 case expression.Result(error=failure):
                     self.reachability.record_lost(failure)
 
