Registration: written anew when the store returns from an older copy

Neighbours would have missed an instance whose entry was lost with the store's return: its lease number may be given out again, and each renewal of that lease succeeded, so that the entry was never written again. Where the number was not given out, the entry was back only with the next renewal.

The client of the store knows the era of the last answer, and the registration is written anew as soon as any answer shows another era. The records of transactions have a module of their own now, as the client's had grown too long.

--- a/hyssoptack/gateway/registration.py
+++ b/hyssoptack/gateway/registration.py
@@ -1,6 +1,5 @@
 """Keeps an instance registered in the platform's list of instances."""
 
-import asyncio
 import random
 
 import expression
@@ -8,7 +7,6 @@
 
 from hyssoptack.core import member
 from hyssoptack.gateway import storewatch
-from hyssoptack.http1 import message
 from hyssoptack.membership import readerelection
 from hyssoptack.platform import keyvalue
 from hyssoptack.platform import storeformat
@@ -32,11 +30,16 @@
     async def maintain_registration(self) -> None:
         """Keeps this instance registered in the list of instances."""
         lease: int | None = None
+        era = 0
         failure_count = 0
         while True:
             if lease is None:
+                era_before = self._store.era
                 lease = await self._register()
-            elif not await self._renew(lease):
+                era = era_before or self._store.era
+            elif self._store.era != era or not await self._renew(lease):
+                # After a return from an older copy, the entry may be lost, and
+                # the lease's number may be another instance's.
                 lease = None
                 continue
             failure_count = 0 if lease is not None else failure_count + 1
@@ -81,4 +84,4 @@
 
     async def _pause(self, period_ms: float) -> None:
         pause_ms = readerelection.jittered_ms(period_ms, self._random)
-        await asyncio.sleep(pause_ms / message.MS_PER_S)
+        await self._store.wait_for_era_change(pause_ms)
--- a/hyssoptack/gateway/restored_test.py
+++ b/hyssoptack/gateway/restored_test.py
@@ -148,3 +148,22 @@
             )
 
     gateway_test.run(test())
+
+
+def test_an_instance_registers_again_after_its_entry_was_lost():
+    # Its lease number was given out again, and renewing it kept another
+    # instance's entry alive, but not its own.
+    async def test():
+        async with harness.Site() as site:
+            site.configure(gateway_test.SINGLE)
+            copy = site.store.copy()
+            await site.add_upstream("i-0", "desk")
+            await site.start("g-1", lease_ms=1_500.0, lease_min_ms=100.0)
+            key = "hyssoptack/peers/g-1"
+            await _wait_for(lambda: key in site.store.sorted_keys())
+            site.store.restore(copy)
+            site.configure(gateway_test.SINGLE)
+            site.store._grant(60_000.0)
+            await _wait_for(lambda: key in site.store.sorted_keys())
+
+    gateway_test.run(test())
--- a/hyssoptack/platform/keyvalue.py
+++ b/hyssoptack/platform/keyvalue.py
@@ -24,6 +24,7 @@
 from hyssoptack.gateway import pool
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
+from hyssoptack.platform import transaction
 
 T = typing.TypeVar("T")
 
@@ -142,23 +143,6 @@
     ttl_ms: float
 
 
-class _Condition(msgspec.Struct):
-    key: str
-    revision: decoding.Int64
-
-
-class _Write(msgspec.Struct):
-    key: str
-    value: bytes
-    lease: decoding.Int64
-
-
-class _Transaction(msgspec.Struct):
-    expect: list[_Condition]
-    writes: list[_Write]
-    deletes: list[str]
-
-
 _PAGE = msgspec.json.Decoder(_Page)
 _CHANGES = msgspec.json.Decoder(Changes)
 _LEASE = msgspec.json.Decoder(_Lease)
@@ -174,11 +158,18 @@
 
 
 class Client:
-    """Asynchronous client of the store; all calls run on the event loop."""
+    """Asynchronous client of the store; all calls run on the event loop.
+
+    Attributes:
+        call_count: Number of calls made.
+        era: The store's era in its last answer; 0 before the first one.
+    """
 
     def __init__(self, address: str, pools: pool.Pools):
         self._pools = pools
+        self._era_changed = asyncio.Event()
         self.call_count = 0
+        self.era = 0
         self.set_address(address)
 
     def set_address(self, address: str) -> None:
@@ -303,11 +294,11 @@
     ) -> expression.Result[message.Reply, Failure]:
         """Writes up to 32 keys that are removed when the lease expires."""
         writes = [
-            _Write(key=key, value=value, lease=lease)
+            transaction.Write(key=key, value=value, lease=lease)
             for key, value in values.items()
         ]
         return await self._commit(
-            _Transaction(expect=[], writes=writes, deletes=[])
+            transaction.Transaction(expect=[], writes=writes, deletes=[])
         )
 
     async def delete(
@@ -315,11 +306,11 @@
     ) -> expression.Result[message.Reply, Failure]:
         """Deletes up to 32 keys."""
         return await self._commit(
-            _Transaction(expect=[], writes=[], deletes=[*keys])
+            transaction.Transaction(expect=[], writes=[], deletes=[*keys])
         )
 
     async def _commit(
-        self, change: _Transaction
+        self, change: transaction.Transaction
     ) -> expression.Result[message.Reply, Failure]:
         body = _ENCODER.encode(change)
         return await self._call("POST", "kv-txn", {}, body=body)
@@ -349,6 +340,7 @@
                 kind = FailureKind.DELAYED
                 detail = f"{method} {name}: {reason}"
             case message.Reply(status=200):
+                self._record_era(outcome)
                 return expression.Ok(outcome)
             case message.Reply(status=status):
                 kind = _FAILURE_KINDS.get(status, FailureKind.REFUSED)
@@ -358,6 +350,22 @@
                 detail = f"{method} {name}: {reason}"
         return expression.Error(Failure(kind=kind, detail=detail))
 
+    def _record_era(self, reply: message.Reply) -> None:
+        era = _era(reply)
+        if era is not None and era > self.era:
+            self.era = era
+            self._era_changed.set()
+            self._era_changed = asyncio.Event()
+
+    async def wait_for_era_change(self, wait_ms: float) -> None:
+        """Waits until the store's era changes, for at most `wait_ms`."""
+        try:
+            async with asyncio.timeout(wait_ms / timeouts.MS_PER_S):
+                await self._era_changed.wait()
+        except TimeoutError:
+            # The usual case: the store has lost nothing.
+            return
+
     async def _exchange(
         self, method: str, path: str, timeout_ms: float, body: bytes
     ) -> httpclient.Outcome:
