Connection slots: owned by one object each, so that none is lost

Cause: the count of open connections of an upstream was written in seven places beside the connections. A call that was cancelled before the first step of its task to connect left it too high, as none of the task's code ran; once it had reached the limit, no connection was opened any more. The random model found a second way: a connection that is lost as it is made, before the task has gone on, was never counted as closed.

Change: a slot is an object. It is held from the attempt until the loss of the connection, and released by a callback of the task, which also runs if the task was cancelled before its first step, or by the connection's loss. The count is the number of slots held. A request that can't be built no longer keeps its connection either. `upstreampool` holds the logic of one upstream, `pool` that of all.

An on-call engineer saw 504 only: the metrics page shows slots in use, idle connections and waiting calls, and event 4109 names an upstream whose calls have waited for a connection for 400 ms.

Evidence: the test of the cancelled call fails before (no answer within 2 s); the random model (300 examples) fails without the callback, without the look at a lost connection, and without the release at the loss.

--- a/hyssoptack/delegation/delegation.py
+++ b/hyssoptack/delegation/delegation.py
@@ -158,6 +158,11 @@
         state = self._states.get(peer.address, _NeighbourState())
         return (state.in_flight_count + 1) / peer.link_mbps
 
+    @property
+    def in_flight_count(self) -> int:
+        """The number of delegated queries in flight at all neighbours."""
+        return sum(each.in_flight_count for each in self._states.values())
+
     def begin_delegation(self, address: str) -> None:
         """Records that a query is delegated to a neighbour."""
         state = self._states.setdefault(address, _NeighbourState())
--- a/hyssoptack/delegation/gatherers.py
+++ b/hyssoptack/delegation/gatherers.py
@@ -158,6 +158,11 @@
     def _state(self, address: str) -> _GathererState:
         return self._states.setdefault(address, _GathererState())
 
+    @property
+    def in_flight_count(self) -> int:
+        """The number of queries with calls in flight at all gatherers."""
+        return sum(each.in_flight_count for each in self._states.values())
+
     def begin_query(self, peer: member.Peer) -> None:
         """Records that calls of a query are sent to a gatherer."""
         self._state(peer.address).in_flight_count += 1
--- a/hyssoptack/events/log.py
+++ b/hyssoptack/events/log.py
@@ -152,6 +152,10 @@
         4108,
         "A read of the list of upstreams was ignored: the one in use is newer.",
     )
+    CALLS_WAITING = (
+        4109,
+        "Calls to an upstream wait long for one of its connections.",
+    )
     VIEW_OUTDATED = (
         4106,
         "The list and configuration are too old; requests wait for a read.",
--- a/hyssoptack/gateway/callrelay_test.py
+++ b/hyssoptack/gateway/callrelay_test.py
@@ -39,7 +39,7 @@
     async def test():
         async with harness.Site() as site:
             north = await _start_north_and_south(site)
-            opened = north._pools.opened_count
+            opened = north._pools.context.opened_count
             response = await site.get("/all/x", "r1", name="north")
             assert response.status == 200
             assert response.headers["x-missing-parts"] == "0"
@@ -48,7 +48,7 @@
             )
             assert response.body[:16] == bytes([200]) * 16
             assert _runs(site, b"r1") == [1] * SHARD_COUNT
-            assert north._pools.opened_count == opened
+            assert north._pools.context.opened_count == opened
             assert not north._call_relay.pending
             assert not site.gateways["south"]._gatherer_service.active_gathers
 
--- a/hyssoptack/gateway/daemon.py
+++ b/hyssoptack/gateway/daemon.py
@@ -27,6 +27,7 @@
 from hyssoptack.gateway import earlyport
 from hyssoptack.gateway import exceptionlog
 from hyssoptack.gateway import gathererservice
+from hyssoptack.gateway import instancegauges
 from hyssoptack.gateway import listeners
 from hyssoptack.gateway import metrics
 from hyssoptack.gateway import partitionmonitor
@@ -82,7 +83,7 @@
             readerelection.read_timings(settings.propagation_bound_ms),
         )
         self.view.gate.set_timings(self.reader_election.read_timings)
-        self._pools.run_when_current = self.view.gate.run_when_open
+        self._pools.context.run_when_current = self.view.gate.run_when_open
         self._extra_call_budget = windowbudget.WindowBudget(
             budgetshare.even_share(settings.budget, 0), clock.now_ms()
         )
@@ -163,7 +164,9 @@
         self._quarantine_store = quarantinestore.QuarantineStore(
             self._suspect_registry, self._store, storeformat.BLOCKED_PREFIX
         )
-        self._pools.on_upstream_exit = self._quarantine_sync.on_upstream_exit
+        self._pools.context.on_upstream_exit = (
+            self._quarantine_sync.on_upstream_exit
+        )
         self._rate_limiter = ratelimitsetup.limit_rates(
             settings,
             self.view,
@@ -242,18 +245,16 @@
         return self._is_serving() and not leaves_rotation
 
     def _gauge_values(self, now_ms: float) -> dict[str, float]:
-        return {
-            **self.view.gauge_values(now_ms),
-            **self._delegator.loop_watch.gauge_values(),
-            "running_count": len(self._request_handler.active_runs),
-            "caller_connection_count": len(self._caller_server.connections),
-            "opened_connection_count": self._pools.opened_count,
-            "store_call_count": self._store.call_count,
-            "instance_count": self.reader_election.instance_count,
-            "suspected_count": self._suspect_registry.suspected_count,
-            "blocked_count": self._suspect_registry.quarantined_count,
-            **(self._admission.gauge_values() if self._admission else {}),
-        }
+        gauges = instancegauges.InstanceGauges(
+            view=self.view,
+            store=self._store,
+            caller_server=self._caller_server,
+            request_handler=self._request_handler,
+            gatherer_service=self._gatherer_service,
+            reader_election=self.reader_election,
+            suspect_registry=self._suspect_registry,
+        )
+        return gauges.values(now_ms)
 
     async def run(self, callers_port: socket.socket | None = None) -> None:
         """Serves until a stop signal, then finishes the requests in progress.
--- a/hyssoptack/gateway/gathererservice.py
+++ b/hyssoptack/gateway/gathererservice.py
@@ -17,8 +17,8 @@
 from hyssoptack.core import traffic
 from hyssoptack.delegation import gatherers
 from hyssoptack.gateway import callrequest
-from hyssoptack.gateway import pool
 from hyssoptack.gateway import replicatedview
+from hyssoptack.gateway import upstreampool
 from hyssoptack.hedging import hedgetiming
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
@@ -121,7 +121,7 @@
         self._forwarded = headers.ForwardedRequest(
             head=relay_request.head, body=relay_request.body
         )
-        self._calls: dict[int, pool.Call] = {}
+        self._calls: dict[int, upstreampool.Call] = {}
         self._open_upstream_ids: dict[int, str] = {}
         self._unsent: list[gatewaymessage.RelayedOutcome] = []
         self._reported = False
--- a/hyssoptack/gateway/partitionmonitor.py
+++ b/hyssoptack/gateway/partitionmonitor.py
@@ -7,8 +7,8 @@
 from hyssoptack.core import clock
 from hyssoptack.core import traffic
 from hyssoptack.events import log
-from hyssoptack.gateway import pool
 from hyssoptack.gateway import replicatedview
+from hyssoptack.gateway import upstreampool
 from hyssoptack.http1 import message
 from hyssoptack.membership import partitiondetector
 
@@ -29,7 +29,7 @@
 async def accepts_connection(address: str) -> bool:
     """Returns whether an address accepts a connection."""
     host, _, port = address.rpartition(":")
-    limit_s = pool.CONNECT_TIMEOUT_MS / message.MS_PER_S
+    limit_s = upstreampool.CONNECT_TIMEOUT_MS / message.MS_PER_S
     try:
         async with asyncio.timeout(limit_s):
             _, writer = await asyncio.open_connection(host, int(port))
--- a/hyssoptack/gateway/pool_test.py
+++ b/hyssoptack/gateway/pool_test.py
@@ -9,11 +9,13 @@
 from hyssoptack.core import traffic
 from hyssoptack.gateway import callrequest
 from hyssoptack.gateway import pool
+from hyssoptack.gateway import upstreampool
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
 from hyssoptack.standins import fakeupstream
 
 WAIT_S = 2.0
+LIMIT_COUNT = 9
 
 
 class _Caller:
@@ -21,8 +23,8 @@
 
     def __init__(self, called: fakeupstream.FakeUpstream):
         self.pools = pool.Pools(b"x-request-id")
-        self.pools.on_upstream_exit = lambda _, jobs: self.exited_jobs.append(
-            jobs
+        self.pools.context.on_upstream_exit = lambda _, jobs: (
+            self.exited_jobs.append(jobs)
         )
         self.exited_jobs: list[tuple[callrequest.CallRequest, ...]] = []
         self._upstream = traffic.Upstream(
@@ -54,7 +56,7 @@
             on_outcome=future.set_result,
             fingerprint=path.decode(),
         )
-        self.pools.call(job, 9)
+        self.pools.call(job, LIMIT_COUNT)
         async with asyncio.timeout(WAIT_S):
             return await future
 
@@ -118,10 +120,10 @@
         await asyncio.sleep(0.1)
         assert not caller.exited_jobs
         # The connection of the exit check carries the next call.
-        opened_count = caller.pools.opened_count
+        opened_count = caller.pools.context.opened_count
         reply = await caller.call(b"/one/2")
         assert isinstance(reply, message.Reply)
-        assert caller.pools.opened_count == opened_count
+        assert caller.pools.context.opened_count == opened_count
         called.stop()
 
     asyncio.run(test())
@@ -136,7 +138,9 @@
         caller = _Caller(called)
         running = asyncio.create_task(caller.call(b"/x"))
         await asyncio.sleep(0)
-        stop_s = (pool.CONNECT_TIMEOUT_MS + 2 * timeouts.STOP_MIN_MS) / 1e3
+        stop_s = (
+            upstreampool.CONNECT_TIMEOUT_MS + 2 * timeouts.STOP_MIN_MS
+        ) / 1e3
         asyncio.get_running_loop().call_soon(time.sleep, stop_s)
         outcome = await running
         assert isinstance(outcome, message.Reply), outcome
@@ -172,8 +176,34 @@
         outcome = await calling
         called.stop()
         assert outcome == httpclient.BrokenCall(
-            reason=pool.WITHDRAWN, sent=False
+            reason=upstreampool.WITHDRAWN, sent=False
         )
         assert not called.run_counts
 
     asyncio.run(test())
+
+
+def test_a_call_cancelled_in_the_step_of_its_start_uses_up_no_connection():
+    # Its task never ran, so that the connection was counted as open for good.
+    # After as many calls as the limit allows, the upstream was not reached.
+    async def test():
+        called = fakeupstream.FakeUpstream("i-1")
+        await called.start()
+        caller = _Caller(called)
+        job = callrequest.CallRequest(
+            upstream=caller._upstream,
+            build_request=lambda: b"",
+            request_id=b"r0",
+            is_head=False,
+            needs_new_connection=False,
+            needs_recent_connection=False,
+            on_outcome=lambda _: None,
+        )
+        for _ in range(2 * LIMIT_COUNT):
+            caller.pools.call(job, LIMIT_COUNT).cancel()
+        await asyncio.sleep(0)
+        answered = await caller.call(b"/one/1")
+        assert answered.status == 200
+        called.stop()
+
+    asyncio.run(test())
--- a/hyssoptack/gateway/querydelegation_test.py
+++ b/hyssoptack/gateway/querydelegation_test.py
@@ -64,7 +64,10 @@
             assert first.headers["x-missing-parts"] == "0"
             assert first.body[:16] == bytes([200]) * 16
             # No replies were gathered over the narrow link.
-            assert narrow._pools.opened_count < wide._pools.opened_count
+            assert (
+                narrow._pools.context.opened_count
+                < wide._pools.context.opened_count
+            )
             assert not narrow._delegator.pending
             return True
 
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -10,9 +10,9 @@
 from hyssoptack.gateway import callrequest
 from hyssoptack.gateway import calltrace
 from hyssoptack.gateway import inbound
-from hyssoptack.gateway import pool
 from hyssoptack.gateway import runcontext
 from hyssoptack.gateway import runlog
+from hyssoptack.gateway import upstreampool
 from hyssoptack.http1 import httpclient
 from hyssoptack.http1 import message
 from hyssoptack.planning import callcommand
@@ -87,7 +87,7 @@
         self._forwarded = headers.forwarded_request(
             exchange.request, self._team_name
         )
-        self._calls: dict[int, pool.Call] = {}
+        self._calls: dict[int, upstreampool.Call] = {}
         self._traces: dict[int, calltrace.Trace] = {}
         self._relayed: list[callrelay.PendingRelay] = []
         match route_match.route.target:
--- a/hyssoptack/gateway/teams_delegation_test.py
+++ b/hyssoptack/gateway/teams_delegation_test.py
@@ -74,7 +74,7 @@
                 ),
             )
             wide.view.route_table.configuration = others
-            opened = wide._pools.opened_count
+            opened = wide._pools.context.opened_count
             with teams_test.log_lines() as lines:
                 got = await site.get(
                     "/all/x",
@@ -84,7 +84,7 @@
                 )
             assert got.status == 200
             assert "declined" in teams_test.logged(lines, "reason")
-            assert wide._pools.opened_count == opened
+            assert wide._pools.context.opened_count == opened
             teams_test.assert_teams(site, b"r1", b"red", 4)
 
     teams_test.run(test)
@@ -139,11 +139,11 @@
                 received.append(each),
                 deliver(each),
             )
-            opened = north._pools.opened_count
+            opened = north._pools.context.opened_count
             fields = (teams_test.FORGED, teams_test.bearer(teams_test.KEY))
             got = await site.get("/all/x", "r1", name="north", fields=fields)
             assert got.status == 200
-            assert north._pools.opened_count == opened
+            assert north._pools.context.opened_count == opened
             teams_test.assert_teams(site, b"r1", b"red", 4)
             assert received
             assert teams_test.KEY not in repr(received).encode()
--- a/hyssoptack/gateway/viewgate.py
+++ b/hyssoptack/gateway/viewgate.py
@@ -66,6 +66,11 @@
 
     # Requests and calls.
 
+    @property
+    def waiting_count(self) -> int:
+        """The number of requests and calls that are held now."""
+        return len(self._waiting)
+
     def is_open(self) -> bool:
         """Returns whether the view is current."""
         return self._freshness.is_current(clock.now_ms(), self.awake_since_ms())
