Calls that can't be answered in time are not sent

Callers whose request arrived with 10 ms of its time or less were told that it may have run (504), and an upstream got a call that was cancelled in the same step, at the cost of the budget for extra calls. The same held for a hedge or a retry that was decided on in the step in which its query ended, and for relayed calls without time left.

Now such a request is refused at once as not run (503), calls that are cancelled in their own step are not sent, and a gatherer declines calls without time left.

--- a/hyssoptack/gateway/gathererservice.py
+++ b/hyssoptack/gateway/gathererservice.py
@@ -92,6 +92,9 @@
         ):
             gather.decline(callresult.CRASHES_UPSTREAMS)
             return
+        if relay_request.remaining_ms <= 0.0:
+            gather.decline(callresult.DEADLINE)
+            return
         self.active_gathers[key] = gather
         gather.start()
 
--- a/hyssoptack/gateway/requestrun.py
+++ b/hyssoptack/gateway/requestrun.py
@@ -112,9 +112,7 @@
             self._execute(self._plan.start(self._now_ms))
 
     def _execute(self, commands: list[callcommand.Command]) -> None:
-        self._send_calls(
-            [each for each in commands if isinstance(each, callcommand.Send)]
-        )
+        self._send_calls(callcommand.lasting_sends(commands))
         for command in commands:
             match command:
                 case callcommand.Send():
@@ -230,7 +228,8 @@
         call = self._calls.pop(call_id, None)
         if call is not None:
             call.cancel()
-        if self._traces[call_id].outcome == calltrace.OPEN:
+        trace = self._traces.get(call_id)
+        if trace is not None and trace.outcome == calltrace.OPEN:
             self._record_outcome(call_id, "cancelled")
 
     def _record_outcome(self, call_id: int, outcome: str) -> None:
--- a/hyssoptack/planning/callcommand.py
+++ b/hyssoptack/planning/callcommand.py
@@ -194,3 +194,19 @@
 
 
 Command = Send | Cancel | Finish
+
+
+def lasting_sends(commands: list[Command]) -> list[Send]:
+    """Returns the calls to send, without those that are cancelled at once.
+
+    A hedge or a retry may be cancelled in the step that decides on it, as the
+    request ends then.
+    """
+    cancelled_ids = {
+        each.call_id for each in commands if isinstance(each, Cancel)
+    }
+    return [
+        each
+        for each in commands
+        if isinstance(each, Send) and each.call_id not in cancelled_ids
+    ]
--- a/hyssoptack/planning/callplan.py
+++ b/hyssoptack/planning/callplan.py
@@ -89,12 +89,14 @@
     def start(self, now_ms: float) -> list[callcommand.Command]:
         """Returns the commands for the first calls, one for each part.
 
-        If the coverage floor cannot be reached, nothing is sent and the
-        request is refused as not run. A request known to crash upstreams is
-        not sent either but fails, because earlier attempts have run.
+        If the coverage floor cannot be reached, or no time is left, nothing is
+        sent and the request is refused as not run. A request known to crash
+        upstreams is not sent either but fails, as earlier attempts have run.
         """
         if not self.probe_guard.admit(now_ms):
             return self._reject_crashing(now_ms)
+        if limit_reason := self._time_limit.reason(now_ms):
+            return self._finish(now_ms, limit_reason)
         chosen = [
             (part, self._choice.first_upstream(part, now_ms))
             for part in self._parts.all
--- a/hyssoptack/planning/callplan_test.py
+++ b/hyssoptack/planning/callplan_test.py
@@ -3,13 +3,17 @@
 import dataclasses
 import sys
 
+import pytest
+
 from hyssoptack.balancing import loadbalancer
 from hyssoptack.budget import windowbudget
 from hyssoptack.core import traffic
 from hyssoptack.hedging import hedgetiming
 from hyssoptack.planning import callcommand
 from hyssoptack.planning import callplan
+from hyssoptack.planning import callresult
 from hyssoptack.planning import plancontext
+from hyssoptack.planning import timelimit
 from hyssoptack.planning import upstreamchoice
 
 GOAL_MS = 100.0
@@ -344,3 +348,27 @@
 
 def test_the_cost_of_a_part_does_not_grow_with_the_number_of_parts():
     assert _function_call_count(360) / 360 < 1.1 * _function_call_count(36) / 36
+
+
+@pytest.mark.parametrize("remaining_ms", [0.0, timelimit.DEADLINE_MARGIN_MS])
+def test_a_request_without_time_left_is_refused_unsent(remaining_ms):
+    # Its call was sent and cancelled in the same step, and its caller was told
+    # that it may have run.
+    context = plan_context(upstream("a"))
+    started = plan(context)
+    commands = callplan.CallPlan(
+        started.request, context, END_MS - remaining_ms
+    ).start(END_MS - remaining_ms)
+    assert not sends(commands)
+    refusal = callcommand.Refuse(reason=callresult.DEADLINE)
+    assert commands == [callcommand.Finish(result=refusal)]
+    assert not context.load_balancer.upstream_states["a"].in_flight_count
+
+
+def test_a_call_that_is_cancelled_in_its_own_step_is_not_sent():
+    # A hedge that was sent as its query ended did work for nobody.
+    context = plan_context(upstream("a"))
+    (kept,) = sends(plan(context).start(0.0))
+    ended = dataclasses.replace(kept, call_id=kept.call_id + 1)
+    commands = [kept, ended, callcommand.Cancel(call_id=ended.call_id)]
+    assert callcommand.lasting_sends(commands) == [kept]
