Notices name only departures of before the store's return

An instance whose list is not settled, as after an ordinary outage, sent all that had left lately with each notice, and neighbours corrected it although no copy was involved. Only departures of an earlier era are sent and corrected now; nothing changes where the store never returned from a copy. Membership tests and restored_test pass.

--- a/hyssoptack/gateway/viewnotice.py
+++ b/hyssoptack/gateway/viewnotice.py
@@ -40,7 +40,7 @@
                 seen_at=each.seen_at,
                 age_ms=now_ms - each.seen_ms,
             )
-            for name, each in known.departed.items()
+            for name, each in known.forgotten.items()
         ),
     )
 
--- a/hyssoptack/membership/upstreamlist.py
+++ b/hyssoptack/membership/upstreamlist.py
@@ -115,6 +115,15 @@
         draining = (name for name, each in self.in_use.items() if each.draining)
         return {*self.departed, *self.withdrawals, *draining}
 
+    @property
+    def forgotten(self) -> departures.Departures:
+        """Upstreams that left before the store returned from an older copy."""
+        return {
+            name: each
+            for name, each in self.departed.items()
+            if each.seen_at.era < self.read_at.era
+        }
+
     @property
     def summary(self) -> listmessage.ListSummary:
         """What neighbours need to know to compare their lists with this one."""
@@ -140,12 +149,8 @@
         self, upstream_id: str, kept: keptupstreams.KeptUpstream
     ) -> bool:
         """Returns whether the list shows that a kept upstream has left."""
-        departure = self.departed.get(upstream_id)
-        if departure is not None and (
-            # The store no longer shows it after a return from an older copy.
-            kept.listed_at < departure.seen_at
-            and departure.seen_at.era < self.read_at.era
-        ):
+        departure = self.forgotten.get(upstream_id)
+        if departure is not None and kept.listed_at < departure.seen_at:
             return True
         return (
             upstream_id not in self.listed
@@ -164,15 +169,16 @@
         """
         if self.is_settled or offered.read_at.era != self.read_at.era:
             return False
-        return bool(self.withdrawals.keys() - offered.withdrawals.keys()) or (
-            not self.departed.keys().isdisjoint(offered.kept)
+        return bool(
+            self.withdrawals.keys() - offered.withdrawals.keys()
+            or self.forgotten.keys() & offered.kept.keys()
         )
 
     def was_corrected_since(self, before: "UpstreamList") -> bool:
         """Returns whether a neighbour has shown that upstreams are gone."""
         return not self.is_settled and bool(
             self.withdrawals.keys() - before.withdrawals.keys()
-            or before.kept.keys() - self.kept.keys()
+            or self.forgotten.keys() & before.kept.keys()
         )
 
     def refutes_outage_of(self, other: "UpstreamList") -> bool:
