Upstreams that refused connections are taken for cold when they answer again

Cause: an upstream whose port had refused connections was ejected for a second, and believed to be warm afterwards, although nothing had listened on its port.

Change: a refused connection, and an exit that was found, mark the upstream. The warm-up limit holds for it until it answers, and for the warm-up time of its service from then on; its new entry replaces this. Resets, time-outs and full queues mark nothing, and services without a limit lose nothing.

--- a/hyssoptack/balancing/warmup_test.py
+++ b/hyssoptack/balancing/warmup_test.py
@@ -205,3 +205,51 @@
     assert (
         balancer.choose("r", COLD.service, frozenset("b"), later_ms) is not None
     )
+
+
+def _balancer(per_s):
+    limiter = make_limiter(0, started_ms=-60_000.0, per_s=per_s)
+    limiter.update_instances((), 0.0)
+    balancer = loadbalancer.LoadBalancer(
+        loadbalancer.LoadBalancerSettings(
+            failure_domain="north", crossing_ratio=1.5
+        ),
+        limiter,
+    )
+    balancer.set_upstreams({"a": COLD}, 0.0)
+    return balancer
+
+
+def _send_for_a_second(balancer, start_ms):
+    sent_count = 0
+    for step in range(100):
+        now_ms = start_ms + 10.0 * step
+        if balancer.choose("r", COLD.service, frozenset(), now_ms):
+            balancer.begin_call("a", now_ms)
+            balancer.record_answer("r", "a", 5.0, now_ms)
+            balancer.end_call("a")
+            sent_count += 1
+    return sent_count
+
+
+@pytest.mark.parametrize("was_refused", [False, True])
+def test_an_upstream_that_refused_connections_is_cold_when_it_answers(
+    was_refused,
+):
+    # It had started again under its id, and got its usual load until the list
+    # was read. One that only lost its connections is not cold.
+    balancer = _balancer(PER_S)
+    if was_refused:
+        balancer.record_refusal("a")
+    balancer.record_connect_failure("a", 0.0)
+    first_count = _send_for_a_second(balancer, 1_000.0)
+    assert (first_count <= LIMIT_COUNT) is was_refused
+    second_count = _send_for_a_second(balancer, 2_000.0)
+    assert (second_count <= LIMIT_COUNT) is was_refused
+    assert _send_for_a_second(balancer, 4_500.0) == 100
+
+
+def test_an_upstream_without_a_warmup_limit_keeps_its_load_after_a_refusal():
+    balancer = _balancer(0.0)
+    balancer.record_refusal("a")
+    assert _send_for_a_second(balancer, 0.0) == 100
--- a/hyssoptack/gateway/upstreampool.py
+++ b/hyssoptack/gateway/upstreampool.py
@@ -221,8 +221,13 @@
                 self._use(call, connection)
             case int(error):
                 slot.release()
-                reason = f"connect_failed_{error}"
-                call.complete(httpclient.BrokenCall(reason=reason, sent=False))
+                call.complete(
+                    httpclient.BrokenCall(
+                        reason=f"connect_failed_{error}",
+                        sent=False,
+                        refused=error == errno.ECONNREFUSED,
+                    )
+                )
             case None:
                 slot.release()
                 reason = "connect_timeout"
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -183,11 +183,12 @@
         is_part: Whether the reply is meant as part of a merged answer.
     """
     match seen:
-        case httpclient.BrokenCall(reason=reason, sent=False):
+        case httpclient.BrokenCall(sent=False):
             return callcommand.Outcome(
                 kind=callcommand.OutcomeKind.NOT_RUN,
-                reason=reason,
+                reason=seen.reason,
                 reached=False,
+                refused=seen.refused,
             )
         case httpclient.BrokenCall():
             return callcommand.Outcome(
