Fuzz test reads quarantine entries as a listing

The parameter of the quarantine store's reader is a listing since it tells eras apart; the damaged data and the check are the same. Wording of the slots' module.

--- a/hyssoptack/core/decoding_fuzz_test.py
+++ b/hyssoptack/core/decoding_fuzz_test.py
@@ -141,7 +141,7 @@
 def read_blocked(data):
     stored = quarantinestore.QuarantineStore(None, None, "b/")
     stored._merge_entry = msgspec.msgpack.encode
-    stored._merge_entries([item("b/f", data)])
+    stored._merge_entries(keyvalue.Listing([item("b/f", data)], 1))
 
 
 def read_body(data):
--- a/hyssoptack/gateway/connectionslots.py
+++ b/hyssoptack/gateway/connectionslots.py
@@ -1,4 +1,4 @@
-"""Places for the connections to one upstream, of which there are so many.
+"""Slots for the connections to one upstream, whose number is limited.
 
 Each connection, and each attempt to open one, holds a slot. The number of open
 connections is the number of slots in use, and no other count is kept: a slot
@@ -11,7 +11,7 @@
 
 
 class Slot:
-    """A place for one connection, from the attempt to open it until its loss.
+    """Stands for one connection, from the attempt to open it until its loss.
 
     Attributes:
         connection: The connection that holds the slot; None before it is open.
