Reverts "Upstreams that refused connections are taken for cold when they answer again"

The mark was cleared by an answer only, and the limit lets no instance call a cold upstream of another domain, nor one without a share. Connections are also refused in a cut of a failure domain, so callers would lose upstreams for good after it.

--- a/hyssoptack/balancing/callfeedback.py
+++ b/hyssoptack/balancing/callfeedback.py
@@ -32,8 +32,6 @@
     """
     if outcome.reason in NO_FAULT_REASONS:
         return
-    if outcome.refused or outcome.upstream_exited:
-        load_balancer.record_refusal(upstream_id)
     match outcome.kind:
         case callcommand.OutcomeKind.ANSWERED:
             elapsed_ms = now_ms - created_ms
--- a/hyssoptack/balancing/loadbalancer.py
+++ b/hyssoptack/balancing/loadbalancer.py
@@ -13,7 +13,6 @@
 
 from hyssoptack.balancing import domaincover
 from hyssoptack.balancing import latencyestimate
-from hyssoptack.balancing import sharedcalls
 from hyssoptack.balancing import slowness
 from hyssoptack.balancing import upstreamstate
 from hyssoptack.balancing import warmup
@@ -56,6 +55,15 @@
 """A call cancelled before its answer counts as one that took this many times
 the time waited: half of the calls that last so long last longer still."""
 
+SHARE_MAX_AGE_MS = 600.0
+"""Maximum age of a call that is shared with neighbours: about one sharing
+interval. Sharing a call twice does no harm."""
+
+LOCAL_FAULT_RATIO = 0.5
+"""Largest share of the recently called upstreams that may look slow. Above it
+the fault is more likely in this instance, and no calls are shared."""
+
+
 PREFERRED_RATIO = 0.2
 """Bonus in the score for the preferred failure domain, as a multiple of the
 typical time: enough to choose among upstreams with similar scores, less than
@@ -295,7 +303,7 @@
         self, state: upstreamstate.UpstreamState, priority: int, now_ms: float
     ) -> bool:
         """Returns whether the warm-up limit allows one more request."""
-        if self._warmups is None or not state.may_be_cold(now_ms):
+        if self._warmups is None or state.cold_until_ms <= now_ms:
             return True
         return self._warmups.allows(state.upstream, priority, now_ms)
 
@@ -313,8 +321,33 @@
     def calls_to_share(
         self, now_ms: float
     ) -> dict[str, gatewaymessage.LatencySample]:
-        """Returns the recent calls to share with neighbours, by upstream id."""
-        return sharedcalls.calls_to_share(self.upstream_states, now_ms)
+        """Returns the recent calls to share with neighbours, by upstream id.
+
+        Only calls of this instance are shared; calls reported by neighbours
+        would otherwise circulate forever.
+        """
+        recently_called = {
+            upstream_id: state.sample_to_share
+            for upstream_id, state in self.upstream_states.items()
+            if now_ms - state.last_sample_ms < SHARE_MAX_AGE_MS
+        }
+        recent = {
+            upstream_id: seen
+            for upstream_id, seen in recently_called.items()
+            if seen is not None and now_ms - seen.end_ms < SHARE_MAX_AGE_MS
+        }
+        slow_count = sum(
+            each.ratio > slowness.SLOW_RATIO and not each.was_shed
+            for each in recent.values()
+        )
+        if slow_count > max(1, LOCAL_FAULT_RATIO * len(recently_called)):
+            return {}
+        return {
+            upstream_id: gatewaymessage.LatencySample(
+                ratio=round(seen.ratio, 1), age_ms=round(now_ms - seen.end_ms)
+            )
+            for upstream_id, seen in recent.items()
+        }
 
     def merge_neighbour_calls(
         self, seen_calls: dict[str, gatewaymessage.LatencySample], now_ms: float
@@ -339,7 +372,7 @@
         if state is None:
             return
         state.in_flight_count += 1
-        if self._warmups is not None and state.may_be_cold(now_ms):
+        if self._warmups is not None and state.cold_until_ms > now_ms:
             self._warmups.record_sent(state.upstream, now_ms)
 
     def end_call(self, upstream_id: str) -> None:
@@ -363,22 +396,8 @@
             return
         state.failure_count = 0
         state.ejected_until_ms = 0.0
-        self._end_refusal(state, now_ms)
         slowness.record_own_call(state, elapsed_ms / typical.median_ms, now_ms)
 
-    def _end_refusal(
-        self, state: upstreamstate.UpstreamState, now_ms: float
-    ) -> None:
-        """Takes an upstream that refused connections for one that is cold.
-
-        Nothing listened on its port, so that it has started again. Its new
-        entry tells more.
-        """
-        if state.was_refused and self._warmups is not None:
-            warmup_ms = self._warmups.warmup_ms(state.upstream.service)
-            state.cold_until_ms = max(state.cold_until_ms, now_ms + warmup_ms)
-        state.was_refused = False
-
     def record_cancelled(
         self,
         route_name: str,
@@ -404,12 +423,6 @@
         if state is not None:
             slowness.record_own_call(state, FAILURE_SLOWNESS_RATIO, now_ms)
 
-    def record_refusal(self, upstream_id: str) -> None:
-        """Records that no process listens on an upstream's port."""
-        state = self.upstream_states.get(upstream_id)
-        if state is not None:
-            state.was_refused = True
-
     def record_connect_failure(self, upstream_id: str, now_ms: float) -> bool:
         """Records a failure to connect.
 
--- a/hyssoptack/balancing/upstreamstate.py
+++ b/hyssoptack/balancing/upstreamstate.py
@@ -31,8 +31,6 @@
         slowness_ratio: Smoothed time of its calls divided by the typical time.
         last_sample_ms: When a call last updated `slowness_ratio`.
         in_flight_count: Number of calls of this instance in flight to it.
-        was_refused: Whether it refused the last connections, so that it has
-            started again if it accepts one.
         failure_count: Number of failures to connect in a row.
         ejected_until_ms: When its ejection ends; no calls are sent before.
         shed_until_ms: Until when other upstreams are preferred, because it
@@ -50,14 +48,9 @@
     slowness_ratio: float = 1.0
     last_sample_ms: float = 0.0
     in_flight_count: int = 0
-    was_refused: bool = False
     failure_count: int = 0
     ejected_until_ms: float = 0.0
     shed_until_ms: float = 0.0
     last_slow_ms: float = float("-inf")
     last_quick_ms: float = float("-inf")
     sample_to_share: CallSample | None = None
-
-    def may_be_cold(self, now_ms: float) -> bool:
-        """Returns whether it warms up, or would if it accepts a connection."""
-        return self.was_refused or self.cold_until_ms > now_ms
--- a/hyssoptack/gateway/upstreampool.py
+++ b/hyssoptack/gateway/upstreampool.py
@@ -221,13 +221,8 @@
                 self._use(call, connection)
             case int(error):
                 slot.release()
-                call.complete(
-                    httpclient.BrokenCall(
-                        reason=f"connect_failed_{error}",
-                        sent=False,
-                        refused=error == errno.ECONNREFUSED,
-                    )
-                )
+                reason = f"connect_failed_{error}"
+                call.complete(httpclient.BrokenCall(reason=reason, sent=False))
             case None:
                 slot.release()
                 reason = "connect_timeout"
--- a/hyssoptack/http1/httpclient.py
+++ b/hyssoptack/http1/httpclient.py
@@ -41,7 +41,6 @@
     Attributes:
         reason: Identifier of the cause, such as `connection_reset`.
         sent: Whether any byte of the request may have been sent.
-        refused: Whether no process listened on the upstream's port.
         upstream_exited: Whether the upstream was found to have exited.
         was_only_call: Whether the upstream had no other call from this instance
             when it exited.
@@ -49,7 +48,6 @@
 
     reason: str
     sent: bool
-    refused: bool = False
     upstream_exited: bool = False
     was_only_call: bool = False
 
--- a/hyssoptack/planning/callcommand.py
+++ b/hyssoptack/planning/callcommand.py
@@ -86,7 +86,6 @@
         reply: The upstream's reply, if it was received completely.
         reason: Short identifier of the cause, for logs.
         reached: Whether the upstream may have seen the request.
-        refused: Whether no process listened on the upstream's port.
         upstream_exited: Whether the upstream exited while it was processing
             the call.
         was_only_call: Whether the upstream had no other call from the same
@@ -97,7 +96,6 @@
     reply: object = None
     reason: str = ""
     reached: bool = True
-    refused: bool = False
     upstream_exited: bool = False
     was_only_call: bool = False
 
--- a/hyssoptack/platform/headers.py
+++ b/hyssoptack/platform/headers.py
@@ -183,12 +183,11 @@
         is_part: Whether the reply is meant as part of a merged answer.
     """
     match seen:
-        case httpclient.BrokenCall(sent=False):
+        case httpclient.BrokenCall(reason=reason, sent=False):
             return callcommand.Outcome(
                 kind=callcommand.OutcomeKind.NOT_RUN,
-                reason=seen.reason,
+                reason=reason,
                 reached=False,
-                refused=seen.refused,
             )
         case httpclient.BrokenCall():
             return callcommand.Outcome(
