--- a/hyssoptack/gateway/pool.py
+++ b/hyssoptack/gateway/pool.py
@@ -81,6 +81,8 @@
     def _log_waiting(self, now_ms: float) -> None:
         """Logs upstreams whose calls have waited long for a connection."""
         for upstream_id, upstream_pool in self._upstream_pools.items():
+            if not upstream_pool.has_waiting:
+                continue
             load = upstream_pool.load(now_ms)
             logged_ms = self._logged_ms.get(upstream_id, float("-inf"))
             if (
--- a/hyssoptack/gateway/upstreampool.py
+++ b/hyssoptack/gateway/upstreampool.py
@@ -134,6 +134,11 @@
         """Whether there are no connections, waiting calls or exit checks."""
         return not (self.slots.used_count or self._waiting or self._exit_check)
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether calls wait, or did until they ended."""
+        return bool(self._waiting)
+
     def load(self, now_ms: float) -> PoolLoad:
         """Returns the connections in use and the calls that wait."""
         since_ms = [
